--- /dev/null
+++ b/account/account.go
@@ -0,0 +1,48 @@
+// Package account describes client accounts and tiers.
+package account
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Tier is the rank of a tier; 0 is the highest.
+type Tier int
+
+// Account is a client account as the configuration states it.
+type Account struct {
+	Name string `msgpack:"name" json:"name"`
+	// KeyHashes holds the hashes of the account's bearer keys, from HashKey.
+	KeyHashes []string `msgpack:"key_hashes" json:"key_hashes"`
+	// Tier is the highest tier the account may use.
+	Tier Tier `msgpack:"tier" json:"tier"`
+	// Weight is the account's share within its tier; 1 by default.
+	Weight float64 `msgpack:"weight" json:"weight"`
+	// RequestsPerSecond and Burst bound the account's rate; 0 means no bound.
+	RequestsPerSecond float64 `msgpack:"requests_per_second" json:"requests_per_second"`
+	Burst             int     `msgpack:"burst" json:"burst"`
+	// MaxConcurrent bounds open requests per gateway; 0 means no bound.
+	MaxConcurrent int `msgpack:"max_concurrent" json:"max_concurrent"`
+	// Services lists what the account may call; empty means all.
+	Services []string `msgpack:"services" json:"services"`
+}
+
+// HashKey returns the SHA-256 of a bearer key in hex. Keys are long random
+// strings, so a plain hash resists guessing.
+func HashKey(key string) string {
+	h := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(h[:])
+}
+
+// MayCall reports whether the account may call the service.
+func (a *Account) MayCall(service string) bool {
+	if len(a.Services) == 0 {
+		return true
+	}
+	for _, s := range a.Services {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/contract/compile.go
@@ -0,0 +1,129 @@
+package contract
+
+import (
+	"time"
+
+	"toucantiller.dev/account"
+	"toucantiller.dev/failuredomain"
+)
+
+// Defaults for fields that a bundle leaves out.
+const (
+	DefaultServeStale   = 10 * time.Minute
+	DefaultMaxBody      = 1 << 20
+	DefaultQueueLength  = 1024
+	DefaultTimeout      = 60 * time.Second
+	DefaultMaxQueueTime = 5 * time.Second
+)
+
+// MoveShare is the share that a move in progress gives to its new version.
+type MoveShare struct {
+	Service string
+	From    string
+	To      string
+	// Share is the new version's share in [0,1].
+	Share float64
+	// Unproven is set until the move is done.
+	Unproven bool
+}
+
+// CompileInput is everything that decides a configuration.
+type CompileInput struct {
+	Revision uint64
+	Ref      BundleRef
+	Bundle   *Bundle
+	Domains  map[failuredomain.ID]failuredomain.Domain
+	Moves    []MoveShare
+	// Versions overrides the current version of services whose move is done.
+	Versions map[string]string
+}
+
+// Compile builds the configuration. The bundle must be valid.
+func Compile(in CompileInput) *Config {
+	b := in.Bundle
+	c := &Config{
+		Revision:   in.Revision,
+		Bundle:     in.Ref,
+		Domains:    make(map[failuredomain.ID]failuredomain.Domain, len(b.Domains)),
+		ServeStale: orDefault(b.ServeStale, DefaultServeStale),
+	}
+	rank := make(map[string]account.Tier, len(b.Tiers))
+	for i, t := range b.Tiers {
+		rank[t.Name] = account.Tier(i)
+		c.Tiers = append(c.Tiers, Tier{Name: t.Name, MaxQueueTime: orDefault(t.MaxQueueTime, DefaultMaxQueueTime), FirstToken: t.FirstToken})
+	}
+	for _, a := range b.Accounts {
+		c.Accounts = append(c.Accounts, compileAccount(a, rank))
+	}
+	for _, d := range b.Domains {
+		c.Domains[failuredomain.ID(d.Name)] = compileDomain(d, in.Domains)
+	}
+	for _, s := range b.Services {
+		c.Services = append(c.Services, compileService(s, in))
+	}
+	return c.Index()
+}
+
+func compileAccount(a AccountSpec, rank map[string]account.Tier) *account.Account {
+	return &account.Account{
+		Name:              a.Name,
+		KeyHashes:         a.KeyHashes,
+		Tier:              rank[a.Tier],
+		Weight:            orDefault(a.Weight, 1),
+		RequestsPerSecond: a.RequestsPerSecond,
+		Burst:             a.Burst,
+		MaxConcurrent:     a.MaxConcurrent,
+		Services:          a.Services,
+	}
+}
+
+func compileDomain(d DomainSpec, current map[failuredomain.ID]failuredomain.Domain) failuredomain.Domain {
+	id := failuredomain.ID(d.Name)
+	out, ok := current[id]
+	if !ok {
+		out.State = failuredomain.StateActive
+	}
+	out.ID = id
+	out.Region = failuredomain.Region(d.Region)
+	return out
+}
+
+func compileService(s ServiceSpec, in CompileInput) *Service {
+	out := &Service{
+		Name:        s.Name,
+		Kind:        s.Kind,
+		Models:      s.Models,
+		MaxBody:     orDefault(s.MaxBody, DefaultMaxBody),
+		QueueLength: orDefault(s.QueueLength, DefaultQueueLength),
+		Timeout:     orDefault(s.Timeout, DefaultTimeout),
+	}
+	for _, r := range s.Routes {
+		out.Routes = append(out.Routes, Route{Name: r.Name, Method: r.Method, Path: r.Path, Idempotent: r.Idempotent, ClaimTTL: orDefault(r.ClaimTTL, DefaultClaimTTL)})
+	}
+	out.Versions = compileVersions(s, in)
+	return out
+}
+
+func compileVersions(s ServiceSpec, in CompileInput) []VersionShare {
+	for _, m := range in.Moves {
+		if m.Service == s.Name {
+			return []VersionShare{
+				{Version: m.From, Share: 1 - m.Share},
+				{Version: m.To, Share: m.Share, Unproven: m.Unproven},
+			}
+		}
+	}
+	version := s.Version
+	if v, ok := in.Versions[s.Name]; ok {
+		version = v
+	}
+	return []VersionShare{{Version: version, Share: 1}}
+}
+
+func orDefault[T comparable](value, standard T) T {
+	var zero T
+	if value == zero {
+		return standard
+	}
+	return value
+}
--- /dev/null
+++ b/contract/config.go
@@ -0,0 +1,153 @@
+// Package contract holds what operators promise: the bundle they write and the
+// compiled configuration that processes act on.
+package contract
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"toucantiller.dev/account"
+	"toucantiller.dev/failuredomain"
+)
+
+// Config is the compiled configuration. It is immutable: processes swap the
+// whole value and accept only a higher Revision.
+type Config struct {
+	Revision uint64    `msgpack:"revision" json:"revision"`
+	Bundle   BundleRef `msgpack:"bundle" json:"bundle"`
+	// Tiers lists the tiers from the highest down; the index is the rank.
+	Tiers    []Tier                                    `msgpack:"tiers" json:"tiers"`
+	Accounts []*account.Account                        `msgpack:"accounts" json:"accounts"`
+	Domains  map[failuredomain.ID]failuredomain.Domain `msgpack:"domains" json:"domains"`
+	Services []*Service                                `msgpack:"services" json:"services"`
+	// ServeStale is how long a process cut off from control keeps taking work.
+	ServeStale time.Duration `msgpack:"serve_stale" json:"serve_stale"`
+
+	byKey map[string]*account.Account
+}
+
+// BundleRef identifies a bundle by name, version and content digest (hex SHA-256).
+type BundleRef struct {
+	Name    string `msgpack:"name" json:"name"`
+	Version uint64 `msgpack:"version" json:"version"`
+	Digest  string `msgpack:"digest" json:"digest"`
+}
+
+// Tier is one class of service.
+type Tier struct {
+	Name string `msgpack:"name" json:"name"`
+	// MaxQueueTime bounds the wait in queues.
+	MaxQueueTime time.Duration `msgpack:"max_queue_time" json:"max_queue_time"`
+	// FirstToken is the objective for the time to first token.
+	FirstToken time.Duration `msgpack:"first_token" json:"first_token"`
+}
+
+// Kind tells model services from plain ones.
+type Kind string
+
+// Kinds of services.
+const (
+	KindModel Kind = "model"
+	KindPlain Kind = "plain"
+)
+
+// Service is a group of endpoints that serve the same calls.
+type Service struct {
+	Name string `msgpack:"name" json:"name"`
+	Kind Kind   `msgpack:"kind" json:"kind"`
+	// Models lists the model names callers use for a model service.
+	Models []string `msgpack:"models" json:"models"`
+	Routes []Route  `msgpack:"routes" json:"routes"`
+	// Versions lists the versions that may receive traffic, with their shares.
+	Versions []VersionShare `msgpack:"versions" json:"versions"`
+	// MaxBody bounds a request body, in bytes.
+	MaxBody int64 `msgpack:"max_body" json:"max_body"`
+	// QueueLength bounds each gateway's queue for the service, in requests.
+	QueueLength int `msgpack:"queue_length" json:"queue_length"`
+	// Timeout is the default time for a whole request.
+	Timeout time.Duration `msgpack:"timeout" json:"timeout"`
+}
+
+// Route states how calls that match it may be treated.
+type Route struct {
+	Name   string `msgpack:"name" json:"name"`
+	Method string `msgpack:"method" json:"method"`
+	// Path matches exactly, or as a prefix when it ends in "*".
+	Path string `msgpack:"path" json:"path"`
+	// Idempotent allows the call to be repeated by callers without a claim.
+	Idempotent bool `msgpack:"idempotent" json:"idempotent"`
+	// ClaimTTL is how long an idempotency claim is kept.
+	ClaimTTL time.Duration `msgpack:"claim_ttl" json:"claim_ttl"`
+}
+
+// VersionShare gives a version its share of the traffic of a service.
+type VersionShare struct {
+	Version string `msgpack:"version" json:"version"`
+	// Share is in [0,1]; the shares of a service add up to 1.
+	Share float64 `msgpack:"share" json:"share"`
+	// Unproven marks a version under a move: its share needs a fresh beacon.
+	Unproven bool `msgpack:"unproven" json:"unproven"`
+}
+
+// Index prepares lookups. It must be called once before the value is shared.
+func (c *Config) Index() *Config {
+	c.byKey = make(map[string]*account.Account)
+	for _, a := range c.Accounts {
+		for _, h := range a.KeyHashes {
+			c.byKey[h] = a
+		}
+	}
+	return c
+}
+
+// AccountByKey finds the account of a bearer key.
+func (c *Config) AccountByKey(key string) (*account.Account, bool) {
+	a, ok := c.byKey[account.HashKey(key)]
+	return a, ok
+}
+
+// ServiceByName finds a service.
+func (c *Config) ServiceByName(name string) (*Service, bool) {
+	for _, s := range c.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return nil, false
+}
+
+// ServiceByModel finds the model service that serves a model name.
+func (c *Config) ServiceByModel(model string) (*Service, bool) {
+	for _, s := range c.Services {
+		if s.Kind == KindModel && slices.Contains(s.Models, model) {
+			return s, true
+		}
+	}
+	return nil, false
+}
+
+// RouteFor returns the first route that matches. Unmatched calls get a route
+// named after the method, idempotent only for GET, HEAD and OPTIONS.
+func (s *Service) RouteFor(method, path string) Route {
+	for _, r := range s.Routes {
+		if r.matches(method, path) {
+			return r
+		}
+	}
+	safe := method == "GET" || method == "HEAD" || method == "OPTIONS"
+	return Route{Name: "default-" + strings.ToLower(method), Method: method, Path: "*", Idempotent: safe, ClaimTTL: DefaultClaimTTL}
+}
+
+// DefaultClaimTTL is how long a claim is kept where the bundle does not say.
+const DefaultClaimTTL = 24 * time.Hour
+
+func (r Route) matches(method, path string) bool {
+	if r.Method != "" && r.Method != "*" && r.Method != method {
+		return false
+	}
+	if prefix, ok := strings.CutSuffix(r.Path, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return r.Path == path
+}
--- /dev/null
+++ b/control/api/api.go
@@ -0,0 +1,280 @@
+// Package api defines the messages that control replicas exchange with gateways,
+// agents and operators over net/rpc. Service name "Control"; each request type
+// names its method.
+package api
+
+import (
+	"time"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/instance"
+)
+
+// Outcome tells what became of an operator's change.
+type Outcome string
+
+// Outcomes of changes.
+const (
+	OutcomeAccepted Outcome = "accepted"
+	OutcomeRefused  Outcome = "refused"
+)
+
+// Operation identifies a change: a resend with the same ID and content gets the
+// first outcome. Signature is the operator's ed25519 signature over the change.
+type Operation struct {
+	ID        string
+	Operator  string
+	Signature []byte
+}
+
+// ChangeReply answers every operator change.
+type ChangeReply struct {
+	Outcome Outcome
+	// Reason is set for OutcomeRefused and names who or what stands against it.
+	Reason   string
+	Revision uint64
+	// Leader is set when the called replica is not the leader; call that address.
+	Leader string
+}
+
+// ApplyBundle is "Control.ApplyBundle": makes a signed bundle the configuration.
+type ApplyBundle struct {
+	Operation  Operation
+	Content    []byte
+	Signatures []Signature
+}
+
+// Signature is one sign-off over a bundle's exact content.
+type Signature struct {
+	Operator  string    `json:"operator"`
+	At        time.Time `json:"at"`
+	Signature []byte    `json:"signature"`
+}
+
+// SetDomain is "Control.SetDomain": drains or restores a failure domain.
+type SetDomain struct {
+	Operation Operation
+	Domain    failuredomain.ID
+	State     failuredomain.State
+}
+
+// AbortMove is "Control.AbortMove": takes back the move of a service.
+type AbortMove struct {
+	Operation Operation
+	Service   string
+	Reason    string
+}
+
+// MoveState is the state of a move.
+type MoveState string
+
+// States of a move.
+const (
+	MoveRunning   MoveState = "running"
+	MoveWatching  MoveState = "watching"
+	MoveDone      MoveState = "done"
+	MoveTakenBack MoveState = "taken back"
+)
+
+// Move is the state of one move, from "Control.Moves".
+type Move struct {
+	Service  string
+	From     string
+	To       string
+	State    MoveState
+	Stage    int
+	Share    float64
+	Started  time.Time
+	Deadline time.Time
+	Ended    time.Time
+	// Cause says in one line why the move stands as it does.
+	Cause string
+	// Evidence lists what the decision rests on.
+	Evidence []MoveEvidence
+}
+
+// MoveEvidence compares the new version with the old on one route and measure.
+type MoveEvidence struct {
+	Route   string
+	Domain  failuredomain.ID
+	Measure string
+	Old     float64
+	New     float64
+	OldN    int64
+	NewN    int64
+	// LogEvidence is the natural logarithm of the test martingale.
+	LogEvidence float64
+}
+
+// Register is "Control.Register": announces a process; agents carry an endpoint.
+type Register struct {
+	Instance instance.Instance
+	Endpoint *endpoint.Endpoint
+}
+
+// RegisterReply grants a lease.
+type RegisterReply struct {
+	Lease  uint64
+	TTL    time.Duration
+	Leader string
+	// RetryAfter is set when registrations are being admitted at their bounded rate.
+	RetryAfter time.Duration
+}
+
+// KeepAlive is "Control.KeepAlive": renews a lease and confirms the revision in force.
+type KeepAlive struct {
+	Lease    uint64
+	Instance instance.ID
+	Revision uint64
+	// Leaving asks that the registration ends.
+	Leaving bool
+}
+
+// KeepAliveReply says whether the lease still exists.
+type KeepAliveReply struct {
+	Known  bool
+	Leader string
+}
+
+// Subscribe is "Control.Subscribe" and "Distribution.Subscribe": waits until the
+// configuration or the directory is newer than what the caller has, or for Wait.
+type Subscribe struct {
+	Instance  instance.ID
+	Revision  uint64
+	Directory uint64
+	Wait      time.Duration
+}
+
+// View is what a process knows about the deployment. Nil parts are unchanged.
+type View struct {
+	Config    *contract.Config
+	Directory *Directory
+	Beacon    Beacon
+}
+
+// Beacon proves freshness: a leader with a quorum issued it Age ago.
+type Beacon struct {
+	Revision uint64
+	Term     uint64
+	Seq      uint64
+	Age      time.Duration
+}
+
+// Directory lists the registered endpoints.
+type Directory struct {
+	Revision  uint64
+	Endpoints []endpoint.Endpoint
+}
+
+// ClaimState is the state of an idempotency claim.
+type ClaimState string
+
+// States of a claim, as seen by the gateway that asks.
+const (
+	// ClaimGranted: the caller of the RPC owns the claim and may dispatch.
+	ClaimGranted ClaimState = "granted"
+	// ClaimRunning: another gateway owns it.
+	ClaimRunning ClaimState = "running"
+	// ClaimDone: the first answer follows.
+	ClaimDone ClaimState = "done"
+	// ClaimUnknown: the outcome of the first run cannot be known.
+	ClaimUnknown ClaimState = "unknown"
+	// ClaimConflict: the key was used with another body.
+	ClaimConflict ClaimState = "conflict"
+)
+
+// Claim is "Control.Claim": claims a key before dispatch, or moves an owned claim to
+// another dispatch.
+type Claim struct {
+	Account    string
+	Key        string
+	BodyDigest string
+	TTL        time.Duration
+	// Owner is the gateway; Target and Dispatch name where it is about to dispatch.
+	Owner    instance.ID
+	Target   endpoint.Endpoint
+	Dispatch dispatch.ID
+	// Previous is the dispatch that was proven not run, when a claim is taken over or moved.
+	Previous *dispatch.ID
+}
+
+// ClaimReply answers a Claim.
+type ClaimReply struct {
+	State  ClaimState
+	Leader string
+	// Owner, OwnerAlive, Target and Dispatch describe a running claim.
+	Owner      instance.ID
+	OwnerAlive bool
+	Target     endpoint.Endpoint
+	Dispatch   dispatch.ID
+	Answer     *dispatch.StoredAnswer
+}
+
+// CompleteClaim is "Control.CompleteClaim": stores the outcome of a claim.
+type CompleteClaim struct {
+	Account  string
+	Key      string
+	Dispatch dispatch.ID
+	State    ClaimState // ClaimDone, ClaimUnknown; ClaimGranted releases a claim proven not run
+	Answer   *dispatch.StoredAnswer
+}
+
+// CompleteReply answers a CompleteClaim.
+type CompleteReply struct{ Leader string }
+
+// Evidence is "Control.ReportEvidence": observations that a gateway made since its
+// last report.
+type Evidence struct {
+	Gateway      instance.ID
+	Seq          uint64
+	Observations []Observation
+}
+
+// Observation is one answered request.
+type Observation struct {
+	Service  string
+	Version  string
+	Route    string
+	Endpoint endpoint.ID
+	Domain   failuredomain.ID
+	Failed   bool
+	// Cold is set when the endpoint was ramping its limit.
+	Cold bool
+	// Load is the requests running at the endpoint over its limit, when dispatched.
+	Load         float64
+	PromptTokens int
+	AnswerTokens int
+	FirstToken   time.Duration
+	// BetweenTokens is the mean time between tokens; 0 for plain services.
+	BetweenTokens time.Duration
+}
+
+// Status is "Control.Status": a replica's view for operators.
+type Status struct {
+	Replica  string
+	Leader   string
+	Term     uint64
+	Revision uint64
+	Bundle   contract.BundleRef
+	Domains  []failuredomain.Domain
+	Moves    []Move
+	// Processes lists every process that holds a lease.
+	Processes []ProcessStatus
+	Endpoints []endpoint.Endpoint
+	// InForce is true when every process is at Revision.
+	InForce bool
+}
+
+// ProcessStatus is one process and the revision it confirmed.
+type ProcessStatus struct {
+	Instance instance.Instance
+	Revision uint64
+	// Silent is the time since the last keepalive.
+	Silent time.Duration
+}
+
+// Empty is the argument of calls without input.
+type Empty struct{}
--- /dev/null
+++ b/endpoint/endpoint.go
@@ -0,0 +1,54 @@
+// Package endpoint describes endpoints: a model engine or a plain service
+// behind one agent.
+package endpoint
+
+import (
+	"time"
+
+	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/instance"
+)
+
+// ID names an endpoint; it is the instance ID of its agent.
+type ID = instance.ID
+
+// Endpoint is what an agent announces.
+type Endpoint struct {
+	ID          ID                   `msgpack:"id" json:"id"`
+	Incarnation instance.Incarnation `msgpack:"incarnation" json:"incarnation"`
+	Service     string               `msgpack:"service" json:"service"`
+	Version     string               `msgpack:"version" json:"version"`
+	Domain      failuredomain.ID     `msgpack:"domain" json:"domain"`
+	// Address is the agent's link address, as "ip:port".
+	Address string `msgpack:"address" json:"address"`
+	// AdminAddress is the agent's admin listener, as "ip:port".
+	AdminAddress string `msgpack:"admin_address" json:"admin_address"`
+	// Leaving is set once the agent has begun to drain.
+	Leaving bool `msgpack:"leaving" json:"leaving"`
+}
+
+// Load is an agent's report on its endpoint. It travels on dispatch frames.
+type Load struct {
+	// Limit is the number of requests the endpoint can bear at present.
+	Limit int `msgpack:"limit" json:"limit"`
+	// Running and Queued count requests in the engine and in the agent's queue.
+	Running int `msgpack:"running" json:"running"`
+	Queued  int `msgpack:"queued" json:"queued"`
+	// QueuedTokens is the prompt tokens waiting in the queue.
+	QueuedTokens int `msgpack:"queued_tokens" json:"queued_tokens"`
+	// RunningTokens is the prompt and answer tokens of running requests.
+	RunningTokens int `msgpack:"running_tokens" json:"running_tokens"`
+	// PrefillRate and DecodeRate are learned speeds in tokens per second; 0 means
+	// not known yet.
+	PrefillRate float64 `msgpack:"prefill_rate" json:"prefill_rate"`
+	DecodeRate  float64 `msgpack:"decode_rate" json:"decode_rate"`
+	// Floor is the admission floor: tiers with a rank above it are refused.
+	// A negative value means no floor.
+	Floor int `msgpack:"floor" json:"floor"`
+	// Cold is set while the agent ramps its limit.
+	Cold bool `msgpack:"cold" json:"cold"`
+	// Leaving is set once the agent has begun to drain.
+	Leaving bool `msgpack:"leaving" json:"leaving"`
+	// Age is how old the report was when it was sent.
+	Age time.Duration `msgpack:"age" json:"age"`
+}
--- /dev/null
+++ b/endpoint/engine.go
@@ -0,0 +1,71 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// ErrNotSent is wrapped by Engine.Submit when no byte of the request reached
+// the engine, so the request certainly did not run.
+var ErrNotSent = errors.New("request not sent")
+
+// ErrUnsupported is returned by optional engine operations.
+var ErrUnsupported = errors.New("operation not supported by this engine")
+
+// Request is one call to an engine.
+type Request struct {
+	// ID is the dispatch identity as a string; engines use it to cancel and resume.
+	ID     string
+	Method string
+	// Path is the path and query at the engine.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is a started answer. Body must be closed; closing early cancels.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+}
+
+// Order asks an engine to change what it serves.
+type Order struct {
+	// Token is the fencing token; orders with a lower token than one seen are refused.
+	Token   uint64
+	Action  string // load_version, load_adapter, set_role
+	Subject string
+}
+
+// CacheEvent tells that a prefix was stored or evicted. Seq has gaps where
+// events were lost.
+type CacheEvent struct {
+	Seq     uint64
+	Prefix  uint64
+	Evicted bool
+}
+
+// Engine is the narrow interface to an endpoint. Deployments differ in their
+// control calls, so each kind of engine has one implementation.
+type Engine interface {
+	// Submit sends the request and returns when the answer has started. An error
+	// that wraps ErrNotSent proves that the request did not run.
+	Submit(ctx context.Context, r *Request) (*Answer, error)
+	// Cancel stops the request with this ID.
+	Cancel(ctx context.Context, id string) error
+	// Resume reopens the answer of request id from byte offset.
+	Resume(ctx context.Context, id string, offset int64) (*Answer, error)
+	// Load returns the engine's own report and the time at which it was made.
+	Load(ctx context.Context) (running, waiting int, at time.Time, err error)
+	// CacheEvents returns events after seq.
+	CacheEvents(ctx context.Context, seq uint64) ([]CacheEvent, error)
+	// Order carries an order with its fencing token.
+	Order(ctx context.Context, o Order) error
+	// ExportKV returns the KV cache of request id; ImportKV loads one.
+	ExportKV(ctx context.Context, id string) ([]byte, error)
+	ImportKV(ctx context.Context, id string, kv []byte) error
+}
--- /dev/null
+++ b/link/network.go
@@ -0,0 +1,87 @@
+// Package link connects the processes of the system: networks that dial and
+// listen, net/rpc clients with deadlines and probes, and an in-memory network
+// with faults for tests.
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Network dials and listens. Implementations: TCP, TLS and Memory.
+type Network interface {
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+	Listen(addr string) (net.Listener, error)
+}
+
+// Error names the step and the peer at which a call failed.
+type Error struct {
+	Step string
+	Peer string
+	Err  error
+}
+
+// Error returns "step peer: cause".
+func (e *Error) Error() string { return fmt.Sprintf("%s %s: %v", e.Step, e.Peer, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// ErrSilent is the cause when a connection delivered nothing within the probe timeout.
+var ErrSilent = errors.New("connection is silent")
+
+// DialTimeout bounds opening a connection.
+const DialTimeout = time.Second
+
+// TCP is the plain network.
+type TCP struct{}
+
+// Dial opens a TCP connection.
+func (TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: DialTimeout}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Listen opens a TCP listener.
+func (TCP) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// TLS wraps another network in mutual TLS. Config needs certificates, RootCAs and
+// ClientCAs of the deployment.
+type TLS struct {
+	Inner  Network
+	Config *tls.Config
+}
+
+// Dial opens a connection and completes the handshake.
+func (t TLS) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := t.Inner.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	cfg := t.Config.Clone()
+	if cfg.ServerName == "" {
+		host, _, _ := net.SplitHostPort(addr)
+		cfg.ServerName = host
+	}
+	tc := tls.Client(c, cfg)
+	if err := tc.HandshakeContext(ctx); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return tc, nil
+}
+
+// Listen opens a listener that requires a certificate of the deployment.
+func (t TLS) Listen(addr string) (net.Listener, error) {
+	l, err := t.Inner.Listen(addr)
+	if err != nil {
+		return nil, err
+	}
+	cfg := t.Config.Clone()
+	cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	return tls.NewListener(l, cfg), nil
+}
