--- /dev/null
+++ b/timeline/timeline.go
@@ -0,0 +1,131 @@
+// Package timeline records events of all processes in an order that holds across
+// clock differences: every event carries a hybrid logical time.
+package timeline
+
+import (
+	"cmp"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Time is a hybrid logical time: the wall clock in nanoseconds and a counter that
+// orders events within one reading.
+type Time struct {
+	Wall    int64  `json:"wall" msgpack:"wall"`
+	Logical uint32 `json:"logical" msgpack:"logical"`
+}
+
+// Compare orders two times.
+func (t Time) Compare(o Time) int {
+	if c := cmp.Compare(t.Wall, o.Wall); c != 0 {
+		return c
+	}
+	return cmp.Compare(t.Logical, o.Logical)
+}
+
+// String returns "wall.logical".
+func (t Time) String() string { return fmt.Sprintf("%d.%d", t.Wall, t.Logical) }
+
+// Clock issues hybrid logical times. Its zero value is ready for use.
+type Clock struct {
+	mu   sync.Mutex
+	last Time
+}
+
+// Now returns a time after every time issued or observed before.
+func (c *Clock) Now() Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wall := time.Now().UnixNano()
+	if wall > c.last.Wall {
+		c.last = Time{Wall: wall}
+	} else {
+		c.last.Logical++
+	}
+	return c.last
+}
+
+// Observe merges a time received from another process.
+func (c *Clock) Observe(t Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.Compare(c.last) > 0 {
+		c.last = t
+	}
+}
+
+// Kind names what happened, as "object.verb", for example "domain.drained".
+type Kind string
+
+// Event is one change of state or one step of a request.
+type Event struct {
+	At      Time   `json:"at" msgpack:"at"`
+	Process string `json:"process" msgpack:"process"`
+	Seq     uint64 `json:"seq" msgpack:"seq"`
+	Kind    Kind   `json:"kind" msgpack:"kind"`
+	// Cause is the "process/seq" of the event that led to this one, where known.
+	Cause    string `json:"cause,omitempty" msgpack:"cause"`
+	Request  string `json:"request,omitempty" msgpack:"request"`
+	Endpoint string `json:"endpoint,omitempty" msgpack:"endpoint"`
+	Move     string `json:"move,omitempty" msgpack:"move"`
+	Domain   string `json:"domain,omitempty" msgpack:"domain"`
+	Revision uint64 `json:"revision,omitempty" msgpack:"revision"`
+	Detail   string `json:"detail,omitempty" msgpack:"detail"`
+}
+
+// DefaultCapacity is the number of events a Recorder keeps.
+const DefaultCapacity = 4096
+
+// Recorder keeps the latest events of one process in bounded memory. Writers share no
+// lock: each takes a slot with an atomic counter.
+type Recorder struct {
+	process string
+	clock   *Clock
+	next    atomic.Uint64
+	slots   []atomic.Pointer[Event]
+}
+
+// NewRecorder returns a recorder for a process. capacity 0 means DefaultCapacity.
+func NewRecorder(process string, clock *Clock, capacity int) *Recorder {
+	if capacity <= 0 {
+		capacity = DefaultCapacity
+	}
+	if clock == nil {
+		clock = &Clock{}
+	}
+	return &Recorder{process: process, clock: clock, slots: make([]atomic.Pointer[Event], capacity)}
+}
+
+// Clock returns the recorder's clock.
+func (r *Recorder) Clock() *Clock { return r.clock }
+
+// Record stamps and stores an event and returns its identity "process/seq". A nil
+// Recorder discards events.
+func (r *Recorder) Record(e Event) string {
+	if r == nil {
+		return ""
+	}
+	seq := r.next.Add(1)
+	e.At = r.clock.Now()
+	e.Process = r.process
+	e.Seq = seq
+	r.slots[(seq-1)%uint64(len(r.slots))].Store(&e)
+	return fmt.Sprintf("%s/%d", r.process, seq)
+}
+
+// Events returns the kept events that match, oldest first.
+func (r *Recorder) Events(f Filter) []Event {
+	if r == nil {
+		return nil
+	}
+	out := make([]Event, 0, len(r.slots))
+	for i := range r.slots {
+		if e := r.slots[i].Load(); e != nil && f.Match(e) {
+			out = append(out, *e)
+		}
+	}
+	Sort(out)
+	return out
+}
