Carry a call from gateway through agent to engine and back

Cause: everything else is built onto one whole request path. Change: a first gateway (account check, choice of two, seal after a broken answer), a first agent (ledger, queue by tier with a fixed limit, frames with heartbeats), an HTTP engine, fake engines, and a test that sends a chat completion, a stream and a plain call through real sockets. Conclusion: the path stands; limits, queues and routing are placeholders that the decision packages replace.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,131 @@
+// Package agent is the process beside each endpoint. It owns the endpoint's
+// concurrency limit and priority queue, executes each dispatch at most once, drains,
+// and carries orders to the engine.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/metric"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/link"
+	"toucantiller.dev/timeline"
+)
+
+// View is what the agent knows about the deployment.
+type View interface {
+	// Config returns the configuration in force; nil before the first one arrived.
+	Config() *contract.Config
+	// Saw is told of a revision that a peer has.
+	Saw(revision uint64, peer string)
+}
+
+// Options are the parts of an agent.
+type Options struct {
+	Endpoint endpoint.Endpoint
+	Engine   endpoint.Engine
+	View     View
+	Network  link.Network
+	Logger   log.Logger
+	Timeline *timeline.Recorder
+	Meter    metric.Meter
+	// MaxBody bounds a request body, in bytes.
+	MaxBody int64
+}
+
+// Agent serves dispatches for one endpoint.
+type Agent struct {
+	opt      Options
+	ledger   *Ledger
+	gate     *gate
+	server   *http.Server
+	leaving  atomic.Bool
+	requests sync.WaitGroup
+	metrics  *metrics
+}
+
+const defaultMaxBody = 16 << 20
+
+// New returns an agent that is not yet serving.
+func New(opt Options) (*Agent, error) {
+	if opt.Logger == nil {
+		opt.Logger = log.NewNopLogger()
+	}
+	if opt.MaxBody == 0 {
+		opt.MaxBody = defaultMaxBody
+	}
+	m, err := newMetrics(opt.Meter)
+	if err != nil {
+		return nil, eris.Wrap(err, "creating agent metrics")
+	}
+	a := &Agent{opt: opt, ledger: NewLedger(), gate: newGate(), metrics: m}
+	a.server = link.NewHTTPServer(a.Handler())
+	return a, nil
+}
+
+// Handler returns the dispatch interface.
+func (a *Agent) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(dispatch.PathDispatch, a.serveDispatch).Methods(http.MethodPost)
+	r.HandleFunc(dispatch.PathSeal, a.serveSeal).Methods(http.MethodPost)
+	return r
+}
+
+// Serve serves dispatches on the listener until Stop.
+func (a *Agent) Serve(l net.Listener) error {
+	if err := a.server.Serve(l); err != nil && !eris.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "serving dispatches on %s", l.Addr())
+	}
+	return nil
+}
+
+// Drain refuses new dispatches and hands queued ones back; running ones go on.
+func (a *Agent) Drain() {
+	if a.leaving.Swap(true) {
+		return
+	}
+	a.opt.Timeline.Record(timeline.Event{Kind: "endpoint.draining", Endpoint: string(a.opt.Endpoint.ID)})
+	_ = a.opt.Logger.Log("msg", "draining", "endpoint", a.opt.Endpoint.ID)
+	a.gate.evictAll(dispatch.CodeDraining)
+}
+
+// Stop drains and waits for running dispatches until ctx ends.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.Drain()
+	done := make(chan struct{})
+	go func() {
+		a.requests.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return a.server.Shutdown(ctx)
+}
+
+// Load returns the load report at present.
+func (a *Agent) Load() endpoint.Load {
+	running, queued, limit := a.gate.load()
+	return endpoint.Load{Limit: limit, Running: running, Queued: queued, Floor: -1, Leaving: a.leaving.Load()}
+}
+
+func (a *Agent) revision() uint64 {
+	if c := a.opt.View.Config(); c != nil {
+		return c.Revision
+	}
+	return 0
+}
+
+func (a *Agent) now() time.Time { return time.Now() }
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,268 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"toucantiller.dev/account"
+	"toucantiller.dev/contract"
+)
+
+// Names of the caller's headers.
+const (
+	headerRequestID   = "X-Request-Id"
+	headerIdempotency = "Idempotency-Key"
+	headerTier        = "X-Request-Tier"
+	headerTimeout     = "X-Request-Timeout-Ms"
+	headerEndpoint    = "X-Endpoint-Id"
+	headerVersion     = "X-Endpoint-Version"
+	headerRevision    = "X-Config-Revision"
+)
+
+const (
+	maxRequestID = 128 // bytes
+	maxTimeout   = time.Hour
+	// bytesPerToken is the mean length of a token in prompts.
+	bytesPerToken = 4
+	// defaultAnswerTokens is assumed where the caller sets no bound.
+	defaultAnswerTokens = 128
+)
+
+// call is one caller's request after its checks.
+type call struct {
+	config       *contract.Config
+	account      *account.Account
+	service      *contract.Service
+	route        contract.Route
+	id           string
+	method       string
+	path         string
+	body         []byte
+	tier         account.Tier
+	deadline     time.Time
+	stream       bool
+	promptTokens int
+	answerTokens int
+	key          string
+}
+
+// Handler returns the caller interface.
+func (g *Gateway) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/models", g.serveModels).Methods(http.MethodGet)
+	r.HandleFunc("/v1/chat/completions", g.serveModel).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", g.serveModel).Methods(http.MethodPost)
+	r.PathPrefix("/services/{service}/").HandlerFunc(g.servePlain)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		newProblem(http.StatusNotFound, "unknown_path", NotRun, "no such path: %s", r.URL.Path).write(w)
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		newProblem(http.StatusMethodNotAllowed, "method_not_allowed", NotRun, "%s is not allowed here", r.Method).write(w)
+	})
+	return r
+}
+
+// begin checks what all calls have in common: configuration, identity and account.
+func (g *Gateway) begin(w http.ResponseWriter, r *http.Request) (*call, *Problem) {
+	config := g.opt.View.Config()
+	if config == nil || !g.opt.View.MayServe(time.Now()) {
+		p := newProblem(http.StatusServiceUnavailable, "no_configuration", NotRun, "no current configuration at this gateway")
+		p.RetryAfter = time.Second
+		return nil, p
+	}
+	c := &call{config: config, id: r.Header.Get(headerRequestID), method: r.Method, key: r.Header.Get(headerIdempotency)}
+	if c.id == "" {
+		c.id = fmt.Sprintf("%s-%x-%d", g.opt.Instance.ID, uint64(g.opt.Instance.Incarnation), g.sequence.Add(1))
+	}
+	if len(c.id) > maxRequestID {
+		return nil, newProblem(http.StatusBadRequest, "bad_header", NotRun, "%s is longer than %d bytes", headerRequestID, maxRequestID)
+	}
+	w.Header().Set(headerRequestID, c.id)
+	w.Header().Set(headerRevision, strconv.FormatUint(config.Revision, 10))
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil, newProblem(http.StatusUnauthorized, "missing_key", NotRun, "Authorization must be a Bearer key")
+	}
+	if c.account, ok = config.AccountByKey(key); !ok {
+		return nil, newProblem(http.StatusUnauthorized, "unknown_key", NotRun, "the key belongs to no client account")
+	}
+	return c, nil
+}
+
+// finish checks what depends on the service: access, tier, timeout and body.
+func (c *call) finish(r *http.Request, s *contract.Service) *Problem {
+	c.service = s
+	if !c.account.MayCall(s.Name) {
+		return newProblem(http.StatusForbidden, "service_forbidden", NotRun, "account %s may not call %s", c.account.Name, s.Name)
+	}
+	if p := c.readTier(r); p != nil {
+		return p
+	}
+	return c.readTimeout(r)
+}
+
+func (c *call) readTier(r *http.Request) *Problem {
+	c.tier = c.account.Tier
+	name := r.Header.Get(headerTier)
+	if name == "" {
+		return nil
+	}
+	for rank, t := range c.config.Tiers {
+		if t.Name != name {
+			continue
+		}
+		if account.Tier(rank) < c.account.Tier {
+			return newProblem(http.StatusForbidden, "tier_forbidden", NotRun, "account %s may not use tier %s", c.account.Name, name)
+		}
+		c.tier = account.Tier(rank)
+		return nil
+	}
+	return newProblem(http.StatusBadRequest, "bad_header", NotRun, "%s: no tier %q", headerTier, name)
+}
+
+func (c *call) readTimeout(r *http.Request) *Problem {
+	timeout := c.service.Timeout
+	if v := r.Header.Get(headerTimeout); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+			return newProblem(http.StatusBadRequest, "bad_header", NotRun, "%s must be 1 to %d", headerTimeout, maxTimeout.Milliseconds())
+		}
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	c.deadline = time.Now().Add(timeout)
+	return nil
+}
+
+func (c *call) readBody(r *http.Request, limit int64) *Problem {
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return newProblem(http.StatusBadRequest, "body_cut", NotRun, "reading the body: %v", err)
+	}
+	if int64(len(body)) > limit {
+		return newProblem(http.StatusRequestEntityTooLarge, "body_too_large", NotRun, "the body exceeds %d bytes", limit)
+	}
+	c.body = body
+	c.promptTokens = len(body) / bytesPerToken
+	return nil
+}
+
+// modelRequest is what the gateway reads of an OpenAI request.
+type modelRequest struct {
+	Model               string `json:"model"`
+	Stream              bool   `json:"stream"`
+	MaxTokens           int    `json:"max_tokens"`
+	MaxCompletionTokens int    `json:"max_completion_tokens"`
+}
+
+func (g *Gateway) serveModel(w http.ResponseWriter, r *http.Request) {
+	c, p := g.begin(w, r)
+	if p == nil {
+		p = c.readModel(r)
+	}
+	if p != nil {
+		p.write(w)
+		return
+	}
+	c.path = r.URL.Path
+	c.route = c.service.RouteFor(c.method, c.path)
+	g.serve(w, r, c)
+}
+
+func (c *call) readModel(r *http.Request) *Problem {
+	if p := c.readBody(r, c.maxModelBody()); p != nil {
+		return p
+	}
+	var m modelRequest
+	if err := json.Unmarshal(c.body, &m); err != nil {
+		return newProblem(http.StatusBadRequest, "bad_json", NotRun, "the body is not valid JSON: %v", err)
+	}
+	s, ok := c.config.ServiceByModel(m.Model)
+	if !ok {
+		return newProblem(http.StatusNotFound, "unknown_model", NotRun, "no model %q", m.Model)
+	}
+	c.stream = m.Stream
+	c.answerTokens = max(m.MaxTokens, m.MaxCompletionTokens)
+	if c.answerTokens <= 0 {
+		c.answerTokens = defaultAnswerTokens
+	}
+	return c.finish(r, s)
+}
+
+// maxModelBody is the largest body that any model service takes.
+func (c *call) maxModelBody() int64 {
+	var limit int64
+	for _, s := range c.config.Services {
+		if s.Kind == contract.KindModel {
+			limit = max(limit, s.MaxBody)
+		}
+	}
+	return limit
+}
+
+func (g *Gateway) servePlain(w http.ResponseWriter, r *http.Request) {
+	c, p := g.begin(w, r)
+	if p == nil {
+		p = c.readPlain(r)
+	}
+	if p != nil {
+		p.write(w)
+		return
+	}
+	g.serve(w, r, c)
+}
+
+func (c *call) readPlain(r *http.Request) *Problem {
+	name := mux.Vars(r)["service"]
+	s, ok := c.config.ServiceByName(name)
+	if !ok || s.Kind != contract.KindPlain {
+		return newProblem(http.StatusNotFound, "unknown_service", NotRun, "no service %q", name)
+	}
+	if p := c.finish(r, s); p != nil {
+		return p
+	}
+	path := strings.TrimPrefix(r.URL.Path, "/services/"+name)
+	c.route = s.RouteFor(r.Method, path)
+	c.path = path
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	return c.readBody(r, s.MaxBody)
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (g *Gateway) serveModels(w http.ResponseWriter, r *http.Request) {
+	c, p := g.begin(w, r)
+	if p != nil {
+		p.write(w)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, s := range c.config.Services {
+		if !c.account.MayCall(s.Name) {
+			continue
+		}
+		for _, m := range s.Models {
+			list.Data = append(list.Data, modelEntry{ID: m, Object: "model", OwnedBy: s.Name})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/link/http.go
@@ -0,0 +1,53 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Limits of the HTTP/2 links between gateways and agents.
+const (
+	maxConcurrentStreams = 4096
+	linkReadHeader       = 5 * time.Second
+)
+
+func http2Config() *http.HTTP2Config {
+	return &http.HTTP2Config{
+		MaxConcurrentStreams: maxConcurrentStreams,
+		SendPingTimeout:      ProbeInterval,
+		PingTimeout:          ProbeTimeout,
+	}
+}
+
+// NewHTTPClient returns a client for one peer over HTTP/2 without TLS of its own; the
+// network adds TLS where it is set. One client a peer keeps requests to unlike peers
+// from sharing a lock.
+func NewHTTPClient(network Network, addr string) *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		Protocols:          protocols,
+		HTTP2:              http2Config(),
+		DisableCompression: true,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+			defer cancel()
+			return network.Dial(ctx, addr)
+		},
+	}}
+}
+
+// NewHTTPServer returns the server side of NewHTTPClient.
+func NewHTTPServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		HTTP2:             http2Config(),
+		ReadHeaderTimeout: linkReadHeader,
+	}
+}
