--- a/link/network.go
+++ b/link/network.go
@@ -83,5 +83,17 @@
 	}
 	cfg := t.Config.Clone()
 	cfg.ClientAuth = tls.RequireAndVerifyClientCert
-	return tls.NewListener(l, cfg), nil
+	return tlsListener{tls.NewListener(l, cfg)}, nil
+}
+
+type tlsListener struct{ net.Listener }
+
+// Accept hides the TLS type from net/http, which otherwise offers HTTP/2 only through
+// ALPN. The handshake takes place at the first read.
+func (l tlsListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return struct{ net.Conn }{c}, nil
 }
