control/api: add signed bytes, deltas and replies

Cause: operators and control must sign and verify the same bytes, and large views need deltas. Change: SigningBytes, SignOffBytes, Sign and SignOff; Operation.At; Move.ID; ConfigDelta and DirectoryDelta in View; beacon position in Subscribe; replies for evidence, moves, tokens and bundles; Decision for the move loop. Conclusion: toucanctl and control share one definition of what is signed.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"toucantiller.dev/account"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
@@ -25,8 +26,10 @@
 // Operation identifies a change: a resend with the same ID and content gets the
 // first outcome. Signature is the operator's ed25519 signature over the change.
 type Operation struct {
-	ID        string
-	Operator  string
+	ID       string
+	Operator string
+	// At is when the operator signed; a change is refused OperationValidity later.
+	At        time.Time
 	Signature []byte
 }
 
@@ -81,6 +84,8 @@
 
 // Move is the state of one move, from "Control.Moves".
 type Move struct {
+	// ID is the configuration revision at which the move started.
+	ID       uint64
 	Service  string
 	From     string
 	To       string
@@ -145,14 +150,48 @@
 	Instance  instance.ID
 	Revision  uint64
 	Directory uint64
-	Wait      time.Duration
+	// Term and Seq name the newest beacon the caller has; a newer one ends the wait.
+	Term uint64
+	Seq  uint64
+	Wait time.Duration
 }
 
 // View is what a process knows about the deployment. Nil parts are unchanged.
 type View struct {
 	Config    *contract.Config
 	Directory *Directory
-	Beacon    Beacon
+	// ConfigDelta and DirectoryDelta stand in for Config and Directory where the caller's
+	// revision is known to the sender.
+	ConfigDelta    *ConfigDelta
+	DirectoryDelta *DirectoryDelta
+	Beacon         Beacon
+	// Held is how long the sender kept the call waiting. The rest of the call's duration
+	// bounds the transit time, which the receiver adds to the beacon's age.
+	Held time.Duration
+	// Leader is set when the called control replica is not the leader; call that address.
+	Leader string
+}
+
+// ConfigDelta changes the configuration of revision From into that of Header.Revision.
+type ConfigDelta struct {
+	From uint64
+	// Header holds every part except accounts and services.
+	Header contract.Config
+	// Accounts and Services replace those of the same name or are added at the end.
+	Accounts        []*account.Account
+	RemovedAccounts []string
+	Services        []*contract.Service
+	RemovedServices []string
+}
+
+// DirectoryDelta changes the directory of revision From into that of revision To.
+type DirectoryDelta struct {
+	From             uint64
+	To               uint64
+	Endpoints        []endpoint.Endpoint
+	RemovedEndpoints []endpoint.ID
+	Processes        []instance.Instance
+	RemovedProcesses []instance.ID
 }
 
 // Beacon proves freshness: a leader with a quorum issued it Age ago.
@@ -163,10 +202,12 @@
 	Age      time.Duration
 }
 
-// Directory lists the registered endpoints.
+// Directory lists the registered processes, each list in order of ID.
 type Directory struct {
 	Revision  uint64
 	Endpoints []endpoint.Endpoint
+	// Processes lists the processes without an endpoint, such as gateways.
+	Processes []instance.Instance
 }
 
 // ClaimState is the state of an idempotency claim.
@@ -233,6 +274,9 @@
 	Observations []Observation
 }
 
+// EvidenceReply answers Evidence.
+type EvidenceReply struct{ Leader string }
+
 // Observation is one answered request.
 type Observation struct {
 	Service  string
@@ -261,10 +305,12 @@
 	Bundle   contract.BundleRef
 	Domains  []failuredomain.Domain
 	Moves    []Move
-	// Processes lists every process that holds a lease.
+	// Processes lists every process that holds a lease, then those whose lease ended in
+	// silence and that may still take work on old settings.
 	Processes []ProcessStatus
 	Endpoints []endpoint.Endpoint
-	// InForce is true when every process is at Revision.
+	// InForce is true when every process that holds a lease has confirmed Revision and no
+	// silent one can still take work on old settings.
 	InForce bool
 }
 
@@ -274,6 +320,53 @@
 	Revision uint64
 	// Silent is the time since the last keepalive.
 	Silent time.Duration
+	// Lost is set when the lease ended in silence.
+	Lost bool
+}
+
+// MovesReply answers "Control.Moves": the latest move of each service.
+type MovesReply struct {
+	Leader string
+	Moves  []Move
+}
+
+// TokenReply answers "Control.NextToken": a fencing token above every one issued before.
+type TokenReply struct {
+	Leader string
+	Token  uint64
+}
+
+// BundleReply answers "Control.Bundle": the bundle in force, exactly as signed.
+type BundleReply struct {
+	Leader     string
+	Ref        contract.BundleRef
+	Content    []byte
+	Author     string
+	AppliedBy  string
+	AppliedAt  time.Time
+	Signatures []Signature
+}
+
+// DecisionAction is what a move does next.
+type DecisionAction string
+
+// Actions on a move.
+const (
+	DecisionHold     DecisionAction = "hold"
+	DecisionRaise    DecisionAction = "raise"
+	DecisionTakeBack DecisionAction = "take back"
+	DecisionFinish   DecisionAction = "finish"
+)
+
+// Decision is the outcome of one evaluation of a move.
+type Decision struct {
+	Action DecisionAction
+	// Stage and Share are the next stage and its share in (0,1], for DecisionRaise.
+	Stage int
+	Share float64
+	// Cause says in one line why; Evidence lists what it rests on.
+	Cause    string
+	Evidence []MoveEvidence
 }
 
 // Empty is the argument of calls without input.
--- /dev/null
+++ b/control/api/signing.go
@@ -0,0 +1,87 @@
+package api
+
+import (
+	"crypto/ed25519"
+	"encoding/binary"
+	"time"
+
+	"toucantiller.dev/contract"
+)
+
+// Limits on the age of signatures.
+const (
+	// OperationValidity is how long after signing a change is accepted.
+	OperationValidity = time.Hour
+	// ClockTolerance is how far ahead of the leader's clock a signing time may be.
+	ClockTolerance = 5 * time.Minute
+	// DefaultSignOffValidity applies where a bundle's sign_off has no valid_for.
+	DefaultSignOffValidity = 24 * time.Hour
+)
+
+// Change is a change that an operator signs: ApplyBundle, SetDomain or AbortMove.
+type Change interface {
+	// Op returns the operation, which callers may modify.
+	Op() *Operation
+	method() string
+	signedFields() []string
+}
+
+// SigningBytes returns the exact bytes that the operator of a change signs: the
+// method, the operation without its signature, and every field of the change. Each
+// part is preceded by its length, so no two changes have the same bytes.
+func SigningBytes(change Change) []byte {
+	op := change.Op()
+	parts := []string{"toucantiller change v1", change.method(), op.ID, op.Operator, formatTime(op.At)}
+	return joinParts(append(parts, change.signedFields()...))
+}
+
+// SignOffBytes returns the exact bytes that an operator signs to sign off a bundle.
+func SignOffBytes(content []byte, operator string, at time.Time) []byte {
+	return joinParts([]string{"toucantiller sign-off v1", operator, formatTime(at), string(content)})
+}
+
+// Sign sets the signature of a change. Set the operation's other fields before.
+func Sign(change Change, key ed25519.PrivateKey) {
+	change.Op().Signature = ed25519.Sign(key, SigningBytes(change))
+}
+
+// SignOff returns a sign-off over a bundle's exact content.
+func SignOff(content []byte, operator string, at time.Time, key ed25519.PrivateKey) Signature {
+	return Signature{Operator: operator, At: at, Signature: ed25519.Sign(key, SignOffBytes(content, operator, at))}
+}
+
+// Op returns the operation.
+func (c *ApplyBundle) Op() *Operation { return &c.Operation }
+
+// Op returns the operation.
+func (c *SetDomain) Op() *Operation { return &c.Operation }
+
+// Op returns the operation.
+func (c *AbortMove) Op() *Operation { return &c.Operation }
+
+func (c *ApplyBundle) method() string { return "ApplyBundle" }
+func (c *SetDomain) method() string   { return "SetDomain" }
+func (c *AbortMove) method() string   { return "AbortMove" }
+
+func (c *ApplyBundle) signedFields() []string {
+	fields := []string{contract.Digest(c.Content)}
+	for _, s := range c.Signatures {
+		fields = append(fields, s.Operator, formatTime(s.At), string(s.Signature))
+	}
+	return fields
+}
+
+func (c *SetDomain) signedFields() []string { return []string{string(c.Domain), string(c.State)} }
+
+func (c *AbortMove) signedFields() []string { return []string{c.Service, c.Reason} }
+
+func formatTime(t time.Time) string { return t.UTC().Format(time.RFC3339Nano) }
+
+func joinParts(parts []string) []byte {
+	var out []byte
+	for _, p := range parts {
+		out = binary.BigEndian.AppendUint64(out, uint64(len(p)))
+		out = append(out, p...)
+	}
+	return out
+}
