Add the adaptive concurrency limit

Cause: an agent must bound the work at its endpoint without being told the hardware. Change: limit.Limiter learns a size-corrected latency baseline, raises the limit on proof and lowers it on jumps, failures and overdue calls. Result: builds; no tests or measurements yet.

--- /dev/null
+++ b/limit/calls.go
@@ -0,0 +1,60 @@
+package limit
+
+import "time"
+
+// calls holds the outstanding calls in reusable slots.
+type calls struct {
+	slots  []call
+	free   []int
+	gen    uint64
+	open   int
+	tokens int
+	// reportsFirst is set once the caller has reported a first token.
+	reportsFirst bool
+}
+
+type call struct {
+	used   bool
+	first  bool
+	gen    uint64
+	prompt int
+	start  time.Time
+}
+
+func (c *calls) add(now time.Time, prompt int) Ticket {
+	slot := len(c.slots)
+	if n := len(c.free); n > 0 {
+		slot = c.free[n-1]
+		c.free = c.free[:n-1]
+	} else {
+		c.slots = append(c.slots, call{})
+	}
+	c.gen++
+	c.slots[slot] = call{used: true, gen: c.gen, prompt: prompt, start: now}
+	c.open++
+	c.tokens += prompt
+	return Ticket{slot: slot, gen: c.gen, start: now, alone: c.open == 1}
+}
+
+func (c *calls) get(t Ticket) *call {
+	if t.slot >= len(c.slots) {
+		return nil
+	}
+	s := &c.slots[t.slot]
+	if !s.used || s.gen != t.gen {
+		return nil
+	}
+	return s
+}
+
+func (c *calls) remove(t Ticket) bool {
+	s := c.get(t)
+	if s == nil {
+		return false
+	}
+	c.open--
+	c.tokens -= s.prompt
+	s.used = false
+	c.free = append(c.free, t.slot)
+	return true
+}
--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,397 @@
+// Package limit finds how much work one endpoint can bear, in requests and in
+// tokens, without being told its hardware. It is a pure state machine: times
+// are arguments and the caller does the locking.
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxRequests   = 512
+	DefaultMaxTokens     = 1 << 22
+	DefaultInitialTokens = 8192
+)
+
+// Options bound a Limiter. Zero fields take the defaults.
+type Options struct {
+	// MaxRequests is the highest limit in requests.
+	MaxRequests int
+	// MaxTokens is the highest limit in outstanding prompt tokens.
+	MaxTokens int
+	// InitialTokens is the token limit of a cold endpoint and the lowest token limit.
+	InitialTokens int
+}
+
+// Thresholds of the control loop. Ratios compare a call's latency with the
+// latency that the learned baseline predicts for a call of its size.
+const (
+	// growRatio is the highest mean ratio at which the limit rises. It leaves room for
+	// the slower steps of a larger batch, which still raise throughput.
+	growRatio = 1.5
+	// fullRatio is the ratio at which the limit falls gently.
+	fullRatio = 2.0
+	// jumpRatio is the rise over the recent ratio that counts as a sudden slowdown.
+	jumpRatio = 2.0
+	// coldRatio is the rise over the recent ratio after which the endpoint counts as
+	// cold again and the limit falls to 1.
+	coldRatio = 4.0
+	// overdueFactor is the multiple of the expected first token time after which a
+	// call counts as evidence before it finishes.
+	overdueFactor = 4.0
+	// overdueSlack keeps short scheduling delays from counting as evidence.
+	overdueSlack = 200 * time.Millisecond
+	// overdueRepeat is the time between two steps taken on overdue calls.
+	overdueRepeat = 500 * time.Millisecond
+
+	fastGain = 0.35
+	slowGain = 0.05
+	// jumpCalls is the number of calls that must confirm a jump.
+	jumpCalls = 3
+	// failedInARow is the number of failures in a row that mark the endpoint cold.
+	failedInARow = 3
+	// failureShare is the smoothed share of failures that halves the limit.
+	failureShare = 0.3
+	failureGain  = 0.15
+	// coldGrowth and warmGrowth are the relative rises after a proof.
+	coldGrowth = 0.5
+	warmGrowth = 1.0 / 16
+	// coldProof is the number of successes per slot that prove a limit while cold;
+	// minProof applies to every step.
+	coldProof = 2
+	minProof  = 3
+	// warmLimit is the limit at which a ramp counts as finished even though the
+	// endpoint's capacity has not been reached.
+	warmLimit = 8
+	// usedShare is the share of a limit that must have been in use to prove it.
+	usedShare = 0.75
+	// warmingRatio is the fall of the fast ratio against the slow one that shows an
+	// endpoint still getting faster; its limit does not rise meanwhile.
+	warmingRatio = 0.85
+)
+
+// Limiter adapts the concurrency limit of one endpoint. It is not safe for
+// concurrent use.
+type Limiter struct {
+	opt    Options
+	limit  float64
+	tokens float64
+	cold   bool
+
+	calls   calls
+	first   line
+	decode  line
+	prefill speed
+	decoded speed
+
+	fast, slow float64
+	sinceStep  int
+	steppedAt  time.Time
+	overdueAt  time.Time
+	failures   float64
+	failedRow  int
+	longest    time.Duration
+
+	proof proof
+}
+
+// proof collects the successes of calls that started at the present limit.
+type proof struct {
+	successes  int
+	ratios     float64
+	peak       int
+	peakTokens int
+	since      time.Time
+}
+
+// New returns the limiter of a new or restarted endpoint: limit 1, cold.
+func New(opt Options) *Limiter {
+	if opt.MaxRequests <= 0 {
+		opt.MaxRequests = DefaultMaxRequests
+	}
+	if opt.MaxTokens <= 0 {
+		opt.MaxTokens = DefaultMaxTokens
+	}
+	if opt.InitialTokens <= 0 {
+		opt.InitialTokens = DefaultInitialTokens
+	}
+	opt.InitialTokens = min(opt.InitialTokens, opt.MaxTokens)
+	return &Limiter{opt: opt, limit: 1, tokens: float64(opt.InitialTokens), cold: true}
+}
+
+// Limit is the number of requests the endpoint can bear; at least 1.
+func (l *Limiter) Limit() int { return int(l.limit) }
+
+// TokenLimit is the number of outstanding prompt tokens the endpoint can bear.
+func (l *Limiter) TokenLimit() int { return int(l.tokens) }
+
+// Cold reports whether the limit is still ramping up from 1.
+func (l *Limiter) Cold() bool { return l.cold }
+
+// Rates returns the learned speeds in tokens per second; 0 means not known.
+func (l *Limiter) Rates() (prefill, decode float64) {
+	return l.prefill.rate(), l.decoded.rate()
+}
+
+// Outstanding returns the calls started and not finished and their prompt tokens.
+func (l *Limiter) Outstanding() (requests, promptTokens int) {
+	return l.calls.open, l.calls.tokens
+}
+
+// Allows reports whether a call of this size may start now. A call larger than
+// the token limit may start when nothing else runs, since it could never start
+// otherwise.
+func (l *Limiter) Allows(promptTokens int) bool {
+	if l.calls.open == 0 {
+		return true
+	}
+	if l.calls.open >= l.Limit() {
+		return false
+	}
+	return l.calls.tokens+promptTokens <= l.TokenLimit()
+}
+
+// Ticket is one started call.
+type Ticket struct {
+	slot  int
+	gen   uint64
+	start time.Time
+	alone bool
+}
+
+// Start records that a call was given to the endpoint.
+func (l *Limiter) Start(now time.Time, promptTokens int) Ticket {
+	t := l.calls.add(now, promptTokens)
+	l.proof.peak = max(l.proof.peak, l.calls.open)
+	l.proof.peakTokens = max(l.proof.peakTokens, l.calls.tokens)
+	return t
+}
+
+// FirstToken records that the answer of a call has begun, so that the call no
+// longer counts as overdue. Calling it is optional.
+func (l *Limiter) FirstToken(t Ticket, now time.Time) {
+	c := l.calls.get(t)
+	if c == nil || c.first {
+		return
+	}
+	c.first = true
+	l.calls.reportsFirst = true
+	x := float64(c.prompt)
+	if l.first.ready() {
+		ratio := now.Sub(t.start).Seconds() / l.first.at(x)
+		if ratio > fullRatio {
+			l.judge(ratio, t, now)
+		}
+	}
+}
+
+// Sample is the outcome of a call. Failed calls need no other field.
+type Sample struct {
+	FirstToken, Total time.Duration
+	PromptTokens      int
+	AnswerTokens      int
+	// Failed is set when the endpoint failed; a caller that gave up is not a failure.
+	Failed bool
+}
+
+// Finish records the outcome of a call. A ticket counts once.
+func (l *Limiter) Finish(t Ticket, s Sample, now time.Time) {
+	if !l.calls.remove(t) {
+		return
+	}
+	if s.Failed {
+		l.fail(t, now)
+		return
+	}
+	l.failedRow = 0
+	l.failures *= 1 - failureGain
+	l.longest = max(s.Total, l.longest-l.longest/64)
+	ratio := l.learn(t, s)
+	l.judge(ratio, t, now)
+	l.prove(ratio, t, now)
+}
+
+// Cancel removes a call that ended without evidence, such as one whose caller
+// left.
+func (l *Limiter) Cancel(t Ticket) { l.calls.remove(t) }
+
+// Restart forgets the endpoint: limit 1, cold, no rates. Use it when the engine
+// is known to have restarted.
+func (l *Limiter) Restart() {
+	open := l.calls
+	*l = *New(l.opt)
+	l.calls = open
+}
+
+// Waiting examines calls that have not finished. It returns true when calls that
+// are far over their expected time lowered the limit.
+func (l *Limiter) Waiting(now time.Time) bool {
+	if now.Sub(l.overdueAt) < overdueRepeat || !l.first.ready() {
+		return false
+	}
+	overdue, open, worst := l.overdue(now)
+	if overdue == 0 || (overdue < 2 && overdue < open) {
+		return false
+	}
+	if 2*overdue < open && overdue < 3 {
+		return false
+	}
+	l.overdueAt = now
+	if l.limit <= 1 {
+		return false
+	}
+	if worst >= 2*overdueFactor || overdue == open {
+		l.turnCold(now)
+		return true
+	}
+	l.step(0.5, now)
+	return true
+}
+
+func (l *Limiter) overdue(now time.Time) (overdue, open int, worst float64) {
+	typical := math.Max(1, l.slow)
+	for i := range l.calls.slots {
+		c := &l.calls.slots[i]
+		if !c.used || c.first {
+			continue
+		}
+		open++
+		expected := l.first.at(float64(c.prompt)) * typical
+		if !l.calls.reportsFirst {
+			expected = math.Max(expected, l.longest.Seconds())
+		}
+		elapsed := (now.Sub(c.start) - overdueSlack).Seconds()
+		if elapsed < overdueFactor*expected {
+			continue
+		}
+		overdue++
+		worst = math.Max(worst, elapsed/expected)
+	}
+	return overdue, open, worst
+}
+
+// learn updates the baseline and the rates and returns the call's ratio.
+func (l *Limiter) learn(t Ticket, s Sample) float64 {
+	prompt := float64(max(s.PromptTokens, 1))
+	answer := float64(s.AnswerTokens)
+	firstTime := s.FirstToken.Seconds()
+	decodeTime := (s.Total - s.FirstToken).Seconds()
+	ratio := l.first.learn(prompt, firstTime, t.alone)
+	l.prefill.add(prompt, firstTime)
+	if answer > 1 && decodeTime > 0 {
+		ratio = math.Max(ratio, l.decode.learn(answer, decodeTime, t.alone))
+		l.decoded.add(answer, decodeTime)
+	}
+	return ratio
+}
+
+// judge lowers the limit on a jump over the recent ratio or on a high level.
+func (l *Limiter) judge(ratio float64, t Ticket, now time.Time) {
+	if t.start.Before(l.steppedAt) {
+		return
+	}
+	l.smooth(ratio)
+	if l.sinceStep < jumpCalls {
+		return
+	}
+	jump := l.fast / math.Max(l.slow, 1)
+	switch {
+	case jump >= coldRatio:
+		l.turnCold(now)
+	case jump >= jumpRatio:
+		l.step(1/jump, now)
+	case l.fast > fullRatio && l.limit > 1:
+		l.cold = false
+		l.step(math.Max(0.7, growRatio/l.fast), now)
+	}
+}
+
+func (l *Limiter) smooth(ratio float64) {
+	l.sinceStep++
+	if l.slow == 0 {
+		l.fast, l.slow = ratio, ratio
+		return
+	}
+	l.fast += fastGain * (ratio - l.fast)
+	l.slow += slowGain * (ratio - l.slow)
+}
+
+// prove counts a success at the present limit and raises the limit after enough.
+func (l *Limiter) prove(ratio float64, t Ticket, now time.Time) {
+	if t.start.Before(l.proof.since) || t.start.Before(l.steppedAt) {
+		return
+	}
+	l.proof.successes++
+	l.proof.ratios += ratio
+	need := max(minProof, l.Limit())
+	if l.cold {
+		need = max(minProof, coldProof*l.Limit())
+	}
+	if l.proof.successes < need {
+		return
+	}
+	mean := l.proof.ratios / float64(l.proof.successes)
+	warming := l.fast < warmingRatio*l.slow
+	if mean <= growRatio && !warming {
+		l.grow()
+	} else if l.cold && mean > growRatio && l.limit >= 2 {
+		l.cold = false
+	}
+	l.restartProof(now)
+}
+
+func (l *Limiter) grow() {
+	rate := warmGrowth
+	if l.cold {
+		rate = coldGrowth
+	}
+	if float64(l.proof.peak) >= usedShare*math.Floor(l.limit) {
+		l.limit = math.Min(math.Floor(l.limit)+math.Max(1, math.Floor(l.limit*rate)), float64(l.opt.MaxRequests))
+	}
+	if float64(l.proof.peakTokens) >= usedShare*l.tokens/2 {
+		l.tokens = math.Min(l.tokens*(1+2*rate), float64(l.opt.MaxTokens))
+	}
+	if l.limit >= warmLimit {
+		l.cold = false
+	}
+}
+
+func (l *Limiter) fail(t Ticket, now time.Time) {
+	l.failedRow++
+	l.failures += failureGain * (1 - l.failures)
+	if l.failedRow >= failedInARow {
+		l.turnCold(now)
+		return
+	}
+	if l.failures >= failureShare && !t.start.Before(l.steppedAt) {
+		l.step(0.5, now)
+	}
+}
+
+// turnCold starts the ramp anew. The baseline is kept: calls that run alone
+// correct it within a few calls.
+func (l *Limiter) turnCold(now time.Time) {
+	l.step(0, now)
+	l.cold = true
+	l.fast, l.slow = 0, 0
+	l.failedRow = 0
+}
+
+func (l *Limiter) step(factor float64, now time.Time) {
+	if factor > 0 && l.fast > 0 {
+		l.prefill.scale(factor)
+		l.decoded.scale(factor)
+	}
+	l.limit = math.Max(1, math.Floor(l.limit*factor))
+	l.tokens = math.Max(float64(l.opt.InitialTokens), l.tokens*factor)
+	l.slow = l.fast
+	l.sinceStep = 0
+	l.steppedAt = now
+	l.restartProof(now)
+}
+
+func (l *Limiter) restartProof(now time.Time) {
+	l.proof = proof{since: now, peak: l.calls.open, peakTokens: l.calls.tokens}
+}
--- /dev/null
+++ b/limit/line.go
@@ -0,0 +1,106 @@
+package limit
+
+import "math"
+
+// Weights of a sample in the baseline.
+const (
+	lineMemory = 32.0
+	// loadedWeight is the weight of a call that ran beside others and took longer than
+	// predicted. It is small because the baseline describes an idle endpoint, and not
+	// 0 so that a lasting change is adopted in the end.
+	loadedWeight = 0.01
+	lineReady    = 3
+	// leastTime keeps predictions away from 0, in seconds.
+	leastTime = 1e-3
+	// spreadShare is the relative variance of sizes above which a slope is fitted.
+	spreadShare = 0.05
+)
+
+// line is a weighted least squares fit of time over size with fading memory.
+type line struct {
+	samples             int
+	n, x, y, xx, xy     float64
+	intercept, slope    float64
+	proportional, known bool
+}
+
+func (f *line) ready() bool { return f.samples >= lineReady }
+
+// at predicts the time of a call of size x, in seconds. While all sizes seen were
+// alike, the cost of smaller calls is unknown and taken as equal, so that a small
+// call does not look slow.
+func (f *line) at(x float64) float64 {
+	if !f.known {
+		return leastTime
+	}
+	if f.proportional {
+		mean := f.x / f.n
+		return math.Max(leastTime, f.y/f.n*math.Max(1, x/math.Max(mean, 1)))
+	}
+	return math.Max(leastTime, f.intercept+f.slope*x)
+}
+
+// learn returns the ratio of y to the prediction and adds the sample.
+func (f *line) learn(x, y float64, alone bool) float64 {
+	ratio := 1.0
+	if f.known {
+		ratio = y / f.at(x)
+	}
+	weight := 1.0
+	if f.ready() && ratio > 1 && !alone {
+		weight = loadedWeight
+	}
+	f.samples++
+	f.add(x, y, weight)
+	return ratio
+}
+
+func (f *line) add(x, y, w float64) {
+	keep := 1 - w/lineMemory
+	f.n = f.n*keep + w
+	f.x = f.x*keep + w*x
+	f.y = f.y*keep + w*y
+	f.xx = f.xx*keep + w*x*x
+	f.xy = f.xy*keep + w*x*y
+	f.known = true
+	f.fit()
+}
+
+func (f *line) fit() {
+	mean := f.x / f.n
+	variance := f.xx/f.n - mean*mean
+	f.proportional = variance < spreadShare*mean*mean
+	if f.proportional {
+		return
+	}
+	f.slope = (f.xy/f.n - mean*f.y/f.n) / variance
+	f.intercept = f.y/f.n - f.slope*mean
+	if f.slope < 0 {
+		f.slope = 0
+		f.intercept = f.y / f.n
+	}
+	if f.intercept < 0 {
+		f.intercept = 0
+		f.slope = f.xy / f.xx
+	}
+}
+
+// speed is a fading mean of tokens per second, weighted by time.
+type speed struct{ tokens, seconds float64 }
+
+const speedMemory = 16.0
+
+func (s *speed) add(tokens, seconds float64) {
+	keep := 1 - 1/speedMemory
+	s.tokens = s.tokens*keep + tokens
+	s.seconds = s.seconds*keep + seconds
+}
+
+func (s *speed) scale(factor float64) { s.tokens *= factor }
+
+func (s *speed) rate() float64 {
+	if s.seconds <= 0 {
+		return 0
+	}
+	return s.tokens / s.seconds
+}
