--- /dev/null
+++ b/admission/flow.go
@@ -0,0 +1,157 @@
+package admission
+
+import "math"
+
+// flow is the first-in-first-out list of one account within one tier.
+type flow struct {
+	account string
+	weight  float64
+	deficit float64
+	cost    float64
+	head    *Item
+	tail    *Item
+}
+
+func (f *flow) push(it *Item) {
+	it.flow = f
+	it.prev = f.tail
+	it.next = nil
+	if f.tail == nil {
+		f.head = it
+	} else {
+		f.tail.next = it
+	}
+	f.tail = it
+	f.cost += it.cost()
+}
+
+func (f *flow) unlink(it *Item) {
+	if it.prev == nil {
+		f.head = it.next
+	} else {
+		it.prev.next = it.next
+	}
+	if it.next == nil {
+		f.tail = it.prev
+	} else {
+		it.next.prev = it.prev
+	}
+	it.prev, it.next, it.flow = nil, nil, nil
+	f.cost -= it.cost()
+}
+
+// band is one tier: its accounts' flows in deficit round robin.
+type band struct {
+	flows  map[string]*flow
+	ring   []*flow
+	turn   int
+	length int
+	cost   float64
+}
+
+// quantum is the deficit an account of weight 1 gains per round, in tokens.
+const quantum = 256.0
+
+func (b *band) push(it *Item) {
+	f := b.flows[it.Account]
+	if f == nil {
+		if b.flows == nil {
+			b.flows = make(map[string]*flow)
+		}
+		f = &flow{account: it.Account}
+		b.flows[it.Account] = f
+		b.ring = append(b.ring, f)
+	}
+	f.weight = it.Weight
+	if f.weight <= 0 {
+		f.weight = 1
+	}
+	f.push(it)
+	b.length++
+	b.cost += it.cost()
+}
+
+func (b *band) remove(it *Item) {
+	f := it.flow
+	f.unlink(it)
+	b.length--
+	b.cost -= it.cost()
+	if f.head == nil {
+		b.drop(f)
+	}
+}
+
+// drop forgets an idle account, so that it cannot save up deficit.
+func (b *band) drop(f *flow) {
+	delete(b.flows, f.account)
+	for i, other := range b.ring {
+		if other != f {
+			continue
+		}
+		b.ring = append(b.ring[:i], b.ring[i+1:]...)
+		if i < b.turn {
+			b.turn--
+		}
+		break
+	}
+	if b.turn >= len(b.ring) {
+		b.turn = 0
+	}
+}
+
+// peek returns the item whose turn it is. It grants rounds of deficit until the
+// account whose turn it is can pay, skipping rounds in which none could.
+func (b *band) peek() *Item {
+	if b.length == 0 {
+		return nil
+	}
+	if f := b.payer(); f != nil {
+		return f.head
+	}
+	rounds := math.Inf(1)
+	for _, f := range b.ring {
+		rounds = math.Min(rounds, math.Ceil((f.head.cost()-f.deficit)/(quantum*f.weight)))
+	}
+	for _, f := range b.ring {
+		f.deficit += rounds * quantum * f.weight
+	}
+	return b.payer().head
+}
+
+// payer returns the next account in turn that can pay for its head.
+func (b *band) payer() *flow {
+	for i := range b.ring {
+		at := (b.turn + i) % len(b.ring)
+		if f := b.ring[at]; f.deficit >= f.head.cost() {
+			b.turn = at
+			return f
+		}
+	}
+	return nil
+}
+
+// latest returns the latest arrival of the tier.
+func (b *band) latest() *Item {
+	var last *Item
+	for _, f := range b.ring {
+		if last == nil || f.tail.seq > last.seq {
+			last = f.tail
+		}
+	}
+	return last
+}
+
+// latestOfLargest returns the latest arrival of the account that holds the most
+// queued work for its weight.
+func (b *band) latestOfLargest() *Item {
+	var largest *flow
+	for _, f := range b.ring {
+		if largest == nil || f.cost*largest.weight > largest.cost*f.weight {
+			largest = f
+		}
+	}
+	if largest == nil {
+		return nil
+	}
+	return largest.tail
+}
--- /dev/null
+++ b/admission/item.go
@@ -0,0 +1,46 @@
+package admission
+
+import (
+	"time"
+
+	"toucantiller.dev/account"
+)
+
+// Item is one waiting request. The caller owns it; a queue links it while it waits.
+type Item struct {
+	Tier    account.Tier
+	Account string
+	// Weight is the account's share within the tier; 0 counts as 1.
+	Weight float64
+	// Cost is the work of the request, in tokens; values below 1 count as 1.
+	Cost int
+	// Deadline is when the caller stops waiting; zero means none.
+	Deadline time.Time
+	// LeastTime is the time the request needs when it is placed at once.
+	LeastTime time.Duration
+	// Value is the caller's request.
+	Value any
+
+	queued time.Time
+	seq    uint64
+	queue  *Queue
+	flow   *flow
+	next   *Item
+	prev   *Item
+}
+
+// Queued returns the time of the push.
+func (it *Item) Queued() time.Time { return it.queued }
+
+func (it *Item) cost() float64 { return float64(max(it.Cost, 1)) }
+
+// late reports whether the deadline cannot be met even if the item is placed now.
+func (it *Item) late(now time.Time) bool {
+	return !it.Deadline.IsZero() && now.Add(it.LeastTime).After(it.Deadline)
+}
+
+// Dropped is an item that left a queue unserved.
+type Dropped struct {
+	Item    *Item
+	Refusal *Refusal
+}
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,282 @@
+package admission
+
+import (
+	"time"
+
+	"toucantiller.dev/account"
+)
+
+// DefaultCapacity is the capacity of a queue in requests.
+const DefaultCapacity = 1024
+
+// FloorTTL is how long an admission floor holds after it was last raised.
+const FloorTTL = time.Second
+
+// NoFloor is the value of a floor that refuses nothing.
+const NoFloor = -1
+
+// QueueOptions bound a Queue.
+type QueueOptions struct {
+	// Capacity is the bound in requests; 0 means DefaultCapacity.
+	Capacity int
+	// MaxTokens is the bound on the total cost of waiting items; 0 means none.
+	MaxTokens int
+	// MaxQueueTime bounds the wait by tier rank; missing or zero entries mean no bound.
+	MaxQueueTime []time.Duration
+	// FairEviction evicts the latest arrival of the account with the most queued work
+	// for its weight instead of the latest arrival of the tier. Without it, one account
+	// that fills the queue shuts the others out, since theirs are the latest arrivals.
+	FairEviction bool
+}
+
+// Queue is a bounded priority queue by tier with fair sharing among accounts
+// within a tier. The agent uses it as it is; ServiceQueue adds the gateway's
+// rules. It is not safe for concurrent use.
+type Queue struct {
+	opt    QueueOptions
+	bands  []band
+	length int
+	cost   float64
+	seq    uint64
+	floor  floor
+	drain  drain
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(opt QueueOptions) *Queue {
+	if opt.Capacity <= 0 {
+		opt.Capacity = DefaultCapacity
+	}
+	return &Queue{opt: opt, floor: floor{tier: NoFloor}}
+}
+
+// SetOptions replaces the bounds; a smaller capacity takes effect on later pushes.
+func (q *Queue) SetOptions(opt QueueOptions) {
+	if opt.Capacity <= 0 {
+		opt.Capacity = DefaultCapacity
+	}
+	q.opt = opt
+}
+
+// Len is the number of waiting items.
+func (q *Queue) Len() int { return q.length }
+
+// LenTier is the number of waiting items of one tier.
+func (q *Queue) LenTier(tier account.Tier) int {
+	if int(tier) >= len(q.bands) {
+		return 0
+	}
+	return q.bands[tier].length
+}
+
+// Tokens is the total cost of the waiting items.
+func (q *Queue) Tokens() int { return int(q.cost) }
+
+// Push adds an item, or refuses it. Items evicted to make room come back in
+// evicted and are not run.
+func (q *Queue) Push(it *Item, now time.Time) (evicted []Dropped, refusal *Refusal) {
+	if refusal = q.refuseEarly(it, now); refusal != nil {
+		return nil, refusal
+	}
+	for q.full(it) {
+		victim := q.victim(it)
+		if victim == nil {
+			return evicted, q.refuse(ReasonQueueFull, it.Tier)
+		}
+		q.unlink(victim)
+		evicted = append(evicted, Dropped{victim, q.refuse(ReasonEvicted, victim.Tier)})
+	}
+	q.link(it, now)
+	return evicted, nil
+}
+
+// refuseEarly applies the checks that need no room.
+func (q *Queue) refuseEarly(it *Item, now time.Time) *Refusal {
+	if f := q.Floor(now); f != NoFloor && int(it.Tier) > f {
+		return &Refusal{ReasonBelowFloor, it.Tier, clampRetry(q.floor.until.Sub(now))}
+	}
+	if it.late(now) {
+		return q.refuse(ReasonDeadline, it.Tier)
+	}
+	return nil
+}
+
+func (q *Queue) full(it *Item) bool {
+	if q.length >= q.opt.Capacity {
+		return true
+	}
+	over := q.opt.MaxTokens > 0 && q.cost+it.cost() > float64(q.opt.MaxTokens)
+	return over && q.length > 0
+}
+
+// victim picks the item to evict in favour of it: of the lowest tier, the latest
+// arrival. Items of higher tiers never give way, nor do those of the same tier
+// unless FairEviction finds an account above its share.
+func (q *Queue) victim(it *Item) *Item {
+	low := q.lowest()
+	if low < int(it.Tier) {
+		return nil
+	}
+	b := &q.bands[low]
+	if low > int(it.Tier) {
+		if q.opt.FairEviction {
+			return b.latestOfLargest()
+		}
+		return b.latest()
+	}
+	if !q.opt.FairEviction {
+		return nil
+	}
+	v := b.latestOfLargest()
+	own := it.cost()
+	if f := b.flows[it.Account]; f != nil {
+		own += f.cost
+	}
+	weight := it.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	if v.Account == it.Account || v.flow.cost*weight <= own*v.flow.weight {
+		return nil
+	}
+	return v
+}
+
+// lowest returns the rank of the lowest tier with waiting items, or -1.
+func (q *Queue) lowest() int {
+	for i := len(q.bands) - 1; i >= 0; i-- {
+		if q.bands[i].length > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// Peek returns the item that Pop would return, without removing it. Items found
+// at the head that can no longer be served are removed and returned in dropped.
+func (q *Queue) Peek(now time.Time) (head *Item, dropped []Dropped) {
+	limit := q.Floor(now)
+	for i := range q.bands {
+		for it := q.bands[i].peek(); it != nil; it = q.bands[i].peek() {
+			r := q.expired(it, limit, now)
+			if r == nil {
+				return it, dropped
+			}
+			q.unlink(it)
+			dropped = append(dropped, Dropped{it, r})
+		}
+	}
+	return nil, dropped
+}
+
+// Pop removes the next item: highest tier first, accounts in turn by weight. Items
+// found on the way that can no longer be served come back in dropped.
+func (q *Queue) Pop(now time.Time) (head *Item, dropped []Dropped) {
+	head, dropped = q.Peek(now)
+	if head == nil {
+		return nil, dropped
+	}
+	head.flow.deficit -= head.cost()
+	q.unlink(head)
+	q.drain.add(head.cost(), now)
+	return head, dropped
+}
+
+// Remove takes an item out, for example when its caller has left. It reports
+// whether the item was waiting in this queue.
+func (q *Queue) Remove(it *Item) bool {
+	if it.queue != q {
+		return false
+	}
+	q.unlink(it)
+	return true
+}
+
+// Expire removes all items that can no longer be served: below the floor, too
+// late for their deadline, or waiting longer than their tier allows. It visits
+// every item; callers use it on a timer, not per request.
+func (q *Queue) Expire(now time.Time) []Dropped {
+	var out []Dropped
+	limit := q.Floor(now)
+	for rank := range q.bands {
+		for _, f := range q.bands[rank].ring {
+			for it := f.head; it != nil; it = it.next {
+				if r := q.expired(it, limit, now); r != nil {
+					out = append(out, Dropped{it, r})
+				}
+			}
+		}
+	}
+	for _, d := range out {
+		q.unlink(d.Item)
+	}
+	return out
+}
+
+func (q *Queue) expired(it *Item, limit int, now time.Time) *Refusal {
+	if limit != NoFloor && int(it.Tier) > limit {
+		return &Refusal{ReasonBelowFloor, it.Tier, clampRetry(q.floor.until.Sub(now))}
+	}
+	if it.late(now) {
+		return q.refuse(ReasonDeadline, it.Tier)
+	}
+	if bound := q.maxQueueTime(it.Tier); bound > 0 && now.Sub(it.queued) >= bound {
+		return q.refuse(ReasonQueueTime, it.Tier)
+	}
+	return nil
+}
+
+func (q *Queue) maxQueueTime(tier account.Tier) time.Duration {
+	if int(tier) >= len(q.opt.MaxQueueTime) {
+		return 0
+	}
+	return q.opt.MaxQueueTime[tier]
+}
+
+// HandBack empties the queue for a shutdown.
+func (q *Queue) HandBack() []Dropped {
+	var out []Dropped
+	for i := range q.bands {
+		for it := q.bands[i].peek(); it != nil; it = q.bands[i].peek() {
+			q.unlink(it)
+			out = append(out, Dropped{it, &Refusal{ReasonHandedBack, it.Tier, MinRetryAfter}})
+		}
+	}
+	return out
+}
+
+// refuse builds a refusal whose RetryAfter is the time to serve the work that
+// ranks at least as high.
+func (q *Queue) refuse(reason Reason, tier account.Tier) *Refusal {
+	ahead := 0.0
+	for i := range q.bands {
+		if i <= int(tier) {
+			ahead += q.bands[i].cost
+		}
+	}
+	return &Refusal{reason, tier, clampRetry(q.drain.time(ahead))}
+}
+
+func (q *Queue) link(it *Item, now time.Time) {
+	for len(q.bands) <= int(it.Tier) {
+		q.bands = append(q.bands, band{})
+	}
+	q.seq++
+	it.seq = q.seq
+	it.queued = now
+	it.queue = q
+	q.bands[it.Tier].push(it)
+	q.length++
+	q.cost += it.cost()
+}
+
+func (q *Queue) unlink(it *Item) {
+	q.bands[it.Tier].remove(it)
+	q.forget(it)
+}
+
+func (q *Queue) forget(it *Item) {
+	it.queue = nil
+	q.length--
+	q.cost -= it.cost()
+}
