Add routing by filters, scorers and a picker

Cause: gateways choose endpoints from load reports that are stale and from their own outstanding work, at 39,000 requests a second.

--- /dev/null
+++ b/schedule/affinity.go
@@ -0,0 +1,137 @@
+package schedule
+
+import (
+	"sync/atomic"
+
+	"toucantiller.dev/endpoint"
+)
+
+// cacheSlots is the number of prefixes remembered per endpoint.
+const cacheSlots = 512
+
+// Confidence that an endpoint holds a prefix.
+const (
+	// sureHeld is used after a stored event with no gap since.
+	sureHeld = 1.0
+	// staleHeld is used after a stored event followed by a gap, since the event that
+	// evicted the prefix may be among the lost ones.
+	staleHeld = 0.5
+	// likelyHeld is used for the holder by hashing when no event says otherwise.
+	likelyHeld = 0.7
+)
+
+// prefixCache remembers the cache events of one endpoint in a fixed table. Each
+// word holds the upper 48 bits of a prefix hash, 15 bits of the gap count at
+// which it was learned, and whether the prefix was evicted.
+type prefixCache struct {
+	table atomic.Pointer[[cacheSlots]atomic.Uint64]
+	seq   atomic.Uint64
+	gaps  atomic.Uint64
+}
+
+const (
+	tagMask     = ^uint64(0xffff)
+	gapMask     = 0x7fff
+	evictedFlag = uint64(1)
+)
+
+// ObserveCache takes in cache events of the endpoint. Events may come late and
+// with gaps; events older than the latest known are ignored. It must not be
+// called for one candidate from two goroutines at once.
+func (c *Candidate) ObserveCache(events []endpoint.CacheEvent) {
+	p := &c.state.cache
+	if p.table.Load() == nil && len(events) > 0 {
+		p.table.Store(new([cacheSlots]atomic.Uint64))
+	}
+	for _, e := range events {
+		last := p.seq.Load()
+		if e.Seq <= last {
+			continue
+		}
+		if last != 0 && e.Seq != last+1 {
+			p.gaps.Add(1)
+		}
+		p.seq.Store(e.Seq)
+		p.put(e)
+	}
+}
+
+func (p *prefixCache) put(e endpoint.CacheEvent) {
+	word := e.Prefix&tagMask | (p.gaps.Load()&gapMask)<<1
+	if e.Evicted {
+		word |= evictedFlag
+	}
+	p.table.Load()[mix(e.Prefix)%cacheSlots].Store(word)
+}
+
+// held returns the confidence that the prefix is cached; known is false when no
+// event about it is remembered.
+func (p *prefixCache) held(prefix uint64) (confidence float64, known bool) {
+	table := p.table.Load()
+	if table == nil {
+		return 0, false
+	}
+	word := table[mix(prefix)%cacheSlots].Load()
+	if word == 0 || word&tagMask != prefix&tagMask {
+		return 0, false
+	}
+	if word&evictedFlag != 0 {
+		return 0, true
+	}
+	if word>>1&gapMask != p.gaps.Load()&gapMask {
+		return staleHeld, true
+	}
+	return sureHeld, true
+}
+
+// loadBound is the multiple of the mean occupancy up to which a holder attracts
+// the requests of its prefix; beyond it the next endpoint in rendezvous order
+// becomes the holder.
+const loadBound = 1.25
+
+// affinity fills saved with the prompt tokens each candidate is expected to have
+// cached. The holder of a prefix by rendezvous hashing is the same at every
+// gateway that sees the same candidates.
+func (x *scratch) affinity(r *Request) {
+	bound := x.occupancyBound()
+	for _, p := range r.Prefixes {
+		best, bestRank := -1, uint64(0)
+		for i := range x.n {
+			if !x.alive[i] {
+				continue
+			}
+			c := x.candidates[i]
+			confidence, known := c.state.cache.held(p.Hash)
+			if known {
+				x.save(i, confidence*float64(p.Tokens))
+			}
+			rank := mix(p.Hash ^ c.hash)
+			if (best < 0 || rank > bestRank) && x.occupancy[i] <= bound && !(known && confidence == 0) {
+				best, bestRank = i, rank
+			}
+		}
+		if best >= 0 {
+			x.save(best, likelyHeld*float64(p.Tokens))
+		}
+	}
+}
+
+func (x *scratch) save(i int, tokens float64) {
+	if tokens > x.saved[i] {
+		x.saved[i] = tokens
+	}
+}
+
+func (x *scratch) occupancyBound() float64 {
+	sum, n := 0.0, 0
+	for i := range x.n {
+		if x.alive[i] {
+			sum += x.occupancy[i]
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return loadBound*sum/float64(n) + 0.25
+}
--- /dev/null
+++ b/schedule/candidate.go
@@ -0,0 +1,124 @@
+package schedule
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"toucantiller.dev/endpoint"
+)
+
+// Candidate is one endpoint with what this gateway knows about its load. Its
+// methods are safe for concurrent use.
+type Candidate struct {
+	Endpoint endpoint.Endpoint
+	// distance is the one-way latency from this gateway, in seconds.
+	distance float64
+	hash     uint64
+	state    *state
+}
+
+// state is the mutable part of a candidate. It outlives snapshots.
+type state struct {
+	report   atomic.Pointer[report]
+	requests atomic.Int64
+	prompt   atomic.Int64
+	answer   atomic.Int64
+	// suspended is kept as a time.Time, whose monotonic part ignores clock steps.
+	suspended atomic.Pointer[time.Time]
+	cache     prefixCache
+}
+
+// report is an immutable load report with what was known when it arrived.
+type report struct {
+	load endpoint.Load
+	// made is when the agent made the report.
+	made time.Time
+	// others and othersQueued are the requests and queued prompt tokens of other
+	// gateways: the report less this gateway's own work.
+	others, othersQueued float64
+	// usualOthers is the slow mean of others; an old report fades into it, since no
+	// news does not mean no load.
+	usualOthers float64
+	limit       float64
+	prefill     float64
+	decode      float64
+}
+
+// othersGain is the weight of a new report in usualOthers.
+const othersGain = 0.1
+
+// Defaults for endpoints whose speeds are not known yet, in tokens per second.
+const (
+	defaultPrefillRate = 2000.0
+	defaultDecodeRate  = 30.0
+)
+
+// Observe takes in a load report that arrived now. Reports older than the one
+// known are ignored.
+func (c *Candidate) Observe(load endpoint.Load, now time.Time) {
+	made := now.Add(-load.Age)
+	old := c.state.report.Load()
+	if old != nil && made.Before(old.made) {
+		return
+	}
+	own := float64(c.state.requests.Load())
+	r := &report{
+		load:         load,
+		made:         made,
+		others:       math.Max(0, float64(load.Running+load.Queued)-own),
+		othersQueued: float64(load.QueuedTokens),
+		limit:        math.Max(1, float64(load.Limit)),
+		prefill:      orRate(load.PrefillRate, defaultPrefillRate),
+		decode:       orRate(load.DecodeRate, defaultDecodeRate),
+	}
+	r.usualOthers = r.others
+	if old != nil {
+		r.usualOthers = old.usualOthers + othersGain*(r.others-old.usualOthers)
+	}
+	c.state.report.CompareAndSwap(old, r)
+}
+
+func orRate(rate, standard float64) float64 {
+	if rate <= 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+		return standard
+	}
+	return rate
+}
+
+// AddOutstanding counts a request given to the endpoint.
+func (c *Candidate) AddOutstanding(promptTokens, answerTokens int) {
+	c.state.requests.Add(1)
+	c.state.prompt.Add(int64(promptTokens))
+	c.state.answer.Add(int64(answerTokens))
+}
+
+// PrefillDone records that the answer of a request has begun: its prompt no
+// longer waits. RemoveOutstanding is then called with promptTokens 0.
+func (c *Candidate) PrefillDone(promptTokens int) {
+	c.state.prompt.Add(-int64(promptTokens))
+}
+
+// RemoveOutstanding ends a request counted by AddOutstanding.
+func (c *Candidate) RemoveOutstanding(promptTokens, answerTokens int) {
+	c.state.requests.Add(-1)
+	c.state.prompt.Add(-int64(promptTokens))
+	c.state.answer.Add(-int64(answerTokens))
+}
+
+// Outstanding returns this gateway's requests at the endpoint.
+func (c *Candidate) Outstanding() int { return int(c.state.requests.Load()) }
+
+// Suspend leaves the candidate out until a time, for example after a lost
+// connection.
+func (c *Candidate) Suspend(until time.Time) { c.state.suspended.Store(&until) }
+
+// Load returns the latest report and when it was made; ok is false before the
+// first.
+func (c *Candidate) Load() (load endpoint.Load, made time.Time, ok bool) {
+	r := c.state.report.Load()
+	if r == nil {
+		return endpoint.Load{}, time.Time{}, false
+	}
+	return r.load, r.made, true
+}
--- /dev/null
+++ b/schedule/pick.go
@@ -0,0 +1,193 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Reason says why a pick found no endpoint.
+type Reason uint8
+
+// Reasons of picks without an endpoint.
+const (
+	ReasonNone Reason = iota
+	// ReasonUnknownService: the configuration has no such service.
+	ReasonUnknownService
+	// ReasonNoEndpoint: no endpoint of the service is known.
+	ReasonNoEndpoint
+	// ReasonDomainDrained: all endpoints are in drained failure domains or leaving.
+	ReasonDomainDrained
+	// ReasonNoVersion: no endpoint serves the version.
+	ReasonNoVersion
+	// ReasonAllTried: every endpoint was tried before.
+	ReasonAllTried
+	// ReasonUnreachable: the connections to all endpoints were lost.
+	ReasonUnreachable
+	// ReasonDraining: all endpoints are leaving.
+	ReasonDraining
+	// ReasonFloor: the admission floor of all endpoints excludes the tier.
+	ReasonFloor
+	// ReasonSaturated: all endpoints are at their limit; the request should wait.
+	ReasonSaturated
+)
+
+var reasonNames = [...]string{"none", "unknown_service", "no_endpoint", "domain_drained", "no_version",
+	"all_tried", "unreachable", "draining", "floor", "saturated"}
+
+// String returns the reason's name.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Decision is the outcome of a pick, with the reasons for the timeline.
+type Decision struct {
+	// Candidate is the chosen endpoint, or nil with Reason set.
+	Candidate *Candidate
+	Reason    Reason
+	// Version is the version that was chosen by share.
+	Version string
+	// FirstToken and Finish are the estimated times from now.
+	FirstToken time.Duration
+	Finish     time.Duration
+	// Considered counts the candidates of the version, Near those near the best score.
+	Considered, Near int
+	// Dropped counts the candidates each filter took out, indexed by Reason.
+	Dropped [ReasonSaturated + 1]uint16
+	// CachedTokens is the part of the prompt expected in the endpoint's cache.
+	CachedTokens int
+	// Cold is set when the endpoint is ramping up or has not reported.
+	Cold bool
+}
+
+// String describes the decision in one line for the timeline.
+func (d Decision) String() string {
+	if d.Candidate == nil {
+		return fmt.Sprintf("none: %s, considered %d, dropped %v", d.Reason, d.Considered, d.Dropped)
+	}
+	return fmt.Sprintf("%s: first token %s, finish %s, considered %d, near %d, cached %d",
+		d.Candidate.Endpoint.ID, d.FirstToken, d.Finish, d.Considered, d.Near, d.CachedTokens)
+}
+
+// scratches reuses working arrays; sync.Pool keeps them per processor.
+var scratches = sync.Pool{New: func() any { return new(scratch) }}
+
+// Pick chooses an endpoint for a request. It does not count the request as
+// outstanding; the caller does so before the next pick.
+func (s *Snapshot) Pick(r *Request, now time.Time, rng *rand.Rand) Decision {
+	svc := s.services[r.Service]
+	if svc == nil {
+		return Decision{Reason: ReasonUnknownService}
+	}
+	if len(svc.candidates) == 0 {
+		return Decision{Reason: svc.emptyReason()}
+	}
+	version, unproven := r.Version, false
+	shares := r.Shares
+	if shares == nil {
+		shares = svc.shares
+	}
+	if version == "" {
+		version, unproven = pickVersion(shares, r.UnprovenAllowed, r.Hash)
+		if version == "" {
+			return Decision{Reason: ReasonNoVersion}
+		}
+	}
+	d := s.pickFrom(svc, version, r, now, rng)
+	if d.Candidate != nil || !unproven {
+		return d
+	}
+	// A request drawn to an unproven version may go to a proven one, never the reverse.
+	if steady, _ := pickVersion(shares, false, r.Hash); steady != "" {
+		return s.pickFrom(svc, steady, r, now, rng)
+	}
+	return d
+}
+
+func (svc *service) emptyReason() Reason {
+	if svc.drained+svc.leaving > 0 {
+		return ReasonDomainDrained
+	}
+	return ReasonNoEndpoint
+}
+
+func (s *Snapshot) pickFrom(svc *service, version string, r *Request, now time.Time, rng *rand.Rand) Decision {
+	from, to := svc.rangeOf(version)
+	d := Decision{Version: version, Considered: to - from}
+	if from == to {
+		d.Reason = ReasonNoVersion
+		return d
+	}
+	x := scratches.Get().(*scratch)
+	x.n = to - from
+	x.candidates = svc.candidates[from:to]
+	for i := range x.n {
+		x.alive[i] = true
+	}
+	x.load(now)
+	s.profile.run(x, r, &d, rng)
+	x.candidates = nil
+	scratches.Put(x)
+	return d
+}
+
+// Profile is the ordered set of plugins that decide a pick.
+type Profile struct {
+	Filters []Filter
+	Scorers []Weighted
+	Picker  Picker
+}
+
+// Weights and bounds of the default profile.
+const (
+	weightFirstToken = 1.0
+	weightFinish     = 0.25
+	weightOccupancy  = 1.0
+	aheadShare       = 0.25
+	nearShare        = 0.15
+	nearSlack        = 0.005
+)
+
+// DefaultProfile returns the routing profile of the gateway.
+func DefaultProfile() *Profile {
+	return &Profile{
+		Filters: []Filter{
+			excludedFilter{},
+			suspendedFilter{},
+			drainingFilter{},
+			floorFilter{},
+			saturatedFilter{ahead: aheadShare},
+		},
+		Scorers: []Weighted{
+			{affinityScorer{}, 1},
+			{firstTokenScorer{}, weightFirstToken},
+			{finishScorer{}, weightFinish},
+			{occupancyScorer{}, weightOccupancy},
+		},
+		Picker: twoChoices{share: nearShare, slack: nearSlack},
+	}
+}
+
+func (p *Profile) run(x *scratch, r *Request, d *Decision, rng *rand.Rand) {
+	left := x.n
+	for _, f := range p.Filters {
+		n := f.Apply(x, r)
+		d.Dropped[f.Reason()] = uint16(n)
+		left -= n
+		if left == 0 {
+			d.Reason = f.Reason()
+			return
+		}
+	}
+	for _, s := range p.Scorers {
+		s.Scorer.Score(x, r, s.Weight)
+	}
+	i, near := p.Picker.Pick(x, rng)
+	d.Candidate = x.candidates[i]
+	d.Near = near
+	d.FirstToken = seconds(x.first[i])
+	d.Finish = seconds(x.finish[i])
+	d.CachedTokens = int(x.saved[i])
+	d.Cold = x.reports[i] == unknownReport || x.reports[i].load.Cold
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/schedule/snapshot.go
@@ -0,0 +1,219 @@
+// Package schedule routes requests: a profile of filters, weighted scorers and a
+// picker over an immutable snapshot of the endpoints. Pick takes no lock shared
+// by all requests and allocates nothing. Times and the random source are
+// arguments.
+package schedule
+
+import (
+	"time"
+
+	"toucantiller.dev/account"
+	"toucantiller.dev/contract"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/instance"
+)
+
+// MaxCandidates is the number of endpoints a gateway considers per service.
+const MaxCandidates = 200
+
+// SnapshotInput is everything that decides a snapshot.
+type SnapshotInput struct {
+	// Gateway is the ID of this gateway; it decides the subset of large services.
+	Gateway instance.ID
+	// Domain is the failure domain of this gateway.
+	Domain    failuredomain.ID
+	Config    *contract.Config
+	Endpoints []endpoint.Endpoint
+	// Previous is the snapshot that this one replaces. Candidates that stay keep their
+	// load and outstanding work.
+	Previous *Snapshot
+	// Profile is the routing profile; nil means DefaultProfile.
+	Profile *Profile
+}
+
+// Snapshot is an immutable view of the endpoints that may receive work. The load
+// of its candidates changes through atomics.
+type Snapshot struct {
+	Revision uint64
+	profile  *Profile
+	services map[string]*service
+	// states holds the load of every known endpoint, for the next snapshot.
+	states map[stateKey]*state
+}
+
+type stateKey struct {
+	id          endpoint.ID
+	incarnation instance.Incarnation
+}
+
+// service holds the candidates of one service. Candidates of one version are
+// adjacent.
+type service struct {
+	candidates []*Candidate
+	versions   []versionRange
+	shares     []contract.VersionShare
+	// excluded counts endpoints left out because they leave or their domain is drained.
+	leaving, drained int
+}
+
+type versionRange struct {
+	version  string
+	from, to int
+}
+
+// NewSnapshot builds a snapshot.
+func NewSnapshot(in SnapshotInput) *Snapshot {
+	s := &Snapshot{
+		Revision: in.Config.Revision,
+		profile:  in.Profile,
+		services: make(map[string]*service, len(in.Config.Services)),
+		states:   make(map[stateKey]*state),
+	}
+	if s.profile == nil {
+		s.profile = DefaultProfile()
+	}
+	for _, c := range in.Config.Services {
+		s.services[c.Name] = &service{shares: c.Versions}
+	}
+	byService := s.eligible(in)
+	for name, list := range byService {
+		s.services[name].fill(s, in, subset(string(in.Gateway), list, MaxCandidates))
+	}
+	return s
+}
+
+// eligible groups the endpoints that may receive work by service.
+func (s *Snapshot) eligible(in SnapshotInput) map[string][]endpoint.Endpoint {
+	byService := make(map[string][]endpoint.Endpoint, len(s.services))
+	for _, e := range in.Endpoints {
+		svc := s.services[e.Service]
+		if svc == nil {
+			continue
+		}
+		d, known := in.Config.Domains[e.Domain]
+		switch {
+		case e.Leaving:
+			svc.leaving++
+		case known && !d.AcceptsWork():
+			svc.drained++
+		default:
+			byService[e.Service] = append(byService[e.Service], e)
+		}
+	}
+	return byService
+}
+
+func (svc *service) fill(s *Snapshot, in SnapshotInput, list []endpoint.Endpoint) {
+	here := in.Config.Domains[in.Domain]
+	here.ID = in.Domain
+	for _, e := range list {
+		there := in.Config.Domains[e.Domain]
+		there.ID = e.Domain
+		svc.candidates = append(svc.candidates, &Candidate{
+			Endpoint: e,
+			distance: distance(here, there).Seconds(),
+			hash:     hashString(string(e.ID)),
+			state:    s.stateOf(in.Previous, e),
+		})
+	}
+	sortByVersion(svc.candidates)
+	for i, c := range svc.candidates {
+		last := len(svc.versions) - 1
+		if last < 0 || svc.versions[last].version != c.Endpoint.Version {
+			svc.versions = append(svc.versions, versionRange{c.Endpoint.Version, i, i + 1})
+			continue
+		}
+		svc.versions[last].to = i + 1
+	}
+}
+
+func (s *Snapshot) stateOf(previous *Snapshot, e endpoint.Endpoint) *state {
+	key := stateKey{e.ID, e.Incarnation}
+	var st *state
+	if previous != nil {
+		st = previous.states[key]
+	}
+	if st == nil {
+		st = &state{}
+	}
+	s.states[key] = st
+	return st
+}
+
+// Candidates returns the candidates of a service; the caller must not change the
+// slice.
+func (s *Snapshot) Candidates(name string) []*Candidate {
+	svc := s.services[name]
+	if svc == nil {
+		return nil
+	}
+	return svc.candidates
+}
+
+// Candidate finds an endpoint of a service by ID, or nil. It searches the subset
+// and is meant for replies, not for routing.
+func (s *Snapshot) Candidate(serviceName string, id endpoint.ID) *Candidate {
+	for _, c := range s.Candidates(serviceName) {
+		if c.Endpoint.ID == id {
+			return c
+		}
+	}
+	return nil
+}
+
+func (svc *service) rangeOf(version string) (from, to int) {
+	if version == "" {
+		return 0, len(svc.candidates)
+	}
+	for _, v := range svc.versions {
+		if v.version == version {
+			return v.from, v.to
+		}
+	}
+	return 0, 0
+}
+
+// Distances between failure domains, as one-way latencies.
+const (
+	distanceSameRegion  = time.Millisecond
+	distanceOtherRegion = 30 * time.Millisecond
+)
+
+func distance(a, b failuredomain.Domain) time.Duration {
+	switch {
+	case a.ID == b.ID:
+		return 0
+	case a.Region == b.Region:
+		return distanceSameRegion
+	default:
+		return distanceOtherRegion
+	}
+}
+
+// Prefix is a hashed prefix of a prompt and its length.
+type Prefix struct {
+	Hash   uint64
+	Tokens int
+}
+
+// Request is what routing knows about a request.
+type Request struct {
+	Service string
+	// Version was chosen by share. When empty, Pick chooses from Shares, or from the
+	// service's configured shares when Shares is nil.
+	Version string
+	Shares  []contract.VersionShare
+	// UnprovenAllowed permits versions under a move; clear it without a fresh beacon.
+	UnprovenAllowed bool
+	// Hash spreads requests over the shares; it is stable for a request.
+	Hash         uint64
+	Tier         account.Tier
+	PromptTokens int
+	// AnswerTokens is the expected size of the answer.
+	AnswerTokens int
+	// Prefixes lists hashed prefixes of the prompt, from the shortest to the longest.
+	Prefixes []Prefix
+	// Excluded lists endpoints already tried.
+	Excluded []endpoint.ID
+}
