Lower the cost of a pick per candidate

Cause: a pick of 200 candidates took 16 us, over the target of 5 us. Change: candidates still in play are a compacted list of byte indexes, reports carry inverse rates, report times are offsets, rare states are marked so that their filters do no pass.

--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -42,6 +42,7 @@
 	p := &c.state.cache
 	if p.table.Load() == nil && len(events) > 0 {
 		p.table.Store(new([cacheSlots]atomic.Uint64))
+		c.state.marks.Or(uint32(markCache))
 	}
 	for _, e := range events {
 		last := p.seq.Load()
@@ -95,43 +96,53 @@
 func (x *scratch) affinity(r *Request) {
 	bound := x.occupancyBound()
 	for _, p := range r.Prefixes {
-		best, bestRank := -1, uint64(0)
-		for i := range x.n {
-			if !x.alive[i] {
-				continue
-			}
-			c := x.candidates[i]
-			confidence, known := c.state.cache.held(p.Hash)
-			if known {
-				x.save(i, confidence*float64(p.Tokens))
-			}
-			rank := mix(p.Hash ^ c.hash)
-			if (best < 0 || rank > bestRank) && x.occupancy[i] <= bound && !(known && confidence == 0) {
-				best, bestRank = i, rank
-			}
+		if x.marks&markCache != 0 {
+			x.affinityKnown(p)
 		}
-		if best >= 0 {
-			x.save(best, likelyHeld*float64(p.Tokens))
+		x.affinityLikely(p, bound)
+	}
+}
+
+// affinityKnown credits what cache events tell.
+func (x *scratch) affinityKnown(p Prefix) {
+	for _, i := range x.live {
+		if confidence, known := x.candidates[i].state.cache.held(p.Hash); known {
+			x.save(i, confidence*float64(p.Tokens))
 		}
 	}
 }
 
-func (x *scratch) save(i int, tokens float64) {
+// affinityLikely credits the likely holder, unless its cache events say that it
+// has evicted the prefix: the request then goes where the other scores lead, and
+// the holder's next stored event makes it known again.
+func (x *scratch) affinityLikely(p Prefix, bound float64) {
+	best, bestRank := -1, uint64(0)
+	for _, i := range x.live {
+		rank := mix(p.Hash ^ x.candidates[i].hash)
+		if (rank > bestRank || best < 0) && x.occupancy[i] <= bound {
+			best, bestRank = int(i), rank
+		}
+	}
+	if best < 0 {
+		return
+	}
+	confidence, known := x.candidates[uint8(best)].state.cache.held(p.Hash)
+	if known && confidence == 0 {
+		return
+	}
+	x.save(uint8(best), likelyHeld*float64(p.Tokens))
+}
+
+func (x *scratch) save(i uint8, tokens float64) {
 	if tokens > x.saved[i] {
 		x.saved[i] = tokens
 	}
 }
 
 func (x *scratch) occupancyBound() float64 {
-	sum, n := 0.0, 0
-	for i := range x.n {
-		if x.alive[i] {
-			sum += x.occupancy[i]
-			n++
-		}
-	}
-	if n == 0 {
-		return 0
+	sum := 0.0
+	for _, i := range x.live {
+		sum += x.occupancy[i]
 	}
-	return loadBound*sum/float64(n) + 0.25
+	return loadBound*sum/float64(len(x.live)) + 0.25
 }
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -20,20 +20,22 @@
 
 // state is the mutable part of a candidate. It outlives snapshots.
 type state struct {
-	report   atomic.Pointer[report]
+	report atomic.Pointer[report]
+	// marks holds markSuspended and markCache once they have applied.
+	marks    atomic.Uint32
 	requests atomic.Int64
 	prompt   atomic.Int64
 	answer   atomic.Int64
 	// suspended is kept as a time.Time, whose monotonic part ignores clock steps.
 	suspended atomic.Pointer[time.Time]
 	cache     prefixCache
+	base      *timeBase
 }
 
 // report is an immutable load report with what was known when it arrived.
 type report struct {
-	load endpoint.Load
-	// made is when the agent made the report.
-	made time.Time
+	// made is when the agent made the report, as an offset from the time base.
+	made int64
 	// others and othersQueued are the requests and queued prompt tokens of other
 	// gateways: the report less this gateway's own work.
 	others, othersQueued float64
@@ -41,10 +43,40 @@
 	// news does not mean no load.
 	usualOthers float64
 	limit       float64
-	prefill     float64
-	decode      float64
+	// perLimit, perPrefill and perDecode are the inverses; a pick multiplies by them.
+	perLimit, perPrefill, perDecode float64
+
+	// room is the number of requests up to which the endpoint is not saturated.
+	room  float64
+	marks mark
+
+	prefill, decode float64
+	load            endpoint.Load
+	at              time.Time
+}
+
+// prepare computes what picks derive from a report.
+func (r *report) prepare() {
+	r.room = r.limit
+	if !r.load.Cold {
+		r.room += math.Ceil(aheadShare * r.limit)
+	}
+	if r.load.Leaving {
+		r.marks |= markLeaving
+	}
+	if r.load.Floor >= 0 {
+		r.marks |= markFloor
+	}
+
+	r.perLimit = 1 / r.limit
+	r.perPrefill = 1 / r.prefill
+	r.perDecode = 1 / r.decode
 }
 
+// aheadShare is the share of its limit that a warm endpoint may hold in addition,
+// so that its agent always has the next request at hand.
+const aheadShare = 0.25
+
 // othersGain is the weight of a new report in usualOthers.
 const othersGain = 0.1
 
@@ -59,13 +91,14 @@
 func (c *Candidate) Observe(load endpoint.Load, now time.Time) {
 	made := now.Add(-load.Age)
 	old := c.state.report.Load()
-	if old != nil && made.Before(old.made) {
+	if old != nil && made.Before(old.at) {
 		return
 	}
 	own := float64(c.state.requests.Load())
 	r := &report{
 		load:         load,
-		made:         made,
+		made:         c.state.base.nanos(made),
+		at:           made,
 		others:       math.Max(0, float64(load.Running+load.Queued)-own),
 		othersQueued: float64(load.QueuedTokens),
 		limit:        math.Max(1, float64(load.Limit)),
@@ -76,6 +109,7 @@
 	if old != nil {
 		r.usualOthers = old.usualOthers + othersGain*(r.others-old.usualOthers)
 	}
+	r.prepare()
 	c.state.report.CompareAndSwap(old, r)
 }
 
@@ -111,7 +145,10 @@
 
 // Suspend leaves the candidate out until a time, for example after a lost
 // connection.
-func (c *Candidate) Suspend(until time.Time) { c.state.suspended.Store(&until) }
+func (c *Candidate) Suspend(until time.Time) {
+	c.state.suspended.Store(&until)
+	c.state.marks.Or(uint32(markSuspended))
+}
 
 // Load returns the latest report and when it was made; ok is false before the
 // first.
@@ -120,5 +157,5 @@
 	if r == nil {
 		return endpoint.Load{}, time.Time{}, false
 	}
-	return r.load, r.made, true
+	return r.load, r.at, true
 }
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -1,68 +1,120 @@
 package schedule
 
 import (
-	"math"
+	"sync/atomic"
 	"time"
+
+	"toucantiller.dev/admission"
 )
 
-// fadeTime is the age at which a report has lost about two thirds of its weight
-// against the usual load of its endpoint.
-const fadeTime = 2.0
+// fadeTime is the age, in nanoseconds, at which a report has lost about two thirds
+// of its weight against the usual load of its endpoint.
+const fadeTime = 2e9
+
+const maxIndex = 256
 
 // scratch holds the working arrays of one Pick. Arrays are indexed by position
-// among the candidates of the chosen version.
+// among the candidates of the chosen version; live lists the positions that no
+// filter has taken out. The arrays have one element per uint8, so that indexes need
+// no bounds check.
 type scratch struct {
 	n          int
 	candidates []*Candidate
-	reports    [MaxCandidates]*report
-	alive      [MaxCandidates]bool
+	now        time.Time
+	// nanos is now as an offset from the base of the snapshot's times.
+	nanos   int64
+	live    []uint8
+	liveBuf [maxIndex]uint8
+	// marks is the union of the candidates' marks; filters for absent marks do nothing.
+	marks   mark
+	reports [maxIndex]*report
+	// weight is the weight of the report after its age, in (0,1].
+	weight [maxIndex]float64
+	own    [maxIndex]float64
 	// requests is the estimated number of requests at the endpoint.
-	requests [MaxCandidates]float64
-	own      [MaxCandidates]float64
+	requests [maxIndex]float64
 	// occupancy is requests over limit.
-	occupancy [MaxCandidates]float64
+	occupancy [maxIndex]float64
 	// saved is the prompt tokens expected in the endpoint's cache.
-	saved  [MaxCandidates]float64
-	first  [MaxCandidates]float64
-	finish [MaxCandidates]float64
-	score  [MaxCandidates]float64
-	now    time.Time
+	saved  [maxIndex]float64
+	first  [maxIndex]float64
+	finish [maxIndex]float64
+	score  [maxIndex]float64
 }
 
 // unknownReport stands in for endpoints that have not reported: they may be cold.
-var unknownReport = &report{limit: 1, prefill: defaultPrefillRate, decode: defaultDecodeRate}
+var unknownReport = newUnknownReport()
+
+func newUnknownReport() *report {
+	r := &report{limit: 1, prefill: defaultPrefillRate, decode: defaultDecodeRate}
+	r.load.Cold = true
+	r.load.Floor = admission.NoFloor
+	r.prepare()
+	return r
+}
+
+// timeBase turns times into offsets, which are cheaper to store and compare. It is
+// set by the first time seen.
+type timeBase struct{ at atomic.Pointer[time.Time] }
+
+func (b *timeBase) nanos(t time.Time) int64 {
+	at := b.at.Load()
+	if at == nil {
+		at = b.set(t)
+	}
+	return t.Sub(*at).Nanoseconds()
+}
+
+func (b *timeBase) set(t time.Time) *time.Time {
+	b.at.CompareAndSwap(nil, &t)
+	return b.at.Load()
+}
+
+// mark flags the uncommon states of a candidate.
+type mark uint32
+
+const (
+	markLeaving mark = 1 << iota
+	markFloor
+	markSuspended
+	markCache
+)
 
 // load estimates the requests at each candidate: own outstanding work is exact;
 // the work of other gateways is the reported one, fading into its usual value as
 // the report ages.
-func (x *scratch) load(now time.Time) {
-	x.now = now
-	for i := range x.n {
-		c := x.candidates[i]
-		r := c.state.report.Load()
+func (x *scratch) load() {
+	x.live = x.liveBuf[:x.n]
+	x.marks = 0
+	for at, c := range x.candidates {
+		i := uint8(at)
+		st := c.state
+		r := st.report.Load()
 		if r == nil {
 			r = unknownReport
 		}
+		x.marks |= r.marks | mark(st.marks.Load())
+		own := float64(st.requests.Load())
+		weight := fade(x.nanos - r.made)
+		requests := own + r.usualOthers + weight*(r.others-r.usualOthers)
+		x.live[at] = i
 		x.reports[i] = r
+		x.weight[i] = weight
+		x.own[i] = own
+		x.requests[i] = requests
+		x.occupancy[i] = requests * r.perLimit
 		x.saved[i] = 0
 		x.score[i] = 0
-		weight := 1.0
-		if r.others != r.usualOthers {
-			weight = fade(now.Sub(r.made).Seconds())
-		}
-		x.own[i] = float64(c.state.requests.Load())
-		x.requests[i] = x.own[i] + weight*r.others + (1-weight)*r.usualOthers
-		x.occupancy[i] = x.requests[i] / r.limit
 	}
 }
 
 // fade approximates exp(-age/fadeTime) at a fraction of its cost.
-func fade(age float64) float64 {
+func fade(age int64) float64 {
 	if age <= 0 {
 		return 1
 	}
-	a := age / fadeTime
-	return 1 / (1 + a + a*a/2)
+	a := float64(age) * (1 / fadeTime)
+	return 1 / (1 + a*(1+a*0.5))
 }
 
 // estimate computes time to first token and time to finish for one candidate, in
@@ -71,28 +123,24 @@
 // An endpoint batches up to its limit, so a running call delays another only by
 // its prefill, however long its answer is. Work over the limit waits for slots,
 // which free up at the pace of the calls that hold them.
-func (x *scratch) estimate(i int, r *Request) (first, finish float64) {
+func (x *scratch) estimate(i uint8, r *Request) (first, finish float64) {
 	rep := x.reports[i]
-	st := x.candidates[i].state
-	prompt := math.Max(float64(r.PromptTokens)-x.saved[i], 1)
-	answer := math.Max(float64(r.AnswerTokens), 1)
-	waiting := math.Max(float64(st.prompt.Load()), 0) + rep.othersQueued*fade(x.age(i))
-	wait := 0.0
+	c := x.candidates[i]
+	prompt := float64(r.PromptTokens) - x.saved[i]
+	answer := float64(max(r.AnswerTokens, 1))
+	waiting := float64(c.state.prompt.Load()) + rep.othersQueued*x.weight[i]
+	first = (waiting+prompt)*rep.perPrefill + 2*c.distance
 	if over := x.requests[i] + 1 - rep.limit; over > 0 {
-		wait = over / rep.limit * x.callTime(i, answer)
+		first += over * rep.perLimit * x.callTime(i, answer)
 	}
-	first = wait + (waiting+prompt)/rep.prefill + 2*x.candidates[i].distance
-	return first, first + answer/rep.decode
+	return first, first + answer*rep.perDecode
 }
 
-func (x *scratch) age(i int) float64 { return x.now.Sub(x.reports[i].made).Seconds() }
-
 // callTime is the mean remaining time of the calls at the endpoint.
-func (x *scratch) callTime(i int, answer float64) float64 {
-	st := x.candidates[i].state
+func (x *scratch) callTime(i uint8, answer float64) float64 {
 	if x.own[i] > 0 {
-		mean := float64(st.answer.Load()) / x.own[i]
-		answer = math.Max(answer, mean)
+		mean := float64(x.candidates[i].state.answer.Load()) / x.own[i]
+		answer = max(answer, mean)
 	}
-	return answer / x.reports[i].decode
+	return answer * x.reports[i].perDecode
 }
--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -1,19 +1,18 @@
 package schedule
 
 import (
-	"math"
 	"slices"
 
 	"toucantiller.dev/admission"
 )
 
-// Filter takes candidates out of a pick by clearing their alive mark. It works
-// on all candidates at once, which keeps interface calls out of the inner loop.
+// Filter takes candidates out of a pick by removing them from the live list. It
+// works on all candidates at once, which keeps interface calls out of the inner
+// loop.
 type Filter interface {
 	// Reason is reported when the filter took out the last candidate.
 	Reason() Reason
-	// Apply returns the number of candidates it took out.
-	Apply(x *scratch, r *Request) int
+	Apply(x *scratch, r *Request)
 }
 
 // excludedFilter takes out endpoints that were tried before.
@@ -21,13 +20,17 @@
 
 func (excludedFilter) Reason() Reason { return ReasonAllTried }
 
-func (excludedFilter) Apply(x *scratch, r *Request) int {
+func (excludedFilter) Apply(x *scratch, r *Request) {
 	if len(r.Excluded) == 0 {
-		return 0
+		return
 	}
-	return x.drop(func(i int) bool {
-		return slices.Contains(r.Excluded, x.candidates[i].Endpoint.ID)
-	})
+	live := x.live[:0]
+	for _, i := range x.live {
+		if !slices.Contains(r.Excluded, x.candidates[i].Endpoint.ID) {
+			live = append(live, i)
+		}
+	}
+	x.live = live
 }
 
 // suspendedFilter takes out endpoints whose connection was lost a moment ago.
@@ -35,11 +38,18 @@
 
 func (suspendedFilter) Reason() Reason { return ReasonUnreachable }
 
-func (suspendedFilter) Apply(x *scratch, _ *Request) int {
-	return x.drop(func(i int) bool {
+func (suspendedFilter) Apply(x *scratch, _ *Request) {
+	if x.marks&markSuspended == 0 {
+		return
+	}
+	live := x.live[:0]
+	for _, i := range x.live {
 		until := x.candidates[i].state.suspended.Load()
-		return until != nil && until.After(x.now)
-	})
+		if until == nil || !until.After(x.now) {
+			live = append(live, i)
+		}
+	}
+	x.live = live
 }
 
 // drainingFilter takes out endpoints whose agent reported that it leaves.
@@ -47,8 +57,17 @@
 
 func (drainingFilter) Reason() Reason { return ReasonDraining }
 
-func (drainingFilter) Apply(x *scratch, _ *Request) int {
-	return x.drop(func(i int) bool { return x.reports[i].load.Leaving })
+func (drainingFilter) Apply(x *scratch, _ *Request) {
+	if x.marks&markLeaving == 0 {
+		return
+	}
+	live := x.live[:0]
+	for _, i := range x.live {
+		if !x.reports[i].load.Leaving {
+			live = append(live, i)
+		}
+	}
+	x.live = live
 }
 
 // floorFilter takes out endpoints whose admission floor excludes the tier.
@@ -56,45 +75,35 @@
 
 func (floorFilter) Reason() Reason { return ReasonFloor }
 
-func (floorFilter) Apply(x *scratch, r *Request) int {
-	if r.Tier == 0 {
-		return 0
+func (floorFilter) Apply(x *scratch, r *Request) {
+	if r.Tier == 0 || x.marks&markFloor == 0 {
+		return
 	}
-	oldest := x.now.Add(-admission.FloorTTL)
-	return x.drop(func(i int) bool {
+	oldest := x.nanos - admission.FloorTTL.Nanoseconds()
+	live := x.live[:0]
+	for _, i := range x.live {
 		rep := x.reports[i]
-		if rep == unknownReport || rep.load.Floor < 0 || int(r.Tier) <= rep.load.Floor {
-			return false
+		floor := rep.load.Floor
+		excludes := floor >= 0 && int(r.Tier) > floor && rep.made > oldest
+		if !excludes {
+			live = append(live, i)
 		}
-		return rep.made.After(oldest)
-	})
+	}
+	x.live = live
 }
 
-// saturatedFilter takes out endpoints at their limit. Warm endpoints may hold
-// some more requests, so that the agent always has the next one at hand; cold
-// ones may not.
-type saturatedFilter struct{ ahead float64 }
+// saturatedFilter takes out endpoints at their limit. Warm endpoints have room for
+// some more requests than their limit; cold ones do not.
+type saturatedFilter struct{}
 
 func (saturatedFilter) Reason() Reason { return ReasonSaturated }
 
-func (f saturatedFilter) Apply(x *scratch, _ *Request) int {
-	return x.drop(func(i int) bool {
-		rep := x.reports[i]
-		room := rep.limit
-		if rep != unknownReport && !rep.load.Cold {
-			room += math.Ceil(f.ahead * rep.limit)
-		}
-		return x.requests[i]+1 > room
-	})
-}
-
-func (x *scratch) drop(out func(i int) bool) int {
-	n := 0
-	for i := range x.n {
-		if x.alive[i] && out(i) {
-			x.alive[i] = false
-			n++
+func (saturatedFilter) Apply(x *scratch, _ *Request) {
+	live := x.live[:0]
+	for _, i := range x.live {
+		if x.requests[i]+1 <= x.reports[i].room {
+			live = append(live, i)
 		}
 	}
-	return n
+	x.live = live
 }
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -120,10 +120,9 @@
 	x := scratches.Get().(*scratch)
 	x.n = to - from
 	x.candidates = svc.candidates[from:to]
-	for i := range x.n {
-		x.alive[i] = true
-	}
-	x.load(now)
+	x.now = now
+	x.nanos = s.base.nanos(now)
+	x.load()
 	s.profile.run(x, r, &d, rng)
 	x.candidates = nil
 	scratches.Put(x)
@@ -142,7 +141,6 @@
 	weightFirstToken = 1.0
 	weightFinish     = 0.25
 	weightOccupancy  = 1.0
-	aheadShare       = 0.25
 	nearShare        = 0.15
 	nearSlack        = 0.005
 )
@@ -155,7 +153,7 @@
 			suspendedFilter{},
 			drainingFilter{},
 			floorFilter{},
-			saturatedFilter{ahead: aheadShare},
+			saturatedFilter{},
 		},
 		Scorers: []Weighted{
 			{affinityScorer{}, 1},
@@ -168,12 +166,11 @@
 }
 
 func (p *Profile) run(x *scratch, r *Request, d *Decision, rng *rand.Rand) {
-	left := x.n
 	for _, f := range p.Filters {
-		n := f.Apply(x, r)
-		d.Dropped[f.Reason()] = uint16(n)
-		left -= n
-		if left == 0 {
+		before := len(x.live)
+		f.Apply(x, r)
+		d.Dropped[f.Reason()] = uint16(before - len(x.live))
+		if len(x.live) == 0 {
 			d.Reason = f.Reason()
 			return
 		}
@@ -187,7 +184,7 @@
 	d.FirstToken = seconds(x.first[i])
 	d.Finish = seconds(x.finish[i])
 	d.CachedTokens = int(x.saved[i])
-	d.Cold = x.reports[i] == unknownReport || x.reports[i].load.Cold
+	d.Cold = x.reports[i].load.Cold
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/schedule/picker.go
+++ b/schedule/picker.go
@@ -2,9 +2,10 @@
 
 import "math/rand/v2"
 
-// Picker chooses among the candidates that are alive and scored.
+// Picker chooses among the candidates that are live and scored.
 type Picker interface {
-	// Pick returns the index of the choice and the size of the near-best set, or -1.
+	// Pick returns the index of the choice and the size of the near-best set. At least
+	// one candidate is live.
 	Pick(x *scratch, rng *rand.Rand) (index, near int)
 }
 
@@ -17,45 +18,24 @@
 }
 
 func (p twoChoices) Pick(x *scratch, rng *rand.Rand) (index, near int) {
-	best, second := -1, -1
-	for i := range x.n {
-		if !x.alive[i] {
-			continue
-		}
-		switch {
-		case best < 0 || x.score[i] < x.score[best]:
-			best, second = i, best
-		case second < 0 || x.score[i] < x.score[second]:
-			second = i
-		}
-	}
-	if best < 0 {
-		return -1, 0
+	best := x.score[x.live[0]]
+	for _, i := range x.live {
+		best = min(best, x.score[i])
 	}
-	bound := x.score[best]*(1+p.share) + p.slack
-	a, b := best, best
-	for i := range x.n {
-		if !x.alive[i] || x.score[i] > bound {
-			continue
+	bound := best*(1+p.share) + p.slack
+	live := x.live[:0]
+	for _, i := range x.live {
+		if x.score[i] <= bound {
+			live = append(live, i)
 		}
-		near++
-		a, b = sample(rng, near, i, a, b)
 	}
-	if x.score[b] < x.score[a] || (x.score[b] == x.score[a] && x.occupancy[b] < x.occupancy[a]) {
+	x.live = live
+	near = len(live)
+	draw := rng.Uint64()
+	a := int(live[draw>>32*uint64(near)>>32])
+	b := int(live[draw&0xffffffff*uint64(near)>>32])
+	if x.score[b] < x.score[a] {
 		a = b
 	}
 	return a, near
 }
-
-// sample keeps two members of a stream, each drawn uniformly and independently.
-func sample(rng *rand.Rand, seen, i, a, b int) (int, int) {
-	draw := rng.Uint64()
-	n := uint64(seen)
-	if (draw>>32)*n>>32 == 0 {
-		a = i
-	}
-	if (draw&0xffffffff)*n>>32 == 0 {
-		b = i
-	}
-	return a, b
-}
--- a/schedule/scorer.go
+++ b/schedule/scorer.go
@@ -26,10 +26,7 @@
 type firstTokenScorer struct{}
 
 func (firstTokenScorer) Score(x *scratch, r *Request, weight float64) {
-	for i := range x.n {
-		if !x.alive[i] {
-			continue
-		}
+	for _, i := range x.live {
 		x.first[i], x.finish[i] = x.estimate(i, r)
 		x.score[i] += weight * x.first[i]
 	}
@@ -39,10 +36,8 @@
 type finishScorer struct{}
 
 func (finishScorer) Score(x *scratch, _ *Request, weight float64) {
-	for i := range x.n {
-		if x.alive[i] {
-			x.score[i] += weight * (x.finish[i] - x.first[i])
-		}
+	for _, i := range x.live {
+		x.score[i] += weight * (x.finish[i] - x.first[i])
 	}
 }
 
@@ -54,9 +49,7 @@
 type occupancyScorer struct{}
 
 func (occupancyScorer) Score(x *scratch, _ *Request, weight float64) {
-	for i := range x.n {
-		if x.alive[i] {
-			x.score[i] += weight * occupancyCost * x.occupancy[i]
-		}
+	for _, i := range x.live {
+		x.score[i] += weight * occupancyCost * x.occupancy[i]
 	}
 }
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -38,6 +38,7 @@
 	Revision uint64
 	profile  *Profile
 	services map[string]*service
+	base     *timeBase
 	// states holds the load of every known endpoint, for the next snapshot.
 	states map[stateKey]*state
 }
@@ -69,6 +70,10 @@
 		profile:  in.Profile,
 		services: make(map[string]*service, len(in.Config.Services)),
 		states:   make(map[stateKey]*state),
+		base:     &timeBase{},
+	}
+	if in.Previous != nil {
+		s.base = in.Previous.base
 	}
 	if s.profile == nil {
 		s.profile = DefaultProfile()
@@ -135,7 +140,7 @@
 		st = previous.states[key]
 	}
 	if st == nil {
-		st = &state{}
+		st = &state{base: s.base}
 	}
 	s.states[key] = st
 	return st
