--- a/control/api/api.go
+++ b/control/api/api.go
@@ -94,7 +94,11 @@
 	Share    float64
 	Started  time.Time
 	Deadline time.Time
-	Ended    time.Time
+	// FullAt is when the new version got its full share; the old one stays warm for Watch
+	// after it.
+	FullAt time.Time
+	Watch  time.Duration
+	Ended  time.Time
 	// Cause says in one line why the move stands as it does.
 	Cause string
 	// Evidence lists what the decision rests on.
@@ -175,13 +179,11 @@
 // ConfigDelta changes the configuration of revision From into that of Header.Revision.
 type ConfigDelta struct {
 	From uint64
-	// Header holds every part except accounts and services.
+	// Header holds every part except the accounts.
 	Header contract.Config
-	// Accounts and Services replace those of the same name or are added at the end.
+	// Accounts replace those of the same name or are added at the end.
 	Accounts        []*account.Account
 	RemovedAccounts []string
-	Services        []*contract.Service
-	RemovedServices []string
 }
 
 // DirectoryDelta changes the directory of revision From into that of revision To.
@@ -369,5 +371,6 @@
 	Evidence []MoveEvidence
 }
 
-// Empty is the argument of calls without input.
-type Empty struct{}
+// Empty is the argument of calls without input. The field is unused; gob does not
+// encode a struct without exported fields.
+type Empty struct{ Reserved bool }
--- /dev/null
+++ b/control/client.go
@@ -0,0 +1,230 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/rpc"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/link"
+)
+
+// Timing of clients.
+const (
+	// callTimeout bounds one attempt; it exceeds proposeTimeout, so that a slow commit is
+	// not taken for a lost call.
+	callTimeout = proposeTimeout + time.Second
+	// clientTimeout bounds a call whose context has no deadline.
+	clientTimeout = 10 * time.Second
+	// clientRetry is the mean pause between rounds.
+	clientRetry = 100 * time.Millisecond
+	// maxRedirects bounds redirects that replicas give each other during an election.
+	maxRedirects = 2
+)
+
+// Client calls the control leader. Every method may be repeated safely: changes carry
+// an operation ID, claims a dispatch, evidence a sequence number, and registrations an
+// incarnation. It is safe for concurrent use.
+type Client struct {
+	network link.Network
+	addrs   []string
+
+	mu      sync.Mutex
+	clients map[string]*link.Client
+	leader  string
+}
+
+// NewClient returns a client of the replicas at addrs. It does not dial yet.
+func NewClient(network link.Network, addrs []string) *Client {
+	return &Client{network: network, addrs: slices.Clone(addrs), clients: make(map[string]*link.Client)}
+}
+
+// Close closes the connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.clients {
+		l.Close()
+	}
+	clear(c.clients)
+}
+
+// ApplyBundle makes a signed bundle the configuration.
+func (c *Client) ApplyBundle(ctx context.Context, in *api.ApplyBundle) (*api.ChangeReply, error) {
+	return call(ctx, c, "ApplyBundle", in, func(r *api.ChangeReply) string { return r.Leader })
+}
+
+// SetDomain drains or restores a failure domain.
+func (c *Client) SetDomain(ctx context.Context, in *api.SetDomain) (*api.ChangeReply, error) {
+	return call(ctx, c, "SetDomain", in, func(r *api.ChangeReply) string { return r.Leader })
+}
+
+// AbortMove takes back the move of a service.
+func (c *Client) AbortMove(ctx context.Context, in *api.AbortMove) (*api.ChangeReply, error) {
+	return call(ctx, c, "AbortMove", in, func(r *api.ChangeReply) string { return r.Leader })
+}
+
+// Register announces a process.
+func (c *Client) Register(ctx context.Context, in *api.Register) (*api.RegisterReply, error) {
+	return call(ctx, c, "Register", in, func(r *api.RegisterReply) string { return r.Leader })
+}
+
+// KeepAlive renews a lease.
+func (c *Client) KeepAlive(ctx context.Context, in *api.KeepAlive) (*api.KeepAliveReply, error) {
+	return call(ctx, c, "KeepAlive", in, func(r *api.KeepAliveReply) string { return r.Leader })
+}
+
+// Subscribe waits for a newer view.
+func (c *Client) Subscribe(ctx context.Context, in *api.Subscribe) (*api.View, error) {
+	return call(ctx, c, "Subscribe", in, func(r *api.View) string { return r.Leader })
+}
+
+// Claim claims an idempotency key.
+func (c *Client) Claim(ctx context.Context, in *api.Claim) (*api.ClaimReply, error) {
+	return call(ctx, c, "Claim", in, func(r *api.ClaimReply) string { return r.Leader })
+}
+
+// CompleteClaim stores the outcome of a claim.
+func (c *Client) CompleteClaim(ctx context.Context, in *api.CompleteClaim) error {
+	_, err := call(ctx, c, "CompleteClaim", in, func(r *api.CompleteReply) string { return r.Leader })
+	return err
+}
+
+// ReportEvidence sends observations.
+func (c *Client) ReportEvidence(ctx context.Context, in *api.Evidence) error {
+	_, err := call(ctx, c, "ReportEvidence", in, func(r *api.EvidenceReply) string { return r.Leader })
+	return err
+}
+
+// NextToken issues a fencing token.
+func (c *Client) NextToken(ctx context.Context) (uint64, error) {
+	r, err := call(ctx, c, "NextToken", &api.Empty{}, func(r *api.TokenReply) string { return r.Leader })
+	if err != nil {
+		return 0, err
+	}
+	return r.Token, nil
+}
+
+// Moves returns the latest move of each service.
+func (c *Client) Moves(ctx context.Context) ([]api.Move, error) {
+	r, err := call(ctx, c, "Moves", &api.Empty{}, func(r *api.MovesReply) string { return r.Leader })
+	if err != nil {
+		return nil, err
+	}
+	return r.Moves, nil
+}
+
+// Bundle returns the bundle in force.
+func (c *Client) Bundle(ctx context.Context) (*api.BundleReply, error) {
+	return call(ctx, c, "Bundle", &api.Empty{}, func(r *api.BundleReply) string { return r.Leader })
+}
+
+// Status returns the leader's view.
+func (c *Client) Status(ctx context.Context) (*api.Status, error) {
+	return call(ctx, c, "Status", &api.Empty{}, func(r *api.Status) string { return r.Leader })
+}
+
+// call tries the replicas until one answers as the leader or ctx ends.
+func call[In, Out any](ctx context.Context, c *Client, method string, in *In, leaderOf func(*Out) string) (*Out, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, clientTimeout)
+		defer cancel()
+	}
+	var last error
+	for {
+		for _, addr := range c.order() {
+			out, err := callAt(ctx, c, addr, method, in, leaderOf)
+			if err == nil {
+				return out, nil
+			}
+			if final(err) {
+				return nil, err
+			}
+			last = err
+		}
+		if err := pause(ctx); err != nil {
+			return nil, &link.Error{Step: "call Control." + method, Peer: strings.Join(c.addrs, ","), Err: errors.Join(err, last)}
+		}
+	}
+}
+
+// callAt calls one replica and follows its redirects.
+func callAt[In, Out any](ctx context.Context, c *Client, addr, method string, in *In, leaderOf func(*Out) string) (*Out, error) {
+	for range 1 + maxRedirects {
+		out := new(Out)
+		attempt, cancel := context.WithTimeout(ctx, callTimeout)
+		err := c.client(addr).Call(attempt, ServiceName+"."+method, in, out)
+		cancel()
+		if err != nil {
+			c.setLeader(addr, "")
+			return nil, err
+		}
+		leader := leaderOf(out)
+		if leader == "" || leader == addr {
+			c.setLeader("", addr)
+			return out, nil
+		}
+		addr = leader
+	}
+	return nil, &link.Error{Step: "call Control." + method, Peer: addr, Err: errors.New("replicas do not agree on a leader")}
+}
+
+// final reports whether an error will be the same on every attempt: the leader itself
+// refused the call.
+func final(err error) bool {
+	var server rpc.ServerError
+	return errors.As(err, &server) && !strings.HasPrefix(string(server), UnavailablePrefix)
+}
+
+// order lists the addresses to try, the leader first.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]string, 0, len(c.addrs)+1)
+	if c.leader != "" {
+		out = append(out, c.leader)
+	}
+	for _, i := range rand.Perm(len(c.addrs)) {
+		if c.addrs[i] != c.leader {
+			out = append(out, c.addrs[i])
+		}
+	}
+	return out
+}
+
+// setLeader remembers the leader; with old set, only if old was the one remembered.
+func (c *Client) setLeader(old, leader string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old == "" || old == c.leader {
+		c.leader = leader
+	}
+}
+
+func (c *Client) client(addr string) *link.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.clients[addr]
+	if !ok {
+		l = link.NewClient(c.network, addr)
+		c.clients[addr] = l
+	}
+	return l
+}
+
+func pause(ctx context.Context) error {
+	t := time.NewTimer(clientRetry/2 + rand.N(clientRetry))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,178 @@
+// Package control is the control process: replicas that share the state of a
+// deployment, answer operators, gateways and agents, and publish the configuration.
+package control
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/control/state"
+	"toucantiller.dev/distribution"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/lease"
+	"toucantiller.dev/link"
+	"toucantiller.dev/timeline"
+)
+
+// ServiceName is the net/rpc name of the control service.
+const ServiceName = "Control"
+
+// Limits of registrations: their rate bounds the log writes of a fleet that returns at
+// once.
+const (
+	RegistrationsPerSecond = 500
+	RegistrationBurst      = 100
+)
+
+// proposeTimeout bounds a log write; it exceeds the time of a failover.
+const proposeTimeout = 4 * time.Second
+
+// Decider decides what a move does next. Each move gets its own Decider, made anew by
+// each new leader. obs holds the observations since the last call.
+type Decider interface {
+	Decide(now time.Time, move api.Move, obs []api.Observation) api.Decision
+}
+
+// Options configures a Server. Self, Network and OpenLog are required.
+type Options struct {
+	// Self names the replica; it listens on Self.LinkAddress.
+	Self    instance.Instance
+	Network link.Network
+	OpenLog OpenLog
+	// NewDecider returns the decider of a move; without it moves stay where they are.
+	NewDecider func(move api.Move) Decider
+	Recorder   *timeline.Recorder
+	Meter      metric.Meter
+	Logger     log.Logger
+	// RegistrationsPerSecond and RegistrationBurst replace the constants when set.
+	RegistrationsPerSecond float64
+	RegistrationBurst      int
+}
+
+// Server is one control replica.
+type Server struct {
+	opts    Options
+	machine *machine
+	holder  *distribution.Holder
+	rpc     *link.Server
+	log     Log
+	counts  *counters
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+	listener net.Listener
+
+	// mu guards the leader's soft state.
+	mu        sync.Mutex
+	leading   bool
+	term      uint64
+	leases    *lease.Table
+	admission *lease.Admission
+	evidence  *collector
+}
+
+// New returns a replica; call Start.
+func New(opts Options) (*Server, error) {
+	if opts.Self.LinkAddress == "" || opts.Network == nil || opts.OpenLog == nil {
+		return nil, errors.New("control: Self.LinkAddress, Network and OpenLog are required")
+	}
+	if opts.Logger == nil {
+		opts.Logger = log.NewNopLogger()
+	}
+	if opts.Meter == nil {
+		opts.Meter = noop.Meter{}
+	}
+	if opts.RegistrationsPerSecond == 0 {
+		opts.RegistrationsPerSecond = RegistrationsPerSecond
+	}
+	if opts.RegistrationBurst == 0 {
+		opts.RegistrationBurst = RegistrationBurst
+	}
+	counts, err := newCounters(opts.Meter)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		opts:     opts,
+		machine:  newMachine(),
+		holder:   distribution.NewHolder(nil),
+		rpc:      link.NewServer(),
+		counts:   counts,
+		leases:   lease.NewTable(lease.TTL),
+		evidence: newCollector(),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s, nil
+}
+
+// Start opens the log, listens and runs the replica in the background.
+func (s *Server) Start(context.Context) error {
+	if err := s.rpc.Register(ServiceName, &service{s: s}); err != nil {
+		return err
+	}
+	var err error
+	if s.log, err = s.opts.OpenLog(s.machine, s.rpc); err != nil {
+		return err
+	}
+	if s.listener, err = s.opts.Network.Listen(s.opts.Self.LinkAddress); err != nil {
+		return errors.Join(&link.Error{Step: "listen", Peer: s.opts.Self.LinkAddress, Err: err}, s.log.Stop(context.Background()))
+	}
+	s.run(func() {
+		if err := s.rpc.Serve(s.listener); err != nil {
+			_ = level.Error(s.opts.Logger).Log("msg", "listener failed", "err", err)
+		}
+	})
+	s.run(s.lead)
+	s.run(s.publishChanges)
+	s.run(s.decideMoves)
+	return nil
+}
+
+// Addr returns the address at which the replica listens.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Holder returns what the replica publishes while it leads.
+func (s *Server) Holder() *distribution.Holder { return s.holder }
+
+// Stop ends the replica.
+func (s *Server) Stop(ctx context.Context) error {
+	s.cancel()
+	if s.listener == nil {
+		return nil
+	}
+	_ = s.listener.Close()
+	s.rpc.Close()
+	err := s.log.Stop(ctx)
+	s.wait.Wait()
+	return err
+}
+
+func (s *Server) run(f func()) {
+	s.wait.Go(f)
+}
+
+// propose commits a command at the present time.
+func (s *Server) propose(c *state.Command) (*state.Result, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+	defer cancel()
+	c.At = time.Now().UTC()
+	b, err := c.Encode()
+	if err != nil {
+		return nil, err
+	}
+	out, err := s.log.Propose(ctx, b)
+	if err != nil {
+		return nil, err
+	}
+	return state.DecodeResult(out)
+}
--- /dev/null
+++ b/control/counters.go
@@ -0,0 +1,49 @@
+package control
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/metric"
+)
+
+// counters are the metrics of a replica.
+type counters struct {
+	changes       metric.Int64Counter
+	refusals      metric.Int64Counter
+	registrations metric.Int64Counter
+	deferrals     metric.Int64Counter
+	expirations   metric.Int64Counter
+	beacons       metric.Int64Counter
+	barrierFails  metric.Int64Counter
+	observations  metric.Int64Counter
+	dropped       metric.Int64Counter
+	stages        metric.Int64Counter
+}
+
+func newCounters(m metric.Meter) (*counters, error) {
+	c := &counters{}
+	for _, d := range []struct {
+		to          *metric.Int64Counter
+		name, usage string
+	}{
+		{&c.changes, "control.changes", "operator changes accepted"},
+		{&c.refusals, "control.refusals", "operator changes refused"},
+		{&c.registrations, "control.registrations", "registrations admitted"},
+		{&c.deferrals, "control.registrations_deferred", "registrations told to come back later"},
+		{&c.expirations, "control.leases_expired", "leases that ended in silence"},
+		{&c.beacons, "control.beacons", "freshness beacons issued"},
+		{&c.barrierFails, "control.quorum_unconfirmed", "beacons not issued for want of a quorum"},
+		{&c.observations, "control.observations", "observations received from gateways"},
+		{&c.dropped, "control.observations_dropped", "observations dropped at the buffer's bound"},
+		{&c.stages, "control.move_stages", "stage changes of moves"},
+	} {
+		counter, err := m.Int64Counter(d.name, metric.WithDescription(d.usage))
+		if err != nil {
+			return nil, err
+		}
+		*d.to = counter
+	}
+	return c, nil
+}
+
+func count(c metric.Int64Counter, n int) { c.Add(context.Background(), int64(n)) }
--- /dev/null
+++ b/control/leader.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/control/state"
+	"toucantiller.dev/distribution"
+	"toucantiller.dev/lease"
+	"toucantiller.dev/timeline"
+)
+
+// Timing of the leader.
+const (
+	// barrierTimeout is below the election timeout: a leader that cannot confirm its
+	// quorum for longer may have been replaced.
+	barrierTimeout = time.Second
+	// servedAge is the age of the last confirmed quorum at which a leader stops serving.
+	servedAge = 1500 * time.Millisecond
+	// maintainInterval is the time between Maintain commands.
+	maintainInterval = 10 * time.Second
+	// directoryInterval merges registrations into one published directory.
+	directoryInterval = 100 * time.Millisecond
+	// stallTolerance is the delay of a tick beyond which the leader was not running, so that
+	// keepalives it did not read must not count as missed.
+	stallTolerance = lease.TTL / 4
+)
+
+// lead runs the leader's periodic duties while the replica leads.
+func (s *Server) lead() {
+	ticker := time.NewTicker(distribution.BeaconInterval)
+	defer ticker.Stop()
+	var seq uint64
+	lastTick := time.Now()
+	lastMaintain := time.Now()
+	for {
+		now := time.Now()
+		if s.followLeadership(now) {
+			if now.Sub(lastTick) > distribution.BeaconInterval+stallTolerance {
+				s.extendLeases(now)
+			}
+			if s.confirmQuorum() {
+				seq++
+				s.beacon(now, seq)
+				s.endExpired(time.Now())
+			}
+			if now.Sub(lastMaintain) >= maintainInterval {
+				lastMaintain = now
+				s.report("maintain", s.maintain())
+			}
+		}
+		lastTick = now
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// followLeadership reports whether this replica leads, and opens its term when it has
+// just been elected.
+func (s *Server) followLeadership(now time.Time) bool {
+	status := s.log.Status()
+	s.mu.Lock()
+	known := s.leading && s.term == status.Term
+	if !status.Leading && s.leading {
+		s.leading = false
+		_ = level.Info(s.opts.Logger).Log("msg", "leadership lost", "leader", status.Leader, "term", status.Term)
+	}
+	s.mu.Unlock()
+	if !status.Leading || known {
+		return status.Leading
+	}
+	if err := s.openTerm(status.Term, now); err != nil {
+		s.report("open term", err)
+		return false
+	}
+	return true
+}
+
+// openTerm takes up leadership: the state is up to date after the Lead command, every
+// lease gets a full time to live, and evidence is collected anew.
+func (s *Server) openTerm(term uint64, now time.Time) error {
+	if _, err := s.propose(&state.Command{Lead: &state.Lead{Term: term}}); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.leading = true
+	s.term = term
+	s.leases = lease.NewTable(lease.TTL)
+	s.admission = lease.NewAdmission(s.opts.RegistrationsPerSecond, s.opts.RegistrationBurst)
+	s.evidence = newCollector()
+	s.mu.Unlock()
+	s.extendLeases(now)
+	s.machine.signal()
+	s.opts.Recorder.Record(timeline.Event{Kind: "control.leading"})
+	_ = level.Info(s.opts.Logger).Log("msg", "leadership gained", "term", term)
+	return nil
+}
+
+func (s *Server) extendLeases(now time.Time) {
+	var ids []uint64
+	s.machine.read(func(st *state.State) { ids = st.Leases() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases.Extend(ids, now)
+}
+
+func (s *Server) confirmQuorum() bool {
+	ctx, cancel := context.WithTimeout(s.ctx, barrierTimeout)
+	defer cancel()
+	if err := s.log.ReadBarrier(ctx); err != nil {
+		count(s.counts.barrierFails, 1)
+		return false
+	}
+	return true
+}
+
+// beacon publishes a proof that this replica led, with a quorum, after start.
+func (s *Server) beacon(start time.Time, seq uint64) {
+	s.publish(true)
+	s.mu.Lock()
+	term := s.term
+	s.mu.Unlock()
+	beacon := api.Beacon{Revision: s.holder.Revision(), Term: term, Seq: seq, Age: time.Since(start)}
+	if _, err := s.holder.Accept(&api.View{Beacon: beacon}, 0); err == nil {
+		count(s.counts.beacons, 1)
+	}
+}
+
+// publish hands the present state to the holder, from which subscribers are served.
+func (s *Server) publish(directory bool) {
+	view := &api.View{}
+	s.machine.read(func(st *state.State) {
+		view.Config = st.Config()
+		if directory {
+			view.Directory = st.Directory()
+		}
+	})
+	_, err := s.holder.Accept(view, 0)
+	s.report("publish", err)
+}
+
+// publishChanges publishes a configuration as soon as it is committed. Directory changes
+// are merged over directoryInterval.
+func (s *Server) publishChanges() {
+	var due <-chan time.Time
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.machine.changed:
+			if s.isLeading() {
+				s.publish(false)
+			}
+			if due == nil {
+				due = time.After(directoryInterval)
+			}
+		case <-due:
+			due = nil
+			if s.isLeading() {
+				s.publish(true)
+			}
+		}
+	}
+}
+
+func (s *Server) isLeading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leading
+}
+
+// endExpired ends the leases of processes that were silent for a time to live.
+func (s *Server) endExpired(now time.Time) {
+	s.mu.Lock()
+	var ends []state.EndLease
+	for _, id := range s.leases.Expired(now) {
+		e, _ := s.leases.Get(id)
+		ends = append(ends, state.EndLease{Lease: id, Revision: e.Revision})
+	}
+	s.mu.Unlock()
+	if len(ends) == 0 {
+		return
+	}
+	if _, err := s.propose(&state.Command{EndLeases: &state.EndLeases{Leases: ends}}); err != nil {
+		s.report("end leases", err)
+		return
+	}
+	s.mu.Lock()
+	for _, e := range ends {
+		s.leases.Remove(e.Lease)
+	}
+	s.mu.Unlock()
+	count(s.counts.expirations, len(ends))
+	_ = level.Info(s.opts.Logger).Log("msg", "leases expired", "count", len(ends))
+}
+
+func (s *Server) maintain() error {
+	_, err := s.propose(&state.Command{Maintain: &state.Maintain{}})
+	return err
+}
+
+// report logs an error that the replica cannot act on.
+func (s *Server) report(step string, err error) {
+	var notLeader *NotLeader
+	if err == nil || errors.As(err, &notLeader) || s.ctx.Err() != nil {
+		return
+	}
+	_ = level.Warn(s.opts.Logger).Log("msg", "step failed", "step", step, "err", err)
+}
--- /dev/null
+++ b/control/log.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"toucantiller.dev/link"
+)
+
+// Log replicates commands. An implementation applies each committed command to its
+// StateMachine, in the same order on every replica.
+type Log interface {
+	// Propose commits a command and returns the result of Apply. It fails with *NotLeader
+	// on a replica that does not lead.
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	// ReadBarrier returns once a quorum has confirmed that this replica leads, and the
+	// state includes every command committed before the call.
+	ReadBarrier(ctx context.Context) error
+	// Status returns the replica's view of the leadership.
+	Status() LogStatus
+	// Stop closes the log.
+	Stop(ctx context.Context) error
+}
+
+// LogStatus is a replica's view of the leadership.
+type LogStatus struct {
+	Leading bool
+	// Leader is the link address of the leader, empty when none is known.
+	Leader string
+	Term   uint64
+}
+
+// NotLeader is the error of calls on a replica that does not lead.
+type NotLeader struct {
+	// Leader is the link address of the leader, empty when none is known.
+	Leader string
+}
+
+// Error names the leader.
+func (e *NotLeader) Error() string {
+	if e.Leader == "" {
+		return "not the leader; no leader is known"
+	}
+	return "not the leader; the leader is " + e.Leader
+}
+
+// StateMachine is what a Log applies its commands to.
+type StateMachine interface {
+	Apply(index uint64, command []byte) (result []byte)
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error
+}
+
+// OpenLog opens the log of one replica. It may register its own services on the
+// server, which does not yet accept connections.
+type OpenLog func(sm StateMachine, server *link.Server) (Log, error)
+
+// MemoryLog returns an OpenLog for a single replica without durability.
+func MemoryLog(address string) OpenLog {
+	return func(sm StateMachine, _ *link.Server) (Log, error) {
+		return &memoryLog{sm: sm, address: address}, nil
+	}
+}
+
+type memoryLog struct {
+	mu      sync.Mutex
+	index   uint64
+	sm      StateMachine
+	address string
+}
+
+func (l *memoryLog) Propose(_ context.Context, command []byte) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.index++
+	return l.sm.Apply(l.index, command), nil
+}
+
+func (l *memoryLog) ReadBarrier(context.Context) error { return nil }
+
+func (l *memoryLog) Status() LogStatus {
+	return LogStatus{Leading: true, Leader: l.address, Term: 1}
+}
+
+func (l *memoryLog) Stop(context.Context) error { return nil }
--- /dev/null
+++ b/control/moves.go
@@ -0,0 +1,189 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/control/state"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/timeline"
+)
+
+// Limits of the move loop.
+const (
+	// DecideInterval is the time between decisions on a move.
+	DecideInterval = 250 * time.Millisecond
+	// maxPending bounds the observations kept between two decisions on a service.
+	maxPending = 1 << 16
+)
+
+// collector gathers the observations of gateways for the moves in progress. It is the
+// leader's soft state: a new leader collects evidence anew.
+type collector struct {
+	mu       sync.Mutex
+	seen     map[instance.ID]uint64
+	pending  map[string][]api.Observation
+	deciders map[uint64]Decider
+	causes   map[uint64]string
+}
+
+func newCollector() *collector {
+	return &collector{
+		seen:     make(map[instance.ID]uint64),
+		pending:  make(map[string][]api.Observation),
+		deciders: make(map[uint64]Decider),
+		causes:   make(map[uint64]string),
+	}
+}
+
+// add takes a report once and keeps what concerns services under a move. It returns
+// the number of observations dropped at the bound.
+func (c *collector) add(e *api.Evidence, moving map[string]bool) (dropped int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e.Seq <= c.seen[e.Gateway] {
+		return 0
+	}
+	c.seen[e.Gateway] = e.Seq
+	for _, o := range e.Observations {
+		if !moving[o.Service] {
+			continue
+		}
+		if len(c.pending[o.Service]) >= maxPending {
+			dropped++
+			continue
+		}
+		c.pending[o.Service] = append(c.pending[o.Service], o)
+	}
+	return dropped
+}
+
+// take returns the observations of a service since the last call.
+func (c *collector) take(service string) []api.Observation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.pending[service]
+	delete(c.pending, service)
+	return out
+}
+
+// decider returns the decider of a move, which exists for one leadership.
+func (c *collector) decider(move api.Move, make func(api.Move) Decider) Decider {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d, ok := c.deciders[move.ID]
+	if !ok {
+		d = make(move)
+		c.deciders[move.ID] = d
+	}
+	return d
+}
+
+// setCause keeps why a move is held, which is not worth a log entry.
+func (c *collector) setCause(move uint64, cause string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.causes[move] = cause
+}
+
+func (c *collector) cause(move uint64) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.causes[move]
+}
+
+// forget drops what belongs to moves no longer in progress.
+func (c *collector) forget(running map[uint64]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.deciders {
+		if !running[id] {
+			delete(c.deciders, id)
+			delete(c.causes, id)
+		}
+	}
+}
+
+// decideMoves evaluates the moves in progress while the replica leads.
+func (s *Server) decideMoves() {
+	if s.opts.NewDecider == nil {
+		return
+	}
+	ticker := time.NewTicker(DecideInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+			s.decideAll(time.Now())
+		}
+	}
+}
+
+func (s *Server) decideAll(now time.Time) {
+	s.mu.Lock()
+	leading, c := s.leading, s.evidence
+	s.mu.Unlock()
+	if !leading {
+		return
+	}
+	running := make(map[uint64]bool)
+	for _, m := range s.movesInProgress() {
+		running[m.ID] = true
+		d := c.decider(m, s.opts.NewDecider).Decide(now, m, c.take(m.Service))
+		if d.Action == api.DecisionHold {
+			c.setCause(m.ID, d.Cause)
+			continue
+		}
+		s.stage(m, d)
+	}
+	c.forget(running)
+}
+
+// stage commits a decision. It is refused when the move is no longer at the stage that
+// the decision saw.
+func (s *Server) stage(m api.Move, d api.Decision) {
+	command := &state.Command{StageMove: &state.StageMove{Service: m.Service, Move: m.ID, Expected: m.Stage, Decision: d}}
+	result, err := s.propose(command)
+	if err != nil {
+		s.report("stage move", err)
+		return
+	}
+	if result.Refused != "" {
+		_ = level.Warn(s.opts.Logger).Log("msg", "stage change refused", "service", m.Service, "reason", result.Refused)
+		return
+	}
+	count(s.counts.stages, 1)
+	s.opts.Recorder.Record(timeline.Event{Kind: moveEvent(d.Action), Move: m.Service, Detail: d.Cause, Revision: s.revision()})
+}
+
+func moveEvent(a api.DecisionAction) timeline.Kind {
+	switch a {
+	case api.DecisionTakeBack:
+		return "move.taken_back"
+	case api.DecisionFinish:
+		return "move.done"
+	}
+	return "move.raised"
+}
+
+func (s *Server) movesInProgress() []api.Move {
+	var moves []api.Move
+	s.machine.read(func(st *state.State) { moves = st.Moves() })
+	out := moves[:0]
+	for _, m := range moves {
+		if m.State == api.MoveRunning || m.State == api.MoveWatching {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (s *Server) revision() (revision uint64) {
+	s.machine.read(func(st *state.State) { revision = st.Revision() })
+	return revision
+}
--- /dev/null
+++ b/control/service.go
@@ -0,0 +1,235 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/control/state"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/lease"
+	"toucantiller.dev/timeline"
+)
+
+// UnavailablePrefix begins the errors after which a call may be repeated elsewhere.
+const UnavailablePrefix = "unavailable: "
+
+// service is the net/rpc service "Control". On a replica that does not lead, every
+// method answers with the leader's address.
+type service struct{ s *Server }
+
+// redirect handles the error of a call that needs the leader: it returns the leader's
+// address, or an error that tells the caller to retry.
+func redirect(err error) (leader string, out error) {
+	var notLeader *NotLeader
+	if errors.As(err, &notLeader) && notLeader.Leader != "" {
+		return notLeader.Leader, nil
+	}
+	if err != nil {
+		return "", errors.New(UnavailablePrefix + err.Error())
+	}
+	return "", nil
+}
+
+// notLeading returns an error unless the replica leads and has opened its term.
+func (s *Server) notLeading() error {
+	s.mu.Lock()
+	leading := s.leading
+	s.mu.Unlock()
+	status := s.log.Status()
+	if !status.Leading {
+		return &NotLeader{Leader: status.Leader}
+	}
+	if !leading {
+		return errors.New("the leader has not opened its term yet")
+	}
+	return nil
+}
+
+// ApplyBundle makes a signed bundle the configuration.
+func (v *service) ApplyBundle(in *api.ApplyBundle, out *api.ChangeReply) error {
+	return v.change(&state.Command{ApplyBundle: in}, in, "bundle", out)
+}
+
+// SetDomain drains or restores a failure domain.
+func (v *service) SetDomain(in *api.SetDomain, out *api.ChangeReply) error {
+	return v.change(&state.Command{SetDomain: in}, in, "domain", out)
+}
+
+// AbortMove takes back the move of a service.
+func (v *service) AbortMove(in *api.AbortMove, out *api.ChangeReply) error {
+	return v.change(&state.Command{AbortMove: in}, in, "move", out)
+}
+
+func (v *service) change(c *state.Command, change api.Change, object string, out *api.ChangeReply) error {
+	if err := v.s.notLeading(); err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	result, err := v.s.propose(c)
+	if err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	if result.Change == nil {
+		return errors.New(result.Refused)
+	}
+	*out = *result.Change
+	v.recordChange(change, object, out)
+	return nil
+}
+
+func (v *service) recordChange(change api.Change, object string, reply *api.ChangeReply) {
+	counter := v.s.counts.changes
+	if reply.Outcome == api.OutcomeRefused {
+		counter = v.s.counts.refusals
+	}
+	count(counter, 1)
+	e := timeline.Event{
+		Kind:     timeline.Kind(object + "." + string(reply.Outcome)),
+		Revision: reply.Revision,
+		Detail:   fmt.Sprintf("operation %s by %s %s", change.Op().ID, change.Op().Operator, reply.Reason),
+	}
+	switch c := change.(type) {
+	case *api.SetDomain:
+		e.Domain = string(c.Domain)
+	case *api.AbortMove:
+		e.Move = c.Service
+	}
+	v.s.opts.Recorder.Record(e)
+}
+
+// Register announces a process and grants it a lease.
+func (v *service) Register(in *api.Register, out *api.RegisterReply) error {
+	if err := v.s.notLeading(); err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	if wait := v.admit(in.Instance); wait > 0 {
+		count(v.s.counts.deferrals, 1)
+		out.RetryAfter = wait
+		return nil
+	}
+	result, err := v.s.propose(&state.Command{Register: in})
+	if err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	if result.Register == nil {
+		return errors.New(result.Refused)
+	}
+	v.s.mu.Lock()
+	v.s.leases.Grant(result.Register.Lease, time.Now())
+	v.s.mu.Unlock()
+	count(v.s.counts.registrations, 1)
+	out.Lease = result.Register.Lease
+	out.TTL = lease.TTL
+	return nil
+}
+
+// admit returns how long a registration must wait. Processes that are already in, with
+// the same incarnation, need no admission.
+func (v *service) admit(i instance.Instance) time.Duration {
+	known := false
+	v.s.machine.read(func(st *state.State) { known = st.HoldsLease(i.ID, i.Incarnation) })
+	if known {
+		return 0
+	}
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	return v.s.admission.Admit(fmt.Sprintf("%s/%x", i.ID, uint64(i.Incarnation)), time.Now())
+}
+
+// KeepAlive renews a lease. It writes nothing to the log unless the process leaves.
+func (v *service) KeepAlive(in *api.KeepAlive, out *api.KeepAliveReply) error {
+	if err := v.s.notLeading(); err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	if in.Leaving {
+		return v.leave(in, out)
+	}
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	out.Known = v.s.leases.Renew(in.Lease, in.Revision, time.Now())
+	return nil
+}
+
+func (v *service) leave(in *api.KeepAlive, out *api.KeepAliveReply) error {
+	end := state.EndLease{Lease: in.Lease, Left: true, Revision: in.Revision}
+	_, err := v.s.propose(&state.Command{EndLeases: &state.EndLeases{Leases: []state.EndLease{end}}})
+	if err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	v.s.mu.Lock()
+	v.s.leases.Remove(in.Lease)
+	v.s.mu.Unlock()
+	return nil
+}
+
+// Subscribe serves what the leader has published. A leader that has not confirmed its
+// quorum lately serves nothing.
+func (v *service) Subscribe(in *api.Subscribe, out *api.View) error {
+	err := v.s.notLeading()
+	if err == nil && v.s.holder.Freshness(time.Now()) > servedAge {
+		err = errors.New("the quorum is not confirmed")
+	}
+	if err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	*out = v.s.holder.Wait(in, v.s.ctx.Done())
+	return nil
+}
+
+// Claim claims an idempotency key.
+func (v *service) Claim(in *api.Claim, out *api.ClaimReply) error {
+	result, err := v.s.propose(&state.Command{Claim: in})
+	if err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	if result.Claim == nil {
+		return errors.New(result.Refused)
+	}
+	*out = *result.Claim
+	return nil
+}
+
+// CompleteClaim stores the outcome of a claim.
+func (v *service) CompleteClaim(in *api.CompleteClaim, out *api.CompleteReply) error {
+	_, err := v.s.propose(&state.Command{CompleteClaim: in})
+	out.Leader, err = redirect(err)
+	return err
+}
+
+// NextToken issues a fencing token.
+func (v *service) NextToken(_ *api.Empty, out *api.TokenReply) error {
+	result, err := v.s.propose(&state.Command{NextToken: &state.NextToken{}})
+	if err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	out.Token = result.Token
+	return nil
+}
+
+// ReportEvidence takes a gateway's observations.
+func (v *service) ReportEvidence(in *api.Evidence, out *api.EvidenceReply) error {
+	if err := v.s.notLeading(); err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	moving := make(map[string]bool)
+	for _, m := range v.s.movesInProgress() {
+		moving[m.Service] = true
+	}
+	v.s.mu.Lock()
+	c := v.s.evidence
+	v.s.mu.Unlock()
+	count(v.s.counts.observations, len(in.Observations))
+	count(v.s.counts.dropped, c.add(in, moving))
+	return nil
+}
--- /dev/null
+++ b/control/state/bundle.go
@@ -0,0 +1,210 @@
+package state
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"time"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/failuredomain"
+)
+
+func (s *State) applyBundle(c *api.ApplyBundle) api.ChangeReply {
+	b, err := contract.ParseBundle(c.Content)
+	if err != nil {
+		return s.refused("the bundle is not valid: %v", err)
+	}
+	if reason := s.versionTaken(b); reason != "" {
+		return s.refused("%s", reason)
+	}
+	operators, err := operatorKeys(b)
+	if err != nil {
+		return s.refused("%v", err)
+	}
+	if reason := s.checkSignOffs(b, c, operators); reason != "" {
+		return s.refused("%s", reason)
+	}
+	if reason := s.checkServices(b); reason != "" {
+		return s.refused("%s", reason)
+	}
+	s.install(b, c, operators)
+	return accepted()
+}
+
+// versionTaken says whose bundle stands against the version, or "".
+func (s *State) versionTaken(b *contract.Bundle) string {
+	if b.Version == 0 {
+		return "the bundle has no version"
+	}
+	if won, ok := s.data.Bundles[b.Version]; ok {
+		return fmt.Sprintf("version %d was applied by %s with digest %s", b.Version, won.AppliedBy, won.Ref.Digest)
+	}
+	if b.Version < s.data.Current {
+		current := s.data.Bundles[s.data.Current]
+		return fmt.Sprintf("version %d is in force, applied by %s with digest %s", s.data.Current, current.AppliedBy, current.Ref.Digest)
+	}
+	return ""
+}
+
+// checkSignOffs verifies the sign-offs against the operators in force. The stricter of
+// the rule in force and the bundle's own rule holds, so that a bundle cannot lower the
+// rule by which it is itself accepted.
+func (s *State) checkSignOffs(b *contract.Bundle, c *api.ApplyBundle, own map[string][]byte) string {
+	rule := b.SignOff
+	operators := own
+	validFor := signOffValidity(rule)
+	if s.bundle != nil {
+		operators = s.data.Operators
+		rule.Required = max(rule.Required, s.bundle.SignOff.Required)
+		validFor = min(validFor, signOffValidity(s.bundle.SignOff))
+	}
+	signed := make(map[string]bool)
+	for _, sig := range c.Signatures {
+		if reason := s.checkSignOff(sig, c.Content, operators, validFor); reason != "" {
+			return reason
+		}
+		if sig.Operator != b.Author {
+			signed[sig.Operator] = true
+		}
+	}
+	if len(signed) < rule.Required {
+		return fmt.Sprintf("%d sign-offs by operators other than the author %s are required, %d are present", rule.Required, b.Author, len(signed))
+	}
+	return ""
+}
+
+func (s *State) checkSignOff(sig api.Signature, content []byte, operators map[string][]byte, validFor time.Duration) string {
+	key, ok := operators[sig.Operator]
+	if !ok {
+		return fmt.Sprintf("sign-off by %q: the operator is not known", sig.Operator)
+	}
+	if !ed25519.Verify(key, api.SignOffBytes(content, sig.Operator, sig.At), sig.Signature) {
+		return fmt.Sprintf("sign-off by %s does not match the bundle", sig.Operator)
+	}
+	if s.data.Now.Sub(sig.At) > validFor {
+		return fmt.Sprintf("sign-off by %s expired: it was made at %s", sig.Operator, sig.At.UTC())
+	}
+	if sig.At.Sub(s.data.Now) > api.ClockTolerance {
+		return fmt.Sprintf("sign-off by %s is dated in the future: %s", sig.Operator, sig.At.UTC())
+	}
+	return ""
+}
+
+// checkServices refuses changes of a version without a move, and changes under a
+// move in progress.
+func (s *State) checkServices(b *contract.Bundle) string {
+	stated := make(map[string]string, len(b.Services))
+	for _, svc := range b.Services {
+		stated[svc.Name] = svc.Version
+		if inForce, ok := s.data.Versions[svc.Name]; ok && inForce != svc.Version {
+			return fmt.Sprintf("service %s is at version %s; a bundle that states %s needs a move", svc.Name, inForce, svc.Version)
+		}
+	}
+	for name, m := range s.data.Moves {
+		if _, ok := stated[name]; !ok && inProgress(m) {
+			return fmt.Sprintf("service %s has a move to %s in progress", name, m.To)
+		}
+	}
+	return s.checkMove(b, stated)
+}
+
+func (s *State) checkMove(b *contract.Bundle, stated map[string]string) string {
+	if b.Move == nil {
+		return ""
+	}
+	version, ok := stated[b.Move.Service]
+	if !ok {
+		return fmt.Sprintf("the move names service %s, which the bundle does not have", b.Move.Service)
+	}
+	if s.data.Versions[b.Move.Service] == b.Move.To {
+		return ""
+	}
+	if version != b.Move.From {
+		return fmt.Sprintf("the move of %s starts from %s, the service is at %s", b.Move.Service, b.Move.From, version)
+	}
+	if m := s.data.Moves[b.Move.Service]; m != nil && inProgress(m) && m.To != b.Move.To {
+		return fmt.Sprintf("service %s has a move to %s in progress", b.Move.Service, m.To)
+	}
+	return ""
+}
+
+func (s *State) install(b *contract.Bundle, c *api.ApplyBundle, operators map[string][]byte) {
+	s.data.Current = b.Version
+	s.data.Bundles[b.Version] = &Bundle{
+		Ref:        contract.BundleRef{Name: b.Name, Version: b.Version, Digest: contract.Digest(c.Content)},
+		Content:    c.Content,
+		Author:     b.Author,
+		AppliedBy:  c.Operation.Operator,
+		AppliedAt:  s.data.Now,
+		Signatures: c.Signatures,
+	}
+	s.dropOldContent()
+	s.bundle = b
+	s.data.Operators = operators
+	s.installDomains(b)
+	s.installVersions(b)
+	s.raiseRevision()
+	s.startMove(b.Move)
+	s.compile()
+}
+
+func (s *State) dropOldContent() {
+	if len(s.data.Bundles) <= BundlesKept {
+		return
+	}
+	oldest := s.data.Current
+	for v, b := range s.data.Bundles {
+		if b.Content != nil && v < oldest {
+			oldest = v
+		}
+	}
+	s.data.Bundles[oldest].Content = nil
+	s.data.Bundles[oldest].Signatures = nil
+}
+
+func (s *State) installDomains(b *contract.Bundle) {
+	next := make(map[failuredomain.ID]failuredomain.Domain, len(b.Domains))
+	for _, spec := range b.Domains {
+		id := failuredomain.ID(spec.Name)
+		d, ok := s.data.Domains[id]
+		if !ok {
+			d = failuredomain.Domain{State: failuredomain.StateActive, ChangedAt: s.data.Now}
+		}
+		d.ID = id
+		d.Region = failuredomain.Region(spec.Region)
+		next[id] = d
+	}
+	s.data.Domains = next
+}
+
+func (s *State) installVersions(b *contract.Bundle) {
+	next := make(map[string]string, len(b.Services))
+	for _, svc := range b.Services {
+		next[svc.Name] = svc.Version
+	}
+	s.data.Versions = next
+}
+
+func operatorKeys(b *contract.Bundle) (map[string][]byte, error) {
+	keys := make(map[string][]byte, len(b.Operator))
+	for _, o := range b.Operator {
+		key, err := base64.StdEncoding.DecodeString(o.PublicKey)
+		if err != nil || len(key) != ed25519.PublicKeySize {
+			return nil, fmt.Errorf("operator %s: the public key is not %d bytes in base64", o.Name, ed25519.PublicKeySize)
+		}
+		keys[o.Name] = key
+	}
+	if len(keys) == 0 {
+		return nil, fmt.Errorf("the bundle lists no operators")
+	}
+	return keys, nil
+}
+
+func signOffValidity(r contract.SignOffRule) time.Duration {
+	if r.ValidFor == 0 {
+		return api.DefaultSignOffValidity
+	}
+	return r.ValidFor
+}
--- /dev/null
+++ b/control/state/command.go
@@ -0,0 +1,90 @@
+// Package state is the replicated state machine of the control replicas. It is
+// deterministic: commands carry the leader's wall time, and Apply reads no clock.
+package state
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
+)
+
+// Command is one entry of the log: the time and exactly one non-nil part.
+type Command struct {
+	// At is the leader's wall time when it proposed the command.
+	At time.Time
+
+	ApplyBundle   *api.ApplyBundle
+	SetDomain     *api.SetDomain
+	AbortMove     *api.AbortMove
+	StageMove     *StageMove
+	Register      *api.Register
+	EndLeases     *EndLeases
+	Claim         *api.Claim
+	CompleteClaim *api.CompleteClaim
+	Maintain      *Maintain
+	Lead          *Lead
+	NextToken     *NextToken
+}
+
+// StageMove changes the stage of a move. It is refused unless the move is at
+// Expected, so that no stage is taken twice or skipped.
+type StageMove struct {
+	Service  string
+	Move     uint64
+	Expected int
+	Decision api.Decision
+}
+
+// EndLeases ends leases: of processes that leave, or that were silent for a time to live.
+type EndLeases struct {
+	Leases []EndLease
+}
+
+// EndLease ends one lease.
+type EndLease struct {
+	Lease uint64
+	// Left is set when the process asked to leave and so takes no further work.
+	Left bool
+	// Revision is the last revision the process confirmed.
+	Revision uint64
+}
+
+// Maintain forgets what has expired and makes restored domains active.
+type Maintain struct{}
+
+// Lead opens a leader's term.
+type Lead struct{ Term uint64 }
+
+// NextToken issues a fencing token.
+type NextToken struct{}
+
+// Result is the outcome of a command.
+type Result struct {
+	Change   *api.ChangeReply
+	Claim    *api.ClaimReply
+	Register *Registration
+	Token    uint64
+	// Refused says why a command other than an operator's change had no effect.
+	Refused string
+}
+
+// Encode returns the command as msgpack.
+func (c *Command) Encode() ([]byte, error) { return msgpack.Marshal(c) }
+
+// DecodeResult decodes what Apply returned.
+func DecodeResult(b []byte) (*Result, error) {
+	r := &Result{}
+	return r, msgpack.Unmarshal(b, r)
+}
+
+// Registration is a process that holds a lease.
+type Registration struct {
+	Lease    uint64
+	Instance instance.Instance
+	// Endpoint is set for agents.
+	Endpoint *endpoint.Endpoint
+}
--- /dev/null
+++ b/control/state/registration.go
@@ -0,0 +1,91 @@
+package state
+
+import (
+	"fmt"
+	"time"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
+)
+
+// register grants a lease to a process. A resend by the same incarnation keeps its
+// lease; another incarnation replaces the earlier one.
+func (s *State) register(c *api.Register) *Result {
+	id := c.Instance.ID
+	if id == "" || c.Instance.Incarnation == 0 {
+		return &Result{Refused: "the instance has no ID or no incarnation"}
+	}
+	if c.Endpoint != nil && c.Endpoint.ID != id {
+		return &Result{Refused: fmt.Sprintf("endpoint %s is announced by instance %s", c.Endpoint.ID, id)}
+	}
+	r, ok := s.data.Registrations[id]
+	if ok && r.Instance == c.Instance && sameEndpoint(r.Endpoint, c.Endpoint) {
+		return &Result{Register: r}
+	}
+	if !ok || r.Instance.Incarnation != c.Instance.Incarnation {
+		if ok {
+			delete(s.leases, r.Lease)
+		}
+		s.data.NextLease++
+		r = &Registration{Lease: s.data.NextLease}
+		s.data.Registrations[id] = r
+		s.leases[r.Lease] = id
+	}
+	r.Instance = c.Instance
+	r.Endpoint = c.Endpoint
+	delete(s.data.Lost, id)
+	s.raiseDirectory()
+	return &Result{Register: r}
+}
+
+func sameEndpoint(a, b *endpoint.Endpoint) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
+func (s *State) endLeases(c *EndLeases) *Result {
+	for _, end := range c.Leases {
+		id, ok := s.leases[end.Lease]
+		if !ok {
+			continue
+		}
+		r := s.data.Registrations[id]
+		delete(s.leases, end.Lease)
+		delete(s.data.Registrations, id)
+		if !end.Left {
+			s.data.Lost[id] = &Lost{Instance: r.Instance, Revision: end.Revision, At: s.data.Now}
+		}
+		s.raiseDirectory()
+	}
+	return &Result{}
+}
+
+func (s *State) raiseDirectory() {
+	s.data.DirectoryRevision++
+	s.directory = nil
+}
+
+// HoldsLease reports whether an incarnation of a process is registered.
+func (s *State) HoldsLease(id instance.ID, incarnation instance.Incarnation) bool {
+	return s.holdsLease(id, incarnation)
+}
+
+func (s *State) holdsLease(owner instance.ID, incarnation instance.Incarnation) bool {
+	r, ok := s.data.Registrations[owner]
+	return ok && r.Instance.Incarnation == incarnation
+}
+
+// outlived reports whether a lost process can no longer take work on old settings.
+func (s *State) outlived(l *Lost) bool {
+	return s.data.Now.Sub(l.At) > s.serveStale()
+}
+
+func (s *State) serveStale() time.Duration {
+	if s.config == nil {
+		return 0
+	}
+	return s.config.ServeStale
+}
--- /dev/null
+++ b/control/state/state.go
@@ -0,0 +1,212 @@
+package state
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/idempotency"
+	"toucantiller.dev/instance"
+)
+
+// Retention and timing of state.
+const (
+	// OperationRetention exceeds OperationValidity, so that a resend within the validity
+	// always finds the first outcome.
+	OperationRetention = 24 * time.Hour
+	// RestorePeriod is how long a restored domain counts as restoring.
+	RestorePeriod = time.Minute
+	// BundlesKept is the number of past bundles whose content is kept.
+	BundlesKept = 16
+)
+
+// termShift leaves 2^40 tokens to each of 2^24 terms.
+const termShift = 40
+
+// Data is the whole replicated state. Its encoding is the snapshot.
+type Data struct {
+	// Now is the highest leader time seen; it never steps back.
+	Now               time.Time
+	Revision          uint64
+	DirectoryRevision uint64
+	Term              uint64
+	Token             uint64
+	NextLease         uint64
+	// Current is the version of the bundle in force; 0 before the first.
+	Current    uint64
+	Bundles    map[uint64]*Bundle
+	Operators  map[string][]byte
+	Operations map[string]*Operation
+	Domains    map[failuredomain.ID]failuredomain.Domain
+	// Versions holds the version in force of each service.
+	Versions      map[string]string
+	Moves         map[string]*api.Move
+	Registrations map[instance.ID]*Registration
+	Lost          map[instance.ID]*Lost
+	Claims        idempotency.Table
+}
+
+// Bundle is an applied bundle.
+type Bundle struct {
+	Ref contract.BundleRef
+	// Content is dropped from bundles older than the last BundlesKept.
+	Content    []byte
+	Author     string
+	AppliedBy  string
+	AppliedAt  time.Time
+	Signatures []api.Signature
+}
+
+// Operation is the recorded outcome of an operator's change.
+type Operation struct {
+	// Digest identifies the content of the change.
+	Digest string
+	Reply  api.ChangeReply
+	At     time.Time
+}
+
+// Lost is a process whose lease ended in silence. It may take work on old settings
+// until it has outlived the bundle's serve_stale time.
+type Lost struct {
+	Instance instance.Instance
+	Revision uint64
+	At       time.Time
+}
+
+// State is the state machine. Callers serialize access.
+type State struct {
+	data   Data
+	bundle *contract.Bundle
+	config *contract.Config
+	// directory is nil after a change.
+	directory *api.Directory
+	leases    map[uint64]instance.ID
+}
+
+// New returns the empty state.
+func New() *State {
+	s := &State{}
+	_ = s.reset(Data{}) // only a bundle that cannot be parsed is an error
+	return s
+}
+
+// Apply executes one command and returns the encoded Result.
+func (s *State) Apply(command []byte) []byte {
+	var c Command
+	if err := msgpack.Unmarshal(command, &c); err != nil {
+		return encodeResult(&Result{Refused: "command cannot be decoded: " + err.Error()})
+	}
+	return encodeResult(s.apply(&c))
+}
+
+func (s *State) apply(c *Command) *Result {
+	if at := c.At.UTC(); at.After(s.data.Now) {
+		s.data.Now = at
+	}
+	switch {
+	case c.ApplyBundle != nil:
+		return s.change(c.ApplyBundle, func() api.ChangeReply { return s.applyBundle(c.ApplyBundle) })
+	case c.SetDomain != nil:
+		return s.change(c.SetDomain, func() api.ChangeReply { return s.setDomain(c.SetDomain) })
+	case c.AbortMove != nil:
+		return s.change(c.AbortMove, func() api.ChangeReply { return s.abortMove(c.AbortMove) })
+	case c.StageMove != nil:
+		return s.stageMove(c.StageMove)
+	case c.Register != nil:
+		return s.register(c.Register)
+	case c.EndLeases != nil:
+		return s.endLeases(c.EndLeases)
+	case c.Claim != nil:
+		reply := s.data.Claims.Claim(s.data.Now, c.Claim, s.holdsLease)
+		return &Result{Claim: &reply}
+	case c.CompleteClaim != nil:
+		s.data.Claims.Complete(s.data.Now, c.CompleteClaim)
+		return &Result{}
+	case c.Maintain != nil:
+		return s.maintain()
+	case c.Lead != nil:
+		return s.lead(c.Lead)
+	case c.NextToken != nil:
+		s.data.Token++
+		return &Result{Token: s.data.Token}
+	}
+	return &Result{Refused: "command is empty"}
+}
+
+func (s *State) lead(c *Lead) *Result {
+	if c.Term > s.data.Term {
+		s.data.Term = c.Term
+		s.data.Token = max(s.data.Token+1, c.Term<<termShift)
+	}
+	return &Result{Token: s.data.Token}
+}
+
+func (s *State) maintain() *Result {
+	s.data.Claims.Sweep(s.data.Now, s.holdsLease)
+	for id, op := range s.data.Operations {
+		if s.data.Now.Sub(op.At) > OperationRetention {
+			delete(s.data.Operations, id)
+		}
+	}
+	for id, lost := range s.data.Lost {
+		if s.outlived(lost) {
+			delete(s.data.Lost, id)
+		}
+	}
+	s.activateDomains()
+	return &Result{}
+}
+
+// Snapshot encodes the whole state.
+func (s *State) Snapshot() ([]byte, error) { return msgpack.Marshal(&s.data) }
+
+// Restore replaces the state by a snapshot.
+func (s *State) Restore(snapshot []byte) error {
+	var d Data
+	if err := msgpack.Unmarshal(snapshot, &d); err != nil {
+		return err
+	}
+	return s.reset(d)
+}
+
+func (s *State) reset(d Data) error {
+	initMap(&d.Bundles)
+	initMap(&d.Operators)
+	initMap(&d.Operations)
+	initMap(&d.Domains)
+	initMap(&d.Versions)
+	initMap(&d.Moves)
+	initMap(&d.Registrations)
+	initMap(&d.Lost)
+	next := State{data: d, leases: make(map[uint64]instance.ID, len(d.Registrations))}
+	for id, r := range d.Registrations {
+		next.leases[r.Lease] = id
+	}
+	if b, ok := d.Bundles[d.Current]; ok {
+		parsed, err := contract.ParseBundle(b.Content)
+		if err != nil {
+			return err
+		}
+		next.bundle = parsed
+	}
+	*s = next
+	s.compile()
+	return nil
+}
+
+func initMap[K comparable, V any](m *map[K]V) {
+	if *m == nil {
+		*m = make(map[K]V)
+	}
+}
+
+func encodeResult(r *Result) []byte {
+	b, err := msgpack.Marshal(r)
+	if err != nil {
+		panic("state: result cannot be encoded: " + err.Error()) // Result has only encodable fields
+	}
+	return b
+}
--- /dev/null
+++ b/distribution/delta.go
@@ -0,0 +1,176 @@
+package distribution
+
+import (
+	"cmp"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+
+	"toucantiller.dev/account"
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
+)
+
+// history keeps the latest values by revision, and the deltas made from them to the
+// newest one.
+type history[T, D any] struct {
+	revisions []uint64
+	values    map[uint64]*T
+	deltas    map[uint64]*D
+}
+
+func (h *history[T, D]) add(revision uint64, value *T) {
+	if h.values == nil {
+		h.values = make(map[uint64]*T)
+	}
+	h.revisions = append(h.revisions, revision)
+	h.values[revision] = value
+	h.deltas = make(map[uint64]*D)
+	if len(h.revisions) > HistoryKept {
+		delete(h.values, h.revisions[0])
+		h.revisions = h.revisions[1:]
+	}
+}
+
+// delta returns the change from a revision to the newest value, nil when the revision
+// is not kept.
+func (h *history[T, D]) delta(from uint64, diff func(old, new *T) *D) *D {
+	old, ok := h.values[from]
+	if !ok {
+		return nil
+	}
+	if d, ok := h.deltas[from]; ok {
+		return d
+	}
+	d := diff(old, h.values[h.revisions[len(h.revisions)-1]])
+	h.deltas[from] = d
+	return d
+}
+
+// diffConfig returns the change between two configurations.
+func diffConfig(old, next *contract.Config) *api.ConfigDelta {
+	d := &api.ConfigDelta{From: old.Revision, Header: headerOf(next)}
+	before := accountsByName(old.Accounts)
+	for _, a := range next.Accounts {
+		if b, ok := before[a.Name]; !ok || (a != b && !reflect.DeepEqual(a, b)) {
+			d.Accounts = append(d.Accounts, a)
+		}
+		delete(before, a.Name)
+	}
+	d.RemovedAccounts = slices.Sorted(maps.Keys(before))
+	return d
+}
+
+// applyConfig returns a new configuration; it shares unchanged accounts with old.
+func applyConfig(old *contract.Config, d *api.ConfigDelta) *contract.Config {
+	next := headerOf(&d.Header)
+	changed := accountsByName(d.Accounts)
+	next.Accounts = make([]*account.Account, 0, len(old.Accounts)+len(d.Accounts))
+	for _, a := range old.Accounts {
+		if _, removed := slices.BinarySearch(d.RemovedAccounts, a.Name); removed {
+			continue
+		}
+		if c, ok := changed[a.Name]; ok {
+			a = c
+			delete(changed, a.Name)
+		}
+		next.Accounts = append(next.Accounts, a)
+	}
+	for _, a := range d.Accounts {
+		if _, added := changed[a.Name]; added {
+			next.Accounts = append(next.Accounts, a)
+		}
+	}
+	return next.Index()
+}
+
+// headerOf copies every part but the accounts and the index.
+func headerOf(c *contract.Config) contract.Config {
+	return contract.Config{
+		Revision:   c.Revision,
+		Bundle:     c.Bundle,
+		Tiers:      c.Tiers,
+		Domains:    c.Domains,
+		Services:   c.Services,
+		ServeStale: c.ServeStale,
+	}
+}
+
+func accountsByName(list []*account.Account) map[string]*account.Account {
+	out := make(map[string]*account.Account, len(list))
+	for _, a := range list {
+		out[a.Name] = a
+	}
+	return out
+}
+
+func diffDirectory(old, next *api.Directory) *api.DirectoryDelta {
+	d := &api.DirectoryDelta{From: old.Revision, To: next.Revision}
+	d.Endpoints, d.RemovedEndpoints = diffSorted(old.Endpoints, next.Endpoints, endpointID)
+	d.Processes, d.RemovedProcesses = diffSorted(old.Processes, next.Processes, instanceID)
+	return d
+}
+
+func applyDirectory(old *api.Directory, d *api.DirectoryDelta) *api.Directory {
+	return &api.Directory{
+		Revision:  d.To,
+		Endpoints: mergeSorted(old.Endpoints, d.Endpoints, d.RemovedEndpoints, endpointID),
+		Processes: mergeSorted(old.Processes, d.Processes, d.RemovedProcesses, instanceID),
+	}
+}
+
+func endpointID(e endpoint.Endpoint) instance.ID { return e.ID }
+func instanceID(i instance.Instance) instance.ID { return i.ID }
+func compareID(a, b instance.ID) int             { return strings.Compare(string(a), string(b)) }
+
+// diffSorted compares two lists in order of ID.
+func diffSorted[T comparable](old, next []T, id func(T) instance.ID) (changed []T, removed []instance.ID) {
+	for len(old) > 0 || len(next) > 0 {
+		switch order(old, next, id) {
+		case -1:
+			removed = append(removed, id(old[0]))
+			old = old[1:]
+		case 1:
+			changed = append(changed, next[0])
+			next = next[1:]
+		default:
+			if old[0] != next[0] {
+				changed = append(changed, next[0])
+			}
+			old, next = old[1:], next[1:]
+		}
+	}
+	return changed, removed
+}
+
+// order compares the heads of two lists; an empty list counts as after everything.
+func order[T any](a, b []T, id func(T) instance.ID) int {
+	if len(a) == 0 || len(b) == 0 {
+		return cmp.Compare(len(b), len(a))
+	}
+	return compareID(id(a[0]), id(b[0]))
+}
+
+// mergeSorted applies changes and removals, both in order of ID, to a list.
+func mergeSorted[T any](old, changed []T, removed []instance.ID, id func(T) instance.ID) []T {
+	out := make([]T, 0, len(old)+len(changed))
+	for len(old) > 0 || len(changed) > 0 {
+		switch order(old, changed, id) {
+		case -1:
+			if _, gone := slices.BinarySearchFunc(removed, id(old[0]), compareID); !gone {
+				out = append(out, old[0])
+			}
+			old = old[1:]
+		case 1:
+			out = append(out, changed[0])
+			changed = changed[1:]
+		default:
+			out = append(out, changed[0])
+			old, changed = old[1:], changed[1:]
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/distribution/holder.go
@@ -0,0 +1,227 @@
+// Package distribution carries the configuration and the directory from the control
+// leader to every process, with a proof of freshness. A Holder keeps a process's copy,
+// a Subscriber follows control replicas or relays, and a Service passes the copy on.
+package distribution
+
+import (
+	"errors"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/timeline"
+)
+
+// Timing of distribution.
+const (
+	// BeaconInterval is the time between a leader's beacons.
+	BeaconInterval = 500 * time.Millisecond
+	// UnprovenTimeout is the age of the last beacon from which an unproven version gets
+	// no share.
+	UnprovenTimeout = 2500 * time.Millisecond
+)
+
+// HistoryKept is the number of past values from which deltas can be made.
+const HistoryKept = 8
+
+// NeverFresh is the freshness of a process that has seen no beacon.
+const NeverFresh = time.Duration(math.MaxInt64)
+
+// ErrUnknownBase is returned for a delta on a revision that the holder does not have.
+var ErrUnknownBase = errors.New("delta does not apply to the revision held")
+
+// Holder keeps a process's copy of the configuration and the directory. Readers take no
+// lock; a revision is only ever replaced by a higher one.
+type Holder struct {
+	config    atomic.Pointer[contract.Config]
+	directory atomic.Pointer[api.Directory]
+	beacon    atomic.Pointer[heldBeacon]
+	recorder  *timeline.Recorder
+
+	mu       sync.Mutex
+	progress chan struct{}
+	watchers map[chan struct{}]struct{}
+	configs  history[contract.Config, api.ConfigDelta]
+	dirs     history[api.Directory, api.DirectoryDelta]
+}
+
+// heldBeacon is the newest beacon and the local time at which it was issued at the
+// latest.
+type heldBeacon struct {
+	term, seq, revision uint64
+	issued              time.Time
+}
+
+// NewHolder returns an empty holder. recorder may be nil.
+func NewHolder(recorder *timeline.Recorder) *Holder {
+	return &Holder{
+		recorder: recorder,
+		progress: make(chan struct{}),
+		watchers: make(map[chan struct{}]struct{}),
+	}
+}
+
+// Config returns the configuration in force, nil before the first.
+func (h *Holder) Config() *contract.Config { return h.config.Load() }
+
+// Directory returns the directory, nil before the first.
+func (h *Holder) Directory() *api.Directory { return h.directory.Load() }
+
+// Revision returns the configuration revision in force, 0 before the first.
+func (h *Holder) Revision() uint64 {
+	if c := h.config.Load(); c != nil {
+		return c.Revision
+	}
+	return 0
+}
+
+// Freshness returns the age of the last beacon, NeverFresh before the first.
+func (h *Holder) Freshness(now time.Time) time.Duration {
+	b := h.beacon.Load()
+	if b == nil {
+		return NeverFresh
+	}
+	return max(now.Sub(b.issued), 0)
+}
+
+// MayServe reports whether the process may take new work: it has a configuration that
+// was fresh within the bundle's serve_stale time.
+func (h *Holder) MayServe(now time.Time) bool {
+	c := h.config.Load()
+	return c != nil && h.Freshness(now) <= c.ServeStale
+}
+
+// UnprovenAllowed reports whether an unproven version may receive its share.
+func (h *Holder) UnprovenAllowed(now time.Time) bool {
+	return h.Freshness(now) < UnprovenTimeout
+}
+
+// Watch returns a channel that receives after each change of the configuration or the
+// directory. Changes that follow each other quickly may be merged.
+func (h *Holder) Watch() (changes <-chan struct{}, cancel func()) {
+	ch := make(chan struct{}, 1)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.watchers[ch] = struct{}{}
+	return ch, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.watchers, ch)
+	}
+}
+
+// Accept takes over what is newer in the view and reports whether the configuration or
+// the directory changed. transit bounds the time for which the view was under way; it
+// is added to the beacon's age. A delta that does not fit is ErrUnknownBase.
+func (h *Holder) Accept(v *api.View, transit time.Duration) (changed bool, err error) {
+	received := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	config, err := h.nextConfig(v)
+	if err != nil {
+		return false, err
+	}
+	directory, err := h.nextDirectory(v)
+	if err != nil {
+		return false, err
+	}
+	if config != nil {
+		h.configs.add(config.Revision, config)
+		h.config.Store(config)
+		h.recorder.Record(timeline.Event{Kind: "config.accepted", Revision: config.Revision})
+	}
+	if directory != nil {
+		h.dirs.add(directory.Revision, directory)
+		h.directory.Store(directory)
+	}
+	changed = config != nil || directory != nil
+	progressed := h.acceptBeacon(v.Beacon, received.Add(-transit))
+	if changed || progressed {
+		close(h.progress)
+		h.progress = make(chan struct{})
+	}
+	if changed {
+		h.notify()
+	}
+	return changed, nil
+}
+
+// nextConfig returns the configuration that the view brings, or nil when it brings none
+// that is newer.
+func (h *Holder) nextConfig(v *api.View) (*contract.Config, error) {
+	current := h.config.Load()
+	switch {
+	case v.Config != nil:
+		if current != nil && v.Config.Revision <= current.Revision {
+			return nil, nil
+		}
+		return v.Config.Index(), nil
+	case v.ConfigDelta != nil:
+		if current != nil && v.ConfigDelta.Header.Revision <= current.Revision {
+			return nil, nil
+		}
+		if current == nil || current.Revision != v.ConfigDelta.From {
+			return nil, ErrUnknownBase
+		}
+		return applyConfig(current, v.ConfigDelta), nil
+	}
+	return nil, nil
+}
+
+func (h *Holder) nextDirectory(v *api.View) (*api.Directory, error) {
+	current := h.directory.Load()
+	switch {
+	case v.Directory != nil:
+		if current != nil && v.Directory.Revision <= current.Revision {
+			return nil, nil
+		}
+		return v.Directory, nil
+	case v.DirectoryDelta != nil:
+		if current != nil && v.DirectoryDelta.To <= current.Revision {
+			return nil, nil
+		}
+		if current == nil || current.Revision != v.DirectoryDelta.From {
+			return nil, ErrUnknownBase
+		}
+		return applyDirectory(current, v.DirectoryDelta), nil
+	}
+	return nil, nil
+}
+
+// acceptBeacon keeps the latest proof of freshness. A beacon for a revision that the
+// process does not have proves nothing about its own.
+func (h *Holder) acceptBeacon(b api.Beacon, received time.Time) (progressed bool) {
+	if b.Term == 0 || b.Revision > h.Revision() {
+		return false
+	}
+	next := heldBeacon{term: b.Term, seq: b.Seq, revision: b.Revision, issued: received.Add(-b.Age)}
+	if last := h.beacon.Load(); last != nil {
+		progressed = newer(b.Term, b.Seq, last.term, last.seq)
+		if !progressed {
+			next.term, next.seq, next.revision = last.term, last.seq, last.revision
+		}
+		if last.issued.After(next.issued) {
+			next.issued = last.issued
+		}
+	} else {
+		progressed = true
+	}
+	h.beacon.Store(&next)
+	return progressed
+}
+
+func newer(term, seq, thanTerm, thanSeq uint64) bool {
+	return term > thanTerm || (term == thanTerm && seq > thanSeq)
+}
+
+func (h *Holder) notify() {
+	for ch := range h.watchers {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/distribution/subscriber.go
@@ -0,0 +1,209 @@
+package distribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+	"toucantiller.dev/timeline"
+)
+
+// Timing of subscribers.
+const (
+	// pollWait is two beacon intervals: a relay that is not cut off answers before it ends.
+	pollWait = 2 * BeaconInterval
+	// pollTimeout bounds a call, so that two silent relays in a row still leave time
+	// within the 3 s in which a drained domain must get no new work.
+	pollTimeout = pollWait + 250*time.Millisecond
+	// staleParent is the age of the last beacon at which a subscriber tries another relay.
+	staleParent = 3 * BeaconInterval
+	// retryDelay is the mean pause after every candidate failed; it doubles up to
+	// 2^maxDoublings times, so that processes without control do not flood it.
+	retryDelay   = 200 * time.Millisecond
+	maxDoublings = 3
+	// preferredRetry is how long a subscriber stays with a fallback.
+	preferredRetry = 10 * time.Second
+)
+
+// SubscriberOptions configures a Subscriber.
+type SubscriberOptions struct {
+	Network link.Network
+	Holder  *Holder
+	Self    instance.Instance
+	// Control lists the addresses of the control replicas.
+	Control  []string
+	Recorder *timeline.Recorder
+}
+
+// Subscriber keeps a Holder up to date from a relay or a control replica.
+type Subscriber struct {
+	opts    SubscriberOptions
+	clients map[string]*link.Client
+	leader  string
+	parent  atomic.Pointer[string]
+}
+
+// candidate is one address that a subscriber may follow.
+type candidate struct {
+	address string
+	control bool
+}
+
+// NewSubscriber returns a subscriber; call Run.
+func NewSubscriber(opts SubscriberOptions) *Subscriber {
+	return &Subscriber{opts: opts, clients: make(map[string]*link.Client)}
+}
+
+// Parent returns the address that the subscriber follows at present.
+func (s *Subscriber) Parent() string {
+	if p := s.parent.Load(); p != nil {
+		return *p
+	}
+	return ""
+}
+
+// Run follows relays until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) {
+	defer s.closeClients()
+	next, rounds := 0, 0
+	for ctx.Err() == nil {
+		candidates := s.candidates()
+		if next >= len(candidates) {
+			next = 0
+			s.pause(ctx, rounds)
+			rounds++
+			continue
+		}
+		if s.follow(ctx, candidates[next], next > 0) {
+			next, rounds = 0, 0
+			continue
+		}
+		next++
+	}
+}
+
+// candidates lists the relays of the process's place in the tree, then control, then
+// other processes, which a process cut off from control may still reach.
+func (s *Subscriber) candidates() []candidate {
+	d := s.opts.Holder.Directory()
+	parents := Parents(d, s.opts.Self)
+	var out []candidate
+	for _, address := range parents {
+		out = append(out, candidate{address: address})
+	}
+	if s.leader != "" {
+		out = append(out, candidate{address: s.leader, control: true})
+	}
+	for _, i := range rand.Perm(len(s.opts.Control)) {
+		if address := s.opts.Control[i]; address != s.leader {
+			out = append(out, candidate{address: address, control: true})
+		}
+	}
+	for _, address := range Peers(d, s.opts.Self) {
+		if !slices.Contains(parents, address) {
+			out = append(out, candidate{address: address})
+		}
+	}
+	return out
+}
+
+// follow polls one candidate until it fails or its beacons are stale. It returns true
+// when the choice should be made anew: the directory gives the process another parent,
+// or a fallback has been followed for preferredRetry.
+func (s *Subscriber) follow(ctx context.Context, c candidate, fallback bool) bool {
+	start := time.Now()
+	redirected := false
+	wait := time.Duration(0) // the first answer shows at once what the candidate has
+	for ctx.Err() == nil {
+		directory := s.opts.Holder.Directory()
+		leader, err := s.poll(ctx, c, wait)
+		switch {
+		case err != nil:
+			return false
+		case leader != "" && (redirected || leader == c.address):
+			return false
+		case leader != "":
+			redirected = true
+			s.leader = leader
+			c.address = leader
+			continue
+		case !s.fresh():
+			return false
+		}
+		s.follows(c.address)
+		if fallback && time.Since(start) > preferredRetry {
+			return true
+		}
+		if !fallback && directory != s.opts.Holder.Directory() && !s.stillParent(c) {
+			return true
+		}
+		wait = pollWait
+	}
+	return false
+}
+
+func (s *Subscriber) poll(ctx context.Context, c candidate, wait time.Duration) (leader string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	method := ServiceName + ".Subscribe"
+	if c.control {
+		method = "Control.Subscribe"
+	}
+	in := s.opts.Holder.position(wait)
+	in.Instance = s.opts.Self.ID
+	view, err := s.opts.Holder.pull(ctx, s.client(c.address), method, in)
+	if err != nil {
+		if c.address == s.leader {
+			s.leader = ""
+		}
+		return "", err
+	}
+	return view.Leader, nil
+}
+
+func (s *Subscriber) fresh() bool { return s.opts.Holder.Freshness(time.Now()) < staleParent }
+
+func (s *Subscriber) stillParent(c candidate) bool {
+	parents := Parents(s.opts.Holder.Directory(), s.opts.Self)
+	if len(parents) == 0 {
+		return c.control
+	}
+	return parents[0] == c.address
+}
+
+func (s *Subscriber) follows(address string) {
+	if s.Parent() == address {
+		return
+	}
+	s.parent.Store(&address)
+	s.opts.Recorder.Record(timeline.Event{Kind: "subscription.moved", Detail: address})
+}
+
+func (s *Subscriber) client(address string) *link.Client {
+	c, ok := s.clients[address]
+	if !ok {
+		c = link.NewClient(s.opts.Network, address)
+		s.clients[address] = c
+	}
+	return c
+}
+
+func (s *Subscriber) closeClients() {
+	for _, c := range s.clients {
+		c.Close()
+	}
+}
+
+func (s *Subscriber) pause(ctx context.Context, rounds int) {
+	mean := retryDelay << min(rounds, maxDoublings)
+	t := time.NewTimer(mean/2 + rand.N(mean))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/idempotency/idempotency.go
@@ -0,0 +1,170 @@
+// Package idempotency holds the rules of idempotency claims: which dispatch of a
+// request with an Idempotency-Key may run. The rules are pure; the caller supplies
+// the time and makes the table durable before it answers.
+package idempotency
+
+import (
+	"time"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
+)
+
+// Record is one claim. State is ClaimGranted while its dispatch may be running.
+type Record struct {
+	BodyDigest string
+	Owner      instance.ID
+	Target     endpoint.Endpoint
+	Dispatch   dispatch.ID
+	State      api.ClaimState
+	Answer     *dispatch.StoredAnswer
+	TTL        time.Duration
+	// Expires is when a settled claim may be forgotten.
+	Expires time.Time
+}
+
+// Table holds the claims of a deployment. Its zero value is ready for use; callers
+// serialize access.
+type Table struct {
+	// Records is keyed by account, then by key.
+	Records map[string]map[string]*Record
+}
+
+// Alive reports whether a gateway incarnation still holds its lease.
+type Alive func(owner instance.ID, incarnation instance.Incarnation) bool
+
+// Claim grants the claim to the dispatch that c names, or says what stands against
+// it. A claim moves to another dispatch only when c.Previous names the present one,
+// which the caller has proven not run.
+func (t *Table) Claim(now time.Time, c *api.Claim, alive Alive) api.ClaimReply {
+	r := t.lookup(c.Account, c.Key)
+	if r == nil || r.expired(now) {
+		t.store(c.Account, c.Key, newRecord(now, c))
+		return api.ClaimReply{State: api.ClaimGranted, Owner: c.Owner, OwnerAlive: true, Target: c.Target, Dispatch: c.Dispatch}
+	}
+	if r.BodyDigest != c.BodyDigest {
+		return api.ClaimReply{State: api.ClaimConflict}
+	}
+	switch {
+	case r.State != api.ClaimGranted:
+		return r.reply(r.State, alive)
+	case r.Dispatch == c.Dispatch:
+		// A resend after a lost reply.
+		return r.reply(api.ClaimGranted, alive)
+	case c.Previous != nil && *c.Previous == r.Dispatch:
+		r.Owner, r.Target, r.Dispatch = c.Owner, c.Target, c.Dispatch
+		return r.reply(api.ClaimGranted, alive)
+	}
+	return r.reply(api.ClaimRunning, alive)
+}
+
+// Complete stores the outcome of a claim's present dispatch and reports whether
+// anything changed. Outcomes of earlier dispatches are ignored, a stored answer is
+// final, and an unknown outcome may only become done.
+func (t *Table) Complete(now time.Time, c *api.CompleteClaim) bool {
+	r := t.lookup(c.Account, c.Key)
+	if r == nil || r.Dispatch != c.Dispatch || r.State == api.ClaimDone {
+		return false
+	}
+	switch c.State {
+	case api.ClaimGranted:
+		if r.State != api.ClaimGranted {
+			return false
+		}
+		t.remove(c.Account, c.Key)
+		return true
+	case api.ClaimDone:
+		r.Answer = c.Answer
+	case api.ClaimUnknown:
+		if r.State == api.ClaimUnknown {
+			return false
+		}
+	default:
+		return false
+	}
+	r.State = c.State
+	r.Expires = now.Add(r.TTL)
+	return true
+}
+
+// Sweep forgets settled claims past their time to live. A claim that is still
+// running past it with a dead owner becomes unknown, so that its key cannot run
+// again before another time to live.
+func (t *Table) Sweep(now time.Time, alive Alive) (changed int) {
+	for account, keys := range t.Records {
+		for key, r := range keys {
+			switch {
+			case r.expired(now):
+				t.remove(account, key)
+				changed++
+			case r.abandoned(now, alive):
+				r.State = api.ClaimUnknown
+				r.Expires = now.Add(r.TTL)
+				changed++
+			}
+		}
+	}
+	return changed
+}
+
+// Len returns the number of claims.
+func (t *Table) Len() int {
+	n := 0
+	for _, keys := range t.Records {
+		n += len(keys)
+	}
+	return n
+}
+
+func (t *Table) lookup(account, key string) *Record { return t.Records[account][key] }
+
+func (t *Table) store(account, key string, r *Record) {
+	if t.Records == nil {
+		t.Records = make(map[string]map[string]*Record)
+	}
+	if t.Records[account] == nil {
+		t.Records[account] = make(map[string]*Record)
+	}
+	t.Records[account][key] = r
+}
+
+func (t *Table) remove(account, key string) {
+	delete(t.Records[account], key)
+	if len(t.Records[account]) == 0 {
+		delete(t.Records, account)
+	}
+}
+
+func newRecord(now time.Time, c *api.Claim) *Record {
+	return &Record{
+		BodyDigest: c.BodyDigest,
+		Owner:      c.Owner,
+		Target:     c.Target,
+		Dispatch:   c.Dispatch,
+		State:      api.ClaimGranted,
+		TTL:        c.TTL,
+		Expires:    now.Add(c.TTL),
+	}
+}
+
+// expired is never true of a running claim: its request may outlive the time to live.
+func (r *Record) expired(now time.Time) bool {
+	return r.State != api.ClaimGranted && now.After(r.Expires)
+}
+
+func (r *Record) abandoned(now time.Time, alive Alive) bool {
+	return r.State == api.ClaimGranted && now.After(r.Expires) && !alive(r.Owner, r.Dispatch.Gateway)
+}
+
+func (r *Record) reply(state api.ClaimState, alive Alive) api.ClaimReply {
+	return api.ClaimReply{
+		State:      state,
+		Owner:      r.Owner,
+		OwnerAlive: alive(r.Owner, r.Dispatch.Gateway),
+		Target:     r.Target,
+		Dispatch:   r.Dispatch,
+		Answer:     r.Answer,
+	}
+}
--- /dev/null
+++ b/membership/announcer.go
@@ -0,0 +1,210 @@
+// Package membership keeps processes registered with control and gives gateways the
+// directory of endpoints.
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/lease"
+	"toucantiller.dev/timeline"
+)
+
+// Timing of announcers.
+const (
+	// retryDelay is the mean pause after a failed call.
+	retryDelay = 500 * time.Millisecond
+	// attemptTimeout bounds one call with its redirects and retries.
+	attemptTimeout = lease.KeepAliveInterval
+)
+
+// Control is the part of the control client that an Announcer needs; it follows the
+// leader and tries several addresses.
+type Control interface {
+	Register(ctx context.Context, in *api.Register) (*api.RegisterReply, error)
+	KeepAlive(ctx context.Context, in *api.KeepAlive) (*api.KeepAliveReply, error)
+}
+
+// Configuration is the part of distribution.Holder that an Announcer needs.
+type Configuration interface {
+	Revision() uint64
+	Watch() (changes <-chan struct{}, cancel func())
+}
+
+// Options configures an Announcer.
+type Options struct {
+	Control Control
+	// Configuration supplies the revision that keepalives confirm.
+	Configuration Configuration
+	Self          instance.Instance
+	// Endpoint is set for agents.
+	Endpoint *endpoint.Endpoint
+	Recorder *timeline.Recorder
+}
+
+// Announcer registers a process, keeps its lease alive and confirms each revision as
+// soon as it is in force.
+type Announcer struct {
+	opts     Options
+	lease    atomic.Uint64
+	endpoint atomic.Pointer[endpoint.Endpoint]
+	// changed receives when the endpoint must be announced anew.
+	changed chan struct{}
+	leaving chan struct{}
+	leave   sync.Once
+	done    chan struct{}
+}
+
+// NewAnnouncer returns an announcer; call Run.
+func NewAnnouncer(opts Options) *Announcer {
+	a := &Announcer{opts: opts, changed: make(chan struct{}, 1), leaving: make(chan struct{}), done: make(chan struct{})}
+	a.endpoint.Store(opts.Endpoint)
+	return a
+}
+
+// Lease returns the lease held, 0 when none is.
+func (a *Announcer) Lease() uint64 { return a.lease.Load() }
+
+// SetEndpoint announces a change of the endpoint, such as another version.
+func (a *Announcer) SetEndpoint(e endpoint.Endpoint) {
+	a.endpoint.Store(&e)
+	notify(a.changed)
+}
+
+// Run keeps the process registered until ctx ends or Leave is called.
+func (a *Announcer) Run(ctx context.Context) {
+	defer close(a.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-a.leaving:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	changes, unwatch := a.opts.Configuration.Watch()
+	defer unwatch()
+	for ctx.Err() == nil {
+		if !a.register(ctx) {
+			continue
+		}
+		a.keepAlive(ctx, changes)
+	}
+}
+
+// Leave ends the registration on purpose and stops Run. The error says that control
+// could not be told; the lease then ends by its time to live.
+func (a *Announcer) Leave(ctx context.Context) error {
+	a.leave.Do(func() { close(a.leaving) })
+	select {
+	case <-a.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	id := a.lease.Swap(0)
+	if id == 0 {
+		return nil
+	}
+	in := &api.KeepAlive{Lease: id, Instance: a.opts.Self.ID, Revision: a.opts.Configuration.Revision(), Leaving: true}
+	_, err := a.opts.Control.KeepAlive(ctx, in)
+	a.opts.Recorder.Record(timeline.Event{Kind: "process.left"})
+	return err
+}
+
+// register announces the process once and reports whether it holds a lease. It waits
+// before it returns false.
+func (a *Announcer) register(ctx context.Context) bool {
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	reply, err := a.opts.Control.Register(attempt, &api.Register{Instance: a.opts.Self, Endpoint: a.endpoint.Load()})
+	switch {
+	case err != nil:
+		sleep(ctx, jitter(retryDelay))
+		return false
+	case reply.RetryAfter > 0:
+		sleep(ctx, reply.RetryAfter)
+		return false
+	}
+	a.lease.Store(reply.Lease)
+	a.opts.Recorder.Record(timeline.Event{Kind: "process.registered"})
+	return true
+}
+
+// keepAlive renews the lease until it is unknown, the endpoint changes or ctx ends.
+func (a *Announcer) keepAlive(ctx context.Context, changes <-chan struct{}) {
+	for confirmed := uint64(0); ; {
+		revision := a.opts.Configuration.Revision()
+		known, err := a.renew(ctx, revision)
+		wait := jitter(lease.KeepAliveInterval)
+		switch {
+		case err != nil:
+			wait = jitter(retryDelay)
+		case !known:
+			a.opts.Recorder.Record(timeline.Event{Kind: "process.lease_lost"})
+			a.lease.Store(0)
+			return
+		default:
+			confirmed = revision
+		}
+		if !a.wait(ctx, wait, changes, confirmed) {
+			return
+		}
+	}
+}
+
+func (a *Announcer) renew(ctx context.Context, revision uint64) (known bool, err error) {
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	reply, err := a.opts.Control.KeepAlive(attempt, &api.KeepAlive{Lease: a.lease.Load(), Instance: a.opts.Self.ID, Revision: revision})
+	if err != nil {
+		return false, err
+	}
+	return reply.Known, nil
+}
+
+// wait returns true when a keepalive is due: after d, or at once when a revision is in
+// force that is not confirmed yet. It returns false when the endpoint changed.
+func (a *Announcer) wait(ctx context.Context, d time.Duration, changes <-chan struct{}, confirmed uint64) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-a.changed:
+			return false
+		case <-timer.C:
+			return true
+		case <-changes:
+			if a.opts.Configuration.Revision() > confirmed {
+				return true
+			}
+		}
+	}
+}
+
+func notify(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// jitter spreads a pause over half to one and a half times its mean.
+func jitter(mean time.Duration) time.Duration { return mean/2 + rand.N(mean) }
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
