Name the net/rpc address of both ends of a dispatch

Cause: a process that sees a higher revision on the data path must know where to fetch it; the remote address of an HTTP connection does not tell. Change: endpoint.Endpoint.LinkAddress and the dispatch header Toucan-Link. Conclusion: View.Saw now gets an address that can be called.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -30,7 +30,7 @@
 	}
 	a.requests.Add(1)
 	defer a.requests.Done()
-	a.opt.View.Saw(h.Revision, r.RemoteAddr)
+	a.opt.View.Saw(h.Revision, h.Link)
 	s := newStream(w, a)
 	defer s.close()
 	if code := a.admit(h); code != "" {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -66,6 +66,9 @@
 	// Claim is the idempotency claim, empty for unclaimed requests. The agent keeps the
 	// answer of a claimed request until the claim is completed.
 	Claim string
+	// Link is where the gateway serves net/rpc, as "ip:port"; an agent with an older
+	// configuration fetches the newer one there.
+	Link string
 }
 
 // Names of the HTTP headers that carry a Header.
@@ -86,6 +89,7 @@
 	headerPrompt   = "Toucan-Prompt-Tokens"
 	headerAnswer   = "Toucan-Answer-Tokens"
 	headerClaim    = "Toucan-Claim"
+	headerLink     = "Toucan-Link"
 )
 
 // Write sets the HTTP headers.
@@ -105,6 +109,9 @@
 	to.Set(headerTimeout, strconv.FormatInt(h.Timeout.Microseconds(), 10))
 	to.Set(headerPrompt, strconv.Itoa(h.PromptTokens))
 	to.Set(headerAnswer, strconv.Itoa(h.AnswerTokens))
+	if h.Link != "" {
+		to.Set(headerLink, h.Link)
+	}
 	if h.Claim != "" {
 		to.Set(headerClaim, h.Claim)
 	}
@@ -132,6 +139,7 @@
 		PromptTokens: p.integer(headerPrompt),
 		AnswerTokens: p.integer(headerAnswer),
 		Claim:        from.Get(headerClaim),
+		Link:         from.Get(headerLink),
 	}
 	if h.ID.Request == "" {
 		p.fail(headerRequest, "")
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -19,8 +19,10 @@
 	Service     string               `msgpack:"service" json:"service"`
 	Version     string               `msgpack:"version" json:"version"`
 	Domain      failuredomain.ID     `msgpack:"domain" json:"domain"`
-	// Address is the agent's link address, as "ip:port".
+	// Address is where the agent takes dispatches, as "ip:port".
 	Address string `msgpack:"address" json:"address"`
+	// LinkAddress is where the agent serves net/rpc, as "ip:port".
+	LinkAddress string `msgpack:"link_address" json:"link_address"`
 	// AdminAddress is the agent's admin listener, as "ip:port".
 	AdminAddress string `msgpack:"admin_address" json:"admin_address"`
 	// Leaving is set once the agent has begun to drain.
