Add the write-ahead log, the consensus core and its driver

Cause: the control plane needs replicated durable state, and other packages build on the API of consensus/replica. Faults are not tested yet.

--- /dev/null
+++ b/consensus/election.go
@@ -0,0 +1,180 @@
+package consensus
+
+func (c *Core) becomeFollower(term uint64, leader ID) {
+	if term > c.state.Term {
+		c.state = State{Term: term}
+	}
+	c.role, c.leader = Follower, leader
+	c.peers, c.votes = nil, nil
+	c.reads, c.needRound = nil, false
+	c.transfer = transfer{}
+	c.resetTimeout()
+}
+
+func (c *Core) resetTimeout() {
+	c.elapsed = 0
+	c.timeout = c.cfg.ElectionTicks + c.rand.IntN(c.cfg.ElectionTicks)
+}
+
+// followLeader notes that the leader of the current term is alive.
+func (c *Core) followLeader(leader ID) {
+	if c.role != Follower {
+		c.becomeFollower(c.state.Term, leader)
+	}
+	c.leader, c.elapsed = leader, 0
+}
+
+// campaign asks for votes: as PreCandidate without changing the term, as Candidate in
+// a new term.
+func (c *Core) campaign(role Role, byTransfer bool) {
+	c.role, c.leader = role, 0
+	c.resetTimeout()
+	term, kind := c.state.Term+1, MsgPreVote
+	if role == Candidate {
+		c.state = State{Term: term, Vote: c.id}
+		kind = MsgVote
+	}
+	c.votes = map[ID]bool{c.id: true}
+	if c.countVotes() {
+		return
+	}
+	for _, m := range c.members() {
+		if m.ID == c.id || m.Learner {
+			continue
+		}
+		c.send(Message{
+			Type: kind, To: m.ID, Term: term, Transfer: byTransfer,
+			Index: c.log.last(), LogTerm: c.log.lastTerm(),
+		})
+	}
+}
+
+// onVote answers MsgPreVote and MsgVote.
+func (c *Core) onVote(m *Message) {
+	upToDate := m.LogTerm > c.log.lastTerm() ||
+		(m.LogTerm == c.log.lastTerm() && m.Index >= c.log.last())
+	if m.Type == MsgPreVote {
+		if m.Term > c.state.Term && upToDate && !c.hasLeader() {
+			c.send(Message{Type: MsgPreVoteReply, To: m.From, Term: m.Term})
+			return
+		}
+		c.send(Message{Type: MsgPreVoteReply, To: m.From, Reject: true})
+		return
+	}
+	free := c.state.Vote == m.From || (c.state.Vote == 0 && c.leader == 0)
+	if !free || !upToDate {
+		c.send(Message{Type: MsgVoteReply, To: m.From, Reject: true})
+		return
+	}
+	c.state.Vote = m.From
+	c.elapsed = 0
+	c.send(Message{Type: MsgVoteReply, To: m.From})
+}
+
+// onVoteReply counts a vote for the election that the role holds.
+func (c *Core) onVoteReply(m *Message, role Role, term uint64) {
+	if c.role != role || (!m.Reject && m.Term != term) {
+		return
+	}
+	c.votes[m.From] = !m.Reject
+	c.countVotes()
+}
+
+// countVotes ends an election that is won or lost and reports whether it did. Only
+// votes of voters count, so that a replica that lost its disk cannot vote under a new
+// identity before it is a voter again.
+func (c *Core) countVotes() bool {
+	granted, refused := 0, 0
+	for id, yes := range c.votes {
+		switch {
+		case !c.members().IsVoter(id):
+		case yes:
+			granted++
+		default:
+			refused++
+		}
+	}
+	quorum := c.members().Quorum()
+	switch {
+	case granted >= quorum && c.role == PreCandidate:
+		c.campaign(Candidate, false)
+	case granted >= quorum:
+		c.becomeLeader()
+	case refused > c.members().Voters()-quorum:
+		c.becomeFollower(c.state.Term, 0)
+	default:
+		return false
+	}
+	return true
+}
+
+func (c *Core) becomeLeader() {
+	c.role, c.leader, c.votes = Leader, c.id, nil
+	c.beat, c.round, c.reads = 0, 0, nil
+	c.transfer = transfer{}
+	c.peers = make(map[ID]*peer)
+	c.updatePeers()
+	// An entry of the own term commits all earlier ones, which may not be counted by
+	// themselves: a later leader could still replace them.
+	c.propose(Entry{Kind: EntryEmpty})
+	c.needRound = true
+}
+
+// transfer is a running transfer of leadership.
+type transfer struct {
+	to      ID
+	elapsed int
+	sent    bool
+}
+
+// TransferLeadership hands the leadership to a voter, or to the most advanced one if
+// to is 0. Proposals are refused until the transfer succeeds or an election timeout
+// passes.
+func (c *Core) TransferLeadership(to ID) error {
+	if c.role != Leader {
+		return ErrNotLeader
+	}
+	if to == 0 {
+		to = c.mostAdvanced()
+	}
+	if to == c.id || !c.members().IsVoter(to) {
+		return ErrUnknownMember
+	}
+	c.transfer = transfer{to: to}
+	c.continueTransfer()
+	return nil
+}
+
+func (c *Core) mostAdvanced() ID {
+	best := ID(0)
+	for _, m := range c.members() {
+		p := c.peers[m.ID]
+		if p == nil || m.Learner || p.idle > c.cfg.ElectionTicks {
+			continue
+		}
+		if best == 0 || p.match > c.peers[best].match {
+			best = m.ID
+		}
+	}
+	return best
+}
+
+// continueTransfer starts the election of the target once it holds the whole log.
+func (c *Core) continueTransfer() {
+	p := c.peers[c.transfer.to]
+	if p == nil || c.transfer.sent || p.match != c.log.last() {
+		return
+	}
+	c.transfer.sent = true
+	c.send(Message{Type: MsgTimeoutNow, To: c.transfer.to})
+}
+
+func (c *Core) tickTransfer() {
+	if c.transfer.to == 0 {
+		return
+	}
+	c.transfer.elapsed++
+	if c.transfer.elapsed >= c.cfg.ElectionTicks {
+		c.transfer = transfer{}
+	}
+}
--- /dev/null
+++ b/consensus/log.go
@@ -0,0 +1,96 @@
+package consensus
+
+// entryLog holds the entries after base. base is the last compacted index.
+type entryLog struct {
+	base     uint64
+	baseTerm uint64
+	entries  []Entry
+	// stable is the last index that was handed out to be persisted.
+	stable uint64
+}
+
+func (l *entryLog) last() uint64 { return l.base + uint64(len(l.entries)) }
+
+// term returns the term of an entry, or false if the log does not hold it.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.base:
+		return l.baseTerm, true
+	case index < l.base || index > l.last():
+		return 0, false
+	default:
+		return l.entries[index-l.base-1].Term, true
+	}
+}
+
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// matches reports whether the log holds the entry.
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// from returns a copy of the entries from index on, at least one and at most maxBytes of data.
+func (l *entryLog) from(index uint64, maxBytes int) []Entry {
+	if index > l.last() {
+		return nil
+	}
+	rest := l.entries[index-l.base-1:]
+	size := 0
+	for i := range rest {
+		size += len(rest[i].Data)
+		if i > 0 && size > maxBytes {
+			rest = rest[:i]
+			break
+		}
+	}
+	return append([]Entry(nil), rest...)
+}
+
+// between returns a copy of the entries after low up to high.
+func (l *entryLog) between(low, high uint64) []Entry {
+	if low >= high {
+		return nil
+	}
+	return append([]Entry(nil), l.entries[low-l.base:high-l.base]...)
+}
+
+// cut drops the entries from index on.
+func (l *entryLog) cut(index uint64) {
+	keep := index - l.base - 1
+	l.entries = l.entries[:keep:keep]
+	l.stable = min(l.stable, index-1)
+}
+
+func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+
+// compact drops the entries up to index.
+func (l *entryLog) compact(index uint64) {
+	if index <= l.base {
+		return
+	}
+	term, _ := l.term(index)
+	l.entries = append([]Entry(nil), l.entries[index-l.base:]...)
+	l.base, l.baseTerm = index, term
+}
+
+// reset replaces everything by a snapshot.
+func (l *entryLog) reset(index, term uint64) {
+	*l = entryLog{base: index, baseTerm: term, stable: index}
+}
+
+// lastNotAfter returns the last entry at or before index whose term is at most term.
+// Entries of higher terms in between cannot match the other log, so that one exchange
+// skips all entries of a term. It returns base-1 if only compacted entries qualify.
+func (l *entryLog) lastNotAfter(index, term uint64) (uint64, uint64) {
+	for i := min(index, l.last()); i >= l.base && i > 0; i-- {
+		if t, ok := l.term(i); ok && t <= term {
+			return i, t
+		}
+	}
+	return max(l.base, 1) - 1, 0
+}
--- /dev/null
+++ b/consensus/membership.go
@@ -0,0 +1,140 @@
+package consensus
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// membershipAt is the membership in force from an index on. A membership is in force
+// as soon as it is in the log, committed or not.
+type membershipAt struct {
+	index   uint64
+	members Membership
+}
+
+// Members returns the latest membership, which may not be committed yet.
+func (c *Core) Members() Membership { return append(Membership(nil), c.members()...) }
+
+func (c *Core) members() Membership { return c.memberships[len(c.memberships)-1].members }
+
+func (c *Core) membersAt(index uint64) Membership {
+	for i := len(c.memberships) - 1; i >= 0; i-- {
+		if c.memberships[i].index <= index {
+			return c.memberships[i].members
+		}
+	}
+	return nil
+}
+
+// appendEntries adds entries to the log and puts their memberships in force.
+func (c *Core) appendEntries(entries ...Entry) error {
+	for _, e := range entries {
+		if e.Kind == EntryMembership {
+			var m Membership
+			if err := msgpack.Unmarshal(e.Data, &m); err != nil {
+				return fmt.Errorf("decode membership at entry %d: %w", e.Index, err)
+			}
+			c.memberships = append(c.memberships, membershipAt{e.Index, m})
+		}
+		c.log.append(e)
+	}
+	return nil
+}
+
+// AddLearner adds a member that receives the log and does not vote.
+func (c *Core) AddLearner(m Member) (index, term uint64, err error) {
+	if m.ID == 0 {
+		return 0, 0, ErrUnknownMember
+	}
+	m.Learner = true
+	return c.changeMembers(func(now Membership) (Membership, error) {
+		if now.IsVoter(m.ID) {
+			return nil, fmt.Errorf("replica %d is a voter already", m.ID)
+		}
+		return now.with(m), nil
+	})
+}
+
+// Promote lets a learner vote once it has caught up.
+func (c *Core) Promote(id ID) (index, term uint64, err error) {
+	return c.changeMembers(func(now Membership) (Membership, error) {
+		m, ok := now.Find(id)
+		if !ok {
+			return nil, ErrUnknownMember
+		}
+		if !c.CaughtUp(id) {
+			return nil, ErrNotCaughtUp
+		}
+		m.Learner = false
+		return now.with(m), nil
+	})
+}
+
+// Remove removes a member.
+func (c *Core) Remove(id ID) (index, term uint64, err error) {
+	return c.changeMembers(func(now Membership) (Membership, error) {
+		if _, ok := now.Find(id); !ok {
+			return nil, ErrUnknownMember
+		}
+		if now.IsVoter(id) && now.Voters() == 1 {
+			return nil, ErrLastVoter
+		}
+		if id == c.id {
+			return nil, ErrRemoveLeader
+		}
+		return now.without(id), nil
+	})
+}
+
+// changeMembers appends a new membership that differs from the present one by one
+// member. Quorums of two memberships that follow each other overlap only if the earlier
+// one is committed, and only once the leader has committed an entry of its own term can
+// no other leader bring back an earlier one.
+func (c *Core) changeMembers(change func(Membership) (Membership, error)) (index, term uint64, err error) {
+	if err := c.acceptsProposals(); err != nil {
+		return 0, 0, err
+	}
+	if c.memberships[len(c.memberships)-1].index > c.commit || !c.committedInTerm() {
+		return 0, 0, ErrChangePending
+	}
+	members, err := change(c.members())
+	if err != nil {
+		return 0, 0, err
+	}
+	data, err := msgpack.Marshal(members)
+	if err != nil {
+		return 0, 0, fmt.Errorf("encode membership: %w", err)
+	}
+	index = c.log.last() + 1
+	c.propose(Entry{Kind: EntryMembership, Data: data})
+	c.updatePeers()
+	return index, c.state.Term, nil
+}
+
+// committedInTerm reports whether the leader has committed an entry of its term.
+func (c *Core) committedInTerm() bool { return c.log.matches(c.commit, c.state.Term) }
+
+// CaughtUp reports whether a member answers and lacks at most CatchUpLag entries.
+func (c *Core) CaughtUp(id ID) bool {
+	p := c.peers[id]
+	return p != nil && p.idle <= c.cfg.ElectionTicks && p.state == replicating &&
+		p.match+c.cfg.CatchUpLag >= c.log.last()
+}
+
+// Match returns the last index that is known to be on a member's disk, on the leader.
+func (c *Core) Match(id ID) uint64 {
+	if id == c.id {
+		return c.log.stable
+	}
+	if p := c.peers[id]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+// MembersIndex returns the index of the entry that holds the latest membership.
+func (c *Core) MembersIndex() uint64 { return c.memberships[len(c.memberships)-1].index }
+
+// FirstMembers returns the membership at the last snapshot.
+func (c *Core) FirstMembers() Membership { return append(Membership(nil), c.memberships[0].members...) }
--- /dev/null
+++ b/consensus/replica/api.go
@@ -0,0 +1,141 @@
+// Package replica drives a consensus core: it persists to a write-ahead log, sends
+// over a transport and applies committed commands to a state machine.
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"toucantiller.dev/consensus"
+	"toucantiller.dev/wal"
+)
+
+// Defaults of Config.
+const (
+	DefaultTickInterval      = 50 * time.Millisecond
+	DefaultSnapshotThreshold = 10_000
+	// MaxCommandBytes bounds one command.
+	MaxCommandBytes = 4 << 20
+)
+
+// StateMachine is the replicated state. The replica calls it from one goroutine.
+type StateMachine interface {
+	// Apply executes a committed command. It must be deterministic. The result goes
+	// to the caller of Propose on the replica where the command was proposed.
+	Apply(index uint64, command []byte) (result []byte)
+	// Snapshot returns the whole state; it must not be empty.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state.
+	Restore(snapshot []byte) error
+}
+
+// Member names a replica. ID may be 0 in calls; the address then decides.
+type Member = consensus.Member
+
+// Packet is what a transport carries.
+type Packet struct {
+	// From is the address of the sender.
+	From string
+	// Exactly one of the following is set.
+	Message *consensus.Message
+	Hello   *Hello
+}
+
+// Transport sends packets between replicas. Packets may be lost, duplicated and
+// reordered.
+type Transport interface {
+	// Send queues a packet for an address and returns at once. It may drop it.
+	Send(address string, p Packet)
+	// Receive sets the function that takes incoming packets; nil stops them. The
+	// function does not block.
+	Receive(func(Packet))
+}
+
+// Config configures a replica.
+type Config struct {
+	// DataFolder holds the log; it belongs to one process at a time.
+	DataFolder string
+	// Address is where other replicas reach this one.
+	Address string
+	// InitialMembers lists the addresses of a new group, including Address, alike on
+	// every replica. It is used only while the data folder is empty.
+	InitialMembers []string
+	Transport      Transport
+	StateMachine   StateMachine
+	// TickInterval is 50 ms by default. A leader sends heartbeats every 2 ticks, and
+	// a follower starts an election after 10 to 20 ticks of silence.
+	TickInterval time.Duration
+	// SnapshotThreshold is the number of entries after which the log is replaced by
+	// a snapshot; 10,000 by default.
+	SnapshotThreshold uint64
+	// Logger receives changes of state; nothing is logged by default.
+	Logger log.Logger
+	// FS is the file system; the operating system's by default.
+	FS wal.FS
+	// OnChange, if set, is called from the replica's goroutine when the role, term or
+	// leader changes. It must not block or call the replica.
+	OnChange func(Status)
+}
+
+// Status is what a replica knows about itself and its group.
+type Status struct {
+	ID   consensus.ID
+	Term uint64
+	// Leader is the address of the leader, empty while unknown.
+	Leader   string
+	IsLeader bool
+	Commit   uint64
+	Applied  uint64
+	Members  []Member
+	// Joined is false while the replica waits to form a group or to be added to one.
+	Joined bool
+	// SnapshotIndex is the index of the last snapshot.
+	SnapshotIndex uint64
+}
+
+// NotLeaderError is returned by calls that only the leader serves. The call had no
+// effect.
+type NotLeaderError struct {
+	// Leader is the leader's address, empty while unknown.
+	Leader string
+}
+
+// Error names the leader.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "not the leader; the leader is unknown"
+	}
+	return "not the leader; the leader is " + e.Leader
+}
+
+// UnknownOutcomeError is returned when the call ended before the command was known to
+// be committed: leadership was lost, the replica stopped or the context ended. The
+// command may still be applied.
+type UnknownOutcomeError struct {
+	// Leader is the leader's address, empty while unknown.
+	Leader string
+	Err    error
+}
+
+// Error names the cause and the leader.
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("outcome unknown: %v; the leader is %q", e.Err, e.Leader)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Err }
+
+// Errors of calls.
+var (
+	// ErrStopped is returned by calls to a replica that stopped. Err tells why.
+	ErrStopped = errors.New("replica stopped")
+	// ErrLeadershipLost is the cause when a call was in progress at the time.
+	ErrLeadershipLost = errors.New("leadership lost")
+	// ErrCommandTooLarge is returned for a command of more than MaxCommandBytes.
+	ErrCommandTooLarge = errors.New("command is too large")
+	// ErrBelongsToGroup is returned by AddReplica for a replica that joined a group.
+	ErrBelongsToGroup = errors.New("the replica belongs to a group already; it needs an empty data folder")
+)
--- /dev/null
+++ b/consensus/replica/group_test.go
@@ -0,0 +1,181 @@
+package replica_test
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/consensus/replica"
+	"toucantiller.dev/link"
+	"toucantiller.dev/wal"
+)
+
+// journal is a state machine that keeps every command in order.
+type journal struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (j *journal) Apply(_ uint64, command []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = append(j.commands, string(command))
+	return binary.BigEndian.AppendUint64(nil, uint64(len(j.commands)))
+}
+
+func (j *journal) Snapshot() ([]byte, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	out := []byte{1}
+	for _, c := range j.commands {
+		out = binary.AppendUvarint(out, uint64(len(c)))
+		out = append(out, c...)
+	}
+	return out, nil
+}
+
+func (j *journal) Restore(snapshot []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = nil
+	for rest := snapshot[1:]; len(rest) > 0; {
+		n, k := binary.Uvarint(rest)
+		j.commands = append(j.commands, string(rest[k:k+int(n)]))
+		rest = rest[k+int(n):]
+	}
+	return nil
+}
+
+func (j *journal) all() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.commands)
+}
+
+// node is one process of a group under test.
+type node struct {
+	*replica.Replica
+	address   string
+	journal   *journal
+	listener  net.Listener
+	server    *link.Server
+	transport *replica.LinkTransport
+}
+
+// group runs replicas in one process.
+type group struct {
+	t         testing.TB
+	network   link.Network
+	folder    func(address string) string
+	fs        map[string]wal.FS
+	threshold uint64
+	addresses []string
+	nodes     map[string]*node
+}
+
+func newGroup(t testing.TB, network link.Network, addresses ...string) *group {
+	folders := map[string]string{}
+	g := &group{
+		t: t, network: network, addresses: addresses,
+		fs: map[string]wal.FS{}, nodes: map[string]*node{},
+		folder: func(a string) string {
+			if folders[a] == "" {
+				folders[a] = t.TempDir()
+			}
+			return folders[a]
+		},
+	}
+	for _, a := range addresses {
+		g.start(a)
+	}
+	return g
+}
+
+func (g *group) start(address string) *node {
+	g.t.Helper()
+	l, err := g.network.Listen(address)
+	assert.NilError(g.t, err)
+	n := &node{address: address, journal: &journal{}, listener: l, server: link.NewServer()}
+	n.transport, err = replica.NewLinkTransport(g.network, n.server)
+	assert.NilError(g.t, err)
+	go func() { _ = n.server.Serve(l) }()
+	n.Replica, err = replica.Start(replica.Config{
+		DataFolder: g.folder(address), Address: address, InitialMembers: g.addresses,
+		Transport: n.transport, StateMachine: n.journal, FS: g.fs[address], SnapshotThreshold: g.threshold,
+	})
+	assert.NilError(g.t, err)
+	g.nodes[address] = n
+	return n
+}
+
+// cut closes the network of a node, so that its replica neither sends nor receives.
+func (n *node) cut() {
+	_ = n.listener.Close()
+	n.server.Close()
+	n.transport.Close()
+}
+
+// kill stops a node without handing over its leadership.
+func (g *group) kill(n *node) {
+	n.cut()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_ = n.Stop(ctx)
+	delete(g.nodes, n.address)
+}
+
+func (g *group) stop() {
+	for _, n := range g.nodes {
+		g.kill(n)
+	}
+}
+
+// leader waits until one replica leads with a confirmed quorum.
+func (g *group) leader() *node {
+	g.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, n := range g.nodes {
+			if !n.Status().IsLeader {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			err := n.ReadBarrier(ctx)
+			cancel()
+			if err == nil {
+				return n
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	g.t.Fatal("no leader was elected")
+	return nil
+}
+
+func (g *group) propose(format string, args ...any) []byte {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	out, err := g.leader().Propose(ctx, fmt.Appendf(nil, format, args...))
+	assert.NilError(g.t, err)
+	return out
+}
+
+// waitFor polls a condition.
+func (g *group) waitFor(what string, f func() bool) {
+	g.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !f() {
+		if time.Now().After(deadline) {
+			g.t.Fatalf("timed out waiting for %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/consensus/replica/storage.go
@@ -0,0 +1,123 @@
+package replica
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"toucantiller.dev/consensus"
+	"toucantiller.dev/wal"
+)
+
+// storage keeps what a core must not forget in a write-ahead log.
+type storage struct {
+	log *wal.Log
+	// id is the identity that was created with the data folder.
+	id consensus.ID
+}
+
+// snapshotMeta is the part of a snapshot that belongs to the core.
+type snapshotMeta struct {
+	Group   consensus.GroupID    `msgpack:"g"`
+	Members consensus.Membership `msgpack:"m"`
+}
+
+// storedEntry is the payload of a log entry.
+type storedEntry struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Kind     consensus.EntryKind
+	Data     []byte
+}
+
+// openStorage opens the data folder and returns what it holds.
+func openStorage(folder string, o wal.Options) (*storage, consensus.Recovered, error) {
+	log, found, err := wal.Open(folder, o)
+	if err != nil {
+		return nil, consensus.Recovered{}, err
+	}
+	s := &storage{log: log, id: consensus.ID(found.Owner)}
+	r, err := decodeRecovered(found)
+	if err != nil {
+		_ = log.Close()
+		return nil, r, fmt.Errorf("data folder %s: %w", folder, err)
+	}
+	return s, r, nil
+}
+
+func decodeRecovered(found *wal.Recovered) (consensus.Recovered, error) {
+	var r consensus.Recovered
+	if found.State != nil {
+		if err := msgpack.Unmarshal(found.State, &r.State); err != nil {
+			return r, fmt.Errorf("decode state: %w", err)
+		}
+	}
+	if s := found.Snapshot; s != nil {
+		var meta snapshotMeta
+		if err := msgpack.Unmarshal(s.Meta, &meta); err != nil {
+			return r, fmt.Errorf("decode snapshot %d: %w", s.Index, err)
+		}
+		r.Snapshot = &consensus.Snapshot{
+			Index: s.Index, Term: s.Term, Group: meta.Group, Members: meta.Members, Data: s.Data,
+		}
+	}
+	r.Entries = make([]consensus.Entry, 0, len(found.Entries))
+	for _, e := range found.Entries {
+		var stored storedEntry
+		if err := msgpack.Unmarshal(e.Data, &stored); err != nil {
+			return r, fmt.Errorf("decode entry %d: %w", e.Index, err)
+		}
+		r.Entries = append(r.Entries, consensus.Entry{
+			Index: e.Index, Term: e.Term, Kind: stored.Kind, Data: stored.Data,
+		})
+	}
+	return r, nil
+}
+
+// save makes a batch of the core durable. A new snapshot needs a sync of its own; all
+// else shares one.
+func (s *storage) save(r *consensus.Ready) error {
+	var state []byte
+	if r.State != nil {
+		var err error
+		if state, err = msgpack.Marshal(r.State); err != nil {
+			return fmt.Errorf("encode state: %w", err)
+		}
+	}
+	if r.Snapshot != nil {
+		// The state goes first, so that the log never holds a term above it.
+		if state != nil {
+			if err := s.log.Append(state, nil); err != nil {
+				return err
+			}
+			state = nil
+		}
+		if err := s.saveSnapshot(r.Snapshot, false); err != nil {
+			return err
+		}
+	}
+	if state == nil && len(r.Entries) == 0 {
+		return nil
+	}
+	entries := make([]wal.Entry, 0, len(r.Entries))
+	for _, e := range r.Entries {
+		data, err := msgpack.Marshal(&storedEntry{Kind: e.Kind, Data: e.Data})
+		if err != nil {
+			return fmt.Errorf("encode entry %d: %w", e.Index, err)
+		}
+		entries = append(entries, wal.Entry{Index: e.Index, Term: e.Term, Data: data})
+	}
+	return s.log.Append(state, entries)
+}
+
+// saveSnapshot makes a snapshot durable. keep tells that the log agrees with it.
+func (s *storage) saveSnapshot(snap *consensus.Snapshot, keep bool) error {
+	meta, err := msgpack.Marshal(&snapshotMeta{Group: snap.Group, Members: snap.Members})
+	if err != nil {
+		return fmt.Errorf("encode snapshot %d: %w", snap.Index, err)
+	}
+	return s.log.SaveSnapshot(&wal.Snapshot{
+		Index: snap.Index, Term: snap.Term, Meta: meta, Data: snap.Data,
+	}, keep)
+}
+
+func (s *storage) close() error { return s.log.Close() }
--- /dev/null
+++ b/consensus/types.go
@@ -0,0 +1,135 @@
+// Package consensus is an embeddable agreement core: it replicates a log among a
+// few replicas and keeps it identical on all of them as long as a quorum of disks
+// survives. It does no I/O, reads no clock and starts no goroutine. The caller feeds
+// it ticks, messages and proposals, and takes batches of things to persist and send.
+package consensus
+
+// ID identifies one replica for the lifetime of its data folder. It is random and
+// never 0. A replica that lost its disk gets a new ID.
+type ID uint64
+
+// GroupID identifies a group; it is 0 for a replica that belongs to none yet.
+type GroupID uint64
+
+// Member is a replica in the membership of a group.
+type Member struct {
+	ID      ID     `msgpack:"id" json:"id"`
+	Address string `msgpack:"address" json:"address"`
+	// Learner is true for a member that receives the log and does not vote.
+	Learner bool `msgpack:"learner" json:"learner"`
+}
+
+// Membership is the list of members. It is replaced as a whole and never changed
+// in place.
+type Membership []Member
+
+// Find returns the member with the ID.
+func (m Membership) Find(id ID) (Member, bool) {
+	for _, x := range m {
+		if x.ID == id {
+			return x, true
+		}
+	}
+	return Member{}, false
+}
+
+// IsVoter reports whether the member exists and votes.
+func (m Membership) IsVoter(id ID) bool {
+	x, ok := m.Find(id)
+	return ok && !x.Learner
+}
+
+// Voters returns the number of voting members.
+func (m Membership) Voters() int {
+	n := 0
+	for _, x := range m {
+		if !x.Learner {
+			n++
+		}
+	}
+	return n
+}
+
+// Quorum returns the number of voters that form a majority.
+func (m Membership) Quorum() int { return m.Voters()/2 + 1 }
+
+// with returns a copy in which x replaces the member with its ID or is appended.
+func (m Membership) with(x Member) Membership {
+	out := m.without(x.ID)
+	return append(out, x)
+}
+
+// without returns a copy that lacks the member.
+func (m Membership) without(id ID) Membership {
+	out := make(Membership, 0, len(m)+1)
+	for _, x := range m {
+		if x.ID != id {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// EntryKind tells what an entry of the log carries.
+type EntryKind uint8
+
+// Kinds of entries.
+const (
+	// EntryCommand carries a command of the state machine.
+	EntryCommand EntryKind = iota
+	// EntryEmpty is appended by a new leader so that it can commit in its term.
+	EntryEmpty
+	// EntryMembership carries an encoded Membership.
+	EntryMembership
+)
+
+// Entry is one position of the log.
+type Entry struct {
+	Index uint64    `msgpack:"i"`
+	Term  uint64    `msgpack:"t"`
+	Kind  EntryKind `msgpack:"k"`
+	Data  []byte    `msgpack:"d"`
+}
+
+// State is what a replica must not forget besides the log.
+type State struct {
+	Term uint64 `msgpack:"t"`
+	Vote ID     `msgpack:"v"`
+}
+
+// Snapshot replaces the log up to Index.
+type Snapshot struct {
+	Index   uint64
+	Term    uint64
+	Group   GroupID
+	Members Membership
+	// Data is the state machine's snapshot; empty for the first snapshot of a group.
+	Data []byte
+}
+
+// Role is the part a replica plays in its term.
+type Role uint8
+
+// Roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the name of the role.
+func (r Role) String() string {
+	switch r {
+	case Follower:
+		return "follower"
+	case PreCandidate:
+		return "pre-candidate"
+	case Candidate:
+		return "candidate"
+	case Leader:
+		return "leader"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/wal/recover.go
@@ -0,0 +1,260 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+)
+
+// replay collects the content of the segments in order.
+type replay struct {
+	state   []byte
+	entries []Entry
+	// marked is the index of the last mark.
+	marked uint64
+}
+
+func (r *replay) batch(b *batch) error {
+	if b.State != nil {
+		r.state = b.State
+	}
+	if b.Mark != nil {
+		r.mark(b.Mark.Index, b.Mark.Keep)
+	}
+	for _, e := range b.Entries {
+		if err := r.entry(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// entry appends an entry and drops those it replaces.
+func (r *replay) entry(e Entry) error {
+	if e.Index == 0 {
+		return errors.New("entry with index 0")
+	}
+	if len(r.entries) == 0 {
+		r.entries = append(r.entries, e)
+		return nil
+	}
+	first, next := r.entries[0].Index, r.entries[len(r.entries)-1].Index+1
+	if e.Index > next {
+		return fmt.Errorf("entry %d follows entry %d", e.Index, next-1)
+	}
+	keep := uint64(0)
+	if e.Index > first {
+		keep = e.Index - first
+	}
+	r.entries = append(r.entries[:keep], e)
+	return nil
+}
+
+// mark drops the entries that a snapshot replaces.
+func (r *replay) mark(index uint64, keep bool) {
+	r.marked = index
+	if !keep {
+		r.entries = nil
+		return
+	}
+	for len(r.entries) > 0 && r.entries[0].Index <= index {
+		r.entries = r.entries[1:]
+	}
+}
+
+// agrees reports whether the log holds the snapshot's last entry.
+func (r *replay) agrees(s *Snapshot) bool {
+	for _, e := range r.entries {
+		if e.Index == s.Index {
+			return e.Term == s.Term
+		}
+	}
+	return false
+}
+
+func (l *Log) recover(newOwner func() uint64) (*Recovered, error) {
+	names, err := l.fs.List(l.folder)
+	if err != nil {
+		return nil, fmt.Errorf("list data folder %s: %w", l.folder, err)
+	}
+	if err := l.removeTemporary(names); err != nil {
+		return nil, err
+	}
+	segments, err := named(names, segmentSuffix)
+	if err != nil {
+		return nil, err
+	}
+	snapshots, err := named(names, snapshotSuffix)
+	if err != nil {
+		return nil, err
+	}
+	if len(snapshots) == 0 && len(segments) <= 1 {
+		if done, r, err := l.createNew(segments, newOwner); done || err != nil {
+			return r, err
+		}
+	}
+	return l.load(segments, snapshots)
+}
+
+func (l *Log) removeTemporary(names []string) error {
+	for _, n := range names {
+		if strings.HasSuffix(n, temporarySuffix) {
+			if err := l.fs.Remove(filepath.Join(l.folder, n)); err != nil {
+				return fmt.Errorf("remove %s: %w", n, err)
+			}
+		}
+	}
+	return nil
+}
+
+// createNew begins the first segment of an empty folder. A first segment without a
+// whole header is left over from a crash during creation, before its identity was used.
+func (l *Log) createNew(segments []uint64, newOwner func() uint64) (bool, *Recovered, error) {
+	if len(segments) == 1 {
+		data, err := l.fs.ReadFile(filepath.Join(l.folder, segmentName(segments[0])))
+		if err != nil {
+			return false, nil, fmt.Errorf("read %s: %w", segmentName(segments[0]), err)
+		}
+		if segments[0] != 1 || len(data) > headerSize {
+			return false, nil, nil
+		}
+		if _, ok := parseHeader(data); ok {
+			return false, nil, nil
+		}
+	}
+	owner := newOwner()
+	if err := l.begin(segment{owner: owner, sequence: 1}); err != nil {
+		return false, nil, err
+	}
+	return true, &Recovered{Owner: owner, New: true}, nil
+}
+
+func (l *Log) load(segments, snapshots []uint64) (*Recovered, error) {
+	r := &Recovered{}
+	if len(segments) == 0 {
+		return nil, fmt.Errorf("data folder %s has a snapshot and no segment", l.folder)
+	}
+	if n := len(snapshots); n > 0 {
+		if err := l.loadSnapshot(r, snapshots[n-1]); err != nil {
+			return nil, err
+		}
+	}
+	var content replay
+	for i, sequence := range segments {
+		if i > 0 && sequence != segments[i-1]+1 {
+			return nil, fmt.Errorf("segment %s is missing in %s", segmentName(segments[i-1]+1), l.folder)
+		}
+		if err := l.loadSegment(r, &content, sequence, i == len(segments)-1); err != nil {
+			return nil, err
+		}
+	}
+	l.state = content.state
+	if err := l.finish(r.Snapshot, &content); err != nil {
+		return nil, err
+	}
+	if err := checkStart(r.Snapshot, content.entries); err != nil {
+		return nil, fmt.Errorf("data folder %s: %w", l.folder, err)
+	}
+	r.State, r.Entries = content.state, content.entries
+	for _, old := range snapshots[:max(0, len(snapshots)-1)] {
+		if err := l.fs.Remove(filepath.Join(l.folder, snapshotName(old))); err != nil {
+			return nil, fmt.Errorf("remove %s: %w", snapshotName(old), err)
+		}
+	}
+	return r, nil
+}
+
+// finish makes durable what a process that died left unsynced, and writes the mark of a
+// snapshot whose writer died before it.
+func (l *Log) finish(s *Snapshot, content *replay) error {
+	if err := l.file.Sync(); err != nil {
+		return fmt.Errorf("sync %s: %w", segmentName(l.current.sequence), err)
+	}
+	if err := l.fs.SyncFolder(l.folder); err != nil {
+		return fmt.Errorf("sync folder %s: %w", l.folder, err)
+	}
+	if s == nil || content.marked == s.Index {
+		return nil
+	}
+	m := &mark{Index: s.Index, Keep: content.agrees(s)}
+	if err := l.rotate(m); err != nil {
+		return err
+	}
+	content.mark(m.Index, m.Keep)
+	return l.release(0)
+}
+
+// checkStart refuses entries that do not follow the snapshot.
+func checkStart(s *Snapshot, entries []Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	want := uint64(1)
+	if s != nil {
+		want = s.Index + 1
+	}
+	if entries[0].Index != want {
+		return fmt.Errorf("the log starts at entry %d instead of %d: a snapshot or segment is missing", entries[0].Index, want)
+	}
+	return nil
+}
+
+func (l *Log) loadSnapshot(r *Recovered, index uint64) error {
+	name := filepath.Join(l.folder, snapshotName(index))
+	data, err := l.fs.ReadFile(name)
+	if err != nil {
+		return fmt.Errorf("read %s: %w", name, err)
+	}
+	owner, s, err := decodeSnapshot(name, data)
+	if err != nil {
+		return err
+	}
+	if s.Index != index {
+		return &CorruptError{name, snapshotHeaderSize, fmt.Sprintf("snapshot holds index %d", s.Index)}
+	}
+	r.Owner, r.Snapshot, l.snapshot = owner, s, index
+	return nil
+}
+
+// loadSegment replays one segment. The last one becomes the current segment, after its
+// torn tail is cut.
+func (l *Log) loadSegment(r *Recovered, content *replay, sequence uint64, last bool) error {
+	name := filepath.Join(l.folder, segmentName(sequence))
+	data, err := l.fs.ReadFile(name)
+	if err != nil {
+		return fmt.Errorf("read %s: %w", name, err)
+	}
+	s, ok := parseHeader(data)
+	if !ok && last && len(data) <= headerSize && r.Owner != 0 {
+		// A crash interrupted the creation of this segment.
+		return l.begin(segment{owner: r.Owner, sequence: sequence})
+	}
+	if !ok || s.sequence != sequence {
+		return &CorruptError{name, 0, "segment header is damaged"}
+	}
+	if r.Owner != 0 && r.Owner != s.owner {
+		return &CorruptError{name, 8, "the segment belongs to another replica"}
+	}
+	r.Owner = s.owner
+	var lastIndex uint64
+	end, err := s.scan(name, data, last, func(b *batch) error {
+		for _, e := range b.Entries {
+			lastIndex = max(lastIndex, e.Index)
+		}
+		return content.batch(b)
+	})
+	if err != nil {
+		return err
+	}
+	if !last {
+		l.older = append(l.older, stored{sequence: sequence, lastIndex: lastIndex})
+		return nil
+	}
+	r.Cut = int64(len(data)) - end
+	l.current, l.offset, l.lastIndex = s, end, lastIndex
+	if l.file, err = l.fs.OpenAt(name, end); err != nil {
+		return fmt.Errorf("open %s: %w", name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/wal/snapshot.go
@@ -0,0 +1,86 @@
+package wal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"path/filepath"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Snapshot replaces the log up to Index.
+type Snapshot struct {
+	Index uint64 `msgpack:"i"`
+	Term  uint64 `msgpack:"t"`
+	// Meta is small data of the caller, such as the membership.
+	Meta []byte `msgpack:"m"`
+	Data []byte `msgpack:"d"`
+}
+
+// A snapshot file is: magic (8) | owner (8) | CRC (4) | payload. The CRC covers the
+// owner and the payload.
+const snapshotHeaderSize = 20
+
+var snapshotMagic = [8]byte{'T', 'T', 'S', 'N', 'A', 'P', 0, 1}
+
+func encodeSnapshot(owner uint64, s *Snapshot) ([]byte, error) {
+	payload, err := msgpack.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	b := make([]byte, snapshotHeaderSize, snapshotHeaderSize+len(payload))
+	copy(b, snapshotMagic[:])
+	binary.BigEndian.PutUint64(b[8:], owner)
+	crc := crc32.Update(crc32.Checksum(b[8:16], castagnoli), castagnoli, payload)
+	binary.BigEndian.PutUint32(b[16:], crc)
+	return append(b, payload...), nil
+}
+
+func decodeSnapshot(name string, data []byte) (owner uint64, s *Snapshot, err error) {
+	if len(data) < snapshotHeaderSize || !bytes.Equal(data[:8], snapshotMagic[:]) {
+		return 0, nil, &CorruptError{name, 0, "snapshot header is damaged"}
+	}
+	payload := data[snapshotHeaderSize:]
+	crc := crc32.Update(crc32.Checksum(data[8:16], castagnoli), castagnoli, payload)
+	if crc != binary.BigEndian.Uint32(data[16:]) {
+		return 0, nil, &CorruptError{name, snapshotHeaderSize, "snapshot checksum does not match"}
+	}
+	s = &Snapshot{}
+	if err := msgpack.Unmarshal(payload, s); err != nil {
+		return 0, nil, &CorruptError{name, snapshotHeaderSize, "decode snapshot: " + err.Error()}
+	}
+	return binary.BigEndian.Uint64(data[8:]), s, nil
+}
+
+// writeSnapshot makes a snapshot durable under its final name, or not at all.
+func writeSnapshot(fsys FS, folder string, owner uint64, s *Snapshot) error {
+	data, err := encodeSnapshot(owner, s)
+	if err != nil {
+		return fmt.Errorf("encode snapshot: %w", err)
+	}
+	name := filepath.Join(folder, snapshotName(s.Index))
+	temporary := name + temporarySuffix
+	f, err := fsys.Create(temporary)
+	if err != nil {
+		return fmt.Errorf("create %s: %w", temporary, err)
+	}
+	if _, err := f.Write(data); err != nil {
+		return fmt.Errorf("write %s: %w", temporary, errors.Join(err, f.Close()))
+	}
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("sync %s: %w", temporary, errors.Join(err, f.Close()))
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("close %s: %w", temporary, err)
+	}
+	if err := fsys.Rename(temporary, name); err != nil {
+		return fmt.Errorf("rename %s: %w", temporary, err)
+	}
+	if err := fsys.SyncFolder(folder); err != nil {
+		return fmt.Errorf("sync folder %s: %w", folder, err)
+	}
+	return nil
+}
