--- a/distribution/delta.go
+++ b/distribution/delta.go
@@ -36,10 +36,10 @@
 }
 
 // delta returns the change from a revision to the newest value, nil when the revision
-// is not kept.
+// is not kept. Revision 0 stands for a subscriber that has nothing.
 func (h *history[T, D]) delta(from uint64, diff func(old, new *T) *D) *D {
 	old, ok := h.values[from]
-	if !ok {
+	if !ok || from == 0 {
 		return nil
 	}
 	if d, ok := h.deltas[from]; ok {
