Judge whole calls in the concurrency limit

Cause: first token times vary with the prefills of neighbours and would stop a ramp that the engine can bear. Change: the ratio is that of the whole call, first token times count half; cold steps are at least 200 ms apart; the holder of an evicted prefix keeps a small credit so that gateways agree on where it is stored next. Result: builds; not yet measured.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -58,10 +58,15 @@
 	// coldGrowth and warmGrowth are the relative rises after a proof.
 	coldGrowth = 0.5
 	warmGrowth = 1.0 / 16
-	// coldProof is the number of successes per slot that prove a limit while cold;
-	// minProof applies to every step.
-	coldProof = 2
-	minProof  = 3
+	// minProof is the least number of successes that prove a limit; larger limits need
+	// one success per slot.
+	minProof = 2
+	// coldStepTime is the least time between two rises while cold. Short calls would
+	// otherwise prove a limit before the engine's load has shown in their latency.
+	coldStepTime = 200 * time.Millisecond
+	// firstShare weighs the ratio of first token times. They vary more than the time
+	// of a whole call, since the prefills of neighbours overlap.
+	firstShare = 0.5
 	// warmLimit is the limit at which a ramp counts as finished even though the
 	// endpoint's capacity has not been reached.
 	warmLimit = 8
@@ -180,7 +185,7 @@
 	l.calls.reportsFirst = true
 	x := float64(c.prompt)
 	if l.first.ready() {
-		ratio := now.Sub(t.start).Seconds() / l.first.at(x)
+		ratio := firstShare * now.Sub(t.start).Seconds() / l.first.at(x)
 		if ratio > fullRatio {
 			l.judge(ratio, t, now)
 		}
@@ -278,13 +283,15 @@
 	answer := float64(s.AnswerTokens)
 	firstTime := s.FirstToken.Seconds()
 	decodeTime := (s.Total - s.FirstToken).Seconds()
-	ratio := l.first.learn(prompt, firstTime, t.alone)
 	l.prefill.add(prompt, firstTime)
-	if answer > 1 && decodeTime > 0 {
-		ratio = math.Max(ratio, l.decode.learn(answer, decodeTime, t.alone))
-		l.decoded.add(answer, decodeTime)
+	expected, ratio := l.first.learn(prompt, firstTime, t.alone)
+	if answer <= 1 || decodeTime <= 0 {
+		return ratio
 	}
-	return ratio
+	l.decoded.add(answer, decodeTime)
+	expectedDecode, _ := l.decode.learn(answer, decodeTime, t.alone)
+	whole := s.Total.Seconds() / (expected + expectedDecode)
+	return math.Max(whole, firstShare*ratio)
 }
 
 // judge lowers the limit on a jump over the recent ratio or on a high level.
@@ -325,11 +332,10 @@
 	}
 	l.proof.successes++
 	l.proof.ratios += ratio
-	need := max(minProof, l.Limit())
-	if l.cold {
-		need = max(minProof, coldProof*l.Limit())
+	if l.proof.successes < max(minProof, l.Limit()) {
+		return
 	}
-	if l.proof.successes < need {
+	if l.cold && now.Sub(l.proof.since) < coldStepTime {
 		return
 	}
 	mean := l.proof.ratios / float64(l.proof.successes)
--- a/limit/line.go
+++ b/limit/line.go
@@ -40,11 +40,13 @@
 	return math.Max(leastTime, f.intercept+f.slope*x)
 }
 
-// learn returns the ratio of y to the prediction and adds the sample.
-func (f *line) learn(x, y float64, alone bool) float64 {
-	ratio := 1.0
+// learn adds a sample and returns the time that was predicted for it and the
+// ratio of the sample to the prediction.
+func (f *line) learn(x, y float64, alone bool) (expected, ratio float64) {
+	expected, ratio = y, 1
 	if f.known {
-		ratio = y / f.at(x)
+		expected = f.at(x)
+		ratio = y / expected
 	}
 	weight := 1.0
 	if f.ready() && ratio > 1 && !alone {
@@ -52,7 +54,7 @@
 	}
 	f.samples++
 	f.add(x, y, weight)
-	return ratio
+	return expected, ratio
 }
 
 func (f *line) add(x, y, w float64) {
--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -18,6 +18,9 @@
 	staleHeld = 0.5
 	// likelyHeld is used for the holder by hashing when no event says otherwise.
 	likelyHeld = 0.7
+	// evictedHeld is used for that holder when its last event was an eviction. It only
+	// makes gateways agree on where the prefix is stored next.
+	evictedHeld = 0.1
 )
 
 // prefixCache remembers the cache events of one endpoint in a fixed table. Each
@@ -112,9 +115,7 @@
 	}
 }
 
-// affinityLikely credits the likely holder, unless its cache events say that it
-// has evicted the prefix: the request then goes where the other scores lead, and
-// the holder's next stored event makes it known again.
+// affinityLikely credits the likely holder.
 func (x *scratch) affinityLikely(p Prefix, bound float64) {
 	best, bestRank := -1, uint64(0)
 	for _, i := range x.live {
@@ -126,11 +127,12 @@
 	if best < 0 {
 		return
 	}
+	held := likelyHeld
 	confidence, known := x.candidates[uint8(best)].state.cache.held(p.Hash)
 	if known && confidence == 0 {
-		return
+		held = evictedHeld
 	}
-	x.save(uint8(best), likelyHeld*float64(p.Tokens))
+	x.save(uint8(best), held*float64(p.Tokens))
 }
 
 func (x *scratch) save(i uint8, tokens float64) {
