Add the daemons and the development deployment

Cause: gateway, agent and control need programs with checked settings, and a newcomer needs one command that runs all of them. The control replicas still run on a log in memory.

--- /dev/null
+++ b/cmd/toucan-gateway/main.go
@@ -0,0 +1,10 @@
+// Command toucan-gateway starts a gateway process.
+package main
+
+import "toucantiller.dev/program"
+
+func main() {
+	var s program.GatewaySettings
+	program.Parse("toucan-gateway", "Accepts callers' requests and schedules them on endpoints.", &s)
+	program.Run("toucan-gateway", program.Module(&s, &s.Common, program.NewGateway))
+}
--- /dev/null
+++ b/dev/dev.go
@@ -0,0 +1,296 @@
+// Package dev runs a whole small deployment in one process on loopback: three control
+// replicas, two gateways, and agents beside fake endpoints of unlike speed in the
+// failure domains of one example deployment.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+	kitlog "github.com/go-kit/log"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control"
+	"toucantiller.dev/fake"
+	"toucantiller.dev/link"
+	"toucantiller.dev/program"
+)
+
+// Settings are the settings of toucan-dev.
+type Settings struct {
+	Listen     string           `help:"Address of the first gateway for callers, ip:port. The second gateway uses the next port." env:"TOUCAN_LISTEN" default:"127.0.0.1:8080"`
+	Data       string           `help:"Data folder; created when missing." env:"TOUCAN_DATA" default:"toucan-data" type:"path"`
+	Deployment string           `help:"Example deployment: weavers or library." env:"TOUCAN_DEPLOYMENT" enum:"weavers,library" default:"weavers"`
+	Control    int              `help:"First of three consecutive ports of the control replicas." env:"TOUCAN_CONTROL_PORT" default:"7100"`
+	Load       float64          `help:"Requests per second that built-in callers send." env:"TOUCAN_LOAD" default:"40"`
+	Verbose    bool             `help:"Write log lines to standard error." short:"v" env:"TOUCAN_VERBOSE"`
+	Version    kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// Check checks the settings.
+func (s *Settings) Check() error { return program.CheckAddress("listen", s.Listen) }
+
+const (
+	replicas = 3
+	gateways = 2
+	// applyTimeout bounds the wait for a leader and the first bundle.
+	applyTimeout = 10 * time.Second
+)
+
+// Deployment is a running deployment.
+type Deployment struct {
+	settings *Settings
+	logger   kitlog.Logger
+	example  example
+
+	controls []program.Process
+	gateways []*program.Gateway
+	agents   []program.Process
+	engines  []*http.Server
+	callers  *fake.Callers
+	stopLoad context.CancelFunc
+	load     sync.WaitGroup
+}
+
+// New builds a deployment from its settings.
+func New(s *Settings) (*Deployment, error) {
+	ex, err := loadExample(s.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	logger := kitlog.NewNopLogger()
+	if s.Verbose {
+		logger = program.NewLogger(os.Stderr, "toucan-dev")
+	}
+	return &Deployment{settings: s, logger: logger, example: ex}, nil
+}
+
+// Start starts all parts, applies the example bundle to an empty deployment and
+// returns when both gateways can serve.
+func (d *Deployment) Start(ctx context.Context) error {
+	for _, step := range []func(context.Context) error{d.startControl, d.startGateways, d.startAgents, d.applyBundle, d.waitReady} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	d.startLoad()
+	return nil
+}
+
+// ControlAddresses returns the addresses of the control replicas.
+func (d *Deployment) ControlAddresses() []string {
+	out := make([]string, replicas)
+	for i := range out {
+		out[i] = fmt.Sprintf("127.0.0.1:%d", d.settings.Control+i)
+	}
+	return out
+}
+
+// Summary is the line that toucan-dev prints when it is ready.
+func (d *Deployment) Summary() string {
+	return fmt.Sprintf("toucan-dev ready: %s deployment, callers http://%s and http://%s, control %s, %d endpoints, %.0f requests/s of built-in load",
+		d.settings.Deployment, d.gateways[0].Address(), d.gateways[1].Address(), strings.Join(d.ControlAddresses(), ","), len(d.agents), d.settings.Load)
+}
+
+func (d *Deployment) common(id, domain string) program.Common {
+	return program.Common{ID: id, Domain: domain, AdminListen: "127.0.0.1:0"}
+}
+
+func (d *Deployment) startControl(ctx context.Context) error {
+	addresses := d.ControlAddresses()
+	for i, address := range addresses {
+		id := fmt.Sprintf("control-%d", i+1)
+		folder := filepath.Join(d.settings.Data, id)
+		if err := os.MkdirAll(folder, 0o750); err != nil {
+			return &program.SettingError{Flag: "data", Err: err}
+		}
+		s := &program.ControlSettings{Common: d.common(id, d.domain(i)), Listen: address, Data: folder, Members: addresses}
+		c, err := program.NewControl(s, link.TCP{}, kitlog.With(d.logger, "process", id))
+		if err != nil {
+			return err
+		}
+		if err := c.Start(ctx); err != nil {
+			return err
+		}
+		d.controls = append(d.controls, c)
+	}
+	return nil
+}
+
+func (d *Deployment) startGateways(ctx context.Context) error {
+	host, port, err := splitPort(d.settings.Listen)
+	if err != nil {
+		return err
+	}
+	for i := range gateways {
+		id := fmt.Sprintf("gateway-%d", i+1)
+		s := &program.GatewaySettings{
+			Common:     d.common(id, d.domain(i)),
+			Listen:     net.JoinHostPort(host, fmt.Sprint(port+i)),
+			LinkListen: "127.0.0.1:0",
+			Control:    d.ControlAddresses(),
+		}
+		g, err := program.NewGateway(s, link.TCP{}, kitlog.With(d.logger, "process", id))
+		if err != nil {
+			return err
+		}
+		if err := g.Start(ctx); err != nil {
+			return err
+		}
+		d.gateways = append(d.gateways, g)
+	}
+	return nil
+}
+
+func splitPort(address string) (host string, port int, err error) {
+	host, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", 0, &program.SettingError{Flag: "listen", Err: err}
+	}
+	port, err = net.LookupPort("tcp", text)
+	return host, port, err
+}
+
+func (d *Deployment) domain(i int) string {
+	return d.example.bundle.Domains[i%len(d.example.bundle.Domains)].Name
+}
+
+func (d *Deployment) startAgents(ctx context.Context) error {
+	for _, e := range d.example.endpoints() {
+		address, err := d.startEngine(e.engine)
+		if err != nil {
+			return err
+		}
+		s := &program.AgentSettings{
+			Common:         d.common(e.id, e.domain),
+			Service:        e.service,
+			ServiceVersion: e.version,
+			Engine:         "http://" + address,
+			DispatchListen: "127.0.0.1:0",
+			LinkListen:     "127.0.0.1:0",
+			Control:        d.ControlAddresses(),
+		}
+		a, err := program.NewAgent(s, link.TCP{}, kitlog.With(d.logger, "process", e.id))
+		if err != nil {
+			return err
+		}
+		if err := a.Start(ctx); err != nil {
+			return err
+		}
+		d.agents = append(d.agents, a)
+	}
+	return nil
+}
+
+const engineReadHeader = 5 * time.Second
+
+func (d *Deployment) startEngine(h http.Handler) (address string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: engineReadHeader}
+	d.engines = append(d.engines, s)
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// applyBundle makes the example bundle the configuration unless there is one already.
+func (d *Deployment) applyBundle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	client := control.NewClient(link.TCP{}, d.ControlAddresses())
+	defer client.Close()
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if status.Bundle != (contract.BundleRef{}) {
+		return nil
+	}
+	return d.example.apply(ctx, client)
+}
+
+func (d *Deployment) waitReady(ctx context.Context) error {
+	for _, g := range d.gateways {
+		if err := g.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return d.waitEndpoints(ctx)
+}
+
+// waitEndpoints returns when every endpoint is registered.
+func (d *Deployment) waitEndpoints(ctx context.Context) error {
+	client := control.NewClient(link.TCP{}, d.ControlAddresses())
+	defer client.Close()
+	for {
+		status, err := client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if len(status.Endpoints) >= len(d.agents) {
+			return nil
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+const pollInterval = 50 * time.Millisecond
+
+func (d *Deployment) startLoad() {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stopLoad = cancel
+	d.callers = &fake.Callers{Key: d.example.key, Model: d.example.model, Rate: d.settings.Load}
+	for _, g := range d.gateways {
+		d.callers.Gateways = append(d.callers.Gateways, "http://"+g.Address())
+	}
+	d.load.Go(func() { d.callers.Run(ctx) })
+}
+
+// Stop stops callers first, then gateways, agents, engines and control, so that no
+// request is cut.
+func (d *Deployment) Stop(ctx context.Context) error {
+	if d.stopLoad != nil {
+		d.stopLoad()
+		d.load.Wait()
+	}
+	var errs []error
+	for _, g := range d.gateways {
+		errs = append(errs, g.Stop(ctx))
+	}
+	errs = append(errs, stopAll(ctx, d.agents)...)
+	for _, e := range d.engines {
+		errs = append(errs, e.Shutdown(ctx))
+	}
+	errs = append(errs, stopAll(ctx, d.controls)...)
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stopAll stops processes side by side.
+func stopAll(ctx context.Context, processes []program.Process) []error {
+	errs := make([]error, len(processes))
+	var wait sync.WaitGroup
+	for i, p := range processes {
+		wait.Go(func() { errs[i] = p.Stop(ctx) })
+	}
+	wait.Wait()
+	return errs
+}
--- /dev/null
+++ b/program/agent.go
@@ -0,0 +1,141 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/url"
+
+	kitlog "github.com/go-kit/log"
+
+	"toucantiller.dev/agent"
+	"toucantiller.dev/agent/httpengine"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+// AgentSettings are the settings of an agent.
+type AgentSettings struct {
+	Common         `embed:""`
+	Service        string   `help:"Service that the endpoint belongs to." env:"TOUCAN_SERVICE" required:""`
+	ServiceVersion string   `help:"Version that the endpoint serves." env:"TOUCAN_SERVICE_VERSION" required:""`
+	Engine         string   `help:"Base URL of the engine or plain service." env:"TOUCAN_ENGINE" required:""`
+	DispatchListen string   `help:"Address for dispatches of gateways, ip:port." env:"TOUCAN_DISPATCH_LISTEN" default:"127.0.0.1:7400"`
+	LinkListen     string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7401"`
+	Control        []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
+}
+
+// Check checks the settings.
+func (s *AgentSettings) Check() error {
+	return firstError(
+		s.Common.Check(),
+		CheckAddress("dispatch-listen", s.DispatchListen),
+		CheckAddress("link-listen", s.LinkListen),
+		CheckAddresses("control", s.Control),
+		checkEngine(s.Engine),
+	)
+}
+
+func checkEngine(base string) error {
+	u, err := url.Parse(base)
+	if err != nil {
+		return &SettingError{Flag: "engine", Err: err}
+	}
+	if u.Scheme != "http" || u.Host == "" {
+		return &SettingError{Flag: "engine", Err: errors.New("must be an http:// URL")}
+	}
+	return nil
+}
+
+// Agent is a running agent process.
+type Agent struct {
+	settings *AgentSettings
+	logger   kitlog.Logger
+	admin    *Admin
+	member   *member
+	agent    *agent.Agent
+	dispatch net.Listener
+	cancel   context.CancelFunc
+}
+
+// NewAgent builds an agent.
+func NewAgent(s *AgentSettings, network link.Network, logger kitlog.Logger) (*Agent, error) {
+	admin, err := NewAdmin(s.ID)
+	if err != nil {
+		return nil, err
+	}
+	m := newMember(s.Instance(instance.RoleAgent), network, s.Control, admin.Timeline)
+	return &Agent{settings: s, logger: logger, admin: admin, member: m}, nil
+}
+
+// Start listens, announces the endpoint and serves.
+func (a *Agent) Start(context.Context) error {
+	if err := a.listen(); err != nil {
+		return err
+	}
+	e := a.endpoint()
+	var err error
+	a.agent, err = agent.New(agent.Options{
+		Endpoint: e,
+		Engine:   httpengine.New(nil, a.settings.Engine),
+		View:     a.member,
+		Network:  a.member.network,
+		Logger:   a.logger,
+		Timeline: a.admin.Timeline,
+		Meter:    a.admin.Telemetry.Meter("toucantiller.dev/agent"),
+	})
+	if err != nil {
+		return err
+	}
+	run, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.member.start(&e)
+	a.member.running.Go(func() { _ = a.agent.Serve(a.dispatch) })
+	a.member.running.Go(func() { a.member.logChanges(run, a.logger) })
+	a.admin.Telemetry.SetReady(true)
+	_ = a.logger.Log("msg", "agent started", "endpoint", e.ID, "service", e.Service, "version", e.Version)
+	return nil
+}
+
+func (a *Agent) listen() error {
+	if err := a.admin.Start(a.settings.AdminListen); err != nil {
+		return err
+	}
+	a.member.self.AdminAddress = a.admin.Address()
+	if err := a.member.listen(a.settings.LinkListen); err != nil {
+		return err
+	}
+	l, err := a.member.network.Listen(a.settings.DispatchListen)
+	if err != nil {
+		return &SettingError{Flag: "dispatch-listen", Err: err}
+	}
+	a.dispatch = l
+	return nil
+}
+
+func (a *Agent) endpoint() endpoint.Endpoint {
+	self := a.member.self
+	return endpoint.Endpoint{
+		ID:           self.ID,
+		Incarnation:  self.Incarnation,
+		Service:      a.settings.Service,
+		Version:      a.settings.ServiceVersion,
+		Domain:       self.Domain,
+		Address:      a.dispatch.Addr().String(),
+		LinkAddress:  self.LinkAddress,
+		AdminAddress: self.AdminAddress,
+	}
+}
+
+// Stop refuses new work, deregisters, finishes what runs and ends.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.admin.Telemetry.SetReady(false)
+	a.agent.Drain()
+	_ = a.member.leave(ctx) // the lease ends by itself where control cannot be told
+	err := a.agent.Stop(ctx)
+	a.cancel()
+	a.member.stop()
+	_ = a.logger.Log("msg", "agent stopped")
+	return firstError(err, a.admin.Stop(ctx))
+}
--- /dev/null
+++ b/program/control.go
@@ -0,0 +1,83 @@
+package program
+
+import (
+	"context"
+
+	kitlog "github.com/go-kit/log"
+
+	"toucantiller.dev/control"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+// ControlSettings are the settings of a control replica.
+type ControlSettings struct {
+	Common  `embed:""`
+	Listen  string   `help:"Address for other processes and operators, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:7100"`
+	Data    string   `help:"Folder for the replica's state; it must exist." env:"TOUCAN_DATA" required:"" type:"path"`
+	Members []string `help:"Addresses of all replicas including this one, ip:port, comma separated." env:"TOUCAN_MEMBERS" required:""`
+}
+
+// Check checks the settings.
+func (s *ControlSettings) Check() error {
+	return firstError(
+		s.Common.Check(),
+		CheckAddress("listen", s.Listen),
+		CheckFolder("data", s.Data),
+		CheckAddresses("members", s.Members),
+	)
+}
+
+// Control is a running control replica.
+type Control struct {
+	settings *ControlSettings
+	logger   kitlog.Logger
+	admin    *Admin
+	network  link.Network
+	server   *control.Server
+}
+
+// NewControl builds a replica.
+func NewControl(s *ControlSettings, network link.Network, logger kitlog.Logger) (*Control, error) {
+	admin, err := NewAdmin(s.ID)
+	if err != nil {
+		return nil, err
+	}
+	return &Control{settings: s, logger: logger, admin: admin, network: network}, nil
+}
+
+// Start opens the log and serves.
+func (c *Control) Start(ctx context.Context) error {
+	if err := c.admin.Start(c.settings.AdminListen); err != nil {
+		return err
+	}
+	self := c.settings.Instance(instance.RoleControl)
+	self.LinkAddress = c.settings.Listen
+	self.AdminAddress = c.admin.Address()
+	server, err := control.New(control.Options{
+		Self:     self,
+		Network:  c.network,
+		OpenLog:  control.MemoryLog(c.settings.Listen),
+		Recorder: c.admin.Timeline,
+		Meter:    c.admin.Telemetry.Meter("toucantiller.dev/control"),
+		Logger:   c.logger,
+	})
+	if err != nil {
+		return err
+	}
+	if err := server.Start(ctx); err != nil {
+		return err
+	}
+	c.server = server
+	c.admin.Telemetry.SetReady(true)
+	_ = c.logger.Log("msg", "control replica started", "listen", c.settings.Listen)
+	return nil
+}
+
+// Stop ends the replica.
+func (c *Control) Stop(ctx context.Context) error {
+	c.admin.Telemetry.SetReady(false)
+	err := c.server.Stop(ctx)
+	_ = c.logger.Log("msg", "control replica stopped")
+	return firstError(err, c.admin.Stop(ctx))
+}
--- /dev/null
+++ b/program/gateway.go
@@ -0,0 +1,162 @@
+package program
+
+import (
+	"context"
+	"net"
+
+	kitlog "github.com/go-kit/log"
+
+	"toucantiller.dev/control"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/gateway"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+// GatewaySettings are the settings of a gateway.
+type GatewaySettings struct {
+	Common     `embed:""`
+	Listen     string   `help:"Address for callers, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:8080"`
+	LinkListen string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7300"`
+	Control    []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
+}
+
+// Check checks the settings.
+func (s *GatewaySettings) Check() error {
+	return firstError(
+		s.Common.Check(),
+		CheckAddress("listen", s.Listen),
+		CheckAddress("link-listen", s.LinkListen),
+		CheckAddresses("control", s.Control),
+	)
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Gateway is a running gateway process.
+type Gateway struct {
+	settings *GatewaySettings
+	logger   kitlog.Logger
+	admin    *Admin
+	member   *member
+	gateway  *gateway.Gateway
+	evidence *evidenceReporter
+	callers  net.Listener
+	cancel   context.CancelFunc
+}
+
+// NewGateway builds a gateway.
+func NewGateway(s *GatewaySettings, network link.Network, logger kitlog.Logger) (*Gateway, error) {
+	admin, err := NewAdmin(s.ID)
+	if err != nil {
+		return nil, err
+	}
+	m := newMember(s.Instance(instance.RoleGateway), network, s.Control, admin.Timeline)
+	g := &Gateway{settings: s, logger: logger, admin: admin, member: m}
+	g.evidence = &evidenceReporter{gateway: m.self.ID, moving: g.moving, report: m.control.ReportEvidence}
+	return g, nil
+}
+
+// moving reports whether a service has an unproven version or had its share changed by
+// a move.
+func (g *Gateway) moving(service string) bool {
+	config := g.member.Config()
+	if config == nil {
+		return false
+	}
+	s, ok := config.ServiceByName(service)
+	return ok && len(s.Versions) > 1
+}
+
+// Start listens and serves; it returns when a configuration has arrived or ctx ends.
+func (g *Gateway) Start(ctx context.Context) error {
+	if err := g.listen(); err != nil {
+		return err
+	}
+	var err error
+	g.gateway, err = gateway.New(gateway.Options{
+		Instance: g.member.self,
+		View:     g.member,
+		Claims:   claims{g.member.control},
+		Evidence: g.evidence,
+		Network:  g.member.network,
+		Logger:   g.logger,
+		Timeline: g.admin.Timeline,
+		Meter:    g.admin.Telemetry.Meter("toucantiller.dev/gateway"),
+	})
+	if err != nil {
+		return err
+	}
+	run, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.member.start(nil)
+	g.member.running.Go(func() { g.evidence.run(run) })
+	g.member.running.Go(func() { g.member.logChanges(run, g.logger) })
+	g.member.running.Go(func() { _ = g.gateway.Serve(g.callers) })
+	g.member.running.Go(func() { g.becomeReady(run) })
+	_ = g.logger.Log("msg", "gateway started", "listen", g.callers.Addr())
+	return nil
+}
+
+func (g *Gateway) becomeReady(ctx context.Context) {
+	if g.member.waitReady(ctx) == nil {
+		g.admin.Telemetry.SetReady(true)
+	}
+}
+
+func (g *Gateway) listen() error {
+	if err := g.admin.Start(g.settings.AdminListen); err != nil {
+		return err
+	}
+	g.member.self.AdminAddress = g.admin.Address()
+	if err := g.member.listen(g.settings.LinkListen); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", g.settings.Listen)
+	if err != nil {
+		return &SettingError{Flag: "listen", Err: err}
+	}
+	g.callers = l
+	return nil
+}
+
+// WaitReady returns when the first configuration has arrived.
+func (g *Gateway) WaitReady(ctx context.Context) error { return g.member.waitReady(ctx) }
+
+// Address returns where callers connect.
+func (g *Gateway) Address() string { return g.callers.Addr().String() }
+
+// Stop finishes open requests and leaves.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.admin.Telemetry.SetReady(false)
+	err := g.gateway.Stop(ctx)
+	_ = g.member.leave(ctx) // the lease ends by itself where control cannot be told
+	g.cancel()
+	g.member.stop()
+	_ = g.logger.Log("msg", "gateway stopped")
+	return firstError(err, g.admin.Stop(ctx))
+}
+
+// claims adapts the control client to gateway.Claims.
+type claims struct{ client *control.Client }
+
+// Claim claims an idempotency key.
+func (c claims) Claim(ctx context.Context, in api.Claim) (api.ClaimReply, error) {
+	out, err := c.client.Claim(ctx, &in)
+	if err != nil {
+		return api.ClaimReply{}, err
+	}
+	return *out, nil
+}
+
+// CompleteClaim stores the outcome of a claim.
+func (c claims) CompleteClaim(ctx context.Context, in api.CompleteClaim) error {
+	return c.client.CompleteClaim(ctx, &in)
+}
--- /dev/null
+++ b/program/member.go
@@ -0,0 +1,169 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	kitlog "github.com/go-kit/log"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/distribution"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+	"toucantiller.dev/membership"
+	"toucantiller.dev/timeline"
+)
+
+const (
+	// fetchTimeout bounds one fetch of the configuration from a peer.
+	fetchTimeout = time.Second
+	leaveTimeout = 2 * time.Second
+)
+
+// member is what gateways and agents have in common: the copy of the configuration,
+// the registration with control and the net/rpc listener.
+type member struct {
+	self      instance.Instance
+	network   link.Network
+	control   *control.Client
+	holder    *distribution.Holder
+	rpc       *link.Server
+	recorder  *timeline.Recorder
+	addresses []string
+
+	subscriber *distribution.Subscriber
+	announcer  *membership.Announcer
+	listener   net.Listener
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+
+	// fetching holds the peers being asked for a newer configuration.
+	fetching sync.Map
+}
+
+func newMember(self instance.Instance, network link.Network, controlAddresses []string, recorder *timeline.Recorder) *member {
+	return &member{
+		self:      self,
+		network:   network,
+		control:   control.NewClient(network, controlAddresses),
+		holder:    distribution.NewHolder(recorder),
+		rpc:       link.NewServer(),
+		recorder:  recorder,
+		addresses: controlAddresses,
+	}
+}
+
+// listen opens the net/rpc listener and fills self.LinkAddress.
+func (m *member) listen(address string) error {
+	l, err := m.network.Listen(address)
+	if err != nil {
+		return &SettingError{Flag: "link-listen", Err: err}
+	}
+	m.listener = l
+	m.self.LinkAddress = l.Addr().String()
+	return m.rpc.Register(distribution.ServiceName, distribution.NewService(m.holder))
+}
+
+// start follows the configuration and announces the process.
+func (m *member) start(e *endpoint.Endpoint) {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.subscriber = distribution.NewSubscriber(distribution.SubscriberOptions{
+		Network: m.network, Holder: m.holder, Self: m.self, Control: m.addresses, Recorder: m.recorder,
+	})
+	m.announcer = membership.NewAnnouncer(membership.Options{
+		Control: m.control, Configuration: m.holder, Self: m.self, Endpoint: e, Recorder: m.recorder,
+	})
+	m.running.Go(func() { _ = m.rpc.Serve(m.listener) })
+	m.running.Go(func() { m.subscriber.Run(ctx) })
+	m.running.Go(func() { m.announcer.Run(ctx) })
+}
+
+// leave ends the registration, so that no new work is sent here.
+func (m *member) leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	return m.announcer.Leave(ctx)
+}
+
+// stop ends everything else.
+func (m *member) stop() {
+	m.cancel()
+	_ = m.listener.Close()
+	m.rpc.Close()
+	m.control.Close()
+	m.running.Wait()
+}
+
+// waitReady returns when the first configuration has arrived.
+func (m *member) waitReady(ctx context.Context) error {
+	changes, unwatch := m.holder.Watch()
+	defer unwatch()
+	for m.holder.Config() == nil {
+		select {
+		case <-changes:
+		case <-ctx.Done():
+			return errors.New("no configuration arrived from control")
+		}
+	}
+	return nil
+}
+
+// Config returns the configuration in force.
+func (m *member) Config() *contract.Config { return m.holder.Config() }
+
+// Directory returns the registered endpoints.
+func (m *member) Directory() *api.Directory { return m.holder.Directory() }
+
+// UnprovenAllowed reports whether an unproven version may get its share.
+func (m *member) UnprovenAllowed(now time.Time) bool { return m.holder.UnprovenAllowed(now) }
+
+// MayServe reports whether new work may be taken.
+func (m *member) MayServe(now time.Time) bool { return m.holder.MayServe(now) }
+
+// Saw fetches the configuration from a peer that has a newer one. At most one fetch a
+// peer is under way.
+func (m *member) Saw(revision uint64, peer string) {
+	if peer == "" || revision <= m.holder.Revision() {
+		return
+	}
+	if _, busy := m.fetching.LoadOrStore(peer, struct{}{}); busy {
+		return
+	}
+	go m.fetch(peer)
+}
+
+func (m *member) fetch(peer string) {
+	defer m.fetching.Delete(peer)
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	client := link.NewClient(m.network, peer)
+	defer client.Close()
+	if err := m.holder.FetchFrom(ctx, client); err == nil {
+		m.recorder.Record(timeline.Event{Kind: "config.fetched", Revision: m.holder.Revision(), Detail: peer})
+	}
+}
+
+// logChanges writes a line for each change of revision until ctx ends.
+func (m *member) logChanges(ctx context.Context, logger kitlog.Logger) {
+	changes, unwatch := m.holder.Watch()
+	defer unwatch()
+	var last uint64
+	for {
+		if r := m.holder.Revision(); r != last {
+			last = r
+			_ = logger.Log("msg", "configuration in force", "revision", r)
+		}
+		select {
+		case <-changes:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
