--- a/control/api/api.go
+++ b/control/api/api.go
@@ -90,6 +90,11 @@
 	Started  time.Time
 	Deadline time.Time
 	Ended    time.Time
+	// StageSince is when the present stage began.
+	StageSince time.Time
+	// Watch is how long the old version stays warm after full share; 0 means the
+	// default of package rollout.
+	Watch time.Duration
 	// Cause says in one line why the move stands as it does.
 	Cause string
 	// Evidence lists what the decision rests on.
