--- a/dev/dev.go
+++ b/dev/dev.go
@@ -39,7 +39,7 @@
 func (s *Settings) Check() error { return program.CheckAddress("listen", s.Listen) }
 
 const (
-	replicas = 3
+	replicas = 1
 	gateways = 2
 	// applyTimeout bounds the wait for a leader and the first bundle.
 	applyTimeout = 10 * time.Second
