Raise and release the admission floor one tier at a time

Change: a gateway raises the floor by one tier per 200 ms and sheds only on its own raised floor; an expired floor admits one more tier per second; a queue time that is over sheds only when the floor allows.

--- a/admission/floor.go
+++ b/admission/floor.go
@@ -6,13 +6,36 @@
 	"toucantiller.dev/account"
 )
 
-// floor is the admission floor: tiers with a rank above it are refused until it
-// expires.
+// FloorTTL is how long an admission floor holds after it was last raised.
+const FloorTTL = time.Second
+
+// NoFloor is the value of a floor that refuses nothing.
+const NoFloor = -1
+
+// floor is the admission floor: tiers with a rank above it are refused.
+//
+// An expired floor admits one more tier per FloorTTL. Processes learn of a floor
+// and of its end at different times; without these steps, a process that still
+// refuses a tier would do so while another one admits the tiers below it.
 type floor struct {
 	tier  int
 	until time.Time
 }
 
+func (f floor) at(now time.Time, tiers int) int {
+	if f.tier == NoFloor {
+		return NoFloor
+	}
+	tier := f.tier
+	if !now.Before(f.until) {
+		tier += 1 + int(now.Sub(f.until)/FloorTTL)
+	}
+	if tier >= tiers-1 {
+		return NoFloor
+	}
+	return tier
+}
+
 // RaiseFloor refuses tiers with a rank above tier for FloorTTL. A higher floor
 // (lower rank) in force is kept, and its time is not extended by a lower one.
 func (q *Queue) RaiseFloor(tier account.Tier, now time.Time) {
@@ -20,53 +43,17 @@
 	if current != NoFloor && current < int(tier) {
 		return
 	}
+	if int(tier) >= q.opt.Tiers-1 {
+		return
+	}
 	q.floor = floor{tier: int(tier), until: now.Add(FloorTTL)}
 }
 
 // Floor returns the floor in force, or NoFloor.
-func (q *Queue) Floor(now time.Time) int {
-	if q.floor.tier == NoFloor || !now.Before(q.floor.until) {
-		return NoFloor
-	}
-	return q.floor.tier
-}
-
-// drain estimates how fast a queue is served, in tokens per second.
-type drain struct {
-	rate float64
-	cost float64
-	from time.Time
-}
-
-// Smoothing of the drain estimate.
-const (
-	drainWindow = 250 * time.Millisecond
-	drainGain   = 0.3
-)
-
-func (d *drain) add(cost float64, now time.Time) {
-	if d.from.IsZero() {
-		d.from = now
-	}
-	d.cost += cost
-	elapsed := now.Sub(d.from)
-	if elapsed < drainWindow {
-		return
-	}
-	rate := d.cost / elapsed.Seconds()
-	if d.rate == 0 {
-		d.rate = rate
-	}
-	d.rate += drainGain * (rate - d.rate)
-	d.cost = 0
-	d.from = now
-}
+func (q *Queue) Floor(now time.Time) int { return q.floor.at(now, q.opt.Tiers) }
 
-// time estimates how long work of this cost takes; without a measured rate it
-// returns 1 s.
-func (d *drain) time(cost float64) time.Duration {
-	if d.rate <= 0 {
-		return time.Second
-	}
-	return time.Duration(min(cost/d.rate, MaxRetryAfter.Seconds()) * float64(time.Second))
+// floorRetry is the time until the floor admits the tier again.
+func (q *Queue) floorRetry(tier account.Tier, now time.Time) time.Duration {
+	steps := int(tier) - q.floor.tier - 1
+	return clampRetry(q.floor.until.Add(time.Duration(steps) * FloorTTL).Sub(now))
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -9,16 +9,13 @@
 // DefaultCapacity is the capacity of a queue in requests.
 const DefaultCapacity = 1024
 
-// FloorTTL is how long an admission floor holds after it was last raised.
-const FloorTTL = time.Second
-
-// NoFloor is the value of a floor that refuses nothing.
-const NoFloor = -1
-
 // QueueOptions bound a Queue.
 type QueueOptions struct {
 	// Capacity is the bound in requests; 0 means DefaultCapacity.
 	Capacity int
+	// Tiers is the number of configured tiers. A floor refuses none of them when it is 0
+	// or 1.
+	Tiers int
 	// MaxTokens is the bound on the total cost of waiting items; 0 means none.
 	MaxTokens int
 	// MaxQueueTime bounds the wait by tier rank; missing or zero entries mean no bound.
@@ -40,6 +37,8 @@
 	seq    uint64
 	floor  floor
 	drain  drain
+	// mayShed tells whether a tier may be shed for its queue time; nil allows all.
+	mayShed func(tier account.Tier, now time.Time) bool
 }
 
 // NewQueue returns an empty queue.
@@ -93,7 +92,7 @@
 // refuseEarly applies the checks that need no room.
 func (q *Queue) refuseEarly(it *Item, now time.Time) *Refusal {
 	if f := q.Floor(now); f != NoFloor && int(it.Tier) > f {
-		return &Refusal{ReasonBelowFloor, it.Tier, clampRetry(q.floor.until.Sub(now))}
+		return &Refusal{ReasonBelowFloor, it.Tier, q.floorRetry(it.Tier, now)}
 	}
 	if it.late(now) {
 		return q.refuse(ReasonDeadline, it.Tier)
@@ -215,17 +214,21 @@
 
 func (q *Queue) expired(it *Item, limit int, now time.Time) *Refusal {
 	if limit != NoFloor && int(it.Tier) > limit {
-		return &Refusal{ReasonBelowFloor, it.Tier, clampRetry(q.floor.until.Sub(now))}
+		return &Refusal{ReasonBelowFloor, it.Tier, q.floorRetry(it.Tier, now)}
 	}
 	if it.late(now) {
 		return q.refuse(ReasonDeadline, it.Tier)
 	}
-	if bound := q.maxQueueTime(it.Tier); bound > 0 && now.Sub(it.queued) >= bound {
+	if bound := q.maxQueueTime(it.Tier); bound > 0 && now.Sub(it.queued) >= bound && q.sheddable(it.Tier, now) {
 		return q.refuse(ReasonQueueTime, it.Tier)
 	}
 	return nil
 }
 
+func (q *Queue) sheddable(tier account.Tier, now time.Time) bool {
+	return q.mayShed == nil || q.mayShed(tier, now)
+}
+
 func (q *Queue) maxQueueTime(tier account.Tier) time.Duration {
 	if int(tier) >= len(q.opt.MaxQueueTime) {
 		return 0
--- a/admission/service.go
+++ b/admission/service.go
@@ -11,11 +11,13 @@
 // stopped taking the tiers below.
 const ShedDelay = 200 * time.Millisecond
 
+// renewInterval is the interval at which a floor that is still needed is raised
+// again at the agents.
+const renewInterval = FloorTTL / 4
+
 // ServiceOptions configure a ServiceQueue.
 type ServiceOptions struct {
 	QueueOptions
-	// Tiers is the number of configured tiers; the lowest may be shed at once.
-	Tiers int
 	// Reserve is the number of requests the queue holds beyond Capacity while it waits
 	// for a raised floor to take effect; 0 means Capacity.
 	Reserve int
@@ -26,21 +28,27 @@
 // is not safe for concurrent use.
 type ServiceQueue struct {
 	Queue
-	tiers   int
-	soft    int
 	reserve int
-	// wanted is the floor this gateway needs at its agents, since wantedAt.
-	wanted    int
-	raisedAt  time.Time
-	wantedAt  time.Time
-	announced bool
-	early     int
+	own     ownFloor
+	early   int
+}
+
+// ownFloor is the floor that this gateway raises at its agents. It rises by one
+// tier at a time, ShedDelay apart, so that each tier is gone everywhere before the
+// next one is refused.
+type ownFloor struct {
+	tier int
+	// since is when the floor rose to tier; neededAt when the need was last seen.
+	since, neededAt time.Time
+	// sentAt is when FloorRequest last returned it; zero after a change.
+	sentAt time.Time
 }
 
 // NewServiceQueue returns an empty queue.
 func NewServiceQueue(opt ServiceOptions) *ServiceQueue {
-	q := &ServiceQueue{wanted: NoFloor}
+	q := &ServiceQueue{own: ownFloor{tier: NoFloor}}
 	q.Queue = *NewQueue(opt.QueueOptions)
+	q.mayShed = q.allowed
 	q.SetOptions(opt)
 	return q
 }
@@ -48,12 +56,10 @@
 // SetOptions replaces the bounds.
 func (q *ServiceQueue) SetOptions(opt ServiceOptions) {
 	q.Queue.SetOptions(opt.QueueOptions)
-	q.soft = q.opt.Capacity
 	q.reserve = opt.Reserve
 	if q.reserve <= 0 {
-		q.reserve = q.soft
+		q.reserve = q.opt.Capacity
 	}
-	q.tiers = max(opt.Tiers, 1)
 }
 
 // Push adds an item or refuses it, and returns what had to give way. Beyond the
@@ -62,7 +68,7 @@
 	if refusal = q.refuseEarly(it, now); refusal != nil {
 		return nil, refusal
 	}
-	if q.length < q.soft {
+	if !q.full(it) {
 		q.link(it, now)
 		return nil, nil
 	}
@@ -75,9 +81,9 @@
 	if victim != nil {
 		shed = victim
 	}
-	if !q.mayShed(shed.Tier, now) {
+	if !q.allowed(shed.Tier, now) {
 		q.want(shed.Tier, now)
-		if q.length < q.soft+q.reserve {
+		if q.length < q.opt.Capacity+q.reserve {
 			q.link(it, now)
 			return nil, nil
 		}
@@ -92,66 +98,64 @@
 	return evicted, nil
 }
 
-// mayShed reports whether shedding the tier keeps the promise that no tier is
-// shed before a lower one.
-func (q *ServiceQueue) mayShed(tier account.Tier, now time.Time) bool {
-	if int(tier) >= q.tiers-1 {
+// allowed reports whether shedding the tier keeps the promise that no tier is
+// shed before a lower one. Only the gateway's own floor counts: one learned from
+// an agent may have expired there.
+func (q *ServiceQueue) allowed(tier account.Tier, now time.Time) bool {
+	if int(tier) >= q.opt.Tiers-1 {
 		return true
 	}
-	f := q.Floor(now)
-	if f != NoFloor && int(tier) > f {
-		return true
+	o := &q.own
+	if o.tier == NoFloor || o.sentAt.IsZero() || now.Sub(o.sentAt) >= FloorTTL {
+		return false
 	}
-	return q.wanted != NoFloor && q.wanted <= int(tier) && q.holds(now) && now.Sub(q.raisedAt) >= ShedDelay
+	return o.tier < int(tier) || (o.tier == int(tier) && now.Sub(o.since) >= ShedDelay)
 }
 
-func (q *ServiceQueue) holds(now time.Time) bool {
-	return now.Sub(q.wantedAt) < FloorTTL
-}
-
-// want asks for the floor at the agents. Lower tiers wait here too until they are
-// shed below the floor.
+// want asks for the floor at the agents that shedding the tier needs.
 func (q *ServiceQueue) want(tier account.Tier, now time.Time) {
-	if q.wanted == NoFloor || !q.holds(now) || int(tier) < q.wanted {
-		q.wanted = int(tier)
-		q.raisedAt = now
-		q.announced = false
-	}
-	if now.Sub(q.wantedAt) >= FloorTTL/4 {
-		q.announced = false
+	o := &q.own
+	if o.tier == NoFloor || now.Sub(o.neededAt) >= FloorTTL {
+		*o = ownFloor{tier: max(q.opt.Tiers-2, 0), since: now}
+	} else if int(tier) < o.tier && now.Sub(o.since) >= ShedDelay {
+		*o = ownFloor{tier: o.tier - 1, since: now}
 	}
-	q.wantedAt = now
-	q.RaiseFloor(account.Tier(q.wanted), now)
+	o.neededAt = now
+	q.RaiseFloor(account.Tier(o.tier), now)
 }
 
 // FloorRequest returns the floor that the gateway must raise at its agents now.
-// It returns each request once, and again while the need persists, so that the
-// floor does not expire.
+// It returns a floor when it has risen and again while the need persists. Callers
+// use it after every push and on their timer.
 func (q *ServiceQueue) FloorRequest(now time.Time) (account.Tier, bool) {
-	if q.wanted == NoFloor || q.announced || !q.holds(now) {
+	o := &q.own
+	if o.tier == NoFloor || now.Sub(o.neededAt) >= FloorTTL {
+		return 0, false
+	}
+	if !o.sentAt.IsZero() && now.Sub(o.sentAt) < renewInterval {
 		return 0, false
 	}
-	q.announced = true
-	return account.Tier(q.wanted), true
+	o.sentAt = now
+	return account.Tier(o.tier), true
 }
 
-// ObserveFloor takes in the floor that an agent reported, and how old the report
-// is. It refuses and expires tiers below it.
+// ObserveFloor takes in the floor that an agent reported; a negative value means
+// none. The queue refuses and expires tiers below it.
 func (q *ServiceQueue) ObserveFloor(tier int, now time.Time) {
-	if tier < 0 {
-		return
+	if tier >= 0 {
+		q.RaiseFloor(account.Tier(tier), now)
 	}
-	q.RaiseFloor(account.Tier(tier), now)
 }
 
 // Expire removes the items that can no longer be served and, once the floor
-// allows it, sheds the excess over the capacity.
+// allows it, sheds the excess over the capacity. It also raises the floor for
+// tiers that have waited long, so callers use it on a timer of at most ShedDelay.
 func (q *ServiceQueue) Expire(now time.Time) []Dropped {
 	q.wantForWaiting(now)
 	out := q.Queue.Expire(now)
-	for q.length > q.soft {
+	for q.length > q.opt.Capacity {
 		low := q.lowest()
-		if !q.mayShed(account.Tier(low), now) {
+		if !q.allowed(account.Tier(low), now) {
 			q.want(account.Tier(low), now)
 			break
 		}
@@ -170,7 +174,7 @@
 func (q *ServiceQueue) wantForWaiting(now time.Time) {
 	for rank := range q.bands {
 		bound := q.maxQueueTime(account.Tier(rank))
-		if bound <= 0 || rank >= q.tiers-1 {
+		if bound <= 0 || rank >= q.opt.Tiers-1 {
 			continue
 		}
 		for _, f := range q.bands[rank].ring {
--- a/scenario/agent.go
+++ b/scenario/agent.go
@@ -74,7 +74,7 @@
 }
 
 func (a *agent) reset() {
-	a.queue = admission.NewQueue(admission.QueueOptions{Capacity: agentQueue})
+	a.queue = admission.NewQueue(admission.QueueOptions{Capacity: agentQueue, Tiers: tiers})
 	a.limiter = limit.New(limit.Options{})
 	a.open = map[*dispatch]bool{}
 	a.reports = nil
--- a/scenario/gateway.go
+++ b/scenario/gateway.go
@@ -57,8 +57,7 @@
 		bound[i] = maxQueueTime
 	}
 	g.queue = admission.NewServiceQueue(admission.ServiceOptions{
-		QueueOptions: admission.QueueOptions{Capacity: gatewayQueue, MaxQueueTime: bound, FairEviction: true},
-		Tiers:        tiers,
+		QueueOptions: admission.QueueOptions{Capacity: gatewayQueue, Tiers: tiers, MaxQueueTime: bound, FairEviction: true},
 	})
 	g.rebuild()
 	return g
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -16,6 +16,8 @@
 	load      load
 	// load factors of the capacity: usual before the measured time, measured within.
 	usual, measured float64
+	// drain is the time after the measured time for calls still open; 0 means drainTime.
+	drain time.Duration
 	// lossy loses messages between gateways and agents.
 	lossy bool
 	// faults are scheduled relative to the start of the measured time.
@@ -62,25 +64,31 @@
 			sc.faults(w, s)
 		}
 	})
-	w.clock.runUntil(w.result.until.Add(drainTime))
+	w.clock.runUntil(w.result.until.Add(max(sc.drain, drainTime)))
 	w.result.close(w.calls)
 	return w.result
 }
 
-// again is what a caller does when its gateway died: it calls another one.
+// again is what a caller does when its gateway died: it issues a new request at
+// another gateway while its time allows. The caller of a non-idempotent call
+// without a key cannot do so.
 func (w *world) again(c *call, gateway int) {
 	if c.settled {
 		return
 	}
 	c.onSettle = nil
 	if c.answer == 1 {
-		// The caller of a non-idempotent call without a key cannot call again.
 		w.lose(c)
 		return
 	}
+	c.settled = true
 	w.clock.after(retryDelay, func() {
-		if !c.settled && w.clock.now.Before(c.deadline) {
-			w.system.arrive(c, (gateway+1)%w.gates)
+		anew := *c
+		anew.id = len(w.calls)
+		anew.runs, anew.prefilled, anew.settled = 0, 0, false
+		w.calls = append(w.calls, &anew)
+		if w.clock.now.Before(c.deadline) {
+			w.system.arrive(&anew, (gateway+1)%w.gates)
 		}
 	})
 }
@@ -98,7 +106,7 @@
 		{name: "steady", speeds: six, gateways: 3, load: base, usual: 0.7, measured: 0.7},
 		{name: "burst2x", speeds: six, gateways: 3, load: base, usual: 0.8, measured: 2},
 		{name: "burst4x", speeds: six, gateways: 3, load: base, usual: 0.8, measured: 4},
-		{name: "long100x", speeds: six, gateways: 3, load: with(func(l *load) { l.longShare = 0.005 }), usual: 0.7, measured: 0.7},
+		{name: "long100x", speeds: six, gateways: 3, drain: 600 * time.Second, load: with(func(l *load) { l.longShare = 0.005 }), usual: 0.7, measured: 0.7},
 		{name: "speeds1to4", speeds: []float64{1, 1, 1, 2, 2, 4}, gateways: 3, load: base, usual: 0.7, measured: 0.9},
 		{name: "stale5s", speeds: six, gateways: 3, staleness: 5 * time.Second, load: base, usual: 0.7, measured: 0.9},
 		{name: "prefixes", speeds: six, gateways: 3, load: with(func(l *load) { l.prefixes = 18 }), usual: 0.5, measured: 0.6},
