Test distribution under link faults

Cause: promises P3, P5 and P11 need a drain to arrive through peers, and a cut off process to lose its freshness. Change: tests in a synctest bubble with partition, silence and refusal; rapid tests of the tree and of deltas. Conclusion: a process cut off from control learns a drain within 3 s.

--- /dev/null
+++ b/distribution/distribution_test.go
@@ -0,0 +1,287 @@
+package distribution_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"toucantiller.dev/account"
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/distribution"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+// Guards against a process that is cut off from control but not from its peers and
+// keeps sending work to a drained domain (P5: 3 s).
+func TestCutOffProcessLearnsADrainFromAPeer(t *testing.T) {
+	for _, fault := range []link.Fault{link.FaultPartition, link.FaultSilence, link.FaultRefuse} {
+		bubble(t, func(t *testing.T) {
+			l := startLeader(t, "control", "control-b")
+			l.directory = directoryOf(1, "a", "b", "c")
+			l.publish(t, 2)
+			l.start(t, "a", "control")
+			cutOff := l.start(t, "b", "control-b")
+			time.Sleep(2 * time.Second)
+			assert.Equal(t, cutOff.holder.Revision(), uint64(2))
+			l.network.SetFault("control-b", fault)
+			l.publish(t, 3)
+			time.Sleep(3 * time.Second)
+			assert.Assert(t, drained(cutOff.holder), "fault %d", fault)
+		})
+	}
+}
+
+// Guards against a data path that sees a higher revision and does not learn it at once
+// from that peer.
+func TestFetchFromPeerWithHigherRevision(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		l := startLeader(t, "control")
+		l.publish(t, 2)
+		a := l.start(t, "a", "control")
+		time.Sleep(time.Second)
+		cutOff := distribution.NewHolder(nil)
+		client := link.NewClient(l.network, "a")
+		defer client.Close()
+		assert.NilError(t, cutOff.FetchFrom(t.Context(), client))
+		l.publish(t, 3)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, a.holder.Revision(), uint64(3))
+		assert.NilError(t, cutOff.FetchFrom(t.Context(), client))
+		assert.Assert(t, drained(cutOff))
+	})
+}
+
+// Guards against a process that is made to look fresh by a relay which is itself cut
+// off: its unproven versions must lose their share after 2.5 s.
+func TestRelayAddsItsAgeToBeacons(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		l := startLeader(t, "control")
+		l.directory = directoryOf(1, "a")
+		l.publish(t, 2)
+		a := l.start(t, "a", "control")
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, a.holder.UnprovenAllowed(time.Now()))
+		l.network.SetFault("control", link.FaultPartition)
+		time.Sleep(2 * time.Second)
+		late := distribution.NewHolder(nil)
+		client := link.NewClient(l.network, "a")
+		defer client.Close()
+		assert.NilError(t, late.FetchFrom(t.Context(), client))
+		assert.Assert(t, late.Freshness(time.Now()) >= 1500*time.Millisecond, "%s", late.Freshness(time.Now()))
+		time.Sleep(time.Second)
+		assert.NilError(t, late.FetchFrom(t.Context(), client))
+		assert.Assert(t, !late.UnprovenAllowed(time.Now()))
+		assert.Assert(t, late.MayServe(time.Now()))
+		time.Sleep(time.Minute)
+		assert.Assert(t, !late.MayServe(time.Now()), "served past serve_stale")
+	})
+}
+
+// Guards against a beacon that counts as fresh after a slow transit, or for a revision
+// that the process does not have.
+func TestBeaconAgeIncludesTransit(t *testing.T) {
+	h := distribution.NewHolder(nil)
+	accept := func(v *api.View, transit time.Duration) {
+		_, err := h.Accept(v, transit)
+		assert.NilError(t, err)
+	}
+	accept(&api.View{Config: config(2), Beacon: api.Beacon{Revision: 3, Term: 1, Seq: 1}}, 0)
+	assert.Equal(t, h.Freshness(time.Now()), distribution.NeverFresh)
+	accept(&api.View{Beacon: api.Beacon{Revision: 2, Term: 1, Seq: 2, Age: time.Second}}, 2*time.Second)
+	assert.Assert(t, !h.UnprovenAllowed(time.Now()))
+	accept(&api.View{Beacon: api.Beacon{Revision: 2, Term: 1, Seq: 3}}, time.Second)
+	assert.Assert(t, h.UnprovenAllowed(time.Now()))
+	accept(&api.View{Beacon: api.Beacon{Revision: 2, Term: 1, Seq: 1, Age: time.Hour}}, 0)
+	assert.Assert(t, h.UnprovenAllowed(time.Now()), "an older beacon replaced a newer one")
+}
+
+// Guards against a restarted process that needs one message per missed change, or
+// takes an older revision from a peer that lags.
+func TestRestartedProcessTakesOneSnapshot(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		l := startLeader(t, "control")
+		for revision := uint64(1); revision <= 300; revision++ {
+			l.publish(t, revision)
+		}
+		l.whole.Store(0)
+		a := l.start(t, "a", "control")
+		time.Sleep(time.Second)
+		assert.Equal(t, a.holder.Revision(), uint64(300))
+		assert.Equal(t, l.whole.Load(), int64(1))
+		for _, stale := range []uint64{1, 299, 300} {
+			changed, err := a.holder.Accept(&api.View{Config: config(stale)}, 0)
+			assert.NilError(t, err)
+			assert.Assert(t, !changed)
+		}
+		l.publish(t, 301)
+		time.Sleep(time.Second)
+		assert.Equal(t, a.holder.Revision(), uint64(301))
+		assert.Equal(t, l.whole.Load(), int64(1), "a change was sent whole instead of as a delta")
+	})
+}
+
+// Guards against the children of a relay that dies, goes silent or is itself cut off
+// staying on their old settings.
+func TestChildrenLeaveADeadRelay(t *testing.T) {
+	for name, fail := range map[string]func(l *leader, relay *node){
+		"silent": func(l *leader, relay *node) { l.network.SetFault(string(relay.self.ID), link.FaultPartition) },
+		"refuses": func(l *leader, relay *node) {
+			l.network.SetFault(string(relay.self.ID), link.FaultRefuse)
+			l.network.Reset(string(relay.self.ID))
+		},
+		"cut off": func(_ *leader, relay *node) { relay.stop() },
+	} {
+		bubble(t, func(t *testing.T) {
+			l := startLeader(t, "control")
+			var ids []string
+			for i := range 60 {
+				ids = append(ids, fmt.Sprintf("p%02d", i))
+			}
+			l.directory = directoryOf(1, ids...)
+			l.publish(t, 2)
+			nodes := map[string]*node{}
+			for _, id := range ids {
+				nodes[id] = l.start(t, id, "control")
+			}
+			time.Sleep(12 * time.Second)
+			relay := busiest(nodes)
+			assert.Assert(t, relay != "", "nobody follows a relay")
+			fail(l, nodes[relay])
+			time.Sleep(time.Second)
+			l.publish(t, 3)
+			time.Sleep(3 * time.Second)
+			for id, n := range nodes {
+				assert.Assert(t, drained(n.holder) || id == relay, "%s: %s did not learn the drain", name, id)
+			}
+		})
+	}
+}
+
+// busiest returns the relay that most nodes follow.
+func busiest(nodes map[string]*node) string {
+	children := map[string]int{}
+	best := ""
+	for _, n := range nodes {
+		if p := n.subscriber.Parent(); p != "control" {
+			children[p]++
+			if children[p] > children[best] {
+				best = p
+			}
+		}
+	}
+	return best
+}
+
+// Guards against a tree that overloads a relay, has a cycle or depends on the observer.
+func TestTreeReachesControlWithBoundedFanOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &api.Directory{Revision: 1}
+		domains := rapid.IntRange(1, 30).Draw(t, "domains")
+		for i := range rapid.IntRange(1, 800).Draw(t, "processes") {
+			id := fmt.Sprintf("p%04d", i)
+			domain := failuredomain.ID(fmt.Sprintf("d%d", rapid.IntRange(1, domains).Draw(t, "domain")))
+			d.Endpoints = append(d.Endpoints, endpoint.Endpoint{ID: instance.ID(id), Domain: domain, Address: id})
+		}
+		parent := map[string]string{}
+		children := map[string]int{}
+		for _, e := range d.Endpoints {
+			self := instance.Instance{ID: e.ID, Domain: e.Domain}
+			parents := distribution.Parents(d, self)
+			to := "control"
+			if len(parents) > 0 {
+				to = parents[0]
+			}
+			if slices.Contains(parents, string(e.ID)) {
+				t.Fatalf("%s follows itself", e.ID)
+			}
+			parent[string(e.ID)] = to
+			children[to]++
+		}
+		for to, n := range children {
+			if limit := 32; n > limit {
+				t.Fatalf("%s has %d children", to, n)
+			}
+		}
+		for id := range parent {
+			depth := 0
+			for at := id; at != "control"; at = parent[at] {
+				if depth++; depth > 4 {
+					t.Fatalf("%s is %d steps from control", id, depth)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a relay that accepts any number of waiting subscribers.
+func TestServiceBoundsSubscribers(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		h := distribution.NewHolder(nil)
+		_, err := h.Accept(&api.View{Config: config(2)}, 0)
+		assert.NilError(t, err)
+		s := distribution.NewService(h)
+		refused := make(chan error, 40)
+		for range 40 {
+			go func() {
+				refused <- s.Subscribe(&api.Subscribe{Revision: 2, Wait: time.Second}, &api.View{})
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, len(refused), 8)
+		assert.ErrorIs(t, <-refused, distribution.ErrBusy)
+		assert.NilError(t, s.Subscribe(&api.Subscribe{}, &api.View{}))
+	})
+}
+
+// Guards against a delta that builds another value than the snapshot it stands for.
+func TestDeltaEqualsSnapshot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawView(t, 1), drawView(t, 2)
+		source, target := distribution.NewHolder(nil), distribution.NewHolder(nil)
+		for _, h := range []*distribution.Holder{source, target} {
+			_, err := h.Accept(&api.View{Config: from.Config, Directory: from.Directory}, 0)
+			assert.NilError(t, err)
+		}
+		_, err := source.Accept(&to, 0)
+		assert.NilError(t, err)
+		v := source.Wait(&api.Subscribe{Revision: 1, Directory: 1}, nil)
+		assert.Assert(t, v.Config == nil && v.Directory == nil)
+		_, err = target.Accept(&v, 0)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, sorted(target.Config().Accounts), sorted(source.Config().Accounts))
+		assert.DeepEqual(t, target.Directory().Endpoints, source.Directory().Endpoints)
+		for _, a := range to.Config.Accounts {
+			_, found := target.Config().AccountByKey(a.Name)
+			assert.Assert(t, found)
+		}
+	})
+}
+
+func sorted(list []*account.Account) []*account.Account {
+	return slices.SortedFunc(slices.Values(list), func(a, b *account.Account) int { return len(a.Name) - len(b.Name) })
+}
+
+func drawView(t *rapid.T, revision uint64) api.View {
+	v := api.View{Config: &contract.Config{Revision: revision}, Directory: &api.Directory{Revision: revision}}
+	name := ""
+	for range 12 {
+		name += "x"
+		if rapid.Bool().Draw(t, "account") {
+			v.Config.Accounts = append(v.Config.Accounts, &account.Account{
+				Name: name, KeyHashes: []string{account.HashKey(name)}, Weight: float64(rapid.IntRange(1, 2).Draw(t, "weight"))})
+		}
+		if rapid.Bool().Draw(t, "endpoint") {
+			v.Directory.Endpoints = append(v.Directory.Endpoints, endpoint.Endpoint{
+				ID: instance.ID(name), Version: rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")})
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/distribution/helper_test.go
@@ -0,0 +1,136 @@
+package distribution_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/distribution"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+// bubble runs a test in a synctest bubble. At the end it lets the probes of closed
+// connections end.
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(10 * time.Second) })
+		f(t)
+	})
+}
+
+// serve serves a service at an address until the test ends.
+func serve(t testing.TB, network link.Network, name, addr string, service any) {
+	t.Helper()
+	server := link.NewServer()
+	assert.NilError(t, server.Register(name, service))
+	listener, err := network.Listen(addr)
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.Close()
+	})
+}
+
+// leader stands in for the control leader: a holder and a beacon every interval.
+type leader struct {
+	holder    *distribution.Holder
+	network   *link.Memory
+	directory *api.Directory
+	seq       uint64
+	// calls counts Subscribe calls that got the whole configuration.
+	whole atomic.Int64
+}
+
+// Subscribe serves the leader's holder, without the bound of relays.
+func (l *leader) Subscribe(in *api.Subscribe, out *api.View) error {
+	*out = l.holder.Wait(in, nil)
+	if out.Config != nil {
+		l.whole.Add(1)
+	}
+	return nil
+}
+
+func startLeader(t *testing.T, addrs ...string) *leader {
+	t.Helper()
+	l := &leader{holder: distribution.NewHolder(nil), network: link.NewMemory(), directory: &api.Directory{Revision: 1}}
+	for _, addr := range addrs {
+		serve(t, l.network, "Control", addr, l)
+	}
+	go func() {
+		for t.Context().Err() == nil {
+			l.seq++
+			beacon := api.Beacon{Revision: l.holder.Revision(), Term: 1, Seq: l.seq}
+			_, _ = l.holder.Accept(&api.View{Beacon: beacon}, 0)
+			time.Sleep(distribution.BeaconInterval)
+		}
+	}()
+	return l
+}
+
+// publish makes a revision the leader's; odd revisions drain lagos-a.
+func (l *leader) publish(t testing.TB, revision uint64) {
+	t.Helper()
+	_, err := l.holder.Accept(&api.View{Config: config(revision), Directory: l.directory}, 0)
+	assert.NilError(t, err)
+}
+
+func config(revision uint64) *contract.Config {
+	state := failuredomain.StateActive
+	if revision%2 == 1 {
+		state = failuredomain.StateDrained
+	}
+	return &contract.Config{
+		Revision:   revision,
+		ServeStale: time.Minute,
+		Domains:    map[failuredomain.ID]failuredomain.Domain{"lagos-a": {ID: "lagos-a", State: state}},
+	}
+}
+
+// node is a process with a subscription and a peer service.
+type node struct {
+	self       instance.Instance
+	holder     *distribution.Holder
+	subscriber *distribution.Subscriber
+	stop       context.CancelFunc
+}
+
+// start runs a process that reaches control at the given addresses.
+func (l *leader) start(t *testing.T, id string, control ...string) *node {
+	t.Helper()
+	n := &node{self: agent(id), holder: distribution.NewHolder(nil)}
+	n.subscriber = distribution.NewSubscriber(distribution.SubscriberOptions{Network: l.network, Holder: n.holder, Self: n.self, Control: control})
+	serve(t, l.network, distribution.ServiceName, id, distribution.NewService(n.holder))
+	ctx, cancel := context.WithCancel(t.Context())
+	n.stop = cancel
+	t.Cleanup(cancel)
+	go n.subscriber.Run(ctx)
+	return n
+}
+
+func agent(id string) instance.Instance {
+	return instance.Instance{ID: instance.ID(id), Role: instance.RoleAgent, Domain: "lagos-a", LinkAddress: id}
+}
+
+func directoryOf(revision uint64, ids ...string) *api.Directory {
+	d := &api.Directory{Revision: revision}
+	for _, id := range ids {
+		d.Endpoints = append(d.Endpoints, endpoint.Endpoint{ID: instance.ID(id), Domain: "lagos-a", Address: id, Incarnation: 1})
+	}
+	return d
+}
+
+func drained(h *distribution.Holder) bool {
+	c := h.Config()
+	return c != nil && !c.Domains["lagos-a"].AcceptsWork()
+}
