control: run on the replicated log

Cause: the state must survive the loss of a replica. Change: ReplicaLog adapts consensus/replica; a stopping leader hands over; the leader looks every 50 ms whether it leads, so that an election is followed by its first beacon at once.

--- a/control/control.go
+++ b/control/control.go
@@ -144,12 +144,23 @@
 // Holder returns what the replica publishes while it leads.
 func (s *Server) Holder() *distribution.Holder { return s.holder }
 
-// Stop ends the replica.
+// Done closes when the replica's log has ended, by Stop or by a failure that Err names.
+// Call it after Start.
+func (s *Server) Done() <-chan struct{} { return s.log.Done() }
+
+// Err returns why the log ended, nil after Stop.
+func (s *Server) Err() error { return s.log.Err() }
+
+// Stop hands the leadership over and ends the replica.
 func (s *Server) Stop(ctx context.Context) error {
-	s.cancel()
 	if s.listener == nil {
+		s.cancel()
 		return nil
 	}
+	if s.log.Status().Leading {
+		s.report("hand over", s.log.Handover(ctx))
+	}
+	s.cancel()
 	_ = s.listener.Close()
 	s.rpc.Close()
 	err := s.log.Stop(ctx)
--- a/control/leader.go
+++ b/control/leader.go
@@ -16,6 +16,8 @@
 
 // Timing of the leader.
 const (
+	// tickInterval is how often the replica looks whether it leads.
+	tickInterval = 50 * time.Millisecond
 	// barrierTimeout is below the election timeout: a leader that cannot confirm its
 	// quorum for longer may have been replaced.
 	barrierTimeout = time.Second
@@ -32,28 +34,15 @@
 
 // lead runs the leader's periodic duties while the replica leads.
 func (s *Server) lead() {
-	ticker := time.NewTicker(distribution.BeaconInterval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var seq uint64
-	lastTick := time.Now()
-	lastMaintain := time.Now()
+	d := duties{lastTick: time.Now(), lastMaintain: time.Now()}
 	for {
 		now := time.Now()
 		if s.followLeadership(now) {
-			if now.Sub(lastTick) > distribution.BeaconInterval+stallTolerance {
-				s.extendLeases(now)
-			}
-			if s.confirmQuorum() {
-				seq++
-				s.beacon(now, seq)
-				s.endExpired(time.Now())
-			}
-			if now.Sub(lastMaintain) >= maintainInterval {
-				lastMaintain = now
-				s.report("maintain", s.maintain())
-			}
+			s.perform(&d, now)
 		}
-		lastTick = now
+		d.lastTick = now
 		select {
 		case <-s.ctx.Done():
 			return
@@ -62,6 +51,30 @@
 	}
 }
 
+// duties are the times of the leader's periodic duties.
+type duties struct {
+	seq          uint64
+	lastTick     time.Time
+	lastBeacon   time.Time
+	lastMaintain time.Time
+}
+
+func (s *Server) perform(d *duties, now time.Time) {
+	if now.Sub(d.lastTick) > stallTolerance {
+		s.extendLeases(now)
+	}
+	if now.Sub(d.lastBeacon) >= distribution.BeaconInterval-tickInterval/2 && s.confirmQuorum() {
+		d.lastBeacon = now
+		d.seq++
+		s.beacon(now, d.seq)
+		s.endExpired(time.Now())
+	}
+	if now.Sub(d.lastMaintain) >= maintainInterval {
+		d.lastMaintain = now
+		s.report("maintain", s.maintain())
+	}
+}
+
 // followLeadership reports whether this replica leads, and opens its term when it has
 // just been elected.
 func (s *Server) followLeadership(now time.Time) bool {
--- a/control/log.go
+++ b/control/log.go
@@ -18,6 +18,11 @@
 	ReadBarrier(ctx context.Context) error
 	// Status returns the replica's view of the leadership.
 	Status() LogStatus
+	// Handover passes the leadership to another replica, if this one leads.
+	Handover(ctx context.Context) error
+	// Done closes when the log has ended, by Stop or by a failure that Err names.
+	Done() <-chan struct{}
+	Err() error
 	// Stop closes the log.
 	Stop(ctx context.Context) error
 }
@@ -58,7 +63,7 @@
 // MemoryLog returns an OpenLog for a single replica without durability.
 func MemoryLog(address string) OpenLog {
 	return func(sm StateMachine, _ *link.Server) (Log, error) {
-		return &memoryLog{sm: sm, address: address}, nil
+		return &memoryLog{sm: sm, address: address, done: make(chan struct{})}, nil
 	}
 }
 
@@ -67,6 +72,7 @@
 	index   uint64
 	sm      StateMachine
 	address string
+	done    chan struct{}
 }
 
 func (l *memoryLog) Propose(_ context.Context, command []byte) ([]byte, error) {
@@ -82,4 +88,13 @@
 	return LogStatus{Leading: true, Leader: l.address, Term: 1}
 }
 
-func (l *memoryLog) Stop(context.Context) error { return nil }
+func (l *memoryLog) Handover(context.Context) error { return nil }
+
+func (l *memoryLog) Done() <-chan struct{} { return l.done }
+
+func (l *memoryLog) Err() error { return nil }
+
+func (l *memoryLog) Stop(context.Context) error {
+	close(l.done)
+	return nil
+}
--- /dev/null
+++ b/control/replicalog.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"toucantiller.dev/consensus/replica"
+	"toucantiller.dev/link"
+)
+
+// handoverTimeout bounds the transfer of leadership at a stop; followers elect a leader
+// themselves after it.
+const handoverTimeout = time.Second
+
+// ReplicaOptions configures the replicated log.
+type ReplicaOptions struct {
+	// DataFolder holds the log; it belongs to one process at a time.
+	DataFolder string
+	// Address is the replica's link address; Members lists those of all replicas of a new
+	// group, including it.
+	Address string
+	Members []string
+	Network link.Network
+	Logger  log.Logger
+}
+
+// ReplicaLog returns an OpenLog for the replicated log.
+func ReplicaLog(opts ReplicaOptions) OpenLog {
+	return func(sm StateMachine, server *link.Server) (Log, error) {
+		transport, err := replica.NewLinkTransport(opts.Network, server)
+		if err != nil {
+			return nil, err
+		}
+		r, err := replica.Start(replica.Config{
+			DataFolder:     opts.DataFolder,
+			Address:        opts.Address,
+			InitialMembers: opts.Members,
+			Transport:      transport,
+			StateMachine:   sm,
+			Logger:         opts.Logger,
+		})
+		if err != nil {
+			transport.Close()
+			return nil, err
+		}
+		return &replicaLog{replica: r, transport: transport}, nil
+	}
+}
+
+type replicaLog struct {
+	replica   *replica.Replica
+	transport *replica.LinkTransport
+}
+
+func (l *replicaLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	out, err := l.replica.Propose(ctx, command)
+	return out, notLeaderError(err)
+}
+
+func (l *replicaLog) ReadBarrier(ctx context.Context) error {
+	return notLeaderError(l.replica.ReadBarrier(ctx))
+}
+
+func (l *replicaLog) Status() LogStatus {
+	s := l.replica.Status()
+	return LogStatus{Leading: s.IsLeader, Leader: s.Leader, Term: s.Term}
+}
+
+func (l *replicaLog) Handover(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	return l.replica.TransferLeadership(ctx)
+}
+
+func (l *replicaLog) Done() <-chan struct{} { return l.replica.Done() }
+
+func (l *replicaLog) Err() error { return l.replica.Err() }
+
+func (l *replicaLog) Stop(ctx context.Context) error {
+	err := l.replica.Stop(ctx)
+	l.transport.Close()
+	return err
+}
+
+func notLeaderError(err error) error {
+	var notLeader *replica.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return &NotLeader{Leader: notLeader.Leader}
+	}
+	return err
+}
