--- a/operator/cli.go
+++ b/operator/cli.go
@@ -13,12 +13,9 @@
 
 	"github.com/alecthomas/kong"
 
-	"toucantiller.dev/link"
+	"toucantiller.dev/program"
 )
 
-// Version is set at link time with -ldflags "-X toucantiller.dev/operator.Version=...".
-var Version = "development"
-
 // Exit statuses of toucanctl.
 const (
 	ExitDone    = 0
@@ -35,13 +32,11 @@
 
 // CLI is the grammar of toucanctl.
 type CLI struct {
-	Control     []string         `help:"Addresses of the control replicas, as ip:port." env:"TOUCAN_CONTROL" placeholder:"ADDR" group:"Connection"`
-	Timeout     time.Duration    `help:"Time for a call, with its repeats." env:"TOUCAN_TIMEOUT" default:"15s" group:"Connection"`
-	TLSCert     string           `name:"tls-cert" help:"Certificate of this client, for mutual TLS." env:"TOUCAN_TLS_CERT" type:"path" group:"Connection"`
-	TLSKey      string           `name:"tls-key" help:"Key of the certificate." env:"TOUCAN_TLS_KEY" type:"path" group:"Connection"`
-	TLSCA       string           `name:"tls-ca" help:"Certificates that sign the deployment's certificates." env:"TOUCAN_TLS_CA" type:"path" group:"Connection"`
-	Output      string           `help:"Output format: text or json." env:"TOUCAN_OUTPUT" enum:"text,json" default:"text" short:"o"`
-	ShowVersion kong.VersionFlag `name:"version" help:"Print the version and exit."`
+	Control     []string            `help:"Addresses of the control replicas, as ip:port." env:"TOUCAN_CONTROL" placeholder:"ADDR" group:"Connection"`
+	Timeout     time.Duration       `help:"Time for a call, with its repeats." env:"TOUCAN_TIMEOUT" default:"15s" group:"Connection"`
+	Link        program.TLSSettings `embed:"" prefix:"link-" group:"Connection"`
+	Output      string              `help:"Output format: text or json." env:"TOUCAN_OUTPUT" enum:"text,json" default:"text" short:"o"`
+	ShowVersion kong.VersionFlag    `name:"version" help:"Print the version and exit."`
 
 	Bundle    bundleCommands `cmd:"" help:"Validate, sign, apply and show bundles."`
 	Move      moveCommands   `cmd:"" help:"Follow a move to a new version, or take it back."`
@@ -114,7 +109,7 @@
 	parser, err := kong.New(cli,
 		kong.Name("toucanctl"),
 		kong.Description("Operates a toucantiller deployment: bundles, moves, failure domains and the time line.\n\nExit status: 0 done, 1 refused or taken back or failed, 2 usage."),
-		kong.Vars{"version": "toucanctl " + Version},
+		kong.Vars{"version": "toucanctl " + program.Version},
 		kong.Writers(env.Stdout, env.Stderr),
 		kong.Exit(func(code int) { exited, status = true, code }),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true, NoExpandSubcommands: false}),
@@ -131,6 +126,10 @@
 		_, _ = fmt.Fprintf(env.Stderr, "toucanctl: %v; see toucanctl --help\n", err)
 		return ExitUsage
 	}
+	if err := cli.Link.Check(); err != nil {
+		_, _ = fmt.Fprintf(env.Stderr, "toucanctl: %v; see toucanctl --help\n", err)
+		return ExitUsage
+	}
 	s := &session{Env: env, cli: cli, ctx: ctx}
 	defer s.close()
 	return s.exit(parsed.Run(s))
@@ -173,7 +172,7 @@
 	if len(s.cli.Control) == 0 {
 		return nil, usageError{ErrNoReplica}
 	}
-	network, err := s.cli.network()
+	network, err := s.cli.Link.Network()
 	if err != nil {
 		return nil, usageError{err}
 	}
@@ -193,14 +192,3 @@
 }
 
 var _ Control = (*Client)(nil)
-
-func (c *CLI) network() (link.Network, error) {
-	if c.TLSCert == "" && c.TLSKey == "" && c.TLSCA == "" {
-		return link.TCP{}, nil
-	}
-	config, err := loadTLS(c.TLSCert, c.TLSKey, c.TLSCA)
-	if err != nil {
-		return nil, err
-	}
-	return link.TLS{Inner: link.TCP{}, Config: config}, nil
-}
--- /dev/null
+++ b/rollout/correction.go
@@ -0,0 +1,148 @@
+package rollout
+
+import "math"
+
+const (
+	loadBins = 24
+	// binsPerLoad sets the width of a bin to a tenth of an endpoint's limit.
+	binsPerLoad = 10
+	// leastBin is the number of old answers from which a bin's mean is used.
+	leastBin = 12
+	features = 3
+)
+
+// regression is recursive least squares on a few features.
+type regression struct {
+	weights [features]float64
+	inverse [features][features]float64
+	started bool
+}
+
+// initialVariance makes the starting weights of no consequence after a few observations.
+const initialVariance = 100
+
+func (r *regression) predict(x [features]float64) float64 {
+	sum := 0.0
+	for i, v := range x {
+		sum += v * r.weights[i]
+	}
+	return sum
+}
+
+func (r *regression) learn(x [features]float64, y float64) {
+	if !r.started {
+		for i := range features {
+			r.inverse[i][i] = initialVariance
+		}
+		r.started = true
+	}
+	var px [features]float64
+	denominator := 1.0
+	for i := range features {
+		for j := range features {
+			px[i] += r.inverse[i][j] * x[j]
+		}
+		denominator += x[i] * px[i]
+	}
+	miss := y - r.predict(x)
+	for i := range features {
+		r.weights[i] += px[i] / denominator * miss
+		for j := range features {
+			r.inverse[i][j] -= px[i] * px[j] / denominator
+		}
+	}
+}
+
+// correction predicts the logarithm of a time of the old version from size and load. It
+// learns from the old version only, so a slow new version cannot raise what is expected.
+type correction struct {
+	size regression
+	load [loadBins]struct{ n, mean float64 }
+}
+
+func sizes(o *Observation) [features]float64 {
+	return [features]float64{1, math.Log1p(float64(o.PromptTokens)), math.Log1p(float64(o.AnswerTokens))}
+}
+
+func loadBin(load float64) int {
+	return min(loadBins-1, max(0, int(load*binsPerLoad)))
+}
+
+// learn adds an answer of the old version that took seconds.
+func (c *correction) learn(o *Observation, seconds float64) {
+	x := sizes(o)
+	y := math.Log(seconds)
+	bin := &c.load[loadBin(o.Load)]
+	effect := bin.mean
+	bin.n++
+	bin.mean += (y - c.size.predict(x) - bin.mean) / math.Min(bin.n, 200)
+	c.size.learn(x, y-effect)
+}
+
+// residual returns the logarithm of the time over what the old version would have taken
+// at the same size and load. ok is false where the old version was not seen at such a load.
+func (c *correction) residual(o *Observation, seconds float64) (value float64, ok bool) {
+	effect, ok := c.loadEffect(o.Load)
+	return math.Log(seconds) - c.size.predict(sizes(o)) - effect, ok
+}
+
+// loadEffect interpolates between the centres of bins, as a step at a bin's edge would
+// bias versions that run at different loads.
+func (c *correction) loadEffect(load float64) (float64, bool) {
+	at := load*binsPerLoad - 0.5
+	i := min(loadBins-1, max(0, int(math.Floor(at))))
+	j := min(loadBins-1, i+1)
+	lo, hi := c.load[i], c.load[j]
+	switch {
+	case lo.n >= leastBin && hi.n >= leastBin:
+		t := math.Min(1, math.Max(0, at-float64(i)))
+		return lo.mean*(1-t) + hi.mean*t, true
+	case c.load[loadBin(load)].n >= leastBin:
+		return c.load[loadBin(load)].mean, true
+	default:
+		return c.nearest(loadBin(load))
+	}
+}
+
+// nearest uses a neighbouring bin at a distance of at most 2.
+func (c *correction) nearest(bin int) (float64, bool) {
+	for d := 1; d <= 2; d++ {
+		for _, i := range []int{bin + d, bin - d} {
+			if i >= 0 && i < loadBins && c.load[i].n >= leastBin {
+				return c.load[i].mean, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// failureRate is the old version's share of failed answers by load.
+type failureRate struct {
+	bins [loadBins]struct{ n, failed float64 }
+}
+
+func (f *failureRate) learn(o *Observation) {
+	bin := &f.bins[loadBin(o.Load)]
+	bin.n++
+	if o.Failed {
+		bin.failed++
+	}
+	if bin.n > 1000 {
+		bin.n /= 2
+		bin.failed /= 2
+	}
+}
+
+// at returns the rate around a load, and whether the old version was seen there.
+func (f *failureRate) at(load float64) (float64, bool) {
+	bin := loadBin(load)
+	n, failed := 0.0, 0.0
+	for i := max(0, bin-1); i <= min(loadBins-1, bin+1); i++ {
+		n += f.bins[i].n
+		failed += f.bins[i].failed
+	}
+	if n < leastBin {
+		return 0, false
+	}
+	return failed / n, true
+}
--- /dev/null
+++ b/rollout/wealth.go
@@ -0,0 +1,138 @@
+package rollout
+
+import "math"
+
+const (
+	// falseAlarmRate is the chance per move that a good version is taken for a bad one,
+	// over all routes and measures and however often the evidence is looked at.
+	falseAlarmRate = 1.0 / 1000
+	// suspicion is the evidence from which exposure does not rise.
+	suspicion = 20.0
+
+	// startCapital is the part of a component's capital that is staked at the start; the
+	// rest is staked in equal parts over the move, so that a version that turns bad late
+	// is caught as soon as one that is bad at once.
+	startCapital = 0.3
+	stakeSlots   = 35
+
+	// pooledWeight is the part of the capital on all routes together.
+	pooledWeight = 0.25
+	// firstRoutes share most of the rest equally; later routes get a falling series.
+	firstRoutes      = 8
+	firstRoutesShare = 0.8
+
+	maxWealth = 1e30
+)
+
+// component is the test martingale of one route and measure. The weighted sum over all
+// components is again a martingale that starts at most at 1.
+type component struct {
+	route   string
+	measure Measure
+	weight  float64
+	reserve float64
+	// all is the wealth of each bet; without[g] is the wealth that leaves out the answers
+	// of group g, an endpoint or a failure domain of the new version.
+	all      factors
+	without  []factors
+	old, new recent
+}
+
+func newComponent(route string, m Measure, weight float64) *component {
+	c := &component{route: route, measure: m, weight: weight, reserve: 1}
+	c.stake(startCapital)
+	return c
+}
+
+// stake moves capital from the reserve into play.
+func (c *component) stake(part float64) {
+	part = math.Min(part, c.reserve)
+	c.reserve -= part
+	each := part / float64(len(bets))
+	for i := range c.all {
+		c.all[i] += each
+	}
+	for g := range c.without {
+		for i := range c.without[g] {
+			c.without[g][i] += each
+		}
+	}
+}
+
+// grow adds groups; a group that has no answers yet has taken part in nothing.
+func (c *component) grow(groups int) {
+	for len(c.without) < groups {
+		c.without = append(c.without, c.all)
+	}
+}
+
+// multiply applies the factors of one answer of the given endpoint and domain groups.
+func (c *component) multiply(f factors, endpoint, domain int) {
+	for i := range c.all {
+		c.all[i] = math.Min(maxWealth, c.all[i]*f[i])
+	}
+	for g := range c.without {
+		if g == endpoint || g == domain {
+			continue
+		}
+		for i := range f {
+			c.without[g][i] = math.Min(maxWealth, c.without[g][i]*f[i])
+		}
+	}
+}
+
+func (c *component) wealth() float64 { return c.weight * (sum(c.all) + c.reserve) }
+
+func (c *component) wealthWithout(g int) float64 {
+	if g >= len(c.without) {
+		return c.wealth()
+	}
+	return c.weight * (sum(c.without[g]) + c.reserve)
+}
+
+func sum(f factors) float64 {
+	total := 0.0
+	for _, v := range f {
+		total += v
+	}
+	return total
+}
+
+// routeWeight is the part of the capital of the k-th route seen, counted from 0.
+func routeWeight(k int) float64 {
+	rest := 1 - pooledWeight
+	if k < firstRoutes {
+		return rest * firstRoutesShare / firstRoutes
+	}
+	j := float64(k - firstRoutes + 1)
+	return rest * (1 - firstRoutesShare) / (j * (j + 1))
+}
+
+// recentSize bounds the answers that evidence reports.
+const recentSize = 128
+
+// recent keeps the latest values of one version.
+type recent struct {
+	values []float64
+	next   int
+}
+
+func (r *recent) add(v float64) {
+	if len(r.values) < recentSize {
+		r.values = append(r.values, v)
+		return
+	}
+	r.values[r.next] = v
+	r.next = (r.next + 1) % recentSize
+}
+
+func (r *recent) mean() (mean float64, n int64) {
+	total := 0.0
+	for _, v := range r.values {
+		total += v
+	}
+	if len(r.values) == 0 {
+		return 0, 0
+	}
+	return total / float64(len(r.values)), int64(len(r.values))
+}
