--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -1,8 +1,6 @@
 package state
 
 import (
-	"crypto/ed25519"
-	"encoding/base64"
 	"fmt"
 	"strings"
 	"testing"
@@ -21,19 +19,13 @@
 
 var (
 	epoch = time.Date(2030, 1, 2, 3, 4, 5, 0, time.UTC)
-	keys  = map[string]ed25519.PrivateKey{
-		"ada":  ed25519.NewKeyFromSeed([]byte(strings.Repeat("a", 32))),
-		"bola": ed25519.NewKeyFromSeed([]byte(strings.Repeat("b", 32))),
-		"chi":  ed25519.NewKeyFromSeed([]byte(strings.Repeat("c", 32))),
-	}
 )
 
 // bundleText returns a valid bundle of author ada that needs one other signature.
 func bundleText(version uint64, weft, note, move string) []byte {
 	var operators strings.Builder
 	for _, name := range []string{"ada", "bola"} {
-		key := base64.StdEncoding.EncodeToString(keys[name].Public().(ed25519.PublicKey))
-		fmt.Fprintf(&operators, "  - {name: %s, public_key: %s}\n", name, key)
+		fmt.Fprintf(&operators, "  - {name: %s, public_key: %s}\n", name, contract.DemoKey(name).Public())
 	}
 	return fmt.Appendf(nil, `# %s
 name: looms
@@ -59,12 +51,12 @@
 	for _, s := range signers {
 		c.Signatures = append(c.Signatures, signOff(content, s, at))
 	}
-	api.Sign(c, keys[operator])
+	api.Sign(c, contract.DemoKey(operator), c.Operation.At)
 	return c
 }
 
 func signOff(content []byte, operator string, at time.Time) api.Signature {
-	return api.SignOff(content, operator, at, keys[operator])
+	return api.Signature(contract.Sign(content, operator, contract.DemoKey(operator), at))
 }
 
 func run(t require, s *State, c *Command) *Result {
@@ -136,7 +128,7 @@
 	now := epoch.Add(3 * time.Hour)
 	c := signed("op", "ada", now, bundleText(2, "v1", "", ""))
 	c.Signatures = []api.Signature{signOff(c.Content, "bola", epoch)}
-	api.Sign(c, keys["ada"])
+	api.Sign(c, contract.DemoKey("ada"), c.Operation.At)
 	r := run(t, s, &Command{At: now, ApplyBundle: c})
 	assert.Equal(t, r.Change.Outcome, api.OutcomeRefused)
 }
@@ -219,7 +211,7 @@
 		domain := rapid.SampledFrom([]failuredomain.ID{"lagos-a", "lagos-b", "nowhere"}).Draw(t, "domain")
 		state := rapid.SampledFrom([]failuredomain.State{failuredomain.StateActive, failuredomain.StateDrained}).Draw(t, "state")
 		c := &api.SetDomain{Operation: api.Operation{ID: id, Operator: "ada", At: m.now}, Domain: domain, State: state}
-		api.Sign(c, keys["ada"])
+		api.Sign(c, contract.DemoKey("ada"), c.Operation.At)
 		return &Command{SetDomain: c}
 	case 3:
 		if len(m.sent) > 0 {
@@ -246,7 +238,7 @@
 	id := rapid.SampledFrom(ids).Draw(t, "resend")
 	if rapid.Bool().Draw(t, "alter") {
 		c := &api.SetDomain{Operation: api.Operation{ID: id, Operator: "bola", At: m.now}, Domain: "lagos-b", State: failuredomain.StateDrained}
-		api.Sign(c, keys["bola"])
+		api.Sign(c, contract.DemoKey("bola"), c.Operation.At)
 		return &Command{SetDomain: c}
 	}
 	return &Command{ApplyBundle: m.sent[id].ApplyBundle, SetDomain: m.sent[id].SetDomain}
--- a/program/control.go
+++ b/program/control.go
@@ -74,6 +74,16 @@
 	return nil
 }
 
+func (c *Control) logOptions() control.ReplicaOptions {
+	return control.ReplicaOptions{
+		DataFolder: c.settings.Data,
+		Address:    c.settings.Listen,
+		Members:    c.settings.Members,
+		Network:    c.network,
+		Logger:     c.logger,
+	}
+}
+
 // Stop ends the replica.
 func (c *Control) Stop(ctx context.Context) error {
 	c.admin.Telemetry.SetReady(false)
