Stop the last replica and idle links without waiting

A leader whose followers were gone kept trying to hand over until its stop's deadline; and the probe of a closed link went on until its next tick. The new test fails without the bound (it runs to its deadline of one hour of virtual time). Conclusion: a stop no longer depends on peers.

--- a/consensus/replica/calls.go
+++ b/consensus/replica/calls.go
@@ -237,7 +237,7 @@
 // data folder. It returns the failure that stopped the replica before, if any.
 func (r *Replica) Stop(ctx context.Context) error {
 	if s := r.Status(); s.IsLeader && consensus.Membership(s.Members).Voters() > 1 {
-		if err := r.TransferLeadership(ctx); err != nil {
+		if err := r.handOver(ctx); err != nil {
 			_ = r.cfg.Logger.Log("event", "replica.transfer_failed", "id", s.ID, "err", err)
 		}
 	}
@@ -249,3 +249,14 @@
 		return ctx.Err()
 	}
 }
+
+// handOver transfers the leadership before a stop. It gives up after handOverTicks, as
+// the other replicas may be gone, and a stop must not wait for them.
+func (r *Replica) handOver(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, handOverTicks*r.cfg.TickInterval)
+	defer cancel()
+	return r.TransferLeadership(ctx)
+}
+
+// handOverTicks is one second at the default tick interval.
+const handOverTicks = 20
--- /dev/null
+++ b/consensus/replica/stop_test.go
@@ -0,0 +1,34 @@
+package replica_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/link"
+)
+
+// Guards against a leader that spends its stop's whole deadline on handing over to
+// replicas that are gone.
+func TestStopOfLastReplicaEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, link.NewMemory(), "a", "b", "c")
+		defer g.stop()
+		leader := g.leader()
+		for _, n := range g.nodes {
+			if n != leader {
+				_ = n.listener.Close()
+				n.server.Close()
+				assert.NilError(t, n.Stop(context.Background()))
+			}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+		defer cancel()
+		begin := time.Now()
+		assert.NilError(t, leader.Stop(ctx))
+		assert.Assert(t, time.Since(begin) < time.Minute, "took %s", time.Since(begin))
+	})
+}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -86,7 +86,7 @@
 		c.Close()
 		_ = l.Close()
 		s.Close()
-		time.Sleep(time.Minute)
+
 	})
 }
 
--- a/link/rpc.go
+++ b/link/rpc.go
@@ -99,10 +99,24 @@
 	addr    string
 
 	mu     sync.Mutex
-	conn   *rpc.Client
+	conn   *connection
 	closed bool
 }
 
+// connection is one open connection. done ends its probes.
+type connection struct {
+	*rpc.Client
+	done chan struct{}
+	once sync.Once
+}
+
+func (c *connection) close() {
+	c.once.Do(func() {
+		close(c.done)
+		_ = c.Client.Close()
+	})
+}
+
 // NewClient returns a client for the peer at addr. It does not dial yet.
 func NewClient(network Network, addr string) *Client {
 	return &Client{network: network, addr: addr}
@@ -138,12 +152,12 @@
 	defer c.mu.Unlock()
 	c.closed = true
 	if c.conn != nil {
-		_ = c.conn.Close()
+		c.conn.close()
 		c.conn = nil
 	}
 }
 
-func (c *Client) result(conn *rpc.Client, method string, err error) error {
+func (c *Client) result(conn *connection, method string, err error) error {
 	if err == nil {
 		return nil
 	}
@@ -155,7 +169,7 @@
 	return &Error{Step: "call " + method, Peer: c.addr, Err: err}
 }
 
-func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+func (c *Client) connect(ctx context.Context) (*connection, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -170,27 +184,31 @@
 	if err != nil {
 		return nil, err
 	}
-	c.conn = rpc.NewClient(nc)
+	c.conn = &connection{Client: rpc.NewClient(nc), done: make(chan struct{})}
 	go c.probe(c.conn)
 	return c.conn, nil
 }
 
-func (c *Client) drop(conn *rpc.Client) {
+func (c *Client) drop(conn *connection) {
 	c.mu.Lock()
 	if c.conn == conn {
 		c.conn = nil
 	}
 	c.mu.Unlock()
-	_ = conn.Close()
+	conn.close()
 }
 
 // probe pings the connection until it fails or stays silent, then drops it, so that
 // waiting calls fail and the next call dials anew.
-func (c *Client) probe(conn *rpc.Client) {
+func (c *Client) probe(conn *connection) {
 	ticker := time.NewTicker(ProbeInterval)
 	defer ticker.Stop()
 	for seq := uint64(1); ; seq++ {
-		<-ticker.C
+		select {
+		case <-ticker.C:
+		case <-conn.done:
+			return
+		}
 		var reply Ping
 		call := conn.Go("Link.Ping", &Ping{Seq: seq}, &reply, make(chan *rpc.Call, 1))
 		timeout := time.NewTimer(ProbeTimeout)
--- a/program/control.go
+++ b/program/control.go
@@ -57,7 +57,7 @@
 	server, err := control.New(control.Options{
 		Self:     self,
 		Network:  c.network,
-		OpenLog:  control.MemoryLog(c.settings.Listen),
+		OpenLog:  control.ReplicaLog(c.logOptions()),
 		Recorder: c.admin.Timeline,
 		Meter:    c.admin.Telemetry.Meter("toucantiller.dev/control"),
 		Logger:   c.logger,
