Give up a leadership transfer when the leader steps down

Cause: the transfer waited for a higher term; a leader that lost its quorum steps down in the same term, so the wait went on to the stop's deadline. Change: the transfer fails once the replica no longer leads; the bound is removed; the test stops the leader at eleven delays after its followers. Conclusion: the cause is removed in the transfer itself.

--- a/consensus/replica/calls.go
+++ b/consensus/replica/calls.go
@@ -91,7 +91,8 @@
 		if s.Term > term {
 			return s.Leader != 0, nil
 		}
-		if s.Role == consensus.Leader && s.Transferee == 0 {
+		// A leader that loses its quorum steps down in the same term, with its transfer undone.
+		if s.Role != consensus.Leader || s.Transferee == 0 {
 			return false, errors.New("leadership was not taken over within the election timeout")
 		}
 		return false, nil
@@ -237,7 +238,7 @@
 // data folder. It returns the failure that stopped the replica before, if any.
 func (r *Replica) Stop(ctx context.Context) error {
 	if s := r.Status(); s.IsLeader && consensus.Membership(s.Members).Voters() > 1 {
-		if err := r.handOver(ctx); err != nil {
+		if err := r.TransferLeadership(ctx); err != nil {
 			_ = r.cfg.Logger.Log("event", "replica.transfer_failed", "id", s.ID, "err", err)
 		}
 	}
@@ -249,14 +250,3 @@
 		return ctx.Err()
 	}
 }
-
-// handOver transfers the leadership before a stop. It gives up after handOverTicks, as
-// the other replicas may be gone, and a stop must not wait for them.
-func (r *Replica) handOver(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, handOverTicks*r.cfg.TickInterval)
-	defer cancel()
-	return r.TransferLeadership(ctx)
-}
-
-// handOverTicks is one second at the default tick interval.
-const handOverTicks = 20
--- a/consensus/replica/stop_test.go
+++ b/consensus/replica/stop_test.go
@@ -14,21 +14,28 @@
 // Guards against a leader that spends its stop's whole deadline on handing over to
 // replicas that are gone.
 func TestStopOfLastReplicaEnds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newGroup(t, link.NewMemory(), "a", "b", "c")
-		defer g.stop()
-		leader := g.leader()
-		for _, n := range g.nodes {
-			if n != leader {
-				_ = n.listener.Close()
-				n.server.Close()
-				assert.NilError(t, n.Stop(context.Background()))
-			}
+	for delay := time.Duration(0); delay <= time.Second; delay += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) { stopLast(t, delay) })
+	}
+}
+
+// stopLast stops the leader a delay after its followers, so that it loses its quorum
+// before, during or after the transfer.
+func stopLast(t *testing.T, delay time.Duration) {
+	g := newGroup(t, link.NewMemory(), "a", "b", "c")
+	defer g.stop()
+	leader := g.leader()
+	for _, n := range g.nodes {
+		if n != leader {
+			_ = n.listener.Close()
+			n.server.Close()
+			assert.NilError(t, n.Stop(context.Background()))
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
-		defer cancel()
-		begin := time.Now()
-		assert.NilError(t, leader.Stop(ctx))
-		assert.Assert(t, time.Since(begin) < time.Minute, "took %s", time.Since(begin))
-	})
+	}
+	time.Sleep(delay)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	begin := time.Now()
+	assert.NilError(t, leader.Stop(ctx))
+	assert.Assert(t, time.Since(begin) < time.Minute, "took %s", time.Since(begin))
 }
