--- a/limit/calls.go
+++ b/limit/calls.go
@@ -9,6 +9,8 @@
 	gen    uint64
 	open   int
 	tokens int
+	// prefilling is the prompt tokens of calls whose first token was not reported.
+	prefilling int
 	// reportsFirst is set once the caller has reported a first token.
 	reportsFirst bool
 }
@@ -31,9 +33,14 @@
 	}
 	c.gen++
 	c.slots[slot] = call{used: true, gen: c.gen, prompt: prompt, start: now}
+	t := Ticket{slot: slot, gen: c.gen, start: now, alone: c.open == 0}
+	if c.reportsFirst {
+		t.ahead = c.prefilling
+	}
 	c.open++
 	c.tokens += prompt
-	return Ticket{slot: slot, gen: c.gen, start: now, alone: c.open == 1}
+	c.prefilling += prompt
+	return t
 }
 
 func (c *calls) get(t Ticket) *call {
@@ -47,6 +54,18 @@
 	return s
 }
 
+// begin records the first token of a call; it reports whether it was the first.
+func (c *calls) begin(t Ticket) bool {
+	s := c.get(t)
+	if s == nil || s.first {
+		return false
+	}
+	s.first = true
+	c.prefilling -= s.prompt
+	c.reportsFirst = true
+	return true
+}
+
 func (c *calls) remove(t Ticket) bool {
 	s := c.get(t)
 	if s == nil {
@@ -54,6 +73,9 @@
 	}
 	c.open--
 	c.tokens -= s.prompt
+	if !s.first {
+		c.prefilling -= s.prompt
+	}
 	s.used = false
 	c.free = append(c.free, t.slot)
 	return true
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -31,6 +31,9 @@
 	// growRatio is the highest mean ratio at which the limit rises. It leaves room for
 	// the slower steps of a larger batch, which still raise throughput.
 	growRatio = 1.5
+	// firstGrow is the same for first token times alone. It is higher because calls that
+	// start together prefill together, which says little about the limit.
+	firstGrow = 4.0
 	// fullRatio is the ratio at which the limit falls gently.
 	fullRatio = 2.0
 	// jumpRatio is the rise over the recent ratio that counts as a sudden slowdown.
@@ -64,8 +67,8 @@
 	// coldStepTime is the least time between two rises while cold. Short calls would
 	// otherwise prove a limit before the engine's load has shown in their latency.
 	coldStepTime = 200 * time.Millisecond
-	// firstShare weighs the ratio of first token times. They vary more than the time
-	// of a whole call, since the prefills of neighbours overlap.
+	// firstShare weighs first token times as evidence of overload. They vary more than
+	// the time of a whole call, since the prefills of neighbours overlap.
 	firstShare = 0.5
 	// warmLimit is the limit at which a ramp counts as finished even though the
 	// endpoint's capacity has not been reached.
@@ -106,6 +109,7 @@
 type proof struct {
 	successes  int
 	ratios     float64
+	firsts     float64
 	peak       int
 	peakTokens int
 	since      time.Time
@@ -163,7 +167,10 @@
 	slot  int
 	gen   uint64
 	start time.Time
+	// alone is set when nothing else ran; ahead is the prompt tokens that other calls
+	// had not yet prefilled.
 	alone bool
+	ahead int
 }
 
 // Start records that a call was given to the endpoint.
@@ -178,17 +185,12 @@
 // longer counts as overdue. Calling it is optional.
 func (l *Limiter) FirstToken(t Ticket, now time.Time) {
 	c := l.calls.get(t)
-	if c == nil || c.first {
+	if !l.calls.begin(t) || !l.first.ready() {
 		return
 	}
-	c.first = true
-	l.calls.reportsFirst = true
-	x := float64(c.prompt)
-	if l.first.ready() {
-		ratio := firstShare * now.Sub(t.start).Seconds() / l.first.at(x)
-		if ratio > fullRatio {
-			l.judge(ratio, t, now)
-		}
+	ratio := firstShare * now.Sub(t.start).Seconds() / l.first.at(float64(c.prompt+t.ahead))
+	if ratio > fullRatio {
+		l.judge(ratio, t, now)
 	}
 }
 
@@ -213,9 +215,9 @@
 	l.failedRow = 0
 	l.failures *= 1 - failureGain
 	l.longest = max(s.Total, l.longest-l.longest/64)
-	ratio := l.learn(t, s)
-	l.judge(ratio, t, now)
-	l.prove(ratio, t, now)
+	r := l.learn(t, s)
+	l.judge(r.load, t, now)
+	l.prove(r, t, now)
 }
 
 // Cancel removes a call that ended without evidence, such as one whose caller
@@ -277,21 +279,34 @@
 	return overdue, open, worst
 }
 
-// learn updates the baseline and the rates and returns the call's ratio.
-func (l *Limiter) learn(t Ticket, s Sample) float64 {
+// ratios compare one call with the baseline of an idle endpoint.
+type ratios struct {
+	// load is the evidence of overload: the time of the whole call, or the first token
+	// time corrected for the prefills ahead of it.
+	load float64
+	// first is the first token time alone.
+	first float64
+}
+
+// learn updates the baseline and the rates and returns the call's ratios.
+func (l *Limiter) learn(t Ticket, s Sample) ratios {
 	prompt := float64(max(s.PromptTokens, 1))
 	answer := float64(s.AnswerTokens)
 	firstTime := s.FirstToken.Seconds()
 	decodeTime := (s.Total - s.FirstToken).Seconds()
 	l.prefill.add(prompt, firstTime)
-	expected, ratio := l.first.learn(prompt, firstTime, t.alone)
+	corrected := firstTime / l.first.at(prompt+float64(t.ahead))
+	if !l.first.known {
+		corrected = 1
+	}
+	expected, first := l.first.learn(prompt, firstTime, t.alone)
 	if answer <= 1 || decodeTime <= 0 {
-		return ratio
+		return ratios{load: first, first: first}
 	}
 	l.decoded.add(answer, decodeTime)
 	expectedDecode, _ := l.decode.learn(answer, decodeTime, t.alone)
 	whole := s.Total.Seconds() / (expected + expectedDecode)
-	return math.Max(whole, firstShare*ratio)
+	return ratios{load: math.Max(whole, firstShare*corrected), first: first}
 }
 
 // judge lowers the limit on a jump over the recent ratio or on a high level.
@@ -326,12 +341,13 @@
 }
 
 // prove counts a success at the present limit and raises the limit after enough.
-func (l *Limiter) prove(ratio float64, t Ticket, now time.Time) {
+func (l *Limiter) prove(r ratios, t Ticket, now time.Time) {
 	if t.start.Before(l.proof.since) || t.start.Before(l.steppedAt) {
 		return
 	}
 	l.proof.successes++
-	l.proof.ratios += ratio
+	l.proof.ratios += r.load
+	l.proof.firsts += r.first
 	if l.proof.successes < max(minProof, l.Limit()) {
 		return
 	}
@@ -339,8 +355,9 @@
 		return
 	}
 	mean := l.proof.ratios / float64(l.proof.successes)
+	meanFirst := l.proof.firsts / float64(l.proof.successes)
 	warming := l.fast < warmingRatio*l.slow
-	if mean <= growRatio && !warming {
+	if mean <= growRatio && meanFirst <= firstGrow && !warming {
 		l.grow()
 	} else if l.cold && mean > growRatio && l.limit >= 2 {
 		l.cold = false
--- a/scenario/agent.go
+++ b/scenario/agent.go
@@ -185,7 +185,7 @@
 	}
 	a.limiter.Finish(d.ticket, limit.Sample{
 		FirstToken: d.firstAt.Sub(d.started), Total: a.now().Sub(d.started),
-		PromptTokens: d.call.prompt - d.call.prefixTokens, AnswerTokens: d.call.answer,
+		PromptTokens: int(d.run.work), AnswerTokens: d.call.answer,
 	}, a.now())
 	a.reply(d, func() { d.gateway.ended(d) })
 	a.pump()
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -44,6 +44,7 @@
 	} else {
 		s = newProduct(w)
 	}
+	if debugHook != nil { debugHook(w) }
 	bear := capacity(sc.speeds, &sc.load)
 	l := sc.load
 	l.rate = func(at time.Duration) float64 {
@@ -127,3 +128,5 @@
 		}},
 	}
 }
+
+var debugHook func(*world)
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -29,6 +29,7 @@
 	// suspended is kept as a time.Time, whose monotonic part ignores clock steps.
 	suspended atomic.Pointer[time.Time]
 	cache     prefixCache
+	history   history
 	base      *timeBase
 }
 
@@ -94,7 +95,7 @@
 	if old != nil && made.Before(old.at) {
 		return
 	}
-	own := float64(c.state.requests.Load())
+	own := c.state.ownAt(c.state.base.nanos(made), c.state.base.nanos(now))
 	r := &report{
 		load:         load,
 		made:         c.state.base.nanos(made),
--- /dev/null
+++ b/schedule/history.go
@@ -0,0 +1,48 @@
+package schedule
+
+import "sync/atomic"
+
+// Size of the history of own requests.
+const (
+	historySlots    = 32
+	historyInterval = int64(250e6) // nanoseconds
+)
+
+// history remembers how many own requests an endpoint had. A report that was made
+// some time ago includes the own requests of that time, not those of now.
+type history struct {
+	// slots hold the interval number above 16 bits of the count.
+	slots [historySlots]atomic.Uint64
+}
+
+const countBits = 16
+
+func (h *history) record(nanos, count int64) {
+	interval := uint64(nanos/historyInterval) + 1
+	word := interval<<countBits | uint64(min(max(count, 0), 1<<countBits-1))
+	h.slots[interval%historySlots].Store(word)
+}
+
+func (h *history) at(nanos int64) (count int64, ok bool) {
+	interval := uint64(nanos/historyInterval) + 1
+	word := h.slots[interval%historySlots].Load()
+	if word>>countBits != interval {
+		return 0, false
+	}
+	return int64(word & (1<<countBits - 1)), true
+}
+
+// ownAt returns the own requests at the time a report was made, as far as known.
+func (s *state) ownAt(made, now int64) float64 {
+	current := s.requests.Load()
+	if now >= 0 {
+		s.history.record(now, current)
+	}
+	if made < 0 || now-made < historyInterval {
+		return float64(current)
+	}
+	if count, ok := s.history.at(made); ok {
+		return float64(count)
+	}
+	return float64(current)
+}
