--- a/limit/limit.go
+++ b/limit/limit.go
@@ -60,7 +60,7 @@
 	failureGain  = 0.15
 	// coldGrowth and warmGrowth are the relative rises after a proof.
 	coldGrowth = 0.5
-	warmGrowth = 1.0 / 16
+	warmGrowth = 1.0 / 8
 	// minProof is the least number of successes that prove a limit; larger limits need
 	// one success per slot.
 	minProof = 2
@@ -72,7 +72,7 @@
 	firstShare = 0.5
 	// warmLimit is the limit at which a ramp counts as finished even though the
 	// endpoint's capacity has not been reached.
-	warmLimit = 8
+	warmLimit = 16
 	// usedShare is the share of a limit that must have been in use to prove it.
 	usedShare = 0.75
 	// warmingRatio is the fall of the fast ratio against the slow one that shows an
@@ -265,10 +265,7 @@
 			continue
 		}
 		open++
-		expected := l.first.at(float64(c.prompt)) * typical
-		if !l.calls.reportsFirst {
-			expected = math.Max(expected, l.longest.Seconds())
-		}
+		expected := l.expectedFirst(c) * typical
 		elapsed := (now.Sub(c.start) - overdueSlack).Seconds()
 		if elapsed < overdueFactor*expected {
 			continue
@@ -279,6 +276,16 @@
 	return overdue, open, worst
 }
 
+// expectedFirst is the time to first token of a call beside the other prefills, in
+// seconds. Without reports of first tokens, a call may be in its decode, so the
+// longest recent call bounds it.
+func (l *Limiter) expectedFirst(c *call) float64 {
+	if l.calls.reportsFirst {
+		return l.first.at(float64(max(c.prompt, l.calls.prefilling)))
+	}
+	return math.Max(l.first.at(float64(c.prompt)), l.longest.Seconds())
+}
+
 // ratios compare one call with the baseline of an idle endpoint.
 type ratios struct {
 	// load is the evidence of overload: the time of the whole call, or the first token
@@ -374,7 +381,7 @@
 		l.limit = math.Min(math.Floor(l.limit)+math.Max(1, math.Floor(l.limit*rate)), float64(l.opt.MaxRequests))
 	}
 	if float64(l.proof.peakTokens) >= usedShare*l.tokens/2 {
-		l.tokens = math.Min(l.tokens*(1+2*rate), float64(l.opt.MaxTokens))
+		l.tokens = math.Min(l.tokens*(1+rate), float64(l.opt.MaxTokens))
 	}
 	if l.limit >= warmLimit {
 		l.cold = false
--- a/scenario/agent.go
+++ b/scenario/agent.go
@@ -94,7 +94,7 @@
 	c := d.call
 	d.item = &admission.Item{
 		Tier: c.tier, Account: c.account, Cost: c.prompt, Deadline: c.deadline,
-		LeastTime: a.leastTime(c), Value: d,
+		LeastTime: a.leastTime(d), Value: d,
 	}
 	evicted, refusal := a.queue.Push(d.item, a.now())
 	a.drop(evicted)
@@ -109,12 +109,16 @@
 	a.pump()
 }
 
-func (a *agent) leastTime(c *call) time.Duration {
-	prefill, _ := a.limiter.Rates()
-	if prefill == 0 {
+// leastTime is the time of a call with half of the expected answer on an idle
+// engine.
+func (a *agent) leastTime(d *dispatch) time.Duration {
+	prefill, decode := a.limiter.Rates()
+	if prefill == 0 || decode == 0 {
 		return 0
 	}
-	return time.Duration(float64(c.prompt-c.prefixTokens) / prefill * 1e9)
+	c := d.call
+	s := float64(c.prompt-c.prefixTokens)/prefill + float64(d.entry.expected/2)/decode
+	return time.Duration(s * 1e9)
 }
 
 // drop hands evicted and expired dispatches back as not run.
@@ -282,3 +286,15 @@
 		}
 	})
 }
+
+// takeEvents returns the engine's cache events since the last call; some are lost.
+func (a *agent) takeEvents() []endpoint.CacheEvent {
+	var out []endpoint.CacheEvent
+	for _, e := range a.engine.events {
+		if a.w.rng.Float64() >= cacheLoss {
+			out = append(out, e)
+		}
+	}
+	a.engine.events = nil
+	return out
+}
--- a/scenario/engine.go
+++ b/scenario/engine.go
@@ -84,6 +84,7 @@
 	r.work = float64(c.prompt - e.cached(c))
 	e.running[r] = true
 	c.runs++
+	c.lastWork = r.work
 	r.pool = e.prefill
 	r.job = e.prefill.add(r.work, func() { e.startDecode(r) })
 	if e.warmth() < 1 && float64(len(e.running)) > bearFactor*e.slots() {
@@ -191,7 +192,8 @@
 	if len(kept) == len(e.cache) {
 		e.publish(c.prefix, false)
 	}
-	e.cache = append(kept, c.prefix)
+	kept = append(kept, c.prefix)
+	e.cache = kept
 	if len(e.cache) > cachedPrefixes {
 		e.publish(e.cache[0], true)
 		e.cache = e.cache[1:]
--- a/scenario/gateway.go
+++ b/scenario/gateway.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"toucantiller.dev/account"
 	"toucantiller.dev/admission"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/endpoint"
@@ -96,6 +95,8 @@
 	e.item = &admission.Item{
 		Tier: c.tier, Account: c.account, Cost: c.prompt + e.expected,
 		Deadline: c.deadline, Value: e,
+		// Half of the expected answer allows for answers shorter than usual.
+		LeastTime: g.snapshot.LeastTime(serviceName, c.prompt-c.prefixTokens, e.expected/2),
 	}
 	evicted, refusal := g.queue.Push(e.item, g.now())
 	g.drop(evicted)
@@ -121,7 +122,7 @@
 	}
 	for _, a := range g.p.agents {
 		g.w.clock.after(netDelay, func() {
-			a.queue.RaiseFloor(account.Tier(tier), a.now())
+			a.queue.RaiseFloor(tier, a.now())
 			a.tick()
 		})
 	}
@@ -199,6 +200,12 @@
 	g.pump()
 }
 
+func (g *gateway) observeCache(a *agent, events []endpoint.CacheEvent) {
+	if c := g.snapshot.Candidate(serviceName, a.self.ID); c != nil && !g.down {
+		c.ObserveCache(events)
+	}
+}
+
 func (g *gateway) firstToken(d *dispatch) {
 	d.call.firstAt = g.now()
 	if d.entry.target != nil {
--- a/scenario/product.go
+++ b/scenario/product.go
@@ -13,6 +13,12 @@
 // heartbeat is the interval at which agents report to gateways with open streams.
 const heartbeat = 500 * time.Millisecond
 
+// cacheDelay and cacheLoss are the lag of cache events and the share lost.
+const (
+	cacheDelay = time.Second
+	cacheLoss  = 0.1
+)
+
 // product is the scheduler built from schedule, admission and limit.
 type product struct {
 	w        *world
@@ -50,12 +56,14 @@
 			continue
 		}
 		load := a.load()
+		events := a.takeEvents()
 		for _, g := range p.gateways {
 			p.w.clock.after(netDelay, func() {
 				if !g.down {
 					g.observe(a, load)
 				}
 			})
+			p.w.clock.after(cacheDelay, func() { g.observeCache(a, events) })
 		}
 	}
 }
--- a/scenario/result.go
+++ b/scenario/result.go
@@ -77,8 +77,9 @@
 		if c.refused && c.runs > 0 {
 			r.FalseNotRun++
 		}
-		if !c.good {
-			r.prefillWasted += c.prefilled
+		r.prefillWasted += c.prefilled
+		if c.good {
+			r.prefillWasted -= c.lastWork
 		}
 	}
 }
@@ -91,14 +92,6 @@
 	return float64(r.Good[tier]) / float64(r.Offered[tier])
 }
 
-// wastedShare is the share of the prefill that served no good call.
-func (r *Result) wastedShare() float64 {
-	if r.prefillDone == 0 {
-		return 0
-	}
-	return r.prefillWasted / r.prefillDone
-}
-
 func (r *Result) quantile(q float64) time.Duration {
 	return time.Duration(r.first.ValueAtQuantile(q)) * time.Microsecond
 }
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -44,7 +44,6 @@
 	} else {
 		s = newProduct(w)
 	}
-	if debugHook != nil { debugHook(w) }
 	bear := capacity(sc.speeds, &sc.load)
 	l := sc.load
 	l.rate = func(at time.Duration) float64 {
@@ -128,5 +127,3 @@
 		}},
 	}
 }
-
-var debugHook func(*world)
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -41,8 +41,10 @@
 	long         bool
 	measured     bool
 
-	runs      int
+	runs int
+	// prefilled is the prefill spent on the call, lastWork that of its last run.
 	prefilled float64
+	lastWork  float64
 	settled   bool
 	refused   bool
 	good      bool
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -47,9 +47,10 @@
 	// perLimit, perPrefill and perDecode are the inverses; a pick multiplies by them.
 	perLimit, perPrefill, perDecode float64
 
-	// room is the number of requests up to which the endpoint is not saturated.
-	room  float64
-	marks mark
+	// room is the number of requests up to which the endpoint is not saturated;
+	// holderRoom is the same for requests whose prefix it holds.
+	room, holderRoom float64
+	marks            mark
 
 	prefill, decode float64
 	load            endpoint.Load
@@ -62,6 +63,7 @@
 	if !r.load.Cold {
 		r.room += math.Ceil(aheadShare * r.limit)
 	}
+	r.holderRoom = r.limit + math.Ceil(holderShare*r.limit)
 	if r.load.Leaving {
 		r.marks |= markLeaving
 	}
@@ -78,8 +80,14 @@
 // so that its agent always has the next request at hand.
 const aheadShare = 0.25
 
-// othersGain is the weight of a new report in usualOthers.
-const othersGain = 0.1
+// holderShare is the same for requests whose prefix the endpoint holds. It is
+// larger because a prefill elsewhere takes the time of another endpoint and evicts
+// a prefix there; under load, requests that leave their holders cause more misses.
+const holderShare = 1.0
+
+// usualTime is the time over which usualOthers is a mean, in seconds. It spans
+// several reports that are a few seconds old.
+const usualTime = 10.0
 
 // Defaults for endpoints whose speeds are not known yet, in tokens per second.
 const (
@@ -108,7 +116,8 @@
 	}
 	r.usualOthers = r.others
 	if old != nil {
-		r.usualOthers = old.usualOthers + othersGain*(r.others-old.usualOthers)
+		gain := min(1, made.Sub(old.at).Seconds()/usualTime)
+		r.usualOthers = old.usualOthers + gain*(r.others-old.usualOthers)
 	}
 	r.prepare()
 	c.state.report.CompareAndSwap(old, r)
--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -98,12 +98,29 @@
 
 func (saturatedFilter) Reason() Reason { return ReasonSaturated }
 
-func (saturatedFilter) Apply(x *scratch, _ *Request) {
+func (saturatedFilter) Apply(x *scratch, r *Request) {
 	live := x.live[:0]
+	half := float64(r.PromptTokens) / 2
 	for _, i := range x.live {
-		if x.requests[i]+1 <= x.reports[i].room {
+		room := x.reports[i].room
+		if x.saved[i] > half {
+			room = x.reports[i].holderRoom
+		}
+		if x.requests[i]+1 <= room {
 			live = append(live, i)
 		}
 	}
 	x.live = live
 }
+
+// affinityMarker takes out nothing: it marks the prompt tokens that each live
+// candidate is expected to have cached, for the plugins after it.
+type affinityMarker struct{}
+
+func (affinityMarker) Reason() Reason { return ReasonNone }
+
+func (affinityMarker) Apply(x *scratch, r *Request) {
+	if len(r.Prefixes) > 0 && len(x.live) > 0 {
+		x.affinity(r)
+	}
+}
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -139,6 +139,7 @@
 // Weights and bounds of the default profile.
 const (
 	weightFirstToken = 1.0
+	weightPrefill    = 2.0
 	weightFinish     = 0.25
 	weightOccupancy  = 1.0
 	nearShare        = 0.15
@@ -153,11 +154,12 @@
 			suspendedFilter{},
 			drainingFilter{},
 			floorFilter{},
+			affinityMarker{},
 			saturatedFilter{},
 		},
 		Scorers: []Weighted{
-			{affinityScorer{}, 1},
 			{firstTokenScorer{}, weightFirstToken},
+			{prefillScorer{}, weightPrefill},
 			{finishScorer{}, weightFinish},
 			{occupancyScorer{}, weightOccupancy},
 		},
--- a/schedule/scorer.go
+++ b/schedule/scorer.go
@@ -12,16 +12,6 @@
 	Weight float64
 }
 
-// affinityScorer credits cached prompt tokens. It runs before the time scorers,
-// which charge only for the rest of the prompt.
-type affinityScorer struct{}
-
-func (affinityScorer) Score(x *scratch, r *Request, _ float64) {
-	if len(r.Prefixes) > 0 {
-		x.affinity(r)
-	}
-}
-
 // firstTokenScorer charges the estimated time to first token.
 type firstTokenScorer struct{}
 
@@ -32,6 +22,17 @@
 	}
 }
 
+// prefillScorer charges the prefill that the request causes. It delays the other
+// calls of the endpoint, which the request's own times do not show.
+type prefillScorer struct{}
+
+func (prefillScorer) Score(x *scratch, r *Request, weight float64) {
+	prompt := float64(r.PromptTokens)
+	for _, i := range x.live {
+		x.score[i] += weight * (prompt - x.saved[i]) * x.reports[i].perPrefill
+	}
+}
+
 // finishScorer charges the estimated time from first token to the end.
 type finishScorer struct{}
 
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -5,6 +5,7 @@
 package schedule
 
 import (
+	"math"
 	"time"
 
 	"toucantiller.dev/account"
@@ -167,6 +168,24 @@
 	return nil
 }
 
+// LeastTime is the shortest time in which any candidate of the service could
+// finish a request of this size if it were idle. It returns 0 when a candidate's
+// speeds are unknown, since the request cannot be ruled out then.
+func (s *Snapshot) LeastTime(serviceName string, promptTokens, answerTokens int) time.Duration {
+	least := math.Inf(1)
+	for _, c := range s.Candidates(serviceName) {
+		r := c.state.report.Load()
+		if r == nil || r.load.PrefillRate <= 0 || r.load.DecodeRate <= 0 {
+			return 0
+		}
+		least = math.Min(least, float64(promptTokens)*r.perPrefill+float64(answerTokens)*r.perDecode)
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return seconds(least)
+}
+
 func (svc *service) rangeOf(version string) (from, to int) {
 	if version == "" {
 		return 0, len(svc.candidates)
