Report speeds without load and count stopped calls

Calls stopped at their deadline on a slowed engine left no evidence. Change: Rates are those of the learned baseline, the router adds crowding by occupancy; Cancel takes what was seen of a call; a jump scales the baseline; a gateway tries elsewhere after a deadline refusal by an agent.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -44,6 +44,9 @@
 	// overdueFactor is the multiple of the expected first token time after which a
 	// call counts as evidence before it finishes.
 	overdueFactor = 4.0
+	// maxSlower bounds the slowdown concluded from overdue calls, whose true time is not
+	// known yet.
+	maxSlower = 10.0
 	// overdueSlack keeps short scheduling delays from counting as evidence.
 	overdueSlack = 200 * time.Millisecond
 	// overdueRepeat is the time between two steps taken on overdue calls.
@@ -88,11 +91,9 @@
 	tokens float64
 	cold   bool
 
-	calls   calls
-	first   line
-	decode  line
-	prefill speed
-	decoded speed
+	calls  calls
+	first  line
+	decode line
 
 	fast, slow float64
 	sinceStep  int
@@ -139,9 +140,12 @@
 // Cold reports whether the limit is still ramping up from 1.
 func (l *Limiter) Cold() bool { return l.cold }
 
-// Rates returns the learned speeds in tokens per second; 0 means not known.
+// Rates returns the learned speeds in tokens per second; 0 means not known. They
+// are those of the endpoint with few calls. A rate measured under load would keep
+// work away from an endpoint that has since become idle, and without work it would
+// never be corrected.
 func (l *Limiter) Rates() (prefill, decode float64) {
-	return l.prefill.rate(), l.decoded.rate()
+	return l.first.rate(), l.decode.rate()
 }
 
 // Outstanding returns the calls started and not finished and their prompt tokens.
@@ -220,9 +224,30 @@
 	l.prove(r, t, now)
 }
 
-// Cancel removes a call that ended without evidence, such as one whose caller
-// left.
-func (l *Limiter) Cancel(t Ticket) { l.calls.remove(t) }
+// Cancel records a call that was stopped before its end, such as one whose caller
+// left. s holds what was seen until then: FirstToken is 0 when there was none. A
+// call that had run for far longer than expected counts against the limit, since
+// callers give up on a slow endpoint and its calls might never finish.
+func (l *Limiter) Cancel(t Ticket, s Sample, now time.Time) {
+	c := l.calls.get(t)
+	if c == nil || !l.first.ready() {
+		l.calls.remove(t)
+		return
+	}
+	expected := l.expectedFirst(c)
+	l.calls.remove(t)
+	ratio := firstShare * s.Total.Seconds() / expected
+	if s.FirstToken > 0 {
+		decodeTime := (s.Total - s.FirstToken).Seconds()
+		if s.AnswerTokens < 2 || !l.decode.ready() {
+			return
+		}
+		_, ratio = l.decode.learn(float64(s.AnswerTokens), decodeTime, t.alone)
+	}
+	if ratio > fullRatio {
+		l.judge(ratio, t, now)
+	}
+}
 
 // Restart forgets the endpoint: limit 1, cold, no rates. Use it when the engine
 // is known to have restarted.
@@ -250,7 +275,7 @@
 		return false
 	}
 	if worst >= 2*overdueFactor || overdue == open {
-		l.turnCold(now)
+		l.turnCold(math.Min(math.Max(worst, 1), maxSlower), now)
 		return true
 	}
 	l.step(0.5, now)
@@ -301,7 +326,6 @@
 	answer := float64(s.AnswerTokens)
 	firstTime := s.FirstToken.Seconds()
 	decodeTime := (s.Total - s.FirstToken).Seconds()
-	l.prefill.add(prompt, firstTime)
 	corrected := firstTime / l.first.at(prompt+float64(t.ahead))
 	if !l.first.known {
 		corrected = 1
@@ -310,7 +334,6 @@
 	if answer <= 1 || decodeTime <= 0 {
 		return ratios{load: first, first: first}
 	}
-	l.decoded.add(answer, decodeTime)
 	expectedDecode, _ := l.decode.learn(answer, decodeTime, t.alone)
 	whole := s.Total.Seconds() / (expected + expectedDecode)
 	return ratios{load: math.Max(whole, firstShare*corrected), first: first}
@@ -328,7 +351,7 @@
 	jump := l.fast / math.Max(l.slow, 1)
 	switch {
 	case jump >= coldRatio:
-		l.turnCold(now)
+		l.turnCold(jump, now)
 	case jump >= jumpRatio:
 		l.step(1/jump, now)
 	case l.fast > fullRatio && l.limit > 1:
@@ -392,7 +415,7 @@
 	l.failedRow++
 	l.failures += failureGain * (1 - l.failures)
 	if l.failedRow >= failedInARow {
-		l.turnCold(now)
+		l.turnCold(1, now)
 		return
 	}
 	if l.failures >= failureShare && !t.start.Before(l.steppedAt) {
@@ -400,20 +423,19 @@
 	}
 }
 
-// turnCold starts the ramp anew. The baseline is kept: calls that run alone
-// correct it within a few calls.
-func (l *Limiter) turnCold(now time.Time) {
+// turnCold starts the ramp anew with a baseline slower by the given factor. Little
+// weight is left to the baseline, so that calls that run alone correct it within a
+// few calls.
+func (l *Limiter) turnCold(slower float64, now time.Time) {
 	l.step(0, now)
+	l.first.slowDown(slower)
+	l.decode.slowDown(slower)
 	l.cold = true
 	l.fast, l.slow = 0, 0
 	l.failedRow = 0
 }
 
 func (l *Limiter) step(factor float64, now time.Time) {
-	if factor > 0 && l.fast > 0 {
-		l.prefill.scale(factor)
-		l.decoded.scale(factor)
-	}
 	l.limit = math.Max(1, math.Floor(l.limit*factor))
 	l.tokens = math.Max(float64(l.opt.InitialTokens), l.tokens*factor)
 	l.slow = l.fast
--- a/limit/line.go
+++ b/limit/line.go
@@ -87,22 +87,26 @@
 	}
 }
 
-// speed is a fading mean of tokens per second, weighted by time.
-type speed struct{ tokens, seconds float64 }
-
-const speedMemory = 16.0
-
-func (s *speed) add(tokens, seconds float64) {
-	keep := 1 - 1/speedMemory
-	s.tokens = s.tokens*keep + tokens
-	s.seconds = s.seconds*keep + seconds
+// rate is the size per second at the mean size; 0 means not known.
+func (f *line) rate() float64 {
+	if !f.known {
+		return 0
+	}
+	mean := f.x / f.n
+	return mean / f.at(mean)
 }
 
-func (s *speed) scale(factor float64) { s.tokens *= factor }
+// weakShare is the weight that slowDown leaves to past samples.
+const weakShare = 0.1
 
-func (s *speed) rate() float64 {
-	if s.seconds <= 0 {
-		return 0
+// slowDown multiplies the predicted times and lets the next samples outweigh the
+// past ones.
+func (f *line) slowDown(factor float64) {
+	for _, sum := range [...]*float64{&f.n, &f.x, &f.y, &f.xx, &f.xy} {
+		*sum *= weakShare
 	}
-	return s.tokens / s.seconds
+	f.y *= factor
+	f.xy *= factor
+	f.intercept *= factor
+	f.slope *= factor
 }
--- a/scenario/agent.go
+++ b/scenario/agent.go
@@ -207,8 +207,13 @@
 		d.state = dispatchSealed
 		return
 	}
+	sample := limit.Sample{Total: a.now().Sub(d.started)}
+	if d.run.first {
+		sample.FirstToken = d.firstAt.Sub(d.started)
+		sample.AnswerTokens = d.call.answer - int(d.run.pool.left(d.run.job))
+	}
 	a.engine.cancel(d.run)
-	a.limiter.Cancel(d.ticket)
+	a.limiter.Cancel(d.ticket, sample, a.now())
 	a.pump()
 }
 
--- a/scenario/gateway.go
+++ b/scenario/gateway.go
@@ -225,11 +225,7 @@
 	e := d.entry
 	g.release(e)
 	e.sent = nil
-	switch reason {
-	case admission.ReasonDeadline:
-		g.w.refuse(d.call, false)
-		return
-	case admission.ReasonBelowFloor:
+	if reason == admission.ReasonBelowFloor {
 		g.w.refuse(d.call, true)
 		return
 	}
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -117,6 +117,10 @@
 	return 1 / (1 + a*(1+a*0.5))
 }
 
+// crowding is the slowdown of decodes at an endpoint at its limit. Agents report
+// speeds without load and raise the limit until calls take about this much longer.
+const crowding = 0.75
+
 // estimate computes time to first token and time to finish for one candidate, in
 // seconds.
 //
@@ -133,7 +137,8 @@
 	if over := x.requests[i] + 1 - rep.limit; over > 0 {
 		first += over * rep.perLimit * x.callTime(i, answer)
 	}
-	return first, first + answer*rep.perDecode
+	crowd := 1 + crowding*x.occupancy[i]*x.occupancy[i]
+	return first, first + answer*rep.perDecode*crowd
 }
 
 // callTime is the mean remaining time of the calls at the endpoint.
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -140,7 +140,7 @@
 const (
 	weightFirstToken = 1.0
 	weightPrefill    = 2.0
-	weightFinish     = 0.25
+	weightFinish     = 0.5
 	weightOccupancy  = 1.0
 	nearShare        = 0.15
 	nearSlack        = 0.005
