Confirm a slowdown by three of five calls

Cause: an engine slowed 10x kept a limit of 13: the first slow call took a gentle step, after which the calls still running no longer counted, and callers gave up before new ones finished. Change: a step needs three of the last five calls, compared with the mean before them; a confirmed jump of 4 turns the endpoint cold at once.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -54,8 +55,10 @@
 
 	fastGain = 0.35
 	slowGain = 0.05
-	// jumpCalls is the number of calls that must confirm a jump.
-	jumpCalls = 3
+	// jumpCalls of the last recentCalls must confirm a jump. The others may be calls
+	// that were nearly done when it began.
+	jumpCalls   = 3
+	recentCalls = 5
 	// failedInARow is the number of failures in a row that mark the endpoint cold.
 	failedInARow = 3
 	// failureShare is the smoothed share of failures that halves the limit.
@@ -95,13 +98,18 @@
 	first  line
 	decode line
 
+	// fast and slow are means of the ratio over a few and over many calls.
 	fast, slow float64
-	sinceStep  int
-	steppedAt  time.Time
-	overdueAt  time.Time
-	failures   float64
-	failedRow  int
-	longest    time.Duration
+	// recent holds the last ratios since the last step, reference the slow mean before
+	// the latest one.
+	recent    [recentCalls]float64
+	reference float64
+	sinceStep int
+	steppedAt time.Time
+	overdueAt time.Time
+	failures  float64
+	failedRow int
+	longest   time.Duration
 
 	proof proof
 }
@@ -348,19 +356,30 @@
 	if l.sinceStep < jumpCalls {
 		return
 	}
-	jump := l.fast / math.Max(l.slow, 1)
+	confirmed := l.confirmed()
+	jump := confirmed / math.Max(l.reference, 1)
 	switch {
 	case jump >= coldRatio:
 		l.turnCold(jump, now)
 	case jump >= jumpRatio:
 		l.step(1/jump, now)
-	case l.fast > fullRatio && l.limit > 1:
+	case l.fast > fullRatio && confirmed > growRatio && l.limit > 1:
 		l.cold = false
 		l.step(math.Max(0.7, growRatio/l.fast), now)
 	}
 }
 
+// confirmed is the ratio that jumpCalls of the recent calls reached.
+func (l *Limiter) confirmed() float64 {
+	ratios := l.recent
+	slices.Sort(ratios[:])
+	return ratios[recentCalls-jumpCalls]
+}
+
 func (l *Limiter) smooth(ratio float64) {
+	// The reference lags behind, so that the calls that confirm a jump do not move it.
+	l.reference = l.slow
+	l.recent[l.sinceStep%recentCalls] = ratio
 	l.sinceStep++
 	if l.slow == 0 {
 		l.fast, l.slow = ratio, ratio
@@ -440,6 +459,7 @@
 	l.tokens = math.Max(float64(l.opt.InitialTokens), l.tokens*factor)
 	l.slow = l.fast
 	l.sinceStep = 0
+	l.recent = [recentCalls]float64{}
 	l.steppedAt = now
 	l.restartProof(now)
 }
