--- /dev/null
+++ b/control/api/signing.go
@@ -0,0 +1,76 @@
+package api
+
+import (
+	"encoding/binary"
+	"time"
+
+	"toucantiller.dev/contract"
+)
+
+// Limits on the age of signatures.
+const (
+	// OperationValidity is how long after signing a change is accepted.
+	OperationValidity = time.Hour
+	// ClockTolerance is how far ahead of the leader's clock a signing time may be.
+	ClockTolerance = 5 * time.Minute
+)
+
+// Change is a change that an operator signs: ApplyBundle, SetDomain or AbortMove.
+type Change interface {
+	// Op returns the operation, which callers may modify.
+	Op() *Operation
+	method() string
+	signedFields() []string
+}
+
+// SigningBytes returns the exact bytes that the operator of a change signs: the
+// method, the operation without its signature, and every field of the change. Each
+// part is preceded by its length, so no two changes have the same bytes.
+func SigningBytes(change Change) []byte {
+	op := change.Op()
+	parts := []string{"toucantiller change v1", change.method(), op.ID, op.Operator, formatTime(op.At)}
+	return joinParts(append(parts, change.signedFields()...))
+}
+
+// Sign dates and signs a change. Set its other fields before.
+func Sign(change Change, key contract.SigningKey, at time.Time) {
+	op := change.Op()
+	op.At = at.UTC()
+	op.Signature = key.Sign(SigningBytes(change))
+}
+
+// Op returns the operation.
+func (c *ApplyBundle) Op() *Operation { return &c.Operation }
+
+// Op returns the operation.
+func (c *SetDomain) Op() *Operation { return &c.Operation }
+
+// Op returns the operation.
+func (c *AbortMove) Op() *Operation { return &c.Operation }
+
+func (c *ApplyBundle) method() string { return "ApplyBundle" }
+func (c *SetDomain) method() string   { return "SetDomain" }
+func (c *AbortMove) method() string   { return "AbortMove" }
+
+func (c *ApplyBundle) signedFields() []string {
+	fields := []string{contract.Digest(c.Content)}
+	for _, s := range c.Signatures {
+		fields = append(fields, s.Operator, formatTime(s.At), string(s.Signature))
+	}
+	return fields
+}
+
+func (c *SetDomain) signedFields() []string { return []string{string(c.Domain), string(c.State)} }
+
+func (c *AbortMove) signedFields() []string { return []string{c.Service, c.Reason} }
+
+func formatTime(t time.Time) string { return t.UTC().Format(time.RFC3339Nano) }
+
+func joinParts(parts []string) []byte {
+	var out []byte
+	for _, p := range parts {
+		out = binary.BigEndian.AppendUint64(out, uint64(len(p)))
+		out = append(out, p...)
+	}
+	return out
+}
