--- /dev/null
+++ b/control/decider/decider_test.go
@@ -0,0 +1,67 @@
+package decider_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/control/decider"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
+)
+
+var start = time.Date(2031, 5, 4, 12, 0, 0, 0, time.UTC)
+
+// observations are those of one second: one in five of the new version.
+func observations(second int, badNew bool) []api.Observation {
+	var out []api.Observation
+	for i := range 60 {
+		o := api.Observation{Service: "weft-lm", Version: "v1", Route: "chat", Load: 0.4, PromptTokens: 100 + i, AnswerTokens: 50, FirstToken: time.Duration(90+(i*7+second)%20) * time.Millisecond, BetweenTokens: time.Duration(28+(i*3+second)%5) * time.Millisecond}
+		o.Domain = failuredomain.ID(fmt.Sprintf("lagos-%d", i%3))
+		o.Endpoint = endpoint.ID(fmt.Sprintf("old-%d", i%6))
+		if (i/6+second)%5 == 0 {
+			o.Version, o.Endpoint, o.Failed = "v2", endpoint.ID(fmt.Sprintf("new-%d", i%6)), badNew
+		}
+		out = append(out, o, api.Observation{Service: "member-desk", Version: "v2", Failed: true})
+	}
+	return out
+}
+
+// drive commits every decision, as control does, and returns the move as it ended.
+func drive(t *testing.T, bad bool) api.Move {
+	t.Helper()
+	d := decider.New()
+	m := api.Move{Service: "weft-lm", From: "v1", To: "v2", State: api.MoveRunning, Share: decider.FirstShare, Started: start, StageSince: start, Deadline: start.Add(2 * time.Minute), Watch: 20 * time.Second}
+	for second := 1; second < 300; second++ {
+		now := start.Add(time.Duration(second) * time.Second)
+		out := d.Decide(now, m, observations(second, bad))
+		m.Cause, m.Evidence = out.Cause, out.Evidence
+		if !out.Change {
+			continue
+		}
+		assert.Equal(t, out.Stage, m.Stage+1, "a change must be the next stage")
+		m.State, m.Stage, m.Share, m.StageSince = out.State, out.Stage, out.Share, now
+		if m.State == api.MoveDone || m.State == api.MoveTakenBack {
+			m.Ended = now
+			return m
+		}
+	}
+	t.Fatalf("the move did not end: %+v", m)
+	return m
+}
+
+// Guards against a wrong translation between the types: other services must not count,
+// and every state must be reached.
+func TestDeciderDrivesMovesToTheirEnd(t *testing.T) {
+	done := drive(t, false)
+	assert.Equal(t, done.State, api.MoveDone, done.Cause)
+	assert.Equal(t, done.Share, 1.0)
+	back := drive(t, true)
+	assert.Equal(t, back.State, api.MoveTakenBack)
+	assert.Equal(t, back.Share, 0.0)
+	assert.Assert(t, len(back.Evidence) > 0)
+	assert.Equal(t, back.Evidence[0].Measure, "errors")
+}
--- a/rollout/correction.go
+++ b/rollout/correction.go
@@ -104,15 +104,18 @@
 	}
 }
 
-// nearest uses a neighbouring bin at a distance of at most 2.
+// nearest uses the next bin of a higher load at any distance, as time does not fall with
+// load and the comparison then favours the new version, and otherwise only the bin below:
+// the time at a load that the old version never had cannot be known.
 func (c *correction) nearest(bin int) (float64, bool) {
-	for d := 1; d <= 2; d++ {
-		for _, i := range []int{bin + d, bin - d} {
-			if i >= 0 && i < loadBins && c.load[i].n >= leastBin {
-				return c.load[i].mean, true
-			}
+	for i := bin + 1; i < loadBins; i++ {
+		if c.load[i].n >= leastBin {
+			return c.load[i].mean, true
 		}
 	}
+	if bin > 0 && c.load[bin-1].n >= leastBin {
+		return c.load[bin-1].mean, true
+	}
 	return 0, false
 }
 
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -46,7 +46,7 @@
 	if obstacle != "" && j.hopeless(now, s, next) {
 		return j.takeBack(fmt.Sprintf("cannot finish by the deadline: %s", obstacle))
 	}
-	if due := s.due(next, j.since); now.Before(due) {
+	if due := s.due(next, j.move.Share, j.since); now.Before(due) {
 		return j.decision(Hold, move.Share, j.holdCause("next stage planned at "+clock(due), all, robust, group))
 	}
 	if obstacle != "" {
@@ -133,10 +133,17 @@
 	return ""
 }
 
-// patience is until when a stage waits for rare routes: half of the slack that is left.
+// patienceShare is the part of the slack that one small stage may spend on rare routes.
+const patienceShare = 0.25
+
+// patience is until when a stage waits for rare routes. Later stages do not wait: there
+// the slack is needed for bursts and cold endpoints.
 func (j *Judge) patience(s schedule, next int) time.Time {
-	due, latest := s.due(next, j.since), s.latest(next)
-	return due.Add(max(0, latest.Sub(due)) / 2)
+	due, latest := s.due(next, j.move.Share, j.since), s.latest(next)
+	if j.move.Share > plan[2].share {
+		return due
+	}
+	return due.Add(time.Duration(patienceShare * float64(max(0, latest.Sub(due)))))
 }
 
 // hopeless reports whether the move can no longer be at full share by its deadline: its
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -13,7 +13,7 @@
 type Judge struct {
 	move     Move
 	since    time.Time
-	groups   map[string]int
+	groups   map[groupName]int
 	isDomain []bool
 	// answered counts the new version's answers by group.
 	answered []int
@@ -40,7 +40,7 @@
 // fixed one gives the same decisions for the same input.
 func NewJudge(seed uint64) *Judge {
 	return &Judge{
-		groups: make(map[string]int),
+		groups: make(map[groupName]int),
 		routes: make(map[string]int),
 		models: make(map[string]*routeModel),
 		lines:  []*line{newLine(AllRoutes, pooledWeight)},
@@ -143,10 +143,10 @@
 		model = &routeModel{}
 		j.models[o.Route] = model
 	}
-	a := answer{isNew: o.Version == j.move.To, failed: o.Failed, domain: j.group("domain "+o.Domain, true)}
+	a := answer{isNew: o.Version == j.move.To, failed: o.Failed, domain: j.group(groupName{true, o.Domain})}
 	a.endpoint = -1
 	if a.isNew {
-		a.endpoint = j.group("endpoint "+o.Endpoint, false)
+		a.endpoint = j.group(groupName{false, o.Endpoint})
 		j.answered[a.endpoint]++
 		j.answered[a.domain]++
 		j.seenNew(o)
@@ -181,12 +181,25 @@
 	j.cold += (flag(o.Cold) - j.cold) * rate
 }
 
-func (j *Judge) group(name string, isDomain bool) int {
+// groupName names an endpoint or a failure domain.
+type groupName struct {
+	isDomain bool
+	name     string
+}
+
+func (n groupName) String() string {
+	if n.isDomain {
+		return "failure domain " + n.name
+	}
+	return "endpoint " + n.name
+}
+
+func (j *Judge) group(name groupName) int {
 	g, ok := j.groups[name]
 	if !ok {
 		g = len(j.isDomain)
 		j.groups[name] = g
-		j.isDomain = append(j.isDomain, isDomain)
+		j.isDomain = append(j.isDomain, name.isDomain)
 		j.answered = append(j.answered, 0)
 	}
 	return g
@@ -194,11 +207,15 @@
 
 // close judges the answers of a window and empties it.
 func (j *Judge) close(l *line, w *window, now time.Time) {
+	old := w.countOld()
+	if old < windowOld && len(w.answers) < maxWindow && j.move.Share < fullEnough {
+		return // more answers may bring enough old ones
+	}
 	before := l.judged
 	for _, c := range l.components() {
 		c.grow(len(j.isDomain))
 	}
-	if w.countOld() >= windowOld {
+	if old >= windowOld {
 		j.random.Shuffle(len(w.answers), func(a, b int) { w.answers[a], w.answers[b] = w.answers[b], w.answers[a] })
 		l.compare(w.answers)
 	} else {
@@ -231,8 +248,8 @@
 				without += c.wealthWithout(g)
 			}
 		}
-		if without < robust || without == robust && group != "" && name < group {
-			robust, group = without, name
+		if without < robust || without == robust && group != "" && name.String() < group {
+			robust, group = without, name.String()
 		}
 	}
 	return all, robust, group
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -72,8 +72,12 @@
 }
 
 // due returns when the stage after the present one should begin: at its planned length,
-// shortened in proportion when the move is late, and never under the least dwell.
-func (s schedule) due(i int, since time.Time) time.Time {
+// shortened in proportion when the move is late, and never under the least dwell. A share
+// between two planned ones was bounded by load, and lasts only the least dwell.
+func (s schedule) due(i int, share float64, since time.Time) time.Time {
+	if i > 0 && share > plan[i-1].share+1e-9 {
+		return since.Add(s.leastDwell())
+	}
 	length := plan[i].start
 	if i > 0 {
 		length -= plan[i-1].start
--- a/rollout/wealth.go
+++ b/rollout/wealth.go
@@ -68,15 +68,18 @@
 
 // multiply applies the factors of one answer of the given endpoint and domain groups.
 func (c *component) multiply(f factors, endpoint, domain int) {
-	for i := range c.all {
-		c.all[i] = math.Min(maxWealth, c.all[i]*f[i])
-	}
+	c.all.multiply(&f)
 	for g := range c.without {
-		if g == endpoint || g == domain {
-			continue
+		if g != endpoint && g != domain {
+			c.without[g].multiply(&f)
 		}
-		for i := range f {
-			c.without[g][i] = math.Min(maxWealth, c.without[g][i]*f[i])
+	}
+}
+
+func (w *factors) multiply(f *factors) {
+	for i := range w {
+		if w[i] *= f[i]; w[i] > maxWealth {
+			w[i] = maxWealth
 		}
 	}
 }
--- a/rollout/window.go
+++ b/rollout/window.go
@@ -13,10 +13,15 @@
 	// A window holds about newPerWindow new answers, within bounds. It closes on its
 	// total count or age, never on what the new version answered.
 	newPerWindow = 2.0
-	minWindow    = 16
+	oldPerWindow = 16.0
+	minWindow    = 24
 	maxWindow    = 128
 	maxWindowAge = 45 * time.Second
-	minAgedSize  = 20
+	minAgedSize  = 24
+	// fullEnough is the share from which old answers at the same time are too rare.
+	fullEnough = 0.97
+	// leastPast is the number of past answers that a comparison of times needs.
+	leastPast = 16
 
 	// latencyMargin is the logarithm of the slowdown that is not held against a new
 	// version: endpoints of one kind differ by tens of percent, and a few of them do not
@@ -61,13 +66,14 @@
 	since   time.Time
 }
 
-// windowSize returns the count at which windows close.
+// windowSize returns the count at which windows close: enough for about newPerWindow new
+// answers and oldPerWindow old ones.
 func windowSize(share float64) int {
-	rarer := math.Min(share, 1-share)
-	if rarer <= 0 {
+	if share >= fullEnough {
 		return 1
 	}
-	return min(maxWindow, max(minWindow, int(newPerWindow/rarer)))
+	size := max(newPerWindow/max(share, 1e-6), oldPerWindow/(1-share))
+	return int(min(maxWindow, max(minWindow, size)))
 }
 
 func (w *window) aged(now time.Time) bool {
@@ -226,7 +232,7 @@
 	}
 	l.times[measure].new.add(a.raw[measure])
 	past := l.reference[measure].ordered()
-	if len(past) < minWindow {
+	if len(past) < leastPast {
 		return
 	}
 	at, _ := slices.BinarySearch(past, v-referenceMargin)
