--- a/control/api/signing.go
+++ b/control/api/signing.go
@@ -1,51 +1,76 @@
 package api
 
 import (
-	"crypto/sha256"
 	"encoding/binary"
-	"encoding/json"
-)
+	"time"
 
-// operatorContext separates operator changes from every other use of an operator's key.
-const operatorContext = "toucantiller operator change v1\x00"
+	"toucantiller.dev/contract"
+)
 
-// Kinds of operator changes, as signed.
+// Limits on the age of signatures.
 const (
-	ChangeApplyBundle = "apply bundle"
-	ChangeSetDomain   = "set domain"
-	ChangeAbortMove   = "abort move"
+	// OperationValidity is how long after signing a change is accepted.
+	OperationValidity = time.Hour
+	// ClockTolerance is how far ahead of the leader's clock a signing time may be.
+	ClockTolerance = 5 * time.Minute
 )
 
-// SigningBytes returns what an operator signs for a change: the context, the operation
-// ID, the operator, the kind and the digest of the content, each with its length, so
-// that no two changes encode alike. The SigningBytes methods of the changes call it.
-func SigningBytes(operationID, operator, kind string, content []byte) []byte {
-	digest := sha256.Sum256(content)
-	out := []byte(operatorContext)
-	for _, part := range [][]byte{[]byte(operationID), []byte(operator), []byte(kind), digest[:]} {
-		out = binary.BigEndian.AppendUint64(out, uint64(len(part)))
-		out = append(out, part...)
-	}
-	return out
+// Change is a change that an operator signs: ApplyBundle, SetDomain or AbortMove.
+type Change interface {
+	// Op returns the operation, which callers may modify.
+	Op() *Operation
+	method() string
+	signedFields() []string
 }
 
-// SigningBytes returns what Operation.Signature covers.
-func (a *ApplyBundle) SigningBytes() []byte {
-	content, _ := json.Marshal(struct {
-		Content    []byte
-		Signatures []Signature
-	}{a.Content, a.Signatures}) // these types always encode
-	return SigningBytes(a.Operation.ID, a.Operation.Operator, ChangeApplyBundle, content)
+// SigningBytes returns the exact bytes that the operator of a change signs: the
+// method, the operation without its signature, and every field of the change. Each
+// part is preceded by its length, so no two changes have the same bytes.
+func SigningBytes(change Change) []byte {
+	op := change.Op()
+	parts := []string{"toucantiller change v1", change.method(), op.ID, op.Operator, formatTime(op.At)}
+	return joinParts(append(parts, change.signedFields()...))
 }
 
-// SigningBytes returns what Operation.Signature covers.
-func (s *SetDomain) SigningBytes() []byte {
-	content, _ := json.Marshal([]string{string(s.Domain), string(s.State)}) // strings always encode
-	return SigningBytes(s.Operation.ID, s.Operation.Operator, ChangeSetDomain, content)
+// Sign dates and signs a change. Set its other fields before.
+func Sign(change Change, key contract.SigningKey, at time.Time) {
+	op := change.Op()
+	op.At = at.UTC()
+	op.Signature = key.Sign(SigningBytes(change))
+}
+
+// Op returns the operation.
+func (c *ApplyBundle) Op() *Operation { return &c.Operation }
+
+// Op returns the operation.
+func (c *SetDomain) Op() *Operation { return &c.Operation }
+
+// Op returns the operation.
+func (c *AbortMove) Op() *Operation { return &c.Operation }
+
+func (c *ApplyBundle) method() string { return "ApplyBundle" }
+func (c *SetDomain) method() string   { return "SetDomain" }
+func (c *AbortMove) method() string   { return "AbortMove" }
+
+func (c *ApplyBundle) signedFields() []string {
+	fields := []string{contract.Digest(c.Content)}
+	for _, s := range c.Signatures {
+		fields = append(fields, s.Operator, formatTime(s.At), string(s.Signature))
+	}
+	return fields
 }
 
-// SigningBytes returns what Operation.Signature covers.
-func (a *AbortMove) SigningBytes() []byte {
-	content, _ := json.Marshal([]string{a.Service, a.Reason}) // strings always encode
-	return SigningBytes(a.Operation.ID, a.Operation.Operator, ChangeAbortMove, content)
+func (c *SetDomain) signedFields() []string { return []string{string(c.Domain), string(c.State)} }
+
+func (c *AbortMove) signedFields() []string { return []string{c.Service, c.Reason} }
+
+func formatTime(t time.Time) string { return t.UTC().Format(time.RFC3339Nano) }
+
+func joinParts(parts []string) []byte {
+	var out []byte
+	for _, p := range parts {
+		out = binary.BigEndian.AppendUint64(out, uint64(len(p)))
+		out = append(out, p...)
+	}
+	return out
 }
--- a/operator/bundle.go
+++ b/operator/bundle.go
@@ -178,7 +178,7 @@
 	for _, o := range all {
 		change.Signatures = append(change.Signatures, api.Signature(o))
 	}
-	return s.change(c.signer, c.Wait, &change.Operation, change.SigningBytes, func(control Control) (*api.ChangeReply, error) {
+	return s.change(c.signer, c.Wait, change, func(control Control) (*api.ChangeReply, error) {
 		ctx, cancel := s.timeout()
 		defer cancel()
 		return control.ApplyBundle(ctx, change)
--- a/operator/change.go
+++ b/operator/change.go
@@ -44,7 +44,7 @@
 }
 
 // change signs and sends one operator change and prints its outcome.
-func (s *session) change(who signer, wait bool, op *api.Operation, signing func() []byte, send func(Control) (*api.ChangeReply, error)) error {
+func (s *session) change(who signer, wait bool, change api.Change, send func(Control) (*api.ChangeReply, error)) error {
 	key, err := contract.ReadKeyFile(who.Key)
 	if err != nil {
 		return usageError{err}
@@ -53,9 +53,10 @@
 	if err != nil {
 		return err
 	}
+	op := change.Op()
 	op.ID = s.NewID()
 	op.Operator = who.Operator
-	op.Signature = key.Sign(signing())
+	api.Sign(change, key, s.Now())
 	reply, err := send(control)
 	if err != nil {
 		return fmt.Errorf("the outcome of operation %s is not known: %w", op.ID, err)
--- a/operator/domain.go
+++ b/operator/domain.go
@@ -41,7 +41,7 @@
 
 func (s *session) setDomain(who signer, wait bool, domain string, state failuredomain.State) error {
 	change := &api.SetDomain{Domain: failuredomain.ID(domain), State: state}
-	return s.change(who, wait, &change.Operation, change.SigningBytes, func(control Control) (*api.ChangeReply, error) {
+	return s.change(who, wait, change, func(control Control) (*api.ChangeReply, error) {
 		ctx, cancel := s.timeout()
 		defer cancel()
 		return control.SetDomain(ctx, change)
--- a/operator/move.go
+++ b/operator/move.go
@@ -161,7 +161,7 @@
 // Run takes a move back.
 func (c *moveAbortCmd) Run(s *session) error {
 	change := &api.AbortMove{Service: c.Service, Reason: c.Reason}
-	return s.change(c.signer, false, &change.Operation, change.SigningBytes, func(control Control) (*api.ChangeReply, error) {
+	return s.change(c.signer, false, change, func(control Control) (*api.ChangeReply, error) {
 		ctx, cancel := s.timeout()
 		defer cancel()
 		return control.AbortMove(ctx, change)
