Fit the decider to control and show who wrote and applied a bundle

Cause: control starts a move at share 0 and takes one decider for each move; the operator library had a client of its own beside control.Client.

Change: decider.New takes the move; the first share is due at once; package operator uses control.Client; bundle show names author, signers and the applying operator; latencies are also corrected for the failure domain, as domains may differ in hardware.

Conclusion: control can set NewDecider.

--- a/control/decider/decider.go
+++ b/control/decider/decider.go
@@ -1,90 +1,37 @@
 // Package decider connects package rollout, which knows no messages, with the types of
-// the control API.
+// the control API. Control takes it as
+//
+//	control.Options{NewDecider: func(m api.Move) control.Decider { return decider.New(m) }}
 package decider
 
 import (
-	"hash/fnv"
 	"time"
 
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/rollout"
 )
 
-// Decision is what to do with a move. Commit it with the stage that the move had when it
-// was asked for, so that no stage is taken twice or skipped.
-type Decision struct {
-	// Change is false when the move stays as it is; State, Stage and Share are then those
-	// it has.
-	Change bool
-	State  api.MoveState
-	Stage  int
-	Share  float64
-	// Cause says why in one plain line, also for a move that stays as it is.
-	Cause    string
-	Evidence []api.MoveEvidence
-}
-
-// Interface is what control needs of a decider.
-type Interface interface {
-	Decide(now time.Time, move api.Move, obs []api.Observation) Decision
-}
-
-// FirstShare is the share of a new move at stage 0.
-const FirstShare = rollout.FirstShare
-
-// key identifies a move: a service has one move at a time, and Started tells a repeated
-// move from the first.
-type key struct {
-	service, from, to string
-	started           int64
-}
-
-// Decider holds the evidence of the running moves of a leader. A new leader starts with a
-// new Decider. It is not safe for concurrent use.
+// Decider holds the evidence of one move. A new leader makes a new one from the committed
+// move and starts with no evidence. It is not safe for concurrent use.
 type Decider struct {
-	judges map[key]*rollout.Judge
+	judge *rollout.Judge
 }
 
-var _ Interface = (*Decider)(nil)
-
-// New returns a decider without evidence.
-func New() *Decider { return &Decider{judges: make(map[key]*rollout.Judge)} }
+// New returns the decider of a move; it fits control.Options.NewDecider.
+func New(move api.Move) *Decider { return &Decider{judge: rollout.NewJudge(move.ID)} }
 
 // Decide adds the observations that were made since the last call and returns what to do
 // with the move. Observations of other services are ignored. It may be called as often as
-// wanted; calls every 500 ms to 1 s are enough.
-func (d *Decider) Decide(now time.Time, move api.Move, obs []api.Observation) Decision {
-	stay := Decision{State: move.State, Stage: move.Stage, Share: move.Share, Cause: move.Cause, Evidence: move.Evidence}
-	if move.State == api.MoveDone || move.State == api.MoveTakenBack {
-		d.forget(keyOf(move))
-		return stay
-	}
-	judge := d.judge(keyOf(move))
-	out := judge.Decide(now, moveOf(move), observationsOf(move.Service, obs))
-	return decisionOf(move, out)
-}
-
-func keyOf(m api.Move) key { return key{m.Service, m.From, m.To, m.Started.UnixNano()} }
-
-func (d *Decider) judge(k key) *rollout.Judge {
-	j, ok := d.judges[k]
-	if !ok {
-		j = rollout.NewJudge(seedOf(k))
-		d.judges[k] = j
-	}
-	return j
-}
-
-func (d *Decider) forget(k key) { delete(d.judges, k) }
-
-// seedOf makes the order of answers within a window reproducible for a move.
-func seedOf(k key) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(k.service + "\x00" + k.from + "\x00" + k.to)) // a hash never fails
-	return h.Sum64()
+// wanted; calls every 250 ms to 1 s are enough.
+func (d *Decider) Decide(now time.Time, move api.Move, obs []api.Observation) api.Decision {
+	return decisionOf(d.judge.Decide(now, moveOf(move), observationsOf(move.Service, obs)))
 }
 
 func moveOf(m api.Move) rollout.Move {
+	since := m.StageSince
+	if m.State == api.MoveWatching {
+		since = m.FullAt
+	}
 	return rollout.Move{
 		Service:    m.Service,
 		From:       m.From,
@@ -94,7 +41,7 @@
 		Watching:   m.State == api.MoveWatching,
 		Started:    m.Started,
 		Deadline:   m.Deadline,
-		StageSince: m.StageSince,
+		StageSince: since,
 		Watch:      m.Watch,
 	}
 }
@@ -123,17 +70,17 @@
 	return out
 }
 
-func decisionOf(move api.Move, d rollout.Decision) Decision {
-	out := Decision{Change: d.Action != rollout.Hold, State: move.State, Stage: d.Stage, Share: d.Share, Cause: d.Cause, Evidence: evidenceOf(d.Evidence)}
-	switch d.Action {
-	case rollout.StartWatch:
-		out.State = api.MoveWatching
-	case rollout.Finish:
-		out.State = api.MoveDone
-	case rollout.TakeBack:
-		out.State = api.MoveTakenBack
-	}
-	return out
+// actions translates; full share is a raise that control turns into a watch.
+var actions = map[rollout.Action]api.DecisionAction{
+	rollout.Hold:       api.DecisionHold,
+	rollout.Raise:      api.DecisionRaise,
+	rollout.StartWatch: api.DecisionRaise,
+	rollout.TakeBack:   api.DecisionTakeBack,
+	rollout.Finish:     api.DecisionFinish,
+}
+
+func decisionOf(d rollout.Decision) api.Decision {
+	return api.Decision{Action: actions[d.Action], Stage: d.Stage, Share: d.Share, Cause: d.Cause, Evidence: evidenceOf(d.Evidence)}
 }
 
 func evidenceOf(all []rollout.Evidence) []api.MoveEvidence {
--- a/operator/bundle.go
+++ b/operator/bundle.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
@@ -31,7 +32,9 @@
 	Wait       bool   `help:"Wait until the configuration is in force everywhere." env:"TOUCAN_WAIT"`
 }
 
-type bundleShowCmd struct{}
+type bundleShowCmd struct {
+	Content bool `help:"Print the exact content." env:"TOUCAN_CONTENT"`
+}
 
 type validation struct {
 	File     string             `json:"file"`
@@ -186,12 +189,15 @@
 }
 
 type shown struct {
-	Bundle   contract.BundleRef `json:"bundle"`
-	Revision uint64             `json:"revision"`
-	Replica  string             `json:"replica"`
-	Leader   string             `json:"leader"`
-	InForce  bool               `json:"in_force"`
-	Behind   []string           `json:"behind"`
+	Bundle    contract.BundleRef `json:"bundle"`
+	Author    string             `json:"author,omitempty"`
+	AppliedBy string             `json:"applied_by,omitempty"`
+	AppliedAt *time.Time         `json:"applied_at,omitempty"`
+	Signers   []string           `json:"signers"`
+	Content   string             `json:"content,omitempty"`
+	Revision  uint64             `json:"revision"`
+	InForce   bool               `json:"in_force"`
+	Behind    []string           `json:"behind"`
 }
 
 func (r *shown) text(w io.Writer) {
@@ -199,7 +205,20 @@
 		line(w, "no bundle has been applied")
 		return
 	}
+	if r.Content != "" {
+		_, _ = io.WriteString(w, r.Content)
+		return
+	}
 	line(w, "bundle %s version %d, digest %s", r.Bundle.Name, r.Bundle.Version, r.Bundle.Digest)
+	signers := "nobody"
+	if len(r.Signers) > 0 {
+		signers = strings.Join(r.Signers, ", ")
+	}
+	when := ""
+	if r.AppliedAt != nil {
+		when = " at " + r.AppliedAt.Format(time.RFC3339)
+	}
+	line(w, "written by %s, signed by %s, applied by %s%s", r.Author, signers, r.AppliedBy, when)
 	line(w, "revision %d, %s", r.Revision, inForce(r.InForce, r.Behind))
 }
 
@@ -209,5 +228,31 @@
 	if err != nil {
 		return err
 	}
-	return s.print(&shown{Bundle: st.Bundle, Revision: st.Revision, Replica: st.Replica, Leader: st.Leader, InForce: st.InForce, Behind: behind(st)})
+	out := &shown{Bundle: st.Bundle, Signers: []string{}, Revision: st.Revision, InForce: st.InForce, Behind: behind(st)}
+	if st.Bundle.Name != "" {
+		if err := c.details(s, out); err != nil {
+			return err
+		}
+	}
+	return s.print(out)
+}
+
+func (c *bundleShowCmd) details(s *session, out *shown) error {
+	ctx, cancel := s.timeout()
+	defer cancel()
+	b, err := s.control.Bundle(ctx)
+	if err != nil {
+		return fmt.Errorf("no bundle: %w", err)
+	}
+	out.Author, out.AppliedBy = b.Author, b.AppliedBy
+	if at := b.AppliedAt.UTC(); !at.IsZero() {
+		out.AppliedAt = &at
+	}
+	for _, o := range b.Signatures {
+		out.Signers = append(out.Signers, o.Operator)
+	}
+	if c.Content {
+		out.Content = string(b.Content)
+	}
+	return nil
 }
--- a/operator/cli.go
+++ b/operator/cli.go
@@ -13,6 +13,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"toucantiller.dev/control"
 	"toucantiller.dev/program"
 )
 
@@ -176,12 +177,12 @@
 	if err != nil {
 		return nil, usageError{err}
 	}
-	s.control = NewClient(network, s.cli.Control)
+	s.control = control.NewClient(network, s.cli.Control)
 	return s.control, nil
 }
 
 func (s *session) close() {
-	if c, ok := s.control.(*Client); ok {
+	if c, ok := s.control.(*control.Client); ok {
 		c.Close()
 	}
 }
@@ -190,5 +191,3 @@
 func (s *session) timeout() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(s.ctx, s.cli.Timeout)
 }
-
-var _ Control = (*Client)(nil)
--- a/rollout/correction.go
+++ b/rollout/correction.go
@@ -57,7 +57,20 @@
 // learns from the old version only, so a slow new version cannot raise what is expected.
 type correction struct {
 	size regression
-	load [loadBins]struct{ n, mean float64 }
+	load [loadBins]effect
+	// domains holds the effect of each failure domain, as their hardware may differ.
+	domains map[string]*effect
+}
+
+// effect is a running mean of what remains to be explained.
+type effect struct{ n, mean float64 }
+
+// effectMemory bounds the weight of the past in a mean, in answers.
+const effectMemory = 200
+
+func (e *effect) learn(rest float64) {
+	e.n++
+	e.mean += (rest - e.mean) / math.Min(e.n, effectMemory)
 }
 
 func sizes(o *Observation) [features]float64 {
@@ -70,20 +83,36 @@
 
 // learn adds an answer of the old version that took seconds.
 func (c *correction) learn(o *Observation, seconds float64) {
+	if c.domains == nil {
+		c.domains = make(map[string]*effect)
+	}
+	domain := c.domains[o.Domain]
+	if domain == nil {
+		domain = &effect{}
+		c.domains[o.Domain] = domain
+	}
 	x := sizes(o)
 	y := math.Log(seconds)
-	bin := &c.load[loadBin(o.Load)]
-	effect := bin.mean
-	bin.n++
-	bin.mean += (y - c.size.predict(x) - bin.mean) / math.Min(bin.n, 200)
-	c.size.learn(x, y-effect)
+	load := &c.load[loadBin(o.Load)]
+	size, byLoad, byDomain := c.size.predict(x), load.mean, domain.mean
+	load.learn(y - size - byDomain)
+	domain.learn(y - size - byLoad)
+	c.size.learn(x, y-byLoad-byDomain)
+}
+
+func (c *correction) domainEffect(name string) float64 {
+	if d := c.domains[name]; d != nil && d.n >= leastBin {
+		return d.mean
+	}
+	return 0
 }
 
 // residual returns the logarithm of the time over what the old version would have taken
-// at the same size and load. ok is false where the old version was not seen at such a load.
+// at the same size, load and
+// failure domain. ok is false where the old version was not seen at such a load.
 func (c *correction) residual(o *Observation, seconds float64) (value float64, ok bool) {
 	effect, ok := c.loadEffect(o.Load)
-	return math.Log(seconds) - c.size.predict(sizes(o)) - effect, ok
+	return math.Log(seconds) - c.size.predict(sizes(o)) - c.domainEffect(o.Domain) - effect, ok
 }
 
 // loadEffect interpolates between the centres of bins, as a step at a bin's edge would
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -73,8 +73,12 @@
 
 // due returns when the stage after the present one should begin: at its planned length,
 // shortened in proportion when the move is late, and never under the least dwell. A share
-// between two planned ones was bounded by load, and lasts only the least dwell.
+// between two planned ones was bounded by load, and lasts only the least dwell. The first
+// share is due at once.
 func (s schedule) due(i int, share float64, since time.Time) time.Time {
+	if share <= 0 {
+		return since
+	}
 	if i > 0 && share > plan[i-1].share+1e-9 {
 		return since.Add(s.leastDwell())
 	}
