--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,9 +5,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,20 +42,32 @@
 	Meter    metric.Meter
 	// MaxBody bounds a request body, in bytes.
 	MaxBody int64
+	// DataFolder, when set, keeps the highest fencing token across restarts.
+	DataFolder string
+	// Token is the highest fencing token known from the registration.
+	Token uint64
 }
 
 // Agent serves dispatches for one endpoint.
 type Agent struct {
-	opt      Options
-	ledger   *Ledger
-	gate     *gate
-	server   *http.Server
-	leaving  atomic.Bool
-	requests sync.WaitGroup
-	metrics  *metrics
+	opt     Options
+	ledger  *Ledger
+	gate    *gate
+	orders  *orders
+	server  *http.Server
+	leaving atomic.Bool
+	// open counts the dispatches being served, including queued and refused ones.
+	open    atomic.Int64
+	metrics *metrics
 }
 
-const defaultMaxBody = 16 << 20
+const (
+	defaultMaxBody = 16 << 20
+	// stopInterval is the time between looks at the running dispatches while stopping.
+	stopInterval = 5 * time.Millisecond
+)
+
+var errBodyTooLarge = errors.New("request body too large")
 
 // New returns an agent that is not yet serving.
 func New(opt Options) (*Agent, error) {
@@ -65,11 +77,14 @@
 	if opt.MaxBody == 0 {
 		opt.MaxBody = defaultMaxBody
 	}
-	m, err := newMetrics(opt.Meter)
-	if err != nil {
+	a := &Agent{opt: opt, ledger: NewLedger(), gate: newGate()}
+	var err error
+	if a.metrics, err = newMetrics(opt.Meter, a.Load); err != nil {
 		return nil, eris.Wrap(err, "creating agent metrics")
 	}
-	a := &Agent{opt: opt, ledger: NewLedger(), gate: newGate(), metrics: m}
+	if a.orders, err = newOrders(opt.DataFolder, opt.Token); err != nil {
+		return nil, eris.Wrap(err, "reading the highest fencing token")
+	}
 	a.server = link.NewHTTPServer(a.Handler())
 	return a, nil
 }
@@ -79,6 +94,9 @@
 	r := mux.NewRouter()
 	r.HandleFunc(dispatch.PathDispatch, a.serveDispatch).Methods(http.MethodPost)
 	r.HandleFunc(dispatch.PathSeal, a.serveSeal).Methods(http.MethodPost)
+	r.HandleFunc(dispatch.PathFloor, a.serveFloor).Methods(http.MethodPost)
+	r.HandleFunc(dispatch.PathOrder, a.serveOrder).Methods(http.MethodPost)
+	r.HandleFunc(dispatch.PathLoad, a.serveLoad).Methods(http.MethodGet)
 	return r
 }
 
@@ -97,28 +115,31 @@
 	}
 	a.opt.Timeline.Record(timeline.Event{Kind: "endpoint.draining", Endpoint: string(a.opt.Endpoint.ID)})
 	_ = a.opt.Logger.Log("msg", "draining", "endpoint", a.opt.Endpoint.ID)
-	a.gate.evictAll(dispatch.CodeDraining)
+	a.gate.close()
 }
 
-// Stop drains and waits for running dispatches until ctx ends.
+// Stop drains and waits for running dispatches until ctx ends. Meanwhile the agent goes
+// on to answer refusals and seals.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.Drain()
-	done := make(chan struct{})
-	go func() {
-		a.requests.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	ticker := time.NewTicker(stopInterval)
+	defer ticker.Stop()
+	for a.open.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			_ = a.server.Close()
+			return eris.Wrapf(ctx.Err(), "stopping with %d dispatches open", a.open.Load())
+		}
 	}
 	return a.server.Shutdown(ctx)
 }
 
 // Load returns the load report at present.
 func (a *Agent) Load() endpoint.Load {
-	running, queued, limit := a.gate.load()
-	return endpoint.Load{Limit: limit, Running: running, Queued: queued, Floor: -1, Leaving: a.leaving.Load()}
+	l := a.gate.load(a.now())
+	l.Leaving = a.leaving.Load()
+	return l
 }
 
 func (a *Agent) revision() uint64 {
--- /dev/null
+++ b/agent/execute.go
@@ -0,0 +1,183 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/timeline"
+)
+
+const (
+	// copyBuffer is the size of the buffer between engine and gateway, in bytes.
+	copyBuffer = 4 << 10
+	// maxResumes bounds how often one answer is reopened at the engine.
+	maxResumes = 3
+	// cancelTimeout bounds telling the engine that a request is not wanted any more.
+	cancelTimeout = time.Second
+)
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
+// execute gives a committed dispatch to the engine and its answer to the gateway.
+func (d *dispatched) execute(ctx context.Context) {
+	a := d.agent
+	if d.header.Claim != "" {
+		// A claimed request runs to its end even when the gateway is gone, so that its
+		// answer can be given to the caller's repeat.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.header.Timeout)
+	defer cancel()
+	a.opt.Timeline.Record(timeline.Event{Kind: "dispatch.committed", Request: d.header.ID.Request, Endpoint: string(a.opt.Endpoint.ID)})
+	answer, err := a.opt.Engine.Submit(ctx, d.request())
+	if err != nil {
+		answer, err = d.submitFailed(ctx, err)
+	}
+	if err != nil {
+		d.failed(ctx, err)
+		return
+	}
+	d.place.firstByte(a.now())
+	d.stream.start(answer)
+	d.forward(ctx, answer)
+}
+
+func (d *dispatched) request() *endpoint.Request {
+	return &endpoint.Request{ID: d.header.ID.String(), Method: d.header.Method, Path: d.header.Path, Header: d.header.Pass, Body: d.body}
+}
+
+// submitFailed asks the engine whether it has the request, where it can tell.
+func (d *dispatched) submitFailed(ctx context.Context, cause error) (*endpoint.Answer, error) {
+	if errors.Is(cause, endpoint.ErrNotSent) || ctx.Err() != nil {
+		return nil, cause
+	}
+	answer, err := d.agent.opt.Engine.Resume(ctx, d.header.ID.String(), 0)
+	if err != nil {
+		return nil, cause
+	}
+	return answer, nil
+}
+
+// failed settles a dispatch whose answer never came or broke off.
+func (d *dispatched) failed(ctx context.Context, err error) {
+	a := d.agent
+	if errors.Is(err, endpoint.ErrNotSent) {
+		a.ledger.Unsent(d.header.ID, a.now())
+		d.place.ended(outcome{cancelled: ctx.Err() != nil, failed: ctx.Err() == nil})
+		d.stream.refuse(refusal{code: dispatch.CodeEngineRefused, detail: err.Error()})
+		return
+	}
+	a.ledger.Finish(d.header.ID, nil, a.now())
+	a.metrics.wasted.add(int64(d.header.PromptTokens))
+	if ctx.Err() != nil {
+		d.cancelled(ctx)
+		return
+	}
+	d.place.ended(outcome{failed: true})
+	d.record("dispatch.lost", err.Error())
+	d.stream.lose(dispatch.CodeEngineLost, err.Error())
+}
+
+// cancelled stops the work at the engine after the caller left or the deadline passed.
+func (d *dispatched) cancelled(ctx context.Context) {
+	a := d.agent
+	code := dispatch.CodeCancelled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = dispatch.CodeDeadline
+	}
+	stop, done := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer done()
+	if err := a.opt.Engine.Cancel(stop, d.header.ID.String()); err != nil && !errors.Is(err, endpoint.ErrUnsupported) {
+		a.metrics.cancelFailures.add(1)
+	}
+	d.place.ended(outcome{cancelled: true})
+	d.record("dispatch.cancelled", string(code))
+	d.stream.lose(code, "stopped at the engine")
+}
+
+func (d *dispatched) record(kind timeline.Kind, detail string) {
+	d.agent.opt.Timeline.Record(timeline.Event{Kind: kind, Request: d.header.ID.Request, Endpoint: string(d.agent.opt.Endpoint.ID), Detail: detail})
+}
+
+// forward copies the answer to the gateway, reopening it at the engine where it breaks
+// off and the engine can, and keeps it for a claimed request.
+func (d *dispatched) forward(ctx context.Context, answer *endpoint.Answer) {
+	a := d.agent
+	k := newKeeper(d.header, answer)
+	live := answer.Header.Get("Content-Length") == ""
+	var count tokenCounter
+	for resumes := 0; ; resumes++ {
+		err := d.copy(answer, live, k, &count)
+		_ = answer.Body.Close()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if ctx.Err() != nil || resumes == maxResumes {
+			d.failed(ctx, err)
+			return
+		}
+		next, resumeErr := a.opt.Engine.Resume(ctx, d.header.ID.String(), d.stream.frames.Offset())
+		if resumeErr != nil {
+			d.failed(ctx, err)
+			return
+		}
+		a.metrics.resumed.add(1)
+		d.record("dispatch.resumed", err.Error())
+		answer = next
+	}
+	a.ledger.Finish(d.header.ID, k.answer(), a.now())
+	d.place.ended(outcome{answerTokens: count.tokens(), failed: answer.Status >= 500})
+	d.record("dispatch.done", "")
+	d.stream.end(count.prompt, count.tokens())
+}
+
+// copy returns io.EOF once the engine ended the answer.
+func (d *dispatched) copy(answer *endpoint.Answer, live bool, k *keeper, count *tokenCounter) error {
+	buf := copyBuffers.Get().(*[copyBuffer]byte)
+	defer copyBuffers.Put(buf)
+	for {
+		n, err := answer.Body.Read(buf[:])
+		if n > 0 {
+			count.read(buf[:n])
+			k.add(buf[:n])
+			d.stream.data(buf[:n], live)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// keeper collects the answer of a claimed request; a nil keeper keeps nothing.
+type keeper struct{ kept dispatch.StoredAnswer }
+
+func newKeeper(h *dispatch.Header, answer *endpoint.Answer) *keeper {
+	if h.Claim == "" {
+		return nil
+	}
+	return &keeper{kept: dispatch.StoredAnswer{Status: answer.Status, Header: dispatch.SelectHeaders(answer.Header, dispatch.AnswerHeaders)}}
+}
+
+func (k *keeper) add(p []byte) {
+	if k == nil || k.kept.TooLarge {
+		return
+	}
+	if len(k.kept.Body)+len(p) > dispatch.MaxStoredAnswer {
+		k.kept.TooLarge = true
+		k.kept.Body = nil
+		return
+	}
+	k.kept.Body = append(k.kept.Body, p...)
+}
+
+func (k *keeper) answer() *dispatch.StoredAnswer {
+	if k == nil {
+		return nil
+	}
+	return &k.kept
+}
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -1,97 +1,263 @@
 package agent
 
 import (
-	"slices"
 	"sync"
+	"time"
 
-	"toucantiller.dev/account"
+	"toucantiller.dev/admission"
+	"toucantiller.dev/contract"
 	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/limit"
 )
 
-// Bounds of the first version of the gate.
 const (
-	fixedLimit  = 8
+	// queueLength bounds the dispatches that wait in front of the engine.
 	queueLength = 256
+	// gateInterval is the time between checks for overdue calls and expired waiters.
+	gateInterval = 50 * time.Millisecond
+	// deadlineShare is the share of the expected decoding time that must fit before the
+	// deadline: the expected size of an answer is uncertain.
+	deadlineShare = 0.5
 )
 
-// waiter is one queued dispatch. Exactly one value arrives on turn: the empty code
-// grants the dispatch a place, another code refuses it.
+// waiter is one dispatch at the gate. Exactly one value arrives on turn: the empty
+// refusal grants the dispatch a place.
 type waiter struct {
-	tier account.Tier
-	turn chan dispatch.Code
+	gate   *gate
+	item   admission.Item
+	prompt int
+	tokens int
+	turn   chan refusal
+
+	// The fields below belong to the gate's lock.
+	ticket  limit.Ticket
+	placed  bool
+	granted time.Time
+	first   time.Time
+}
+
+// outcome is how a dispatch ended at the engine.
+type outcome struct {
+	answerTokens int
+	failed       bool
+	// cancelled: the caller left or its deadline passed, which says nothing about the
+	// engine.
+	cancelled bool
 }
 
-// gate bounds the requests in the engine and queues the rest by tier.
+// gate bounds the requests in the engine by an adaptive limit and queues the rest by
+// tier.
 type gate struct {
-	mu      sync.Mutex
-	running int
-	queue   []*waiter
+	mu       sync.Mutex
+	queue    *admission.Queue
+	limiter  *limit.Limiter
+	config   *contract.Config
+	running  int
+	tokens   int
+	closed   bool
+	timer    *time.Timer
+	timerSet bool
 }
 
-func newGate() *gate { return &gate{} }
+func newGate() *gate {
+	g := &gate{queue: admission.NewQueue(admission.QueueOptions{Capacity: queueLength}), limiter: limit.New(limit.Options{})}
+	g.timer = time.AfterFunc(gateInterval, g.check)
+	g.timer.Stop()
+	return g
+}
 
-// enter queues a dispatch. When the queue is full, the lowest tier is refused first
-// and the latest arrival within it.
-func (g *gate) enter(tier account.Tier) *waiter {
+// configure takes the bounds of the tiers from the configuration.
+func (g *gate) configure(c *contract.Config) {
+	if c == nil {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w := &waiter{tier: tier, turn: make(chan dispatch.Code, 1)}
-	at, _ := slices.BinarySearchFunc(g.queue, tier, func(q *waiter, t account.Tier) int {
-		if q.tier <= t {
-			return -1
-		}
-		return 1
-	})
-	g.queue = slices.Insert(g.queue, at, w)
-	if len(g.queue) > queueLength {
-		last := g.queue[len(g.queue)-1]
-		g.queue = g.queue[:len(g.queue)-1]
-		last.turn <- dispatch.CodeQueueFull
+	if g.config == c {
+		return
+	}
+	g.config = c
+	g.queue.SetOptions(admission.QueueOptions{Capacity: queueLength, MaxQueueTime: maxQueueTimes(c)})
+}
+
+func maxQueueTimes(c *contract.Config) []time.Duration {
+	out := make([]time.Duration, len(c.Tiers))
+	for i, t := range c.Tiers {
+		out[i] = t.MaxQueueTime
+	}
+	return out
+}
+
+// enter grants the dispatch a place, queues it or refuses it.
+func (g *gate) enter(h *dispatch.Header, now time.Time) *waiter {
+	w := &waiter{gate: g, prompt: h.PromptTokens, tokens: h.PromptTokens + h.AnswerTokens, turn: make(chan refusal, 1)}
+	w.item = admission.Item{Tier: h.Tier, Account: h.Account, Cost: w.tokens, Deadline: now.Add(h.Timeout), Value: w}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		w.turn <- refusal{code: dispatch.CodeDraining}
+		return w
+	}
+	w.item.LeastTime = g.leastTime(h)
+	evicted, refused := g.queue.Push(&w.item, now)
+	g.refuse(evicted)
+	if refused != nil {
+		w.turn <- asRefusal(refused)
+		return w
 	}
-	g.grant()
+	g.grant(now)
 	return w
 }
 
+// leastTime is the time the engine needs for the dispatch at the learned speeds.
+func (g *gate) leastTime(h *dispatch.Header) time.Duration {
+	prefill, decode := g.limiter.Rates()
+	seconds := 0.0
+	if prefill > 0 {
+		seconds += float64(h.PromptTokens) / prefill
+	}
+	if decode > 0 {
+		seconds += deadlineShare * float64(h.AnswerTokens) / decode
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // leave withdraws a waiter; it returns false when its turn has already come.
 func (g *gate) leave(w *waiter) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	i := slices.Index(g.queue, w)
-	if i < 0 {
-		return false
+	return g.queue.Remove(&w.item)
+}
+
+// release returns the waiter's place, when it still has one.
+func (g *gate) release(w *waiter) {
+	w.ended(outcome{cancelled: true})
+}
+
+// grant gives places to waiters while the limit allows. It must be called with mu held.
+func (g *gate) grant(now time.Time) {
+	for {
+		head, dropped := g.queue.Peek(now)
+		g.refuse(dropped)
+		if head == nil {
+			break
+		}
+		w := head.Value.(*waiter)
+		if !g.limiter.Allows(w.prompt) {
+			break
+		}
+		_, _ = g.queue.Pop(now)
+		g.place(w, now)
+	}
+	g.arm()
+}
+
+func (g *gate) place(w *waiter, now time.Time) {
+	w.ticket = g.limiter.Start(now, w.prompt)
+	w.placed = true
+	w.granted = now
+	g.running++
+	g.tokens += w.tokens
+	w.turn <- refusal{}
+}
+
+func (g *gate) refuse(dropped []admission.Dropped) {
+	for _, d := range dropped {
+		d.Item.Value.(*waiter).turn <- asRefusal(d.Refusal)
 	}
-	g.queue = slices.Delete(g.queue, i, i+1)
-	return true
 }
 
-// release returns a place.
-func (g *gate) release() {
+func asRefusal(r *admission.Refusal) refusal {
+	code := dispatch.Code(r.Reason)
+	if r.Reason == admission.ReasonHandedBack {
+		code = dispatch.CodeDraining
+	}
+	return refusal{code: code, retryAfter: r.RetryAfter}
+}
+
+// firstByte records that the answer has begun.
+func (w *waiter) firstByte(now time.Time) {
+	w.gate.mu.Lock()
+	defer w.gate.mu.Unlock()
+	w.first = now
+	w.gate.limiter.FirstToken(w.ticket, now)
+}
+
+// ended records the outcome at the engine and returns the place. Later calls do nothing.
+func (w *waiter) ended(o outcome) {
+	g := w.gate
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !w.placed {
+		return
+	}
+	w.placed = false
 	g.running--
-	g.grant()
+	g.tokens -= w.tokens
+	if o.cancelled {
+		g.limiter.Cancel(w.ticket)
+	} else {
+		g.limiter.Finish(w.ticket, w.sample(o, now), now)
+	}
+	g.grant(now)
 }
 
-func (g *gate) grant() {
-	for g.running < fixedLimit && len(g.queue) > 0 {
-		w := g.queue[0]
-		g.queue = g.queue[1:]
-		g.running++
-		w.turn <- ""
+func (w *waiter) sample(o outcome, now time.Time) limit.Sample {
+	s := limit.Sample{Total: now.Sub(w.granted), PromptTokens: w.prompt, AnswerTokens: o.answerTokens, Failed: o.failed}
+	if !w.first.IsZero() {
+		s.FirstToken = w.first.Sub(w.granted)
 	}
+	return s
+}
+
+// raiseFloor refuses and evicts work below the tier.
+func (g *gate) raiseFloor(r dispatch.FloorRequest, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.RaiseFloor(r.Tier, now)
+	g.refuse(g.queue.Expire(now))
+	g.arm()
 }
 
-func (g *gate) evictAll(code dispatch.Code) {
+// close hands all queued work back and refuses what comes later.
+func (g *gate) close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, w := range g.queue {
-		w.turn <- code
+	g.closed = true
+	g.refuse(g.queue.HandBack())
+}
+
+// arm makes sure that check runs while there is something to check.
+func (g *gate) arm() {
+	if !g.timerSet && (g.running > 0 || g.queue.Len() > 0) {
+		g.timerSet = true
+		g.timer.Reset(gateInterval)
 	}
-	g.queue = nil
 }
 
-func (g *gate) load() (running, queued, limit int) {
+// check expires waiters and lets calls that take too long lower the limit.
+func (g *gate) check() {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.timerSet = false
+	g.limiter.Waiting(now)
+	g.refuse(g.queue.Expire(now))
+	g.grant(now)
+}
+
+// load returns the load report of the gate.
+func (g *gate) load(now time.Time) endpoint.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.running, len(g.queue), fixedLimit
+	prefill, decode := g.limiter.Rates()
+	return endpoint.Load{
+		Limit: g.limiter.Limit(), Cold: g.limiter.Cold(),
+		Running: g.running, RunningTokens: g.tokens,
+		Queued: g.queue.Len(), QueuedTokens: g.queue.Tokens(),
+		PrefillRate: prefill, DecodeRate: decode,
+		Floor: g.queue.Floor(now),
+	}
 }
--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -2,15 +2,16 @@
 package httpengine
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
+	"strings"
+	"sync"
 	"time"
 
+	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/link"
 )
@@ -18,8 +19,17 @@
 // HeaderRequestID carries the dispatch identity to the engine.
 const HeaderRequestID = "X-Request-Id"
 
-// maxIdle is the number of idle connections kept to the engine.
-const maxIdle = 256
+const (
+	// maxIdle is the number of idle connections kept to the engine.
+	maxIdle = 256
+	// idleTimeout is below the 5 s after which common Python servers close an idle
+	// connection; a request written to a connection that the engine is closing has an
+	// unknown outcome.
+	idleTimeout = 4 * time.Second
+	// maxSubmitTries bounds the connections tried for one request. Another one is tried
+	// only when nothing was written to the one before.
+	maxSubmitTries = 3
+)
 
 // Engine calls one HTTP server. It implements endpoint.Engine; the operations that
 // plain HTTP does not offer return endpoint.ErrUnsupported.
@@ -36,40 +46,98 @@
 	}
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			return network.Dial(ctx, addr)
+			c, err := network.Dial(ctx, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: c}, nil
 		},
 	}
-	return &Engine{base: base, client: &http.Client{Transport: transport}}
+	return &Engine{base: base, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}}
 }
 
-// Submit sends the request. Errors wrap endpoint.ErrNotSent until the first byte may
-// have left this process.
+// keepRedirect hands redirects to the caller: following one would send the request twice.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Submit sends the request at most once. Errors wrap endpoint.ErrNotSent when no byte
+// of it left this process.
 func (e *Engine) Submit(ctx context.Context, r *endpoint.Request) (*endpoint.Answer, error) {
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		// A connection has been obtained: from here on bytes may have been sent.
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
-	req, err := http.NewRequestWithContext(ctx, r.Method, e.base+r.Path, bytes.NewReader(r.Body))
+	for try := 1; ; try++ {
+		answer, retry, err := e.submit(ctx, r)
+		if err == nil {
+			return answer, nil
+		}
+		if !retry || try == maxSubmitTries || ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
+// submit tries one connection. retry is set when a kept connection turned out to be
+// closed before anything was written to it.
+func (e *Engine) submit(ctx context.Context, r *endpoint.Request) (answer *endpoint.Answer, retry bool, err error) {
+	var mu sync.Mutex // net/http calls the trace from other goroutines
+	var s submission
+	var got bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		mu.Lock()
+		defer mu.Unlock()
+		got = true
+		s.gotConn(info)
+	}})
+	req, err := e.request(ctx, r)
 	if err != nil {
-		return nil, fmt.Errorf("building request to %s: %w: %w", e.base, endpoint.ErrNotSent, err)
+		return nil, false, fmt.Errorf("building request to %s: %w: %w", e.base, endpoint.ErrNotSent, err)
+	}
+	resp, err := e.client.Do(req) //nolint:bodyclose // the caller closes Answer.Body
+	if err == nil {
+		return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, false, nil
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if s.unsent(got) {
+		return nil, got && s.reused, fmt.Errorf("connecting to engine %s: %w: %w", e.base, endpoint.ErrNotSent, err)
+	}
+	return nil, false, fmt.Errorf("calling engine %s: %w", e.base, err)
+}
+
+func (e *Engine) request(ctx context.Context, r *endpoint.Request) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, e.base+r.Path, nil)
+	if err != nil {
+		return nil, err
 	}
 	for name, values := range r.Header {
 		req.Header[name] = values
 	}
+	setBody(req, r.Body)
 	req.Header.Set(HeaderRequestID, r.ID)
-	// net/http must not repeat a request on its own: it may already have run.
-	req.GetBody = nil
-	resp, err := e.client.Do(req) //nolint:bodyclose // the caller closes Answer.Body
-	if err != nil && !sent.Load() {
-		return nil, fmt.Errorf("connecting to engine %s: %w: %w", e.base, endpoint.ErrNotSent, err)
+	return req, nil
+}
+
+// setBody makes sure that net/http does not repeat the request on its own.
+func setBody(req *http.Request, body []byte) {
+	switch req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		dispatch.SetBody(req, body)
+		return
 	}
-	if err != nil {
-		return nil, fmt.Errorf("calling engine %s: %w", e.base, err)
+	if len(body) > 0 {
+		dispatch.SetBody(req, body)
+		return
+	}
+	// An empty body of unknown length would travel chunked, which some servers refuse.
+	// net/http repeats a request with no body that has an Idempotency-Key; it looks for
+	// the canonical name only.
+	req.Body = http.NoBody
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if v, ok := req.Header[name]; ok {
+			delete(req.Header, name)
+			req.Header[strings.ToLower(name)] = v
+		}
 	}
-	return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
 }
 
 // Cancel is done by closing the answer.
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -10,12 +9,14 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"toucantiller.dev/dispatch"
-	"toucantiller.dev/endpoint"
-	"toucantiller.dev/timeline"
 )
 
-// copyBuffer is the size of the buffer between engine and gateway, in bytes.
-const copyBuffer = 4 << 10
+// refusal says why a dispatch is not run.
+type refusal struct {
+	code       dispatch.Code
+	detail     string
+	retryAfter time.Duration
+}
 
 func (a *Agent) serveDispatch(w http.ResponseWriter, r *http.Request) {
 	h, err := dispatch.ReadHeader(r.Header)
@@ -23,25 +24,44 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, a.opt.MaxBody+1))
-	if err != nil || int64(len(body)) > a.opt.MaxBody {
-		http.Error(w, "request body too large or cut", http.StatusBadRequest)
+	body, err := a.readBody(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	a.requests.Add(1)
-	defer a.requests.Done()
+	a.open.Add(1)
+	defer a.open.Add(-1)
+	a.gate.configure(a.opt.View.Config())
 	a.opt.View.Saw(h.Revision, r.RemoteAddr)
-	s := newStream(w, a)
+	s := newStream(w, a, h.ID)
 	defer s.close()
 	if code := a.admit(h); code != "" {
-		s.refuse(code, "")
+		s.refuse(refusal{code: code})
 		return
 	}
 	d := &dispatched{agent: a, header: h, body: body, stream: s}
 	d.run(r.Context())
 }
 
-// admit decides whether a dispatch may be queued here; the empty code admits.
+// readBody reads a whole body; its length is known but for empty ones.
+func (a *Agent) readBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength > a.opt.MaxBody {
+		return nil, errBodyTooLarge
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, a.opt.MaxBody+1))
+	if err == nil && int64(len(body)) > a.opt.MaxBody {
+		err = errBodyTooLarge
+	}
+	return body, err
+}
+
+// admit decides whether a dispatch may be queued here; the empty code admits. Every
+// code but CodeDuplicate proves that the dispatch did not run here.
 func (a *Agent) admit(h *dispatch.Header) dispatch.Code {
 	switch {
 	case h.Agent != a.opt.Endpoint.Incarnation:
@@ -73,119 +93,93 @@
 	header *dispatch.Header
 	body   []byte
 	stream *stream
+	place  *waiter
 }
 
 func (d *dispatched) run(ctx context.Context) {
 	a := d.agent
-	d.stream.accept()
-	if code := d.wait(ctx); code != "" {
+	if r := d.wait(ctx); r.code != "" {
 		a.ledger.Seal(d.header.ID, a.now())
-		d.stream.refuse(code, "")
+		d.stream.refuse(r)
+		return
+	}
+	defer a.gate.release(d.place)
+	if ctx.Err() != nil {
+		// The caller left between the grant and the commit.
+		a.ledger.Seal(d.header.ID, a.now())
+		d.stream.refuse(refusal{code: dispatch.CodeCancelled})
 		return
 	}
-	defer a.gate.release()
 	if !a.ledger.Commit(d.header.ID) {
-		d.stream.refuse(dispatch.CodeSealed, "")
+		d.stream.refuse(refusal{code: dispatch.CodeSealed})
 		return
 	}
 	d.execute(ctx)
 }
 
-// wait queues until the dispatch has a place in the engine.
-func (d *dispatched) wait(ctx context.Context) dispatch.Code {
+// wait queues until the dispatch has a place in the engine. The empty code grants it.
+func (d *dispatched) wait(ctx context.Context) refusal {
 	a := d.agent
-	w := a.gate.enter(d.header.Tier)
+	d.place = a.gate.enter(d.header, a.now())
+	select {
+	case r := <-d.place.turn:
+		d.stream.accept(false)
+		return r
+	default:
+	}
+	d.stream.accept(true)
 	timeout := time.NewTimer(d.header.Timeout)
 	defer timeout.Stop()
 	code := dispatch.CodeCancelled
 	select {
-	case code := <-w.turn:
-		return code
+	case r := <-d.place.turn:
+		return r
 	case <-ctx.Done():
 	case <-timeout.C:
 		code = dispatch.CodeDeadline
 	}
-	if !a.gate.leave(w) {
-		if granted := <-w.turn; granted == "" {
-			a.gate.release()
+	if !a.gate.leave(d.place) {
+		if granted := <-d.place.turn; granted.code == "" {
+			a.gate.release(d.place)
 		}
 	}
-	return code
+	return refusal{code: code}
 }
 
-func (d *dispatched) execute(ctx context.Context) {
-	a := d.agent
-	if d.header.Claim != "" {
-		// A claimed request runs to its end even when the gateway is gone, so that its
-		// answer can be given to the caller's repeat.
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, d.header.Timeout)
-	defer cancel()
-	a.opt.Timeline.Record(timeline.Event{Kind: "dispatch.committed", Request: d.header.ID.Request, Endpoint: string(a.opt.Endpoint.ID)})
-	answer, err := a.opt.Engine.Submit(ctx, d.request())
-	if err != nil {
-		d.submitFailed(err)
+func (a *Agent) serveSeal(w http.ResponseWriter, r *http.Request) {
+	var in dispatch.SealRequest
+	if !decodeRequest(w, r, &in) {
 		return
 	}
-	defer answer.Body.Close()
-	d.stream.start(answer)
-	d.copy(answer)
-}
-
-func (d *dispatched) request() *endpoint.Request {
-	return &endpoint.Request{ID: d.header.ID.String(), Method: d.header.Method, Path: d.header.Path, Body: d.body}
+	var out dispatch.SealReply
+	switch {
+	case in.Confirm:
+		a.ledger.Confirm(in.ID)
+	case in.Agent == a.opt.Endpoint.Incarnation:
+		out = a.ledger.Seal(in.ID, a.now())
+	}
+	out.Incarnation = a.opt.Endpoint.Incarnation
+	_ = msgpack.NewEncoder(w).Encode(&out)
 }
 
-func (d *dispatched) submitFailed(err error) {
-	a := d.agent
-	if errors.Is(err, endpoint.ErrNotSent) {
-		a.ledger.Unsent(d.header.ID, a.now())
-		d.stream.refuse(dispatch.CodeEngineRefused, err.Error())
+func (a *Agent) serveFloor(w http.ResponseWriter, r *http.Request) {
+	var in dispatch.FloorRequest
+	if !decodeRequest(w, r, &in) {
 		return
 	}
-	a.ledger.Finish(d.header.ID, nil, a.now())
-	d.stream.lose(dispatch.CodeEngineLost, err.Error())
+	a.gate.raiseFloor(in, a.now())
+	a.serveLoad(w, r)
 }
 
-// copy forwards the answer and, for a claimed request, keeps it.
-func (d *dispatched) copy(answer *endpoint.Answer) {
-	a := d.agent
-	var kept *dispatch.StoredAnswer
-	if d.header.Claim != "" {
-		kept = &dispatch.StoredAnswer{Status: answer.Status, Header: answer.Header}
-	}
-	buf := make([]byte, copyBuffer)
-	var total int64
-	for {
-		n, err := answer.Body.Read(buf)
-		if n > 0 {
-			total += int64(n)
-			d.stream.data(buf[:n])
-			if kept != nil {
-				kept.Body = append(kept.Body, buf[:n]...)
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			a.ledger.Finish(d.header.ID, kept, a.now())
-			d.stream.end(total)
-			return
-		}
-		if err != nil {
-			a.ledger.Finish(d.header.ID, nil, a.now())
-			d.stream.lose(dispatch.CodeEngineLost, err.Error())
-			return
-		}
-	}
+func (a *Agent) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	_ = msgpack.NewEncoder(w).Encode(&dispatch.Heartbeat{Revision: a.revision(), Load: a.Load()})
 }
 
-func (a *Agent) serveSeal(w http.ResponseWriter, r *http.Request) {
-	var in dispatch.SealRequest
-	if err := msgpack.NewDecoder(io.LimitReader(r.Body, dispatch.MaxFrame)).Decode(&in); err != nil {
-		http.Error(w, "decoding seal: "+err.Error(), http.StatusBadRequest)
-		return
+// decodeRequest answers a malformed request itself and returns false.
+func decodeRequest(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := msgpack.NewDecoder(io.LimitReader(r.Body, dispatch.MaxFrame)).Decode(into); err != nil {
+		http.Error(w, "decoding request: "+err.Error(), http.StatusBadRequest)
+		return false
 	}
-	out := dispatch.SealReply{Incarnation: a.opt.Endpoint.Incarnation}
-	out.State, out.Answer = a.ledger.Seal(in.ID, a.now())
-	_ = msgpack.NewEncoder(w).Encode(&out)
+	return true
 }
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -10,22 +10,23 @@
 )
 
 // stream writes the frames of one answer and sends heartbeats while nothing else is
-// written.
+// sent. Write errors are not reported: the gateway finds out by the missing end frame.
 type stream struct {
 	agent *Agent
+	flush http.Flusher
 
 	mu     sync.Mutex
 	frames *dispatch.Writer
-	flush  http.Flusher
-	last   time.Time
+	// sent is when the gateway last got a frame.
+	sent   time.Time
 	timer  *time.Timer
 	closed bool
 }
 
-func newStream(w http.ResponseWriter, a *Agent) *stream {
+func newStream(w http.ResponseWriter, a *Agent, id dispatch.ID) *stream {
 	f, _ := w.(http.Flusher)
 	w.Header().Set("Content-Type", "application/octet-stream")
-	s := &stream{agent: a, frames: dispatch.NewWriter(w), flush: f, last: a.now()}
+	s := &stream{agent: a, frames: dispatch.NewWriter(w, id), flush: f, sent: a.now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(dispatch.HeartbeatInterval, s.heartbeat)
@@ -46,58 +47,65 @@
 	if s.closed {
 		return
 	}
-	if s.agent.now().Sub(s.last) >= dispatch.HeartbeatInterval {
-		s.write(dispatch.FrameHeartbeat, dispatch.Heartbeat{Revision: s.agent.revision(), Load: s.agent.Load()})
+	if s.agent.now().Sub(s.sent) >= dispatch.HeartbeatInterval {
+		_ = s.frames.WriteMessage(dispatch.FrameHeartbeat, &dispatch.Heartbeat{Revision: s.agent.revision(), Load: s.agent.Load()})
+		s.send()
 	}
 	s.timer.Reset(dispatch.HeartbeatInterval)
 }
 
-func (s *stream) send(t dispatch.FrameType, message any) {
+// write adds a control frame; without sendNow it leaves with the next frame that does,
+// the next heartbeat at the latest.
+func (s *stream) write(t dispatch.FrameType, message any, sendNow bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(t, message)
-}
-
-// write must be called with mu held. Errors are not reported: the gateway finds out by
-// the missing end frame.
-func (s *stream) write(t dispatch.FrameType, message any) {
 	_ = s.frames.WriteMessage(t, message)
-	s.flushed()
+	if sendNow {
+		s.send()
+	}
 }
 
-func (s *stream) flushed() {
-	s.last = s.agent.now()
+// send must be called with mu held.
+func (s *stream) send() {
+	s.sent = s.agent.now()
 	if s.flush != nil {
 		s.flush.Flush()
 	}
 }
 
-func (s *stream) accept() {
-	s.send(dispatch.FrameAccepted, dispatch.Accepted{Revision: s.agent.revision(), Load: s.agent.Load()})
+func (s *stream) accept(sendNow bool) {
+	s.write(dispatch.FrameAccepted, &dispatch.Accepted{Revision: s.agent.revision(), Load: s.agent.Load()}, sendNow)
 }
 
 func (s *stream) start(answer *endpoint.Answer) {
-	s.send(dispatch.FrameStarted, dispatch.Started{Status: answer.Status, Header: answer.Header})
+	s.write(dispatch.FrameStarted, &dispatch.Started{Status: answer.Status, Header: dispatch.SelectHeaders(answer.Header, dispatch.AnswerHeaders)}, false)
 }
 
-func (s *stream) data(p []byte) {
+func (s *stream) data(p []byte, sendNow bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_ = s.frames.WriteData(p)
-	s.flushed()
+	if sendNow {
+		s.send()
+	}
 }
 
-func (s *stream) end(length int64) {
-	s.agent.metrics.count(s.agent.metrics.completed)
-	s.send(dispatch.FrameEnd, dispatch.End{Length: length, Load: s.agent.Load()})
+func (s *stream) end(promptTokens, answerTokens int) {
+	s.agent.metrics.completed.add(1)
+	m := &dispatch.End{Load: s.agent.Load(), PromptTokens: promptTokens, AnswerTokens: answerTokens}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.Length = s.frames.Offset()
+	_ = s.frames.WriteMessage(dispatch.FrameEnd, m)
+	s.send()
 }
 
-func (s *stream) refuse(code dispatch.Code, detail string) {
-	s.agent.metrics.count(s.agent.metrics.refused)
-	s.send(dispatch.FrameRefused, dispatch.Refused{Code: code, Detail: detail, Revision: s.agent.revision(), Load: s.agent.Load()})
+func (s *stream) refuse(r refusal) {
+	s.agent.metrics.refused(r.code)
+	s.write(dispatch.FrameRefused, &dispatch.Refused{Code: r.code, Detail: r.detail, RetryAfter: r.retryAfter, Revision: s.agent.revision(), Load: s.agent.Load()}, true)
 }
 
 func (s *stream) lose(code dispatch.Code, detail string) {
-	s.agent.metrics.count(s.agent.metrics.lost)
-	s.send(dispatch.FrameLost, dispatch.Lost{Code: code, Detail: detail, Load: s.agent.Load()})
+	s.agent.metrics.lost(code)
+	s.write(dispatch.FrameLost, &dispatch.Lost{Code: code, Detail: detail, Load: s.agent.Load()}, true)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"toucantiller.dev/account"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
@@ -20,6 +22,7 @@
 	PathSeal     = "/seal"
 	PathFloor    = "/floor"
 	PathLoad     = "/load"
+	PathOrder    = "/order"
 )
 
 // Timing of the dispatch protocol.
@@ -41,9 +44,12 @@
 
 // String returns "request/attempt/gateway".
 func (id ID) String() string {
-	return fmt.Sprintf("%s/%d/%x", id.Request, id.Attempt, uint64(id.Gateway))
+	return id.Request + "/" + strconv.Itoa(id.Attempt) + "/" + strconv.FormatUint(uint64(id.Gateway), 16)
 }
 
+// Sum returns a checksum of the identity; every frame of its answer carries it.
+func (id ID) Sum() uint64 { return xxhash.Sum64String(id.String()) }
+
 // Header describes a dispatch. It travels as HTTP headers, the caller's body
 // follows unchanged.
 type Header struct {
@@ -66,6 +72,28 @@
 	// Claim is the idempotency claim, empty for unclaimed requests. The agent keeps the
 	// answer of a claimed request until the claim is completed.
 	Claim string
+	// Pass holds the caller's headers for the engine; only those of PassedHeaders travel.
+	Pass http.Header
+}
+
+// PassedHeaders names the caller's headers that reach the engine, in canonical form.
+var PassedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Idempotency-Key", "Traceparent", "Tracestate"}
+
+// passPrefix marks a passed header on the link.
+const passPrefix = "Toucan-Pass-"
+
+// AnswerHeaders names the engine's headers that reach the caller, in canonical form.
+var AnswerHeaders = []string{"Cache-Control", "Content-Disposition", "Content-Language", "Content-Type", "Etag", "Last-Modified", "Location"}
+
+// SelectHeaders returns the named headers of h, which are in canonical form.
+func SelectHeaders(h http.Header, names []string) http.Header {
+	out := make(http.Header, len(names))
+	for _, name := range names {
+		if v := h[name]; len(v) > 0 {
+			out[name] = v
+		}
+	}
+	return out
 }
 
 // Names of the HTTP headers that carry a Header.
@@ -88,6 +116,9 @@
 	headerClaim    = "Toucan-Claim"
 )
 
+// HeaderCount is the number of HTTP headers that carry a Header.
+const HeaderCount = 22
+
 // Write sets the HTTP headers.
 func (h *Header) Write(to http.Header) {
 	to.Set(headerRequest, h.ID.Request)
@@ -108,6 +139,11 @@
 	if h.Claim != "" {
 		to.Set(headerClaim, h.Claim)
 	}
+	for _, name := range PassedHeaders {
+		if v := h.Pass[name]; len(v) > 0 {
+			to[passPrefix+name] = v
+		}
+	}
 }
 
 // ReadHeader parses the HTTP headers of a dispatch.
@@ -132,6 +168,12 @@
 		PromptTokens: p.integer(headerPrompt),
 		AnswerTokens: p.integer(headerAnswer),
 		Claim:        from.Get(headerClaim),
+		Pass:         make(http.Header),
+	}
+	for _, name := range PassedHeaders {
+		if v := from[passPrefix+name]; len(v) > 0 {
+			h.Pass[name] = v
+		}
 	}
 	if h.ID.Request == "" {
 		p.fail(headerRequest, "")
@@ -228,6 +270,10 @@
 	CodeEngineRefused    Code = "engine_refused"
 	CodeEngineLost       Code = "engine_lost"
 	CodeStaleConfig      Code = "stale_config"
+	// CodeQueueTime: the request waited as long as its tier allows.
+	CodeQueueTime Code = "queue_time"
+	// CodeAnswerCut: the engine's answer broke off.
+	CodeAnswerCut Code = "answer_cut"
 )
 
 // SealState is the outcome of a seal.
@@ -237,7 +283,8 @@
 const (
 	// SealSealed proves that the dispatch never ran and never will.
 	SealSealed SealState = "sealed"
-	// SealCommitted says that the dispatch was given to the engine.
+	// SealCommitted says that the dispatch was given to the engine, whether it still runs
+	// or has ended without a stored answer.
 	SealCommitted SealState = "committed"
 	// SealDone says that a stored answer follows.
 	SealDone SealState = "done"
@@ -247,6 +294,29 @@
 type SealRequest struct {
 	ID    ID                   `msgpack:"id"`
 	Agent instance.Incarnation `msgpack:"agent"`
+	// Confirm says that the answer is stored in the claim; the agent drops its copy.
+	Confirm bool `msgpack:"confirm"`
+}
+
+// FloorRequest asks an agent to raise its admission floor.
+type FloorRequest struct {
+	// Tier is the lowest rank that is still admitted.
+	Tier account.Tier `msgpack:"tier"`
+}
+
+// OrderRequest carries an order to the engine behind an agent.
+type OrderRequest struct {
+	Token   uint64 `msgpack:"token"`
+	Action  string `msgpack:"action"`
+	Subject string `msgpack:"subject"`
+}
+
+// OrderReply answers an OrderRequest.
+type OrderReply struct {
+	Done bool `msgpack:"done"`
+	// Highest is the highest fencing token that the agent has seen.
+	Highest uint64 `msgpack:"highest"`
+	Detail  string `msgpack:"detail"`
 }
 
 // SealReply answers a SealRequest.
@@ -256,6 +326,8 @@
 	// about what the earlier incarnation committed.
 	Incarnation instance.Incarnation `msgpack:"incarnation"`
 	Answer      *StoredAnswer        `msgpack:"answer"`
+	// Ended is set when a committed dispatch no longer runs and no answer is stored.
+	Ended bool `msgpack:"ended"`
 }
 
 // StoredAnswer is a complete answer kept for a claimed request.
@@ -263,4 +335,9 @@
 	Status int         `msgpack:"status"`
 	Header http.Header `msgpack:"header"`
 	Body   []byte      `msgpack:"body"`
+	// TooLarge is set when the answer exceeded MaxStoredAnswer; Body is empty then.
+	TooLarge bool `msgpack:"too_large"`
 }
+
+// MaxStoredAnswer bounds the body of a stored answer, in bytes.
+const MaxStoredAnswer = MaxFrame / 2
--- a/dispatch/frame.go
+++ b/dispatch/frame.go
@@ -26,26 +26,58 @@
 // MaxFrame bounds a frame's payload, in bytes.
 const MaxFrame = 1 << 20
 
-const frameHeaderSize = 5
+// Sizes of the parts of a frame, in bytes. Every payload begins with the checksum of
+// the dispatch identity; the payload of a data frame goes on with the offset of its
+// bytes in the answer.
+const (
+	frameHeaderSize = 5
+	sumSize         = 8
+	offsetSize      = 8
+	maxData         = MaxFrame - sumSize - offsetSize
+)
 
-// Writer writes frames. Each frame is one Write to the underlying writer.
+// Errors of Reader.Next.
+var (
+	// ErrForeignFrame: the frame belongs to another dispatch.
+	ErrForeignFrame = errors.New("frame of another dispatch")
+	// ErrGap: bytes of the answer are missing or repeated.
+	ErrGap = errors.New("gap in the answer")
+	// ErrMalformed: the frame's size is impossible.
+	ErrMalformed = errors.New("malformed frame")
+)
+
+// Writer writes the frames of one dispatch. Each frame is one Write to the underlying
+// writer.
 type Writer struct {
-	w   io.Writer
-	buf []byte
+	w      io.Writer
+	sum    uint64
+	offset int64
+	buf    []byte
 }
 
-// NewWriter returns a frame writer.
-func NewWriter(w io.Writer) *Writer { return &Writer{w: w} }
+// NewWriter returns a frame writer for a dispatch.
+func NewWriter(w io.Writer, id ID) *Writer { return &Writer{w: w, sum: id.Sum()} }
 
-// WriteData writes a data frame with the payload as it is, split at MaxFrame.
+// Offset returns the number of answer bytes written.
+func (w *Writer) Offset() int64 { return w.offset }
+
+// WriteData writes the next bytes of the answer, split at the largest frame.
 func (w *Writer) WriteData(p []byte) error {
-	for len(p) > MaxFrame {
-		if err := w.write(FrameData, p[:MaxFrame]); err != nil {
+	for len(p) > maxData {
+		if err := w.writeData(p[:maxData]); err != nil {
 			return err
 		}
-		p = p[MaxFrame:]
+		p = p[maxData:]
 	}
-	return w.write(FrameData, p)
+	return w.writeData(p)
+}
+
+func (w *Writer) writeData(p []byte) error {
+	w.begin(FrameData, offsetSize+len(p))
+	w.buf = binary.BigEndian.AppendUint64(w.buf, uint64(w.offset)) //nolint:gosec // never negative
+	w.buf = append(w.buf, p...)
+	w.offset += int64(len(p))
+	return w.flush()
 }
 
 // WriteMessage writes a control frame with a msgpack payload.
@@ -54,36 +86,49 @@
 	if err != nil {
 		return fmt.Errorf("encoding frame %d: %w", t, err)
 	}
-	return w.write(t, b)
+	w.begin(t, len(b))
+	w.buf = append(w.buf, b...)
+	return w.flush()
 }
 
-func (w *Writer) write(t FrameType, p []byte) error {
-	w.buf = append(w.buf[:0], byte(t), 0, 0, 0, 0)
-	binary.BigEndian.PutUint32(w.buf[1:], uint32(len(p))) //nolint:gosec // bounded by MaxFrame
-	w.buf = append(w.buf, p...)
+func (w *Writer) begin(t FrameType, size int) {
+	w.buf = append(w.buf[:0], byte(t))
+	w.buf = binary.BigEndian.AppendUint32(w.buf, uint32(sumSize+size)) //nolint:gosec // bounded by MaxFrame
+	w.buf = binary.BigEndian.AppendUint64(w.buf, w.sum)
+}
+
+func (w *Writer) flush() error {
 	_, err := w.w.Write(w.buf)
 	return err
 }
 
-// Reader reads frames.
+// Reader reads the frames of one dispatch and checks that they belong to it and that
+// the answer has no gap.
 type Reader struct {
 	r      io.Reader
+	sum    uint64
+	offset int64
 	header [frameHeaderSize]byte
 	buf    []byte
 }
 
-// NewReader returns a frame reader. Wrap unbuffered sources in a bufio.Reader.
-func NewReader(r io.Reader) *Reader { return &Reader{r: r} }
+// NewReader returns a frame reader for a dispatch. Wrap unbuffered sources in a
+// bufio.Reader.
+func NewReader(r io.Reader, id ID) *Reader { return &Reader{r: r, sum: id.Sum()} }
+
+// Offset returns the number of answer bytes read.
+func (r *Reader) Offset() int64 { return r.offset }
 
-// Next returns the next frame. The payload is valid until the next call. It returns
-// io.EOF only between frames and io.ErrUnexpectedEOF inside one.
+// Next returns the next frame; for a data frame the payload is the answer's next bytes.
+// The payload is valid until the next call. It returns io.EOF only between frames and
+// io.ErrUnexpectedEOF inside one.
 func (r *Reader) Next() (FrameType, []byte, error) {
 	if _, err := io.ReadFull(r.r, r.header[:]); err != nil {
 		return 0, nil, err
 	}
 	n := binary.BigEndian.Uint32(r.header[1:])
-	if n > MaxFrame {
-		return 0, nil, fmt.Errorf("frame of %d bytes exceeds %d", n, MaxFrame)
+	if n > MaxFrame || n < sumSize {
+		return 0, nil, fmt.Errorf("%w: %d bytes", ErrMalformed, n)
 	}
 	if cap(r.buf) < int(n) {
 		r.buf = make([]byte, n)
@@ -92,7 +137,26 @@
 	if _, err := io.ReadFull(r.r, r.buf); err != nil {
 		return 0, nil, noEOF(err)
 	}
-	return FrameType(r.header[0]), r.buf, nil
+	if binary.BigEndian.Uint64(r.buf) != r.sum {
+		return 0, nil, ErrForeignFrame
+	}
+	t, payload := FrameType(r.header[0]), r.buf[sumSize:]
+	if t != FrameData {
+		return t, payload, nil
+	}
+	return r.data(payload)
+}
+
+func (r *Reader) data(payload []byte) (FrameType, []byte, error) {
+	if len(payload) < offsetSize {
+		return 0, nil, fmt.Errorf("%w: data frame without offset", ErrMalformed)
+	}
+	if at := binary.BigEndian.Uint64(payload); at != uint64(r.offset) { //nolint:gosec // never negative
+		return 0, nil, fmt.Errorf("%w: expected offset %d, got %d", ErrGap, r.offset, at)
+	}
+	payload = payload[offsetSize:]
+	r.offset += int64(len(payload))
+	return FrameData, payload, nil
 }
 
 func noEOF(err error) error {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +15,9 @@
 
 	"toucantiller.dev/account"
 	"toucantiller.dev/contract"
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/schedule"
 )
 
 // Names of the caller's headers.
@@ -28,11 +33,11 @@
 
 const (
 	maxRequestID = 128 // bytes
+	maxKey       = 255 // bytes
+	maxPath      = 8 << 10
 	maxTimeout   = time.Hour
 	// bytesPerToken is the mean length of a token in prompts.
 	bytesPerToken = 4
-	// defaultAnswerTokens is assumed where the caller sets no bound.
-	defaultAnswerTokens = 128
 )
 
 // call is one caller's request after its checks.
@@ -51,8 +56,18 @@
 	promptTokens int
 	answerTokens int
 	key          string
+	// pass holds the caller's headers for the engine.
+	pass http.Header
+	// hash draws the version and stays the same over attempts.
+	hash     uint64
+	prefixes []schedule.Prefix
+	// excluded lists endpoints that cannot take the call.
+	excluded []endpoint.ID
 }
 
+// claimed reports whether the call needs an idempotency claim.
+func (c *call) claimed() bool { return c.key != "" && !c.route.Idempotent }
+
 // Handler returns the caller interface.
 func (g *Gateway) Handler() http.Handler {
 	r := mux.NewRouter()
@@ -77,12 +92,18 @@
 		p.RetryAfter = time.Second
 		return nil, p
 	}
-	c := &call{config: config, id: r.Header.Get(headerRequestID), method: r.Method, key: r.Header.Get(headerIdempotency)}
+	c := &call{
+		config: config, id: r.Header.Get(headerRequestID), method: r.Method, key: r.Header.Get(headerIdempotency),
+		pass: dispatch.SelectHeaders(r.Header, dispatch.PassedHeaders), hash: rand.Uint64(), //nolint:gosec // load balancing needs no secrecy
+	}
 	if c.id == "" {
 		c.id = fmt.Sprintf("%s-%x-%d", g.opt.Instance.ID, uint64(g.opt.Instance.Incarnation), g.sequence.Add(1))
 	}
-	if len(c.id) > maxRequestID {
-		return nil, newProblem(http.StatusBadRequest, "bad_header", NotRun, "%s is longer than %d bytes", headerRequestID, maxRequestID)
+	if !printable(c.id, maxRequestID) {
+		return nil, newProblem(http.StatusBadRequest, "bad_header", NotRun, "%s must be at most %d printable ASCII characters", headerRequestID, maxRequestID)
+	}
+	if !printable(c.key, maxKey) {
+		return nil, newProblem(http.StatusBadRequest, "bad_header", NotRun, "%s must be at most %d printable ASCII characters", headerIdempotency, maxKey)
 	}
 	w.Header().Set(headerRequestID, c.id)
 	w.Header().Set(headerRevision, strconv.FormatUint(config.Revision, 10))
@@ -96,6 +117,16 @@
 	return c, nil
 }
 
+// printable reports whether s has at most limit bytes, all of them visible ASCII.
+func printable(s string, limit int) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return len(s) <= limit
+}
+
 // finish checks what depends on the service: access, tier, timeout and body.
 func (c *call) finish(r *http.Request, s *contract.Service) *Problem {
 	c.service = s
@@ -141,7 +172,10 @@
 }
 
 func (c *call) readBody(r *http.Request, limit int64) *Problem {
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if r.ContentLength > limit {
+		return newProblem(http.StatusRequestEntityTooLarge, "body_too_large", NotRun, "the body exceeds %d bytes", limit)
+	}
+	body, err := readAll(r, limit)
 	if err != nil {
 		return newProblem(http.StatusBadRequest, "body_cut", NotRun, "reading the body: %v", err)
 	}
@@ -153,6 +187,16 @@
 	return nil
 }
 
+// readAll reads a body of known length into one allocation; net/http ends it there.
+func readAll(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength >= 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(r.Body, limit+1))
+}
+
 // modelRequest is what the gateway reads of an OpenAI request.
 type modelRequest struct {
 	Model               string `json:"model"`
@@ -167,11 +211,14 @@
 		p = c.readModel(r)
 	}
 	if p != nil {
+		g.metrics.problem(p)
 		p.write(w)
 		return
 	}
 	c.path = r.URL.Path
 	c.route = c.service.RouteFor(c.method, c.path)
+	c.answerTokens = g.estimate(c)
+	c.prefixes = promptPrefixes(c.body)
 	g.serve(w, r, c)
 }
 
@@ -189,12 +236,21 @@
 	}
 	c.stream = m.Stream
 	c.answerTokens = max(m.MaxTokens, m.MaxCompletionTokens)
-	if c.answerTokens <= 0 {
-		c.answerTokens = defaultAnswerTokens
+	if int64(len(c.body)) > s.MaxBody {
+		return newProblem(http.StatusRequestEntityTooLarge, "body_too_large", NotRun, "the body exceeds %d bytes", s.MaxBody)
 	}
 	return c.finish(r, s)
 }
 
+// estimate returns the expected number of answer tokens, at most what the caller allows.
+func (g *Gateway) estimate(c *call) int {
+	n := g.estimator.Estimate(c.route.Name, c.account.Name)
+	if c.answerTokens > 0 {
+		n = min(n, c.answerTokens)
+	}
+	return n
+}
+
 // maxModelBody is the largest body that any model service takes.
 func (c *call) maxModelBody() int64 {
 	var limit int64
@@ -212,6 +268,7 @@
 		p = c.readPlain(r)
 	}
 	if p != nil {
+		g.metrics.problem(p)
 		p.write(w)
 		return
 	}
@@ -227,12 +284,14 @@
 	if p := c.finish(r, s); p != nil {
 		return p
 	}
-	path := strings.TrimPrefix(r.URL.Path, "/services/"+name)
-	c.route = s.RouteFor(r.Method, path)
-	c.path = path
+	c.route = s.RouteFor(r.Method, strings.TrimPrefix(r.URL.Path, "/services/"+name))
+	c.path = strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+url.PathEscape(name))
 	if r.URL.RawQuery != "" {
 		c.path += "?" + r.URL.RawQuery
 	}
+	if !strings.HasPrefix(c.path, "/") || !printable(c.path, maxPath) {
+		return newProblem(http.StatusBadRequest, "bad_path", NotRun, "the path must be at most %d printable ASCII characters", maxPath)
+	}
 	return c.readBody(r, s.MaxBody)
 }
 
@@ -251,6 +310,7 @@
 func (g *Gateway) serveModels(w http.ResponseWriter, r *http.Request) {
 	c, p := g.begin(w, r)
 	if p != nil {
+		g.metrics.problem(p)
 		p.write(w)
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -15,11 +14,12 @@
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
 
+	"toucantiller.dev/admission"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
-	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/schedule"
 	"toucantiller.dev/timeline"
 )
 
@@ -63,16 +63,33 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	opt      Options
-	server   *http.Server
-	leaving  atomic.Bool
-	peers    sync.Map // address -> *peer
-	sequence atomic.Uint64
-	metrics  *metrics
+	opt       Options
+	server    *http.Server
+	leaving   atomic.Bool
+	peers     sync.Map // address -> *peer
+	sequence  atomic.Uint64
+	metrics   *metrics
+	routing   atomic.Pointer[routing]
+	rebuild   sync.Mutex
+	accounts  admission.AccountLimits
+	estimator schedule.AnswerEstimator
+	budget    retryBudget
+	claims    sync.Map // account and key -> runningClaim, of calls in progress
+
+	tasks     sync.WaitGroup
+	taskSlots chan struct{}
+	taskCtx   context.Context
+	endTasks  context.CancelFunc
 }
 
-// callerReadHeader bounds reading a caller's request header.
-const callerReadHeader = 10 * time.Second
+// maxTasks bounds the background tasks of a gateway.
+const maxTasks = 4096
+
+// Bounds on callers' connections.
+const (
+	callerReadHeader = 10 * time.Second
+	callerIdle       = 2 * time.Minute
+)
 
 // New returns a gateway that is not yet serving.
 func New(opt Options) (*Gateway, error) {
@@ -83,8 +100,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "creating gateway metrics")
 	}
-	g := &Gateway{opt: opt, metrics: m}
-	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: callerReadHeader}
+	g := &Gateway{opt: opt, metrics: m, taskSlots: make(chan struct{}, maxTasks)}
+	g.taskCtx, g.endTasks = context.WithCancel(context.Background())
+	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: callerReadHeader, IdleTimeout: callerIdle}
 	return g, nil
 }
 
@@ -96,70 +114,33 @@
 	return nil
 }
 
-// Stop closes the listener and waits for open requests until ctx ends.
+// Stop closes the listener and waits until ctx ends for open requests, and then for the
+// outcomes of claims to be stored. It cuts no request before ctx ends.
 func (g *Gateway) Stop(ctx context.Context) error {
-	g.leaving.Store(true)
-	return g.server.Shutdown(ctx)
-}
-
-// peer is the link to one agent.
-type peer struct {
-	client      *http.Client
-	outstanding atomic.Int64
-}
-
-func (g *Gateway) peer(address string) *peer {
-	if p, ok := g.peers.Load(address); ok {
-		return p.(*peer)
-	}
-	p, _ := g.peers.LoadOrStore(address, &peer{client: link.NewHTTPClient(g.opt.Network, address)})
-	return p.(*peer)
-}
-
-// pick chooses an endpoint of the service among those not yet tried: the version by
-// its share, then the endpoint with fewer outstanding requests of two drawn at random.
-func (g *Gateway) pick(s *contract.Service, tried map[endpoint.ID]bool) (endpoint.Endpoint, bool) {
-	version := g.pickVersion(s)
-	candidates := g.candidates(s, version, tried)
-	if len(candidates) == 0 {
-		return endpoint.Endpoint{}, false
+	if !g.leaving.Swap(true) {
+		_ = g.opt.Logger.Log("msg", "stopping", "gateway", g.opt.Instance.ID)
 	}
-	a := candidates[rand.IntN(len(candidates))] //nolint:gosec // load balancing needs no secrecy
-	b := candidates[rand.IntN(len(candidates))] //nolint:gosec // load balancing needs no secrecy
-	if g.peer(b.Address).outstanding.Load() < g.peer(a.Address).outstanding.Load() {
-		return b, true
-	}
-	return a, true
+	err := g.server.Shutdown(ctx)
+	g.endTasks()
+	g.tasks.Wait()
+	g.peers.Range(func(_, p any) bool {
+		p.(*peer).close()
+		return true
+	})
+	return err
 }
 
-func (g *Gateway) pickVersion(s *contract.Service) string {
-	fresh := g.opt.View.UnprovenAllowed(time.Now())
-	draw := rand.Float64() //nolint:gosec // load balancing needs no secrecy
-	for _, v := range s.Versions {
-		if v.Unproven && !fresh {
-			continue
-		}
-		if draw < v.Share {
-			return v.Version
-		}
-		draw -= v.Share
-	}
-	return s.Versions[0].Version
-}
-
-func (g *Gateway) candidates(s *contract.Service, version string, tried map[endpoint.ID]bool) []endpoint.Endpoint {
-	config, directory := g.opt.View.Config(), g.opt.View.Directory()
-	if directory == nil {
-		return nil
-	}
-	var out []endpoint.Endpoint
-	for _, e := range directory.Endpoints {
-		if e.Service != s.Name || e.Version != version || e.Leaving || tried[e.ID] {
-			continue
-		}
-		if d, ok := config.Domains[e.Domain]; ok && d.AcceptsWork() {
-			out = append(out, e)
-		}
+// background runs a task beside the request path. It drops the task when too many run:
+// what tasks do is a repair that another process can make too.
+func (g *Gateway) background(task func(ctx context.Context)) {
+	select {
+	case g.taskSlots <- struct{}{}:
+	default:
+		g.metrics.tasksDropped.one()
+		return
 	}
-	return out
+	g.tasks.Go(func() {
+		defer func() { <-g.taskSlots }()
+		task(g.taskCtx)
+	})
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,28 +2,95 @@
 
 import (
 	"context"
+	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
+
+	"toucantiller.dev/admission"
 )
 
+// counter is a metric that only rises.
+type counter struct{ metric.Int64Counter }
+
+func (c counter) one(opt ...metric.AddOption) { c.Add(context.Background(), 1, opt...) }
+
+// histogram is a distribution of durations in seconds.
+type histogram struct{ metric.Float64Histogram }
+
+func (h histogram) record(d time.Duration) { h.Record(context.Background(), d.Seconds()) }
+
 // metrics counts the outcomes of calls.
 type metrics struct {
-	completed metric.Int64Counter
-	problems  metric.Int64Counter
+	completed     counter
+	problems      counter
+	sheds         counter
+	retries       counter
+	replaced      counter
+	budgetEmpty   counter
+	linksLost     counter
+	floors        counter
+	claimFailures counter
+	tasksDropped  counter
+	duration      histogram
+	firstToken    histogram
 }
 
+// durationBounds are the buckets that OpenTelemetry recommends for HTTP durations, with
+// more of them for long answers.
+var durationBounds = []float64{0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.25, 0.4, 0.5, 0.75, 1, 2.5, 5, 7.5, 10, 30, 60}
+
 func newMetrics(m metric.Meter) (*metrics, error) {
 	if m == nil {
 		m = noop.NewMeterProvider().Meter("gateway")
 	}
 	var out metrics
-	var err error
-	if out.completed, err = m.Int64Counter("toucan.gateway.requests.completed"); err != nil {
-		return nil, err
+	for _, c := range []struct {
+		counter           *counter
+		name, unit, about string
+	}{
+		{&out.completed, "toucan.gateway.requests.completed", "{request}", "Requests whose whole answer was passed on."},
+		{&out.problems, "toucan.gateway.requests.problems", "{request}", "Requests that ended with a problem, by code and execution."},
+		{&out.sheds, "toucan.gateway.requests.shed", "{request}", "Requests refused before dispatch, by reason and tier."},
+		{&out.retries, "toucan.gateway.dispatches.retried", "{dispatch}", "Dispatches after a proven not-run, from the retry budget."},
+		{&out.replaced, "toucan.gateway.dispatches.handed_back", "{dispatch}", "Dispatches handed back by an endpoint that leaves and placed elsewhere."},
+		{&out.budgetEmpty, "toucan.gateway.retry_budget.exhausted", "{request}", "Requests not tried again because the retry budget was used up."},
+		{&out.linksLost, "toucan.gateway.links.lost", "{dispatch}", "Dispatches whose connection broke or went silent."},
+		{&out.floors, "toucan.gateway.floor.raised", "{floor}", "Times this gateway raised the admission floor."},
+		{&out.claimFailures, "toucan.gateway.claims.failed", "{call}", "Calls to control about claims that failed."},
+		{&out.tasksDropped, "toucan.gateway.tasks.dropped", "{task}", "Background tasks dropped because too many ran."},
+	} {
+		i, err := m.Int64Counter(c.name, metric.WithUnit(c.unit), metric.WithDescription(c.about))
+		if err != nil {
+			return nil, err
+		}
+		c.counter.Int64Counter = i
 	}
-	out.problems, err = m.Int64Counter("toucan.gateway.requests.problems")
-	return &out, err
+	return &out, newHistograms(m, &out)
 }
 
-func (m *metrics) count(c metric.Int64Counter) { c.Add(context.Background(), 1) }
+func newHistograms(m metric.Meter, out *metrics) error {
+	for _, h := range []struct {
+		histogram   *histogram
+		name, about string
+	}{
+		{&out.duration, "http.server.request.duration", "Time from the caller's request to the end of its answer."},
+		{&out.firstToken, "toucan.gateway.time_to_first_token", "Time from dispatch to the first byte of the engine's answer."},
+	} {
+		i, err := m.Float64Histogram(h.name, metric.WithUnit("s"), metric.WithDescription(h.about), metric.WithExplicitBucketBoundaries(durationBounds...))
+		if err != nil {
+			return err
+		}
+		h.histogram.Float64Histogram = i
+	}
+	return nil
+}
+
+func (m *metrics) problem(p *Problem) {
+	m.problems.one(metric.WithAttributes(attribute.String("code", p.Code), attribute.String("execution", string(p.Execution))))
+}
+
+func (m *metrics) shed(r *admission.Refusal) {
+	m.sheds.one(metric.WithAttributes(attribute.String("reason", string(r.Reason)), attribute.Int("tier", int(r.Tier))))
+}
--- /dev/null
+++ b/gateway/peer.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+const (
+	// sealTimeout bounds one seal; settleTimeout bounds the seals of one dispatch.
+	sealTimeout   = time.Second
+	settleTimeout = 2500 * time.Millisecond
+	settlePause   = 100 * time.Millisecond
+	probeTimeout  = 500 * time.Millisecond
+)
+
+// peer is the link to one agent.
+type peer struct {
+	network  link.Network
+	address  string
+	dispatch *url.URL
+	client   atomic.Pointer[http.Client]
+}
+
+func newPeer(network link.Network, address string) *peer {
+	p := &peer{network: network, address: address}
+	p.dispatch = &url.URL{Scheme: "http", Host: address, Path: dispatch.PathDispatch}
+	p.client.Store(link.NewHTTPClient(network, address))
+	return p
+}
+
+func (g *Gateway) peer(address string) *peer {
+	if p, ok := g.peers.Load(address); ok {
+		return p.(*peer)
+	}
+	p, _ := g.peers.LoadOrStore(address, newPeer(g.opt.Network, address))
+	return p.(*peer)
+}
+
+// replace makes later requests use a new connection. old is the client whose connection
+// failed; when another request has replaced it already, nothing happens.
+func (p *peer) replace(old *http.Client) {
+	if p.client.CompareAndSwap(old, link.NewHTTPClient(p.network, p.address)) {
+		old.CloseIdleConnections()
+	}
+}
+
+func (p *peer) close() { p.client.Load().CloseIdleConnections() }
+
+// call sends one small request and decodes the reply.
+func (p *peer) call(ctx context.Context, method, path string, in, out any) error {
+	body, err := msgpack.Marshal(in)
+	if err != nil {
+		return &link.Error{Step: "encoding " + path, Peer: p.address, Err: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.address+path, bytes.NewReader(body))
+	if err != nil {
+		return &link.Error{Step: "building " + path, Peer: p.address, Err: err}
+	}
+	client := p.client.Load()
+	resp, err := client.Do(req)
+	if err != nil {
+		p.replace(client)
+		return &link.Error{Step: path, Peer: p.address, Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &link.Error{Step: path, Peer: p.address, Err: errors.New(resp.Status)}
+	}
+	if err := msgpack.NewDecoder(io.LimitReader(resp.Body, dispatch.MaxFrame)).Decode(out); err != nil {
+		return &link.Error{Step: "decoding " + path, Peer: p.address, Err: err}
+	}
+	return nil
+}
+
+// seal asks the agent once how a dispatch stands.
+func (p *peer) seal(ctx context.Context, in *dispatch.SealRequest) (*dispatch.SealReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	var reply dispatch.SealReply
+	if err := p.call(ctx, http.MethodPost, dispatch.PathSeal, in, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
+// standing is what is known about a dispatch after asking its agent.
+type standing int
+
+const (
+	// standsUnreachable: the agent gave no reply; it may know.
+	standsUnreachable standing = iota
+	// standsGone: the agent's incarnation is gone, so nobody knows.
+	standsGone
+	standsSealed
+	standsRunning
+	// standsEnded: it ran, and its answer is not stored.
+	standsEnded
+	standsDone
+)
+
+// settle asks over new connections until the agent replies or the time is up. For a
+// claimed dispatch that still runs it goes on to ask until ctx ends.
+func (p *peer) settle(ctx context.Context, id dispatch.ID, agent instance.Incarnation, claimed bool) (standing, *dispatch.StoredAnswer, error) {
+	in := &dispatch.SealRequest{ID: id, Agent: agent}
+	giveUp := time.Now().Add(settleTimeout)
+	for {
+		reply, err := p.seal(ctx, in)
+		s := standingOf(reply, agent)
+		waits := s == standsUnreachable && time.Now().Before(giveUp) || s == standsRunning && claimed
+		if !waits {
+			return s, answerOf(reply), err
+		}
+		select {
+		case <-ctx.Done():
+			return s, nil, ctx.Err()
+		case <-time.After(settlePause):
+		}
+	}
+}
+
+func standingOf(r *dispatch.SealReply, agent instance.Incarnation) standing {
+	switch {
+	case r == nil:
+		return standsUnreachable
+	case r.Incarnation != agent:
+		return standsGone
+	case r.State == dispatch.SealSealed:
+		return standsSealed
+	case r.State == dispatch.SealDone && r.Answer != nil:
+		return standsDone
+	case r.State == dispatch.SealCommitted && !r.Ended:
+		return standsRunning
+	}
+	return standsEnded
+}
+
+func answerOf(r *dispatch.SealReply) *dispatch.StoredAnswer {
+	if r == nil {
+		return nil
+	}
+	return r.Answer
+}
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -22,6 +22,9 @@
 	Failed Execution = "failed"
 )
 
+// statusClientClosed is recorded when the caller left; nobody receives it.
+const statusClientClosed = 499
+
 // Problem is an error answer (RFC 9457).
 type Problem struct {
 	Status    int       `json:"status"`
--- /dev/null
+++ b/gateway/route.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/schedule"
+)
+
+// routing is an immutable view of what requests can be placed on. It is swapped whole
+// when the configuration or the directory changes.
+type routing struct {
+	config    *contract.Config
+	directory *api.Directory
+	snapshot  *schedule.Snapshot
+	queues    map[string]*serviceQueue
+}
+
+func (r *routing) current(c *contract.Config, d *api.Directory) bool {
+	return r != nil && r.config == c && r.directory == d
+}
+
+// route returns the routing for the view at present. One request rebuilds it after a
+// change; the others go on with the one before meanwhile.
+func (g *Gateway) route() *routing {
+	config, directory := g.opt.View.Config(), g.opt.View.Directory()
+	r := g.routing.Load()
+	if r.current(config, directory) {
+		return r
+	}
+	if r != nil && !g.rebuild.TryLock() {
+		return r
+	}
+	if r == nil {
+		g.rebuild.Lock()
+	}
+	defer g.rebuild.Unlock()
+	if r = g.routing.Load(); r.current(config, directory) {
+		return r
+	}
+	next := g.buildRouting(r, config, directory)
+	g.routing.Store(next)
+	for _, q := range next.queues {
+		q.wake()
+	}
+	return next
+}
+
+func (g *Gateway) buildRouting(old *routing, config *contract.Config, directory *api.Directory) *routing {
+	now := time.Now()
+	in := schedule.SnapshotInput{Gateway: g.opt.Instance.ID, Domain: g.opt.Instance.Domain, Config: config}
+	if directory != nil {
+		in.Endpoints = directory.Endpoints
+	}
+	next := &routing{config: config, directory: directory, queues: make(map[string]*serviceQueue)}
+	if old != nil {
+		in.Previous = old.snapshot
+		next.queues = old.queues
+	}
+	next.snapshot = schedule.NewSnapshot(in)
+	if old == nil || old.config != config {
+		g.accounts.Update(config.Accounts, now)
+		next.queues = g.buildQueues(next.queues, config)
+	}
+	g.dropPeers(in.Endpoints)
+	return next
+}
+
+func (g *Gateway) buildQueues(old map[string]*serviceQueue, config *contract.Config) map[string]*serviceQueue {
+	out := make(map[string]*serviceQueue, len(config.Services))
+	for _, s := range config.Services {
+		q := old[s.Name]
+		if q == nil {
+			q = newServiceQueue(g, s.Name)
+		}
+		q.configure(s, config)
+		out[s.Name] = q
+	}
+	return out
+}
+
+// dropPeers closes the links to agents that are no longer registered.
+func (g *Gateway) dropPeers(endpoints []endpoint.Endpoint) {
+	known := make(map[string]bool, len(endpoints))
+	for i := range endpoints {
+		known[endpoints[i].Address] = true
+	}
+	g.peers.Range(func(address, p any) bool {
+		if !known[address.(string)] {
+			g.peers.Delete(address)
+			p.(*peer).close()
+		}
+		return true
+	})
+}
+
+var randoms = sync.Pool{New: func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }} //nolint:gosec // load balancing needs no secrecy
+
+// pick chooses an endpoint and counts the request there.
+func (g *Gateway) pick(route *routing, c *call) schedule.Decision {
+	now := time.Now()
+	r := schedule.Request{
+		Service: c.service.Name, Shares: c.service.Versions,
+		UnprovenAllowed: g.opt.View.UnprovenAllowed(now),
+		Hash:            c.hash, Tier: c.tier, PromptTokens: c.promptTokens, AnswerTokens: c.answerTokens,
+		Prefixes: c.prefixes, Excluded: c.excluded,
+	}
+	rng := randoms.Get().(*rand.Rand)
+	defer randoms.Put(rng)
+	if route.config != c.config {
+		// The shares may have moved since the call came in.
+		if s, ok := route.config.ServiceByName(c.service.Name); ok {
+			r.Shares = s.Versions
+		}
+	}
+	d := route.snapshot.Pick(&r, now, rng)
+	if d.Candidate != nil {
+		d.Candidate.AddOutstanding(c.promptTokens, c.answerTokens)
+	}
+	return d
+}
+
+// prefixSizes are the lengths of the prompt prefixes that routing knows, in bytes.
+var prefixSizes = [...]int{1 << 10, 4 << 10, 16 << 10, 64 << 10}
+
+func promptPrefixes(body []byte) []schedule.Prefix {
+	var out []schedule.Prefix
+	for _, n := range prefixSizes {
+		if len(body) < n {
+			break
+		}
+		out = append(out, schedule.Prefix{Hash: xxhash.Sum64(body[:n]), Tokens: n / bytesPerToken})
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/timeline"
+)
+
+// maxAttempts bounds the endpoints tried for one request.
+const maxAttempts = 8
+
+// serve runs the call and gives the caller its answer or a problem.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, c *call) {
+	began := time.Now()
+	pass, refused := g.accounts.Enter(c.account.Name, c.tier, began)
+	if refused != nil {
+		g.metrics.shed(refused)
+		refusalProblem(refused).write(w)
+		return
+	}
+	defer pass.Leave()
+	g.budget.request()
+	g.opt.Timeline.Record(timeline.Event{Kind: "request.received", Request: c.id, Revision: c.config.Revision})
+	out := newAnswerWriter(w, c)
+	defer func() { g.metrics.duration.record(time.Since(began)) }()
+	p := g.execute(r.Context(), c, out)
+	if p == nil {
+		g.metrics.completed.one()
+		g.opt.Timeline.Record(timeline.Event{Kind: "request.done", Request: c.id})
+		return
+	}
+	g.metrics.problem(p)
+	g.opt.Timeline.Record(timeline.Event{Kind: "request.problem", Request: c.id, Detail: p.Code + " " + string(p.Execution)})
+	out.fail(p)
+}
+
+func (g *Gateway) execute(ctx context.Context, c *call, out *answerWriter) *Problem {
+	if c.claimed() {
+		return g.executeClaimed(ctx, c, out)
+	}
+	r := g.place(ctx, c, out, nil)
+	if r.problem != nil {
+		return r.problem
+	}
+	return out.finish()
+}
+
+// place dispatches the call until one endpoint has run it or none is left. A claim, when
+// there is one, is moved to each dispatch before it is sent.
+func (g *Gateway) place(ctx context.Context, c *call, out *answerWriter, claim *claim) result {
+	var last result
+	for range maxAttempts {
+		r, again := g.tryOnce(ctx, c, out, claim)
+		if r.problem == nil || !r.notRun {
+			return r
+		}
+		if r.code == "" && last.problem != nil {
+			// No further endpoint: the reason of the last refusal says more.
+			return last
+		}
+		last = r
+		if !again || !g.mayRetry(r) {
+			return last
+		}
+	}
+	return last
+}
+
+// tryOnce takes a place, claims it and dispatches. again is false when another endpoint
+// cannot help.
+func (g *Gateway) tryOnce(ctx context.Context, c *call, out *answerWriter, claim *claim) (r result, again bool) {
+	if time.Until(c.deadline) <= 0 {
+		return result{problem: deadlineProblem(), notRun: true}, false
+	}
+	d, p := g.route().queues[c.service.Name].acquire(ctx, c)
+	if p != nil {
+		return result{problem: p, notRun: true}, false
+	}
+	a := g.newAttempt(c, out, d)
+	defer func() { g.release(c, d.Candidate, !a.first.IsZero()) }()
+	if claim != nil {
+		if r, held := claim.hold(ctx, a); !held {
+			return r, false
+		}
+	}
+	r = a.run(ctx)
+	if r.notRun {
+		c.exclude(a, r.code)
+	}
+	return r, true
+}
+
+// mayRetry allows another attempt after a proven not-run. Work handed back by an
+// endpoint that leaves has cost nothing, so it is not charged to the budget.
+func (g *Gateway) mayRetry(r result) bool {
+	if r.code == dispatch.CodeDeadline || r.code == dispatch.CodeCancelled {
+		return false
+	}
+	if handedBack(r.code) {
+		g.metrics.replaced.one()
+		return true
+	}
+	if !g.budget.retry() {
+		g.metrics.budgetEmpty.one()
+		return false
+	}
+	g.metrics.retries.one()
+	return true
+}
+
+func handedBack(code dispatch.Code) bool {
+	switch code {
+	case dispatch.CodeDraining, dispatch.CodeDomainDrained, dispatch.CodeWrongIncarnation, dispatch.CodeWrongVersion:
+		return true
+	}
+	return false
+}
+
+// exclude keeps the call from an endpoint that refused it, unless the refusal was one of
+// load: there it may wait for its turn again.
+func (c *call) exclude(a *attempt, code dispatch.Code) {
+	switch code {
+	case dispatch.CodeQueueFull, dispatch.CodeEvicted:
+		return
+	}
+	c.excluded = append(c.excluded, a.endpoint.ID)
+}
