--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -86,6 +87,7 @@
 		return nil, eris.Wrap(err, "reading the highest fencing token")
 	}
 	a.server = link.NewHTTPServer(a.Handler())
+	a.server.ErrorLog = stdlog.New(log.NewStdlibAdapter(opt.Logger), "", 0)
 	return a, nil
 }
 
@@ -132,7 +134,11 @@
 			return eris.Wrapf(ctx.Err(), "stopping with %d dispatches open", a.open.Load())
 		}
 	}
-	return a.server.Shutdown(ctx)
+	err := a.server.Shutdown(ctx)
+	if err != nil {
+		_ = a.server.Close()
+	}
+	return err
 }
 
 // Load returns the load report at present.
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -68,7 +68,7 @@
 	a := d.agent
 	if errors.Is(err, endpoint.ErrNotSent) {
 		a.ledger.Unsent(d.header.ID, a.now())
-		d.place.ended(outcome{cancelled: ctx.Err() != nil, failed: ctx.Err() == nil})
+		d.place.ended(outcome{cancelled: ctx.Err() != nil, failed: ctx.Err() == nil, gone: ctx.Err() == nil})
 		d.stream.refuse(refusal{code: dispatch.CodeEngineRefused, detail: err.Error()})
 		return
 	}
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -44,6 +44,8 @@
 	// cancelled: the caller left or its deadline passed, which says nothing about the
 	// engine.
 	cancelled bool
+	// gone: the engine could not be reached; when it is back it is cold.
+	gone bool
 }
 
 // gate bounds the requests in the engine by an adaptive limit and queues the rest by
@@ -78,7 +80,7 @@
 		return
 	}
 	g.config = c
-	g.queue.SetOptions(admission.QueueOptions{Capacity: queueLength, MaxQueueTime: maxQueueTimes(c)})
+	g.queue.SetOptions(admission.QueueOptions{Capacity: queueLength, MaxQueueTime: maxQueueTimes(c), Tiers: len(c.Tiers)})
 }
 
 func maxQueueTimes(c *contract.Config) []time.Duration {
@@ -196,11 +198,15 @@
 	w.placed = false
 	g.running--
 	g.tokens -= w.tokens
-	if o.cancelled {
+	switch {
+	case o.cancelled:
 		g.limiter.Cancel(w.ticket)
-	} else {
+	default:
 		g.limiter.Finish(w.ticket, w.sample(o, now), now)
 	}
+	if o.gone {
+		g.limiter.Restart()
+	}
 	g.grant(now)
 }
 
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -32,7 +32,7 @@
 	a.open.Add(1)
 	defer a.open.Add(-1)
 	a.gate.configure(a.opt.View.Config())
-	a.opt.View.Saw(h.Revision, r.RemoteAddr)
+	a.opt.View.Saw(h.Revision, h.Link)
 	s := newStream(w, a, h.ID)
 	defer s.close()
 	if code := a.admit(h); code != "" {
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -99,6 +99,8 @@
 	FullAt time.Time
 	Watch  time.Duration
 	Ended  time.Time
+	// StageSince is when the present stage began.
+	StageSince time.Time
 	// Cause says in one line why the move stands as it does.
 	Cause string
 	// Evidence lists what the decision rests on.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -102,6 +102,7 @@
 		Route: c.route.Name, Account: c.account.Name, Method: c.method, Path: c.path, Tier: c.tier,
 		Revision: c.config.Revision, Timeout: max(time.Until(c.deadline), time.Microsecond),
 		PromptTokens: c.promptTokens, AnswerTokens: c.answerTokens, Pass: c.pass,
+		Link: a.gateway.opt.Instance.LinkAddress,
 	}
 	if c.claimed() {
 		h.Claim = c.account.Name + "/" + c.key
@@ -214,7 +215,7 @@
 	a.candidate.Observe(load, time.Now())
 	a.gateway.observeFloor(a.call.service.Name, load.Floor)
 	if revision > a.call.config.Revision {
-		a.gateway.opt.View.Saw(revision, a.endpoint.Address)
+		a.gateway.opt.View.Saw(revision, a.endpoint.LinkAddress)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
@@ -103,6 +104,7 @@
 	g := &Gateway{opt: opt, metrics: m, taskSlots: make(chan struct{}, maxTasks)}
 	g.taskCtx, g.endTasks = context.WithCancel(context.Background())
 	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: callerReadHeader, IdleTimeout: callerIdle}
+	g.server.ErrorLog = stdlog.New(log.NewStdlibAdapter(opt.Logger), "", 0)
 	return g, nil
 }
 
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -65,8 +65,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.queue.SetOptions(admission.ServiceOptions{
-		QueueOptions: admission.QueueOptions{Capacity: s.QueueLength, MaxQueueTime: times, FairEviction: true},
-		Tiers:        len(c.Tiers),
+		QueueOptions: admission.QueueOptions{Capacity: s.QueueLength, MaxQueueTime: times, Tiers: len(c.Tiers), FairEviction: true},
 	})
 }
 
