--- a/agent/gate.go
+++ b/agent/gate.go
@@ -200,7 +200,7 @@
 	g.tokens -= w.tokens
 	switch {
 	case o.cancelled:
-		g.limiter.Cancel(w.ticket)
+		g.limiter.Cancel(w.ticket, w.sample(o, now), now)
 	default:
 		g.limiter.Finish(w.ticket, w.sample(o, now), now)
 	}
--- a/distribution/delta.go
+++ b/distribution/delta.go
@@ -154,9 +154,10 @@
 	return compareID(id(a[0]), id(b[0]))
 }
 
-// mergeSorted applies changes and removals, both in order of ID, to a list.
+// mergeSorted applies changes and removals, both in order of ID, to a list. The result
+// of removing everything is nil, as decoding an empty list gives.
 func mergeSorted[T any](old, changed []T, removed []instance.ID, id func(T) instance.ID) []T {
-	out := make([]T, 0, len(old)+len(changed))
+	var out []T
 	for len(old) > 0 || len(changed) > 0 {
 		switch order(old, changed, id) {
 		case -1:
