--- a/link/rpc.go
+++ b/link/rpc.go
@@ -113,7 +113,7 @@
 func (c *connection) close() {
 	c.once.Do(func() {
 		close(c.done)
-		_ = c.Client.Close()
+		_ = c.Close()
 	})
 }
 
