--- a/wal/frame.go
+++ b/wal/frame.go
@@ -78,11 +78,31 @@
 	Keep  bool   `msgpack:"k"`
 }
 
+// entryList decodes without trusting the encoded length, which could ask for more memory
+// than there is.
+type entryList []Entry
+
+// DecodeMsgpack reads an array of entries.
+func (l *entryList) DecodeMsgpack(dec *msgpack.Decoder) error {
+	n, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	for range n {
+		var e Entry
+		if err := e.DecodeMsgpack(dec); err != nil {
+			return err
+		}
+		*l = append(*l, e)
+	}
+	return nil
+}
+
 // batch is the payload of one frame: what one sync makes durable.
 type batch struct {
-	State   []byte  `msgpack:"s,omitempty"`
-	Mark    *mark   `msgpack:"m,omitempty"`
-	Entries []Entry `msgpack:"e,omitempty"`
+	State   []byte    `msgpack:"s,omitempty"`
+	Mark    *mark     `msgpack:"m,omitempty"`
+	Entries entryList `msgpack:"e,omitempty"`
 }
 
 // segment identifies a segment; it seeds the checksums of its frames.
--- a/wal/recover.go
+++ b/wal/recover.go
@@ -177,6 +177,11 @@
 	if s == nil || content.marked == s.Index {
 		return nil
 	}
+	if len(content.entries) > 0 && content.entries[0].Index > s.Index {
+		// Segments are released only after the mark is durable.
+		return fmt.Errorf("the log starts at entry %d and does not mention snapshot %d: a segment is missing",
+			content.entries[0].Index, s.Index)
+	}
 	m := &mark{Index: s.Index, Keep: content.agrees(s)}
 	if err := l.rotate(m); err != nil {
 		return err
