Keep load out of the latency baseline

Change: busy calls move the baseline only when clearly faster; a lasting slowdown is learned at limit 1; whole calls are corrected for prefills ahead, and the limit falls when first tokens take 8 times their unloaded time. Tests of package limit. Result: go test ./limit ./scenario pass.

--- a/limit/calls.go
+++ b/limit/calls.go
@@ -33,7 +33,7 @@
 	}
 	c.gen++
 	c.slots[slot] = call{used: true, gen: c.gen, prompt: prompt, start: now}
-	t := Ticket{slot: slot, gen: c.gen, start: now, alone: c.open == 0}
+	t := Ticket{slot: slot, gen: c.gen, start: now}
 	if c.reportsFirst {
 		t.ahead = c.prefilling
 	}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -5,7 +5,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -35,6 +34,9 @@
 	// firstGrow is the same for first token times alone. It is higher because calls that
 	// start together prefill together, which says little about the limit.
 	firstGrow = 4.0
+	// firstFull is the mean ratio of first token times at which the limit falls: calls
+	// wait in a queue of the engine.
+	firstFull = 8.0
 	// fullRatio is the ratio at which the limit falls gently.
 	fullRatio = 2.0
 	// jumpRatio is the rise over the recent ratio that counts as a sudden slowdown.
@@ -179,20 +181,33 @@
 	slot  int
 	gen   uint64
 	start time.Time
-	// alone is set when nothing else ran; ahead is the prompt tokens that other calls
-	// had not yet prefilled.
-	alone bool
+	crowd crowd
+	// ahead is the prompt tokens that other calls had not yet prefilled.
 	ahead int
 }
 
 // Start records that a call was given to the endpoint.
 func (l *Limiter) Start(now time.Time, promptTokens int) Ticket {
 	t := l.calls.add(now, promptTokens)
+	t.crowd = l.crowd()
 	l.proof.peak = max(l.proof.peak, l.calls.open)
 	l.proof.peakTokens = max(l.proof.peakTokens, l.calls.tokens)
 	return t
 }
 
+// lightShare is the share of the limit up to which calls hardly slow each other.
+const lightShare = 0.25
+
+func (l *Limiter) crowd() crowd {
+	switch {
+	case l.calls.open <= 1:
+		return crowdAlone
+	case float64(l.calls.open) <= lightShare*l.limit:
+		return crowdLight
+	}
+	return crowdBusy
+}
+
 // FirstToken records that the answer of a call has begun, so that the call no
 // longer counts as overdue. Calling it is optional.
 func (l *Limiter) FirstToken(t Ticket, now time.Time) {
@@ -250,7 +265,7 @@
 		if s.AnswerTokens < 2 || !l.decode.ready() {
 			return
 		}
-		_, ratio = l.decode.learn(float64(s.AnswerTokens), decodeTime, t.alone)
+		_, ratio = l.decode.learn(float64(s.AnswerTokens), decodeTime, t.crowd)
 	}
 	if ratio > fullRatio {
 		l.judge(ratio, t, now)
@@ -321,10 +336,10 @@
 
 // ratios compare one call with the baseline of an idle endpoint.
 type ratios struct {
-	// load is the evidence of overload: the time of the whole call, or the first token
-	// time corrected for the prefills ahead of it.
+	// load is the evidence of overload: the time of the whole call or its first token
+	// time, both corrected for the prefills ahead of it.
 	load float64
-	// first is the first token time alone.
+	// first is the first token time without that correction.
 	first float64
 }
 
@@ -334,136 +349,16 @@
 	answer := float64(s.AnswerTokens)
 	firstTime := s.FirstToken.Seconds()
 	decodeTime := (s.Total - s.FirstToken).Seconds()
-	corrected := firstTime / l.first.at(prompt+float64(t.ahead))
+	expected := l.first.at(prompt + float64(t.ahead))
 	if !l.first.known {
-		corrected = 1
+		expected = firstTime
 	}
-	expected, first := l.first.learn(prompt, firstTime, t.alone)
+	corrected := firstTime / expected
+	_, first := l.first.learn(prompt, firstTime, t.crowd)
 	if answer <= 1 || decodeTime <= 0 {
 		return ratios{load: first, first: first}
 	}
-	expectedDecode, _ := l.decode.learn(answer, decodeTime, t.alone)
+	expectedDecode, _ := l.decode.learn(answer, decodeTime, t.crowd)
 	whole := s.Total.Seconds() / (expected + expectedDecode)
 	return ratios{load: math.Max(whole, firstShare*corrected), first: first}
 }
-
-// judge lowers the limit on a jump over the recent ratio or on a high level.
-func (l *Limiter) judge(ratio float64, t Ticket, now time.Time) {
-	if t.start.Before(l.steppedAt) {
-		return
-	}
-	l.smooth(ratio)
-	if l.sinceStep < jumpCalls {
-		return
-	}
-	confirmed := l.confirmed()
-	jump := confirmed / math.Max(l.reference, 1)
-	switch {
-	case jump >= coldRatio:
-		l.turnCold(jump, now)
-	case jump >= jumpRatio:
-		l.step(1/jump, now)
-	case l.fast > fullRatio && confirmed > growRatio && l.limit > 1:
-		l.cold = false
-		l.step(math.Max(0.7, growRatio/l.fast), now)
-	}
-}
-
-// confirmed is the ratio that jumpCalls of the recent calls reached.
-func (l *Limiter) confirmed() float64 {
-	ratios := l.recent
-	slices.Sort(ratios[:])
-	return ratios[recentCalls-jumpCalls]
-}
-
-func (l *Limiter) smooth(ratio float64) {
-	// The reference lags behind, so that the calls that confirm a jump do not move it.
-	l.reference = l.slow
-	l.recent[l.sinceStep%recentCalls] = ratio
-	l.sinceStep++
-	if l.slow == 0 {
-		l.fast, l.slow = ratio, ratio
-		return
-	}
-	l.fast += fastGain * (ratio - l.fast)
-	l.slow += slowGain * (ratio - l.slow)
-}
-
-// prove counts a success at the present limit and raises the limit after enough.
-func (l *Limiter) prove(r ratios, t Ticket, now time.Time) {
-	if t.start.Before(l.proof.since) || t.start.Before(l.steppedAt) {
-		return
-	}
-	l.proof.successes++
-	l.proof.ratios += r.load
-	l.proof.firsts += r.first
-	if l.proof.successes < max(minProof, l.Limit()) {
-		return
-	}
-	if l.cold && now.Sub(l.proof.since) < coldStepTime {
-		return
-	}
-	mean := l.proof.ratios / float64(l.proof.successes)
-	meanFirst := l.proof.firsts / float64(l.proof.successes)
-	warming := l.fast < warmingRatio*l.slow
-	if mean <= growRatio && meanFirst <= firstGrow && !warming {
-		l.grow()
-	} else if l.cold && mean > growRatio && l.limit >= 2 {
-		l.cold = false
-	}
-	l.restartProof(now)
-}
-
-func (l *Limiter) grow() {
-	rate := warmGrowth
-	if l.cold {
-		rate = coldGrowth
-	}
-	if float64(l.proof.peak) >= usedShare*math.Floor(l.limit) {
-		l.limit = math.Min(math.Floor(l.limit)+math.Max(1, math.Floor(l.limit*rate)), float64(l.opt.MaxRequests))
-	}
-	if float64(l.proof.peakTokens) >= usedShare*l.tokens/2 {
-		l.tokens = math.Min(l.tokens*(1+rate), float64(l.opt.MaxTokens))
-	}
-	if l.limit >= warmLimit {
-		l.cold = false
-	}
-}
-
-func (l *Limiter) fail(t Ticket, now time.Time) {
-	l.failedRow++
-	l.failures += failureGain * (1 - l.failures)
-	if l.failedRow >= failedInARow {
-		l.turnCold(1, now)
-		return
-	}
-	if l.failures >= failureShare && !t.start.Before(l.steppedAt) {
-		l.step(0.5, now)
-	}
-}
-
-// turnCold starts the ramp anew with a baseline slower by the given factor. Little
-// weight is left to the baseline, so that calls that run alone correct it within a
-// few calls.
-func (l *Limiter) turnCold(slower float64, now time.Time) {
-	l.step(0, now)
-	l.first.slowDown(slower)
-	l.decode.slowDown(slower)
-	l.cold = true
-	l.fast, l.slow = 0, 0
-	l.failedRow = 0
-}
-
-func (l *Limiter) step(factor float64, now time.Time) {
-	l.limit = math.Max(1, math.Floor(l.limit*factor))
-	l.tokens = math.Max(float64(l.opt.InitialTokens), l.tokens*factor)
-	l.slow = l.fast
-	l.sinceStep = 0
-	l.recent = [recentCalls]float64{}
-	l.steppedAt = now
-	l.restartProof(now)
-}
-
-func (l *Limiter) restartProof(now time.Time) {
-	l.proof = proof{since: now, peak: l.calls.open, peakTokens: l.calls.tokens}
-}
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,239 @@
+package limit
+
+import (
+	"container/heap"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// bench drives a limiter with a closed load: whenever the limit allows, the next
+// call starts. Calls last base seconds, longer by the share of slots in excess.
+type bench struct {
+	l     *Limiter
+	now   time.Time
+	open  ending
+	base  time.Duration
+	slots int
+	slow  float64
+	size  func(n int) int
+	n     int
+	fails bool
+}
+
+type running struct {
+	at     time.Time
+	ticket Ticket
+	sample Sample
+}
+
+type ending []running
+
+func (e ending) Len() int           { return len(e) }
+func (e ending) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e ending) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *ending) Push(x any)        { *e = append(*e, x.(running)) }
+func (e *ending) Pop() any {
+	old := *e
+	r := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return r
+}
+
+func newBench(base time.Duration, slots int) *bench {
+	return &bench{l: New(Options{}), now: start, base: base, slots: slots, slow: 1, size: func(int) int { return 1 }}
+}
+
+// finish starts calls up to the limit and finishes the earliest one.
+func (b *bench) finish() {
+	for b.l.Allows(100) {
+		size := b.size(b.n)
+		b.n++
+		crowd := max(1, float64(len(b.open)+1)/float64(b.slots))
+		first := time.Duration(float64(b.base) / 10 * b.slow * crowd)
+		total := first + time.Duration(float64(size)*float64(b.base)*b.slow*crowd)
+		t := b.l.Start(b.now, 100)
+		heap.Push(&b.open, running{b.now.Add(total), t, Sample{first, total, 100, 100 * size, b.fails}})
+	}
+	r := heap.Pop(&b.open).(running)
+	b.now = r.at
+	b.l.Finish(r.ticket, r.sample, b.now)
+}
+
+func (b *bench) finishN(n int) {
+	for range n {
+		b.finish()
+	}
+}
+
+// TestLimitFindsUnknownCapacity guards against a limit that depends on the
+// hardware: it must use the slots of fast and slow, small and large endpoints, and
+// not load them far beyond.
+func TestLimitFindsUnknownCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base := time.Duration(rapid.IntRange(20, 5000).Draw(t, "base ms")) * time.Millisecond
+		slots := rapid.IntRange(1, 64).Draw(t, "slots")
+		b := newBench(base, slots)
+		assert.Equal(t, b.l.Limit(), 1)
+		assert.Assert(t, b.l.Cold())
+		peak := 0
+		for range 3000 {
+			b.finish()
+			peak = max(peak, b.l.Limit())
+		}
+		assert.Check(t, b.l.Limit() >= slots, "limit %d of %d slots", b.l.Limit(), slots)
+		assert.Check(t, peak <= 3*slots+2, "limit rose to %d of %d slots", peak, slots)
+		assert.Check(t, !b.l.Cold())
+	})
+}
+
+// TestRiseNeedsProof guards against a limit that rises on time, failures or calls
+// that were started at a lower limit: each rise needs a success per slot.
+func TestRiseNeedsProof(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(Options{})
+		now := start
+		var open []Ticket
+		successes, before := 0, l.Limit()
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+			switch op := rapid.IntRange(0, 5).Draw(t, "op"); {
+			case op <= 1 && l.Allows(50):
+				open = append(open, l.Start(now, 50))
+			case op <= 3 && len(open) > 0:
+				failed := rapid.IntRange(0, 9).Draw(t, "failed") == 0
+				l.Finish(open[0], Sample{FirstToken: time.Second / 10, Total: time.Second, PromptTokens: 50, AnswerTokens: 50, Failed: failed}, now)
+				open = open[1:]
+				if !failed {
+					successes++
+				}
+			case op == 4 && len(open) > 0:
+				l.Cancel(open[0], Sample{Total: time.Second / 2}, now)
+				open = open[1:]
+			default:
+				l.Waiting(now)
+			}
+			if l.Limit() > before {
+				assert.Check(t, successes >= max(minProof, before), "rise to %d after %d successes", l.Limit(), successes)
+			}
+			if l.Limit() != before {
+				successes, before = 0, l.Limit()
+			}
+			requests, tokens := l.Outstanding()
+			assert.Check(t, cmp.Equal(requests, len(open)))
+			assert.Check(t, cmp.Equal(tokens, 50*len(open)))
+			assert.Check(t, l.Limit() >= 1 && l.TokenLimit() >= DefaultInitialTokens)
+		}
+	})
+}
+
+// TestSlowdownIsSeenInAFewCalls guards against an endpoint that slows down or turns
+// cold without notice and keeps its limit.
+func TestSlowdownIsSeenInAFewCalls(t *testing.T) {
+	b := newBench(time.Second, 16)
+	b.finishN(1500)
+	high := b.l.Limit()
+	assert.Assert(t, high >= 16)
+	b.slow = 10
+	for range high + 2*recentCalls {
+		b.finish()
+	}
+	assert.Check(t, cmp.Equal(b.l.Limit(), 1))
+	assert.Check(t, b.l.Cold())
+}
+
+// TestWaitingCallsCountBeforeTheyFinish guards against an endpoint that stops
+// answering: no call finishes, so only the waiting ones can tell.
+func TestWaitingCallsCountBeforeTheyFinish(t *testing.T) {
+	b := newBench(100*time.Millisecond, 16)
+	b.finishN(1000)
+	high := b.l.Limit()
+	for b.l.Allows(100) {
+		b.l.Start(b.now, 100)
+	}
+	assert.Check(t, !b.l.Waiting(b.now.Add(100*time.Millisecond)))
+	stuck := b.now.Add(overdueFactor*b.l.longest*3 + time.Second)
+	assert.Check(t, b.l.Waiting(stuck))
+	assert.Check(t, b.l.Limit() < high, "limit %d stays at %d", b.l.Limit(), high)
+	for i := range 5 {
+		b.l.Waiting(stuck.Add(time.Duration(i) * time.Second))
+	}
+	assert.Check(t, cmp.Equal(b.l.Limit(), 1))
+}
+
+// TestFailuresLowerTheLimit guards against an endpoint that fails fast and so looks
+// fast: three failures in a row turn it cold.
+func TestFailuresLowerTheLimit(t *testing.T) {
+	b := newBench(time.Second, 16)
+	b.finishN(1000)
+	b.fails = true
+	b.finishN(b.l.Limit() + failedInARow)
+	assert.Check(t, cmp.Equal(b.l.Limit(), 1))
+	assert.Check(t, b.l.Cold())
+}
+
+// TestLongCallsAreNotSlow guards against calls 100 times longer being taken for a
+// slowdown, and against short ones among them being taken for a recovery.
+func TestLongCallsAreNotSlow(t *testing.T) {
+	b := newBench(time.Second, 32)
+	b.size = func(n int) int {
+		if n%10 == 9 {
+			return 100
+		}
+		return 1
+	}
+	b.finishN(200)
+	low := b.l.Limit()
+	for range 3000 {
+		b.finish()
+		assert.Assert(t, b.l.Limit() >= low, "limit fell from %d to %d", low, b.l.Limit())
+		low = max(low, min(b.l.Limit(), 32))
+	}
+	assert.Check(t, b.l.Limit() >= 32)
+}
+
+// TestRatesAreLearned guards against rates that do not follow the endpoint, since
+// gateways estimate times from them.
+func TestRatesAreLearned(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prefill := rapid.Float64Range(200, 50000).Draw(t, "prefill")
+		decode := rapid.Float64Range(5, 300).Draw(t, "decode")
+		l := New(Options{})
+		now := start
+		for range 50 {
+			p, a := rapid.IntRange(100, 4000).Draw(t, "prompt"), rapid.IntRange(10, 400).Draw(t, "answer")
+			first := time.Duration(float64(p) / prefill * 1e9)
+			total := first + time.Duration(float64(a)/decode*1e9)
+			ticket := l.Start(now, p)
+			now = now.Add(total)
+			l.Finish(ticket, Sample{first, total, p, a, false}, now)
+		}
+		gotPrefill, gotDecode := l.Rates()
+		assert.Check(t, gotPrefill > 0.9*prefill && gotPrefill < 1.1*prefill, "prefill %f of %f", gotPrefill, prefill)
+		assert.Check(t, gotDecode > 0.9*decode && gotDecode < 1.1*decode, "decode %f of %f", gotDecode, decode)
+	})
+}
+
+// TestTicketCountsOnce guards against work that is released twice, which would let
+// more calls run than the limit allows.
+func TestTicketCountsOnce(t *testing.T) {
+	l := New(Options{})
+	a := l.Start(start, 10)
+	l.Finish(a, Sample{Total: time.Second, FirstToken: time.Second}, start.Add(time.Second))
+	b := l.Start(start.Add(time.Second), 20)
+	l.Finish(a, Sample{}, start.Add(2*time.Second))
+	l.Cancel(a, Sample{}, start.Add(2*time.Second))
+	requests, tokens := l.Outstanding()
+	assert.Equal(t, requests, 1)
+	assert.Equal(t, tokens, 20)
+	l.Restart()
+	assert.Check(t, l.Cold())
+	l.Finish(b, Sample{Failed: true}, start.Add(3*time.Second))
+	requests, _ = l.Outstanding()
+	assert.Equal(t, requests, 0)
+}
--- a/limit/line.go
+++ b/limit/line.go
@@ -2,20 +2,33 @@
 
 import "math"
 
-// Weights of a sample in the baseline.
+// Weights of a sample in the baseline, which describes an endpoint without load.
 const (
-	lineMemory = 32.0
-	// loadedWeight is the weight of a call that ran beside others and took longer than
-	// predicted. It is small because the baseline describes an idle endpoint, and not
-	// 0 so that a lasting change is adopted in the end.
-	loadedWeight = 0.01
-	lineReady    = 3
+	lineMemory  = 32.0
+	aloneWeight = 1.0
+	lightWeight = 0.25
+	// fasterWeight is used under load for calls that were clearly faster than predicted.
+	// Slower calls have no weight there: under lasting overload they would raise the
+	// baseline, and with it the limit, without end. A lasting slowdown is learned at
+	// limit 1, where every call runs alone.
+	fasterWeight = 0.1
+	fasterRatio  = 0.85
+	lineReady    = 2
 	// leastTime keeps predictions away from 0, in seconds.
 	leastTime = 1e-3
 	// spreadShare is the relative variance of sizes above which a slope is fitted.
 	spreadShare = 0.05
 )
 
+// crowd tells how busy the endpoint was when a call started.
+type crowd int
+
+const (
+	crowdAlone crowd = iota
+	crowdLight
+	crowdBusy
+)
+
 // line is a weighted least squares fit of time over size with fading memory.
 type line struct {
 	samples             int
@@ -42,21 +55,31 @@
 
 // learn adds a sample and returns the time that was predicted for it and the
 // ratio of the sample to the prediction.
-func (f *line) learn(x, y float64, alone bool) (expected, ratio float64) {
+func (f *line) learn(x, y float64, c crowd) (expected, ratio float64) {
 	expected, ratio = y, 1
 	if f.known {
 		expected = f.at(x)
 		ratio = y / expected
 	}
-	weight := 1.0
-	if f.ready() && ratio > 1 && !alone {
-		weight = loadedWeight
-	}
 	f.samples++
-	f.add(x, y, weight)
+	if weight := f.weigh(ratio, c); weight > 0 {
+		f.add(x, y, weight)
+	}
 	return expected, ratio
 }
 
+func (f *line) weigh(ratio float64, c crowd) float64 {
+	switch {
+	case c == crowdAlone || f.samples <= lineReady:
+		return aloneWeight
+	case c == crowdLight:
+		return lightWeight
+	case ratio < fasterRatio:
+		return fasterWeight
+	}
+	return 0
+}
+
 func (f *line) add(x, y, w float64) {
 	keep := 1 - w/lineMemory
 	f.n = f.n*keep + w
