--- a/contract/validate.go
+++ b/contract/validate.go
@@ -164,12 +164,14 @@
 		return
 	}
 	fix := "define it first"
-	if len(names) > 0 {
+	if names = slices.DeleteFunc(slices.Compact(slices.Sorted(slices.Values(names))), isEmpty); len(names) > 0 {
 		fix = "use one of " + strings.Join(names, ", ")
 	}
 	v.fail(field, fmt.Sprintf("no %s is named %q", what, value), fix)
 }
 
+func isEmpty(s string) bool { return s == "" }
+
 func (v *validator) header() {
 	b := v.bundle
 	v.text("name", b.Name, namePattern)
@@ -218,7 +220,7 @@
 	case required < 0:
 		v.fail(field, "must not be negative", "use 0 or more")
 	case required > others:
-		v.fail(field, fmt.Sprintf("%d signatures are required and only %d other operators exist", required, others), "add operators or lower the number")
+		v.fail(field, fmt.Sprintf("%d signatures are required and the bundle names %d besides the author", required, others), "add operators or lower the number")
 	}
 }
 
--- a/contract/validate_test.go
+++ b/contract/validate_test.go
@@ -18,7 +18,7 @@
 func TestExamplesAreValid(t *testing.T) {
 	files, err := filepath.Glob("../examples/*.yaml")
 	assert.NilError(t, err)
-	assert.Equal(t, len(files), 4)
+	assert.Equal(t, len(files), 8)
 	for _, f := range files {
 		content, err := os.ReadFile(f)
 		assert.NilError(t, err)
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -302,7 +302,9 @@
 
 // Status is "Control.Status": a replica's view for operators.
 type Status struct {
-	Replica  string
+	Replica string
+	// Self is the replica's process; control replicas hold no lease.
+	Self     instance.Instance
 	Leader   string
 	Term     uint64
 	Revision uint64
--- a/control/status.go
+++ b/control/status.go
@@ -15,6 +15,7 @@
 	leading := v.s.notLeading() == nil
 	logStatus := v.s.log.Status()
 	out.Replica = string(v.s.opts.Self.ID)
+	out.Self = v.s.opts.Self
 	out.Leader = logStatus.Leader
 	out.Term = logStatus.Term
 	if leading {
--- a/operator/bundle.go
+++ b/operator/bundle.go
@@ -26,7 +26,7 @@
 }
 
 type bundleApplyCmd struct {
-	signer
+	changer
 	File       string `arg:"" help:"Bundle to apply."`
 	Signatures string `help:"File that holds the signatures; FILE.signatures by default." env:"TOUCAN_SIGNATURES" type:"path"`
 	Wait       bool   `help:"Wait until the configuration is in force everywhere." env:"TOUCAN_WAIT"`
@@ -181,7 +181,7 @@
 	for _, o := range all {
 		change.Signatures = append(change.Signatures, api.Signature(o))
 	}
-	return s.change(c.signer, c.Wait, change, func(control Control) (*api.ChangeReply, error) {
+	return s.change(c.changer, c.Wait, change, func(control Control) (*api.ChangeReply, error) {
 		ctx, cancel := s.timeout()
 		defer cancel()
 		return control.ApplyBundle(ctx, change)
--- a/operator/change.go
+++ b/operator/change.go
@@ -44,7 +44,7 @@
 }
 
 // change signs and sends one operator change and prints its outcome.
-func (s *session) change(who signer, wait bool, change api.Change, send func(Control) (*api.ChangeReply, error)) error {
+func (s *session) change(who changer, wait bool, change api.Change, send func(Control) (*api.ChangeReply, error)) error {
 	key, err := contract.ReadKeyFile(who.Key)
 	if err != nil {
 		return usageError{err}
@@ -54,12 +54,15 @@
 		return err
 	}
 	op := change.Op()
-	op.ID = s.NewID()
+	op.ID = who.Operation
+	if op.ID == "" {
+		op.ID = s.NewID()
+	}
 	op.Operator = who.Operator
 	api.Sign(change, key, s.Now())
 	reply, err := send(control)
 	if err != nil {
-		return fmt.Errorf("the outcome of operation %s is not known: %w", op.ID, err)
+		return fmt.Errorf("the outcome is not known; repeat the command with --operation %s to learn it: %w", op.ID, err)
 	}
 	out := &changed{Operation: op.ID, Outcome: reply.Outcome, Reason: reply.Reason, Revision: reply.Revision}
 	if reply.Outcome != api.OutcomeAccepted {
@@ -100,7 +103,7 @@
 
 // behind lists the processes that have not confirmed the revision.
 func behind(st *api.Status) []string {
-	var out []string
+	out := []string{}
 	for _, p := range st.Processes {
 		if p.Revision < st.Revision {
 			out = append(out, string(p.Instance.ID))
--- a/operator/cli.go
+++ b/operator/cli.go
@@ -53,6 +53,12 @@
 	Key      string `help:"Private key file of the operator." env:"TOUCAN_KEY" type:"path" required:""`
 }
 
+// changer is a signer of a change that control remembers by its operation ID.
+type changer struct {
+	signer
+	Operation string `help:"Repeat the change with this operation ID, after an outcome that was not known." env:"TOUCAN_OPERATION" placeholder:"ID"`
+}
+
 type bundleCommands struct {
 	Validate bundleValidateCmd `cmd:"" help:"Report every problem of a bundle with line, column and remedy."`
 	Sign     bundleSignCmd     `cmd:"" help:"Sign the exact content of a bundle off."`
--- a/operator/domain.go
+++ b/operator/domain.go
@@ -14,13 +14,13 @@
 )
 
 type domainDrainCmd struct {
-	signer
+	changer
 	Domain string `arg:"" help:"Failure domain to drain."`
 	Wait   bool   `help:"Wait until the change is in force everywhere." env:"TOUCAN_WAIT"`
 }
 
 type domainRestoreCmd struct {
-	signer
+	changer
 	Domain string `arg:"" help:"Failure domain to restore."`
 	Wait   bool   `help:"Wait until the change is in force everywhere." env:"TOUCAN_WAIT"`
 }
@@ -31,15 +31,15 @@
 
 // Run drains a failure domain.
 func (c *domainDrainCmd) Run(s *session) error {
-	return s.setDomain(c.signer, c.Wait, c.Domain, failuredomain.StateDrained)
+	return s.setDomain(c.changer, c.Wait, c.Domain, failuredomain.StateDrained)
 }
 
 // Run restores a failure domain.
 func (c *domainRestoreCmd) Run(s *session) error {
-	return s.setDomain(c.signer, c.Wait, c.Domain, failuredomain.StateRestoring)
+	return s.setDomain(c.changer, c.Wait, c.Domain, failuredomain.StateRestoring)
 }
 
-func (s *session) setDomain(who signer, wait bool, domain string, state failuredomain.State) error {
+func (s *session) setDomain(who changer, wait bool, domain string, state failuredomain.State) error {
 	change := &api.SetDomain{Domain: failuredomain.ID(domain), State: state}
 	return s.change(who, wait, change, func(control Control) (*api.ChangeReply, error) {
 		ctx, cancel := s.timeout()
--- a/operator/move.go
+++ b/operator/move.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/failuredomain"
 )
 
 type moveStatusCmd struct {
@@ -20,7 +21,7 @@
 }
 
 type moveAbortCmd struct {
-	signer
+	changer
 	Service string `arg:"" help:"Service whose move to take back."`
 	Reason  string `help:"Reason, for the record." env:"TOUCAN_REASON" required:""`
 }
@@ -31,29 +32,44 @@
 
 // moveView is a move as operators read it.
 type moveView struct {
-	Service  string             `json:"service"`
-	From     string             `json:"from"`
-	To       string             `json:"to"`
-	State    api.MoveState      `json:"state"`
-	Stage    int                `json:"stage"`
-	Share    float64            `json:"share"`
-	Started  time.Time          `json:"started"`
-	Deadline time.Time          `json:"deadline"`
-	Ended    *time.Time         `json:"ended,omitempty"`
-	Cause    string             `json:"cause,omitempty"`
-	Evidence []api.MoveEvidence `json:"evidence,omitempty"`
-	Line     string             `json:"line"`
+	Service  string         `json:"service"`
+	From     string         `json:"from"`
+	To       string         `json:"to"`
+	State    api.MoveState  `json:"state"`
+	Stage    int            `json:"stage"`
+	Share    float64        `json:"share"`
+	Started  time.Time      `json:"started"`
+	Deadline time.Time      `json:"deadline"`
+	Ended    *time.Time     `json:"ended,omitempty"`
+	Cause    string         `json:"cause,omitempty"`
+	Evidence []evidenceView `json:"evidence,omitempty"`
+	Line     string         `json:"line"`
 }
 
 func viewOf(m api.Move, now time.Time) moveView {
-	v := moveView{Service: m.Service, From: m.From, To: m.To, State: m.State, Stage: m.Stage, Share: m.Share, Started: m.Started.UTC(), Deadline: m.Deadline.UTC(), Cause: m.Cause, Evidence: m.Evidence, Line: MoveLine(m, now)}
+	v := moveView{Service: m.Service, From: m.From, To: m.To, State: m.State, Stage: m.Stage, Share: m.Share, Started: m.Started.UTC(), Deadline: m.Deadline.UTC(), Cause: oneLine(m.Cause), Line: MoveLine(m, now)}
 	if !m.Ended.IsZero() {
 		ended := m.Ended.UTC()
 		v.Ended = &ended
 	}
+	for _, e := range m.Evidence {
+		v.Evidence = append(v.Evidence, evidenceView(e))
+	}
 	return v
 }
 
+// evidenceView is api.MoveEvidence with the field names of JSON output.
+type evidenceView struct {
+	Route       string           `json:"route"`
+	Domain      failuredomain.ID `json:"domain,omitempty"`
+	Measure     string           `json:"measure"`
+	Old         float64          `json:"old"`
+	New         float64          `json:"new"`
+	OldN        int64            `json:"old_answers"`
+	NewN        int64            `json:"new_answers"`
+	LogEvidence float64          `json:"log_evidence"`
+}
+
 const timeOfDay = "15:04:05"
 
 // MoveLine says in one plain line how a move stands.
@@ -161,7 +177,7 @@
 // Run takes a move back.
 func (c *moveAbortCmd) Run(s *session) error {
 	change := &api.AbortMove{Service: c.Service, Reason: c.Reason}
-	return s.change(c.signer, false, change, func(control Control) (*api.ChangeReply, error) {
+	return s.change(c.changer, false, change, func(control Control) (*api.ChangeReply, error) {
 		ctx, cancel := s.timeout()
 		defer cancel()
 		return control.AbortMove(ctx, change)
--- a/operator/timeline.go
+++ b/operator/timeline.go
@@ -10,10 +10,13 @@
 	"os"
 	"slices"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/link"
 	"toucantiller.dev/timeline"
 )
 
@@ -30,6 +33,7 @@
 const (
 	gatherConcurrency = 32
 	maxTimelineBody   = 16 << 20
+	replicaTimeout    = 2 * time.Second
 )
 
 type gathered struct {
@@ -53,7 +57,7 @@
 		if err != nil {
 			return err
 		}
-		addrs = adminAddresses(st)
+		addrs = append(adminAddresses(st), s.replicaAdmins()...)
 	}
 	addrs = append(addrs, c.Admin...)
 	slices.Sort(addrs)
@@ -103,6 +107,30 @@
 	return out
 }
 
+// replicaAdmins asks each control replica for its admin address: replicas hold no lease, so
+// the leader does not list them. One that does not answer is left out.
+func (s *session) replicaAdmins() []string {
+	if s.Connect != nil {
+		return nil
+	}
+	network, err := s.cli.Link.Network()
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, addr := range s.cli.Control {
+		client := link.NewClient(network, addr)
+		ctx, cancel := context.WithTimeout(s.ctx, replicaTimeout)
+		reply := &api.Status{}
+		if client.Call(ctx, control.ServiceName+".Status", &api.Empty{}, reply) == nil && reply.Self.AdminAddress != "" {
+			out = append(out, reply.Self.AdminAddress)
+		}
+		cancel()
+		client.Close()
+	}
+	return out
+}
+
 // gather asks all addresses at once, so that one silent process does not hold up the rest.
 func (s *session) gather(addrs []string, f timeline.Filter) *gathered {
 	ctx, cancel := s.timeout()
--- a/program/control.go
+++ b/program/control.go
@@ -6,6 +6,8 @@
 	kitlog "github.com/go-kit/log"
 
 	"toucantiller.dev/control"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/control/decider"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 )
@@ -55,12 +57,13 @@
 	self.LinkAddress = c.settings.Listen
 	self.AdminAddress = c.admin.Address()
 	server, err := control.New(control.Options{
-		Self:     self,
-		Network:  c.network,
-		OpenLog:  control.ReplicaLog(c.logOptions()),
-		Recorder: c.admin.Timeline,
-		Meter:    c.admin.Telemetry.Meter("toucantiller.dev/control"),
-		Logger:   c.logger,
+		Self:       self,
+		Network:    c.network,
+		OpenLog:    control.ReplicaLog(c.logOptions()),
+		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
+		Recorder:   c.admin.Timeline,
+		Meter:      c.admin.Telemetry.Meter("toucantiller.dev/control"),
+		Logger:     c.logger,
 	})
 	if err != nil {
 		return err
