--- a/link/http.go
+++ b/link/http.go
@@ -11,6 +11,10 @@
 const (
 	maxConcurrentStreams = 4096
 	linkReadHeader       = 5 * time.Second
+	// linkIdle closes connections that were replaced, and those to peers that are gone.
+	linkIdle = 5 * time.Minute
+	// streamBuffer bounds what a peer may send ahead of a slow reader, in bytes.
+	streamBuffer = 256 << 10
 )
 
 func http2Config() *http.HTTP2Config {
@@ -18,6 +22,9 @@
 		MaxConcurrentStreams: maxConcurrentStreams,
 		SendPingTimeout:      ProbeInterval,
 		PingTimeout:          ProbeTimeout,
+		// A peer whose machine is gone takes no bytes either.
+		WriteByteTimeout:          ProbeTimeout,
+		MaxReceiveBufferPerStream: streamBuffer,
 	}
 }
 
@@ -31,6 +38,7 @@
 		Protocols:          protocols,
 		HTTP2:              http2Config(),
 		DisableCompression: true,
+		IdleConnTimeout:    linkIdle,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 			defer cancel()
--- a/program/control.go
+++ b/program/control.go
@@ -59,8 +59,8 @@
 	server, err := control.New(control.Options{
 		Self:       self,
 		Network:    c.network,
-		OpenLog:    control.ReplicaLog(c.logOptions()),
 		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
+		OpenLog:    control.ReplicaLog(c.logOptions()),
 		Recorder:   c.admin.Timeline,
 		Meter:      c.admin.Telemetry.Meter("toucantiller.dev/control"),
 		Logger:     c.logger,
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -139,7 +139,8 @@
 // Weights and bounds of the default profile.
 const (
 	weightFirstToken = 1.0
-	weightFinish     = 0.25
+	weightPrefill    = 2.0
+	weightFinish     = 0.5
 	weightOccupancy  = 1.0
 	nearShare        = 0.15
 	nearSlack        = 0.005
@@ -153,11 +154,12 @@
 			suspendedFilter{},
 			drainingFilter{},
 			floorFilter{},
+			affinityMarker{},
 			saturatedFilter{},
 		},
 		Scorers: []Weighted{
-			{affinityScorer{}, 1},
 			{firstTokenScorer{}, weightFirstToken},
+			{prefillScorer{}, weightPrefill},
 			{finishScorer{}, weightFinish},
 			{occupancyScorer{}, weightOccupancy},
 		},
