Test the caller interface and claims; load account limits before the first call

Cause: the account limits were loaded only after the first call had passed them, so that call took nothing from its account's rate. An error event after a cut event of a stream was joined to it. Change: the limits are loaded first; the error event starts after a blank line; problems that must not be repeated say so to OpenAI clients (X-Should-Retry).

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -149,7 +149,8 @@
 		return
 	}
 	if o.live && !o.failedWrite {
-		o.write([]byte("event: error\ndata: " + string(p.document()) + "\n\n"))
+		// The blank line ends an event that was cut, so that the error is one of its own.
+		o.write([]byte("\n\nevent: error\ndata: " + string(p.document()) + "\n\n"))
 		o.flush()
 		o.clearDeadline()
 		return
--- /dev/null
+++ b/gateway/claims_test.go
@@ -0,0 +1,209 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/link"
+)
+
+const booking = "/services/desk/bookings"
+
+// Guards against a repeat that runs again, and against a key that answers for another
+// request.
+func TestRepeatGetsFirstAnswer(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := &counted{serve: func(rw http.ResponseWriter, _ *http.Request, run int64) {
+			rw.Header().Set("Location", "/bookings/1")
+			rw.WriteHeader(201)
+			_, _ = io.WriteString(rw, "booked")
+		}}
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		for range 3 {
+			a := w.post(booking, `{"slot":1}`, "Idempotency-Key", "k1")
+			a.expect(t, 201, "booked")
+			assert.Equal(t, a.header.Get("Location"), "/bookings/1")
+		}
+		w.post(booking, `{"slot":2}`, "Idempotency-Key", "k1").expect(t, 409, "key_reused", executionOf("not_run"))
+		assert.Equal(t, engine.runs.Load(), int64(1))
+	})
+}
+
+// Guards against two runs when the repeat comes while the first still runs, and against
+// losing the answer of a caller that hung up.
+func TestRepeatWhileRunning(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := slow(3 * time.Second)
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		first := w.send(ctx, http.MethodPost, booking, "{}", "Idempotency-Key", "k1")
+		assert.ErrorIs(t, first.err, context.DeadlineExceeded)
+		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 409, "in_progress", executionOf("unknown"))
+		time.Sleep(3 * time.Second)
+		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 200, `"ok":true`)
+		assert.Equal(t, engine.runs.Load(), int64(1))
+	})
+}
+
+// Guards against a keyed request that reaches an engine without a durable claim, and
+// against a claim asked for where the route needs none.
+func TestClaimsUnavailable(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := &counted{}
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		w.claims.set(func() { w.claims.failing = true })
+		a := w.post(booking, "{}", "Idempotency-Key", "k1")
+		a.expect(t, 503, "claims_unavailable", executionOf("not_run"))
+		assert.Equal(t, a.header.Get("Retry-After"), "1")
+		assert.Equal(t, engine.runs.Load(), int64(0))
+		w.send(context.Background(), http.MethodPut, "/services/desk/lookup", "{}", "Idempotency-Key", "k1").expect(t, 200)
+		w.post(booking, "{}").expect(t, 200)
+		w.claims.set(func() { w.claims.failing = false })
+		time.Sleep(2 * time.Second)
+		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 200)
+	})
+}
+
+// Guards against a key that is blocked for good when the reply of control to a claim was
+// lost: the claim was recorded, and nothing was dispatched.
+func TestLostClaimReplyBlocksNobody(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := &counted{}
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		w.claims.set(func() { w.claims.losing = true })
+		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 503, "claims_unavailable", executionOf("not_run"))
+		w.claims.set(func() { w.claims.losing = false })
+		time.Sleep(2 * time.Second)
+		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 200)
+		assert.Equal(t, engine.runs.Load(), int64(1))
+	})
+}
+
+// Guards against an answer that is given to the caller and not stored: a repeat would
+// run again.
+func TestAnswerIsStoredBeforeItIsGiven(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := &counted{}
+		engine.serve = func(rw http.ResponseWriter, _ *http.Request, _ int64) {
+			w.claims.set(func() { w.claims.failing = true })
+			_, _ = io.WriteString(rw, "booked")
+		}
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 502, "answer_not_stored", executionOf("unknown"))
+		w.claims.set(func() { w.claims.failing = false })
+		time.Sleep(2 * time.Second)
+		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 200, "booked")
+		assert.Equal(t, engine.runs.Load(), int64(1))
+	})
+}
+
+// Guards against a claim that does not follow its request to another endpoint: a dead
+// gateway's repeat would ask the wrong agent.
+func TestClaimMovesWithRequest(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		one, two := &counted{}, &counted{}
+		w.addAgent("e1", "desk", one)
+		w.addAgent("e2", "desk", two)
+		w.startGateway()
+		w.network.SetFault("agent-e1", link.FaultRefuse)
+		for _, key := range []string{"a", "b", "c", "d", "e", "f"} {
+			w.post(booking, key, "Idempotency-Key", key).expect(t, 200)
+			held := w.claims.claims["desk/"+key]
+			assert.Equal(t, held.Target.ID, endpoint.ID("e2"))
+			assert.Equal(t, held.state, api.ClaimDone)
+		}
+		assert.Equal(t, two.runs.Load(), int64(6))
+	})
+}
+
+// deadOwner leaves a claim by a gateway that is gone, for a dispatch to endpoint e1.
+func (w *world) deadOwner(key, body string) dispatch.ID {
+	id := dispatch.ID{Request: "r0", Attempt: 1, Gateway: 99}
+	e := w.view.Directory().Endpoints[0]
+	w.post(booking, body, "Idempotency-Key", key+"-probe")
+	digest := w.claims.claims["desk/"+key+"-probe"].BodyDigest
+	w.claims.claims["desk/"+key] = &claimed{
+		Claim: api.Claim{Account: "desk", Key: key, BodyDigest: digest, Owner: "g0", Target: e, Dispatch: id},
+		state: api.ClaimRunning,
+	}
+	w.claims.dead["g0"] = true
+	return id
+}
+
+// Guards against a key left by a dead gateway that never runs, or runs twice.
+func TestClaimOfDeadGateway(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := &counted{}
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		w.deadOwner("sealed", "{}")
+		runs := engine.runs.Load()
+		w.post(booking, "{}", "Idempotency-Key", "sealed").expect(t, 200)
+		assert.Equal(t, engine.runs.Load(), runs+1)
+
+		w.deadOwner("gone", "{}")
+		w.claims.claims["desk/gone"].Target.Incarnation++
+		for range 2 {
+			w.post(booking, "{}", "Idempotency-Key", "gone").expect(t, 502, "outcome_unknown", executionOf("unknown"))
+		}
+
+		w.deadOwner("cut", "{}")
+		runs = engine.runs.Load()
+		w.claims.claims["desk/cut"].Target.Address = "nowhere"
+		w.post(booking, "{}", "Idempotency-Key", "cut").expect(t, 502, "outcome_unknown", executionOf("unknown"))
+		assert.Equal(t, engine.runs.Load(), runs)
+
+		w.claims.dead["g0"] = false
+		w.post(booking, "{}", "Idempotency-Key", "cut").expect(t, 409, "in_progress", executionOf("unknown"))
+	})
+}
+
+// Guards against the answer that a dead gateway's dispatch left at its agent being lost.
+func TestAnswerLeftByDeadGateway(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := &counted{serve: func(rw http.ResponseWriter, _ *http.Request, _ int64) {
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(rw, "booked")
+		}}
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		id := w.deadOwner("done", "{}")
+		runs := engine.runs.Load()
+		w.dispatchAs(id)
+		w.post(booking, "{}", "Idempotency-Key", "done").expect(t, 200, "booked")
+		assert.Equal(t, engine.runs.Load(), runs+1)
+		assert.Equal(t, w.claims.claims["desk/done"].state, api.ClaimDone)
+	})
+}
+
+// dispatchAs sends a keyed dispatch as another gateway that dies while it runs.
+func (w *world) dispatchAs(id dispatch.ID) {
+	e := w.view.Directory().Endpoints[0]
+	client := link.NewHTTPClient(w.network, e.Address)
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+dispatch.PathDispatch, http.NoBody)
+	assert.NilError(w.t, err)
+	h := dispatch.Header{ID: id, Agent: e.Incarnation, Service: e.Service, Version: e.Version, Method: http.MethodPost, Path: "/bookings", Timeout: 10 * time.Second, Claim: "desk/done"}
+	h.Write(req.Header)
+	resp, err := client.Do(req)
+	if err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	client.CloseIdleConnections()
+}
--- /dev/null
+++ b/gateway/claimtable_test.go
@@ -0,0 +1,97 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+// claimTable stands in for the control replicas: it follows the rules of api.Claim.
+type claimTable struct {
+	mu     sync.Mutex
+	claims map[string]*claimed
+	dead   map[instance.ID]bool
+	// failing makes calls fail before they change anything; losing loses the replies of
+	// claims that were recorded.
+	failing, losing bool
+	completed       int
+}
+
+type claimed struct {
+	api.Claim
+	state  api.ClaimState
+	answer api.CompleteClaim
+}
+
+var errControl = errors.New("no quorum")
+
+func newClaimTable() *claimTable {
+	return &claimTable{claims: make(map[string]*claimed), dead: make(map[instance.ID]bool)}
+}
+
+func (t *claimTable) set(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f()
+}
+
+func (t *claimTable) Claim(_ context.Context, c api.Claim) (api.ClaimReply, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failing {
+		return api.ClaimReply{}, errControl
+	}
+	k := c.Account + "/" + c.Key
+	held := t.claims[k]
+	if held != nil && held.BodyDigest != c.BodyDigest {
+		return api.ClaimReply{State: api.ClaimConflict}, nil
+	}
+	moved := held != nil && c.Previous != nil && held.state == api.ClaimRunning && held.Dispatch == *c.Previous
+	if held == nil || moved {
+		t.claims[k] = &claimed{Claim: c, state: api.ClaimRunning}
+		if t.losing {
+			return api.ClaimReply{}, errControl
+		}
+		return api.ClaimReply{State: api.ClaimGranted}, nil
+	}
+	return api.ClaimReply{
+		State: held.state, Owner: held.Owner, OwnerAlive: !t.dead[held.Owner],
+		Target: held.Target, Dispatch: held.Dispatch, Answer: held.answer.Answer,
+	}, nil
+}
+
+func (t *claimTable) CompleteClaim(_ context.Context, c api.CompleteClaim) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failing {
+		return errControl
+	}
+	k := c.Account + "/" + c.Key
+	held := t.claims[k]
+	if held == nil || held.Dispatch != c.Dispatch {
+		return nil
+	}
+	t.completed++
+	if c.State == api.ClaimGranted {
+		delete(t.claims, k)
+		return nil
+	}
+	held.state = c.State
+	held.answer = c
+	return nil
+}
+
+func dialer(n *link.Memory) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			return nil, err
+		}
+		return n.Dial(ctx, host)
+	}
+}
--- /dev/null
+++ b/gateway/faults_test.go
@@ -0,0 +1,211 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/link"
+)
+
+// bubble runs a test in a synctest bubble with a world.
+func bubble(t *testing.T, f func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) { f(t, newWorld(t)) })
+}
+
+// Guards against a request lost although its dispatch provably was not sent: the
+// connection to the first agent was refused.
+func TestRefusedConnectionGoesElsewhere(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		one, two := &counted{}, &counted{}
+		w.addAgent("e1", "desk", one)
+		w.addAgent("e2", "desk", two)
+		w.startGateway()
+		w.network.SetFault("agent-e1", link.FaultRefuse)
+		for range 8 {
+			w.post("/services/desk/bookings", "{}").expect(t, 200)
+		}
+		assert.Equal(t, one.runs.Load(), int64(0))
+		assert.Equal(t, two.runs.Load(), int64(8))
+	})
+}
+
+// Guards against a request that hangs, or runs twice, when the connection goes silent
+// after the engine has been given the request.
+func TestSilenceAfterCommitIsUnknown(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		one, two := slow(20*time.Second), slow(20*time.Second)
+		w.addAgent("e1", "desk", one)
+		w.addAgent("e2", "desk", two)
+		w.startGateway()
+		go func() {
+			time.Sleep(time.Second)
+			w.network.SetFault("agent-e1", link.FaultSilence)
+			w.network.SetFault("agent-e2", link.FaultSilence)
+		}()
+		begin := time.Now()
+		w.post("/services/desk/bookings", "{}").expect(t, 502, executionOf("unknown"), "endpoint_lost")
+		assert.Assert(t, time.Since(begin) <= 3*time.Second, "settled after %s", time.Since(begin)-time.Second)
+		assert.Equal(t, w.totalRuns(one, two), int64(1))
+	})
+}
+
+// Guards against queued work that is lost with a silent connection: the seal over a new
+// connection proves that it did not run, so it goes elsewhere.
+func TestSilenceInQueueGoesElsewhere(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		busy, free := slow(8*time.Second), &counted{}
+		w.addAgent("e1", "desk", busy)
+		w.startGateway()
+		first := make(chan answer, 2)
+		go func() { first <- w.post("/services/desk/a", "{}") }()
+		time.Sleep(10 * time.Millisecond)
+		go func() { first <- w.post("/services/desk/b", "{}") }()
+		time.Sleep(10 * time.Millisecond)
+		w.addAgent("e2", "desk", free)
+		w.network.SetFault("agent-e1", link.FaultSilence)
+		got := []answer{<-first, <-first}
+		assert.Equal(t, busy.runs.Load(), int64(1))
+		assert.Equal(t, free.runs.Load(), int64(1))
+		for _, a := range got {
+			if a.status == 200 {
+				continue
+			}
+			a.expect(t, 502, executionOf("unknown"))
+		}
+	})
+}
+
+// Guards against a false "not run" when the agent cannot be asked: nobody knows whether
+// the request ran.
+func TestPartitionAfterDispatchIsUnknown(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := slow(20 * time.Second)
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		go func() {
+			time.Sleep(time.Second)
+			w.network.SetFault("agent-e1", link.FaultPartition)
+		}()
+		w.post("/services/desk/bookings", "{}").expect(t, 502, executionOf("unknown"))
+		assert.Equal(t, engine.runs.Load(), int64(1))
+		w.network.SetFault("agent-e1", link.FaultNone)
+	})
+}
+
+// Guards against a second run when the connection is reset while the engine works.
+func TestResetAfterCommitRunsOnce(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		one, two := slow(5*time.Second), slow(5*time.Second)
+		w.addAgent("e1", "desk", one)
+		w.addAgent("e2", "desk", two)
+		w.startGateway()
+		go func() {
+			time.Sleep(time.Second)
+			w.network.Reset("agent-e1")
+			w.network.Reset("agent-e2")
+		}()
+		w.post("/services/desk/bookings", "{}").expect(t, 502, executionOf("unknown"))
+		assert.Equal(t, w.totalRuns(one, two), int64(1))
+	})
+}
+
+// Guards against a keyed request whose reply was lost being reported as unknown, though
+// the agent has kept the answer.
+func TestLostReplyOfClaimedRequestIsFetched(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := slow(2 * time.Second)
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		go func() {
+			time.Sleep(time.Second)
+			w.network.SetFault("agent-e1", link.FaultSilence)
+		}()
+		w.post("/services/desk/bookings", "{}", "Idempotency-Key", "k1").expect(t, 200, `"ok":true`)
+		assert.Equal(t, engine.runs.Load(), int64(1))
+	})
+}
+
+// Guards against an agent that restarted being taken for one that never ran the request.
+func TestRestartedAgentIsUnknown(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := slow(20 * time.Second)
+		first := w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		result := make(chan answer, 1)
+		go func() { result <- w.post("/services/desk/bookings", "{}") }()
+		time.Sleep(time.Second)
+		gone, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = first.Stop(gone)
+		w.restart("e1")
+		a := <-result
+		a.expect(t, 502, executionOf("unknown"))
+		assert.Equal(t, engine.runs.Load(), int64(1))
+	})
+}
+
+// Guards against a caller that hung up keeping its place and the engine busy.
+func TestCallerThatLeavesFreesTheEngine(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		cancelled := make(chan struct{})
+		engine := &counted{serve: func(rw http.ResponseWriter, r *http.Request, run int64) {
+			if run > 1 {
+				_, _ = io.WriteString(rw, "second")
+				return
+			}
+			<-r.Context().Done()
+			close(cancelled)
+		}}
+		a := w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		got := w.send(ctx, http.MethodPost, "/services/desk/a", "{}")
+		assert.ErrorIs(t, got.err, context.DeadlineExceeded)
+		<-cancelled
+		synctest.Wait()
+		assert.Equal(t, a.Load().Running, 0)
+		w.post("/services/desk/b", "{}").expect(t, 200, "second")
+	})
+}
+
+// Guards against a drain that cuts running work, drops queued work or lets new work in.
+func TestDrainHandsBackAndFinishes(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		one, two := slow(3*time.Second), &counted{}
+		a := w.addAgent("e1", "desk", one)
+		w.startGateway()
+		results := make(chan answer, 3)
+		for range 2 {
+			go func() { results <- w.post("/services/desk/a", "{}") }()
+		}
+		time.Sleep(100 * time.Millisecond)
+		w.addAgent("e2", "desk", two)
+		a.Drain()
+		go func() { results <- w.post("/services/desk/b", "{}") }()
+		for range 3 {
+			(<-results).expect(t, 200)
+		}
+		assert.Equal(t, one.runs.Load(), int64(1))
+		assert.Equal(t, two.runs.Load(), int64(2))
+	})
+}
+
+// Guards against a gateway that cuts open requests when it stops.
+func TestGatewayStopCutsNothing(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.addAgent("e1", "desk", slow(3*time.Second))
+		w.startGateway()
+		result := make(chan answer, 1)
+		go func() { result <- w.post("/services/desk/a", "{}") }()
+		time.Sleep(time.Second)
+		assert.NilError(t, w.gateway.Stop(context.Background()))
+		(<-result).expect(t, 200)
+	})
+}
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -65,6 +65,10 @@
 	if p.Execution == NotRun && p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
 	}
+	if p.Execution != NotRun || p.RetryAfter == 0 {
+		// OpenAI clients repeat on 409 and 5xx unless this header forbids it.
+		h.Set("X-Should-Retry", "false")
+	}
 	w.WriteHeader(p.Status)
 	_, _ = w.Write(append(p.document(), '\n'))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -15,6 +15,8 @@
 // serve runs the call and gives the caller its answer or a problem.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, c *call) {
 	began := time.Now()
+	// A new configuration brings new account limits.
+	g.route()
 	pass, refused := g.accounts.Enter(c.account.Name, c.tier, began)
 	if refused != nil {
 		g.metrics.shed(refused)
--- /dev/null
+++ b/gateway/world_test.go
@@ -0,0 +1,232 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/account"
+	"toucantiller.dev/agent"
+	"toucantiller.dev/agent/httpengine"
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/gateway"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+	"toucantiller.dev/timeline"
+)
+
+// view is a deployment whose configuration and directory can be swapped.
+type view struct {
+	config    atomic.Pointer[contract.Config]
+	directory atomic.Pointer[api.Directory]
+	saw       atomic.Uint64
+}
+
+func (v *view) Config() *contract.Config       { return v.config.Load() }
+func (v *view) Directory() *api.Directory      { return v.directory.Load() }
+func (v *view) UnprovenAllowed(time.Time) bool { return true }
+func (v *view) MayServe(time.Time) bool        { return true }
+func (v *view) Saw(revision uint64, _ string)  { v.saw.Store(max(v.saw.Load(), revision)) }
+
+func testConfig() *contract.Config {
+	shares := []contract.VersionShare{{Version: "1", Share: 1}}
+	idempotent := []contract.Route{{Name: "lookup", Method: "PUT", Path: "/lookup*", Idempotent: true}}
+	c := &contract.Config{
+		Revision: 1,
+		Tiers:    []contract.Tier{{Name: "counter", MaxQueueTime: 5 * time.Second}, {Name: "batch", MaxQueueTime: 5 * time.Second}},
+		Accounts: []*account.Account{
+			{Name: "desk", KeyHashes: []string{account.HashKey("key")}},
+			{Name: "slow", KeyHashes: []string{account.HashKey("slow")}, Tier: 1, RequestsPerSecond: 0.5, Burst: 1, Services: []string{"desk"}},
+			{Name: "one", KeyHashes: []string{account.HashKey("one")}, MaxConcurrent: 1},
+		},
+		Domains: map[failuredomain.ID]failuredomain.Domain{"a": {ID: "a", State: failuredomain.StateActive}},
+		Services: []*contract.Service{
+			{Name: "lm", Kind: contract.KindModel, Models: []string{"lm"}, MaxBody: 1 << 20, QueueLength: 100, Timeout: 10 * time.Second, Versions: shares},
+			{Name: "desk", Kind: contract.KindPlain, MaxBody: 1 << 10, QueueLength: 100, Timeout: 10 * time.Second, Versions: shares, Routes: idempotent},
+		},
+	}
+	return c.Index()
+}
+
+// world is a gateway and agents on an in-memory network.
+type world struct {
+	t       *testing.T
+	network *link.Memory
+	view    *view
+	claims  *claimTable
+	gateway *gateway.Gateway
+	agents  map[endpoint.ID]*agent.Agent
+	events  *timeline.Recorder
+	client  *http.Client
+	evidence
+}
+
+type evidence struct {
+	mu   sync.Mutex
+	seen []api.Observation
+}
+
+func (e *evidence) Observe(o api.Observation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen = append(e.seen, o)
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, network: link.NewMemory(), view: &view{}, agents: make(map[endpoint.ID]*agent.Agent)}
+	// Connections end some time after both sides were stopped.
+	t.Cleanup(func() { time.Sleep(time.Minute) })
+	w.claims = newClaimTable()
+	w.view.config.Store(testConfig())
+	w.view.directory.Store(&api.Directory{})
+	w.events = timeline.NewRecorder("test", nil, 0)
+	w.client = &http.Client{Transport: &http.Transport{DialContext: dialer(w.network), DisableKeepAlives: true}}
+	return w
+}
+
+// serve serves a handler at an address of the network until the test ends.
+func (w *world) serve(address string, h http.Handler) {
+	l, err := w.network.Listen(address)
+	assert.NilError(w.t, err)
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(l) }()
+	w.t.Cleanup(func() { _ = s.Close() })
+}
+
+// addAgent starts an agent with an HTTP engine behind it and registers it.
+func (w *world) addAgent(id, service string, handler http.Handler) *agent.Agent {
+	w.serve("engine-"+id+":80", handler)
+	return w.addEngine(id, service, httpengine.New(w.network, "http://engine-"+id))
+}
+
+func (w *world) addEngine(id, service string, engine endpoint.Engine) *agent.Agent {
+	e := endpoint.Endpoint{ID: instance.ID(id), Incarnation: instance.Incarnation(len(w.agents) + 100), Service: service, Version: "1", Domain: "a", Address: "agent-" + id}
+	a, err := agent.New(agent.Options{Endpoint: e, Engine: engine, View: w.view, Network: w.network, Timeline: w.events})
+	assert.NilError(w.t, err)
+	l, err := w.network.Listen(e.Address)
+	assert.NilError(w.t, err)
+	go func() { _ = a.Serve(l) }()
+	w.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = a.Stop(ctx)
+	})
+	w.agents[e.ID] = a
+	w.register(e)
+	return a
+}
+
+// restart replaces a stopped agent by a new incarnation at the same address.
+func (w *world) restart(id string) {
+	w.view.directory.Store(&api.Directory{})
+	w.addEngine(id, "desk", httpengine.New(w.network, "http://engine-"+id))
+}
+
+func (w *world) register(e endpoint.Endpoint) {
+	d := *w.view.Directory()
+	d.Revision++
+	d.Endpoints = append(append([]endpoint.Endpoint(nil), d.Endpoints...), e)
+	w.view.directory.Store(&d)
+}
+
+func (w *world) startGateway() {
+	g, err := gateway.New(gateway.Options{
+		Instance: instance.Instance{ID: "g1", Incarnation: 7, Domain: "a"},
+		View:     w.view, Claims: w.claims, Evidence: w, Network: w.network, Timeline: w.events,
+	})
+	assert.NilError(w.t, err)
+	w.gateway = g
+	l, err := w.network.Listen("gateway")
+	assert.NilError(w.t, err)
+	go func() { _ = g.Serve(l) }()
+	w.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = g.Stop(ctx)
+	})
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// send makes one call; headers are given as name, value pairs.
+func (w *world) send(ctx context.Context, method, path, body string, headers ...string) answer {
+	req, err := http.NewRequestWithContext(ctx, method, "http://gateway"+path, strings.NewReader(body))
+	assert.NilError(w.t, err)
+	req.Header.Set("Authorization", "Bearer key")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+}
+
+func (w *world) post(path, body string, headers ...string) answer {
+	return w.send(context.Background(), http.MethodPost, path, body, headers...)
+}
+
+// expect asserts a status and, for problems, code and execution.
+func (a answer) expect(t *testing.T, status int, parts ...string) {
+	t.Helper()
+	assert.Equal(t, a.status, status, "%s %v", a.body, a.err)
+	for _, p := range parts {
+		assert.Assert(t, strings.Contains(a.body, p), "missing %q in %s", p, a.body)
+	}
+}
+
+func executionOf(e string) string { return `"execution":"` + e + `"` }
+
+// counted is an engine handler that counts the requests that reached it.
+type counted struct {
+	runs  atomic.Int64
+	serve func(w http.ResponseWriter, r *http.Request, run int64)
+}
+
+func (c *counted) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	n := c.runs.Add(1)
+	if c.serve == nil {
+		_, _ = io.WriteString(w, `{"ok":true}`)
+		return
+	}
+	c.serve(w, r, n)
+}
+
+// slow answers after a delay, unless the caller leaves before.
+func slow(delay time.Duration) *counted {
+	return &counted{serve: func(w http.ResponseWriter, r *http.Request, _ int64) {
+		select {
+		case <-time.After(delay):
+			_, _ = io.WriteString(w, `{"ok":true}`)
+		case <-r.Context().Done():
+		}
+	}}
+}
+
+func (w *world) totalRuns(engines ...*counted) int64 {
+	var n int64
+	for _, e := range engines {
+		n += e.runs.Load()
+	}
+	return n
+}
