--- a/consensus/replica/calls.go
+++ b/consensus/replica/calls.go
@@ -91,7 +91,8 @@
 		if s.Term > term {
 			return s.Leader != 0, nil
 		}
-		if s.Role == consensus.Leader && s.Transferee == 0 {
+		// A leader that loses its quorum steps down in the same term, with its transfer undone.
+		if s.Role != consensus.Leader || s.Transferee == 0 {
 			return false, errors.New("leadership was not taken over within the election timeout")
 		}
 		return false, nil
