Report stopped calls to the limit and try elsewhere after a deadline refusal

Change: the gate passes the sample to Limiter.Cancel; the gateway may place a request elsewhere after a deadline refusal, from the retry budget.

--- a/agent/gate.go
+++ b/agent/gate.go
@@ -41,8 +41,7 @@
 type outcome struct {
 	answerTokens int
 	failed       bool
-	// cancelled: the caller left or its deadline passed, which says nothing about the
-	// engine.
+	// cancelled: the caller left or its deadline passed.
 	cancelled bool
 	// gone: the engine could not be reached; when it is back it is cold.
 	gone bool
@@ -198,11 +197,11 @@
 	w.placed = false
 	g.running--
 	g.tokens -= w.tokens
-	switch {
-	case o.cancelled:
-		g.limiter.Cancel(w.ticket)
-	default:
-		g.limiter.Finish(w.ticket, w.sample(o, now), now)
+	s := w.sample(o, now)
+	if o.cancelled {
+		g.limiter.Cancel(w.ticket, s, now)
+	} else {
+		g.limiter.Finish(w.ticket, s, now)
 	}
 	if o.gone {
 		g.limiter.Restart()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -96,9 +96,10 @@
 }
 
 // mayRetry allows another attempt after a proven not-run. Work handed back by an
-// endpoint that leaves has cost nothing, so it is not charged to the budget.
+// endpoint that leaves has cost nothing, so it is not charged to the budget. An agent
+// that cannot meet the deadline does not speak for faster ones.
 func (g *Gateway) mayRetry(r result) bool {
-	if r.code == dispatch.CodeDeadline || r.code == dispatch.CodeCancelled {
+	if r.code == dispatch.CodeCancelled || r.code == "" {
 		return false
 	}
 	if handedBack(r.code) {
