--- /dev/null
+++ b/agent/httpengine/engine_test.go
@@ -0,0 +1,194 @@
+package httpengine_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/agent/httpengine"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/link"
+)
+
+// script is an engine that answers the first request of each connection, then treats
+// the next one as told.
+type script struct {
+	requests chan string
+	// second is what happens to the second request of a connection.
+	second func(c net.Conn, r *bufio.Reader)
+}
+
+func (s *script) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.conn(c)
+	}
+}
+
+func (s *script) conn(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	if !s.answer(c, r) {
+		return
+	}
+	s.second(c, r)
+}
+
+func (s *script) answer(c net.Conn, r *bufio.Reader) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	body, _ := io.ReadAll(req.Body)
+	s.requests <- req.Method + " " + string(body)
+	reply := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+	if req.Method != http.MethodHead {
+		reply += "ok"
+	}
+	_, err = io.WriteString(c, reply)
+	return err == nil
+}
+
+func submit(e *httpengine.Engine, method, body string) error {
+	r := &endpoint.Request{ID: "r/1/1", Method: method, Path: "/x", Body: []byte(body), Header: http.Header{"Idempotency-Key": {"k"}}}
+	answer, err := e.Submit(context.Background(), r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	_, err = io.Copy(io.Discard, answer.Body)
+	return err
+}
+
+func start(t *testing.T, s *script) *httpengine.Engine {
+	network := link.NewMemory()
+	l, err := network.Listen("engine:80")
+	assert.NilError(t, err)
+	go s.serve(l)
+	t.Cleanup(func() { _ = l.Close() })
+	s.requests = make(chan string, 100)
+	return httpengine.New(network, "http://engine")
+}
+
+// Guards against net/http sending a request again that the engine has read: it repeats
+// GET and HEAD, and anything with an Idempotency-Key, on a kept connection that breaks.
+func TestEngineRequestIsNeverRepeated(t *testing.T) {
+	for _, call := range [][2]string{{"GET", ""}, {"HEAD", ""}, {"DELETE", ""}, {"POST", ""}, {"POST", "body"}, {"OPTIONS", ""}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &script{}
+			s.second = func(_ net.Conn, r *bufio.Reader) {
+				req, err := http.ReadRequest(r)
+				if err == nil {
+					s.requests <- "lost " + req.Method
+				}
+			}
+			e := start(t, s)
+			assert.NilError(t, submit(e, call[0], call[1]))
+			err := submit(e, call[0], call[1])
+			assert.Assert(t, err != nil && !errors.Is(err, endpoint.ErrNotSent), "%s: %v", call[0], err)
+			assert.Equal(t, len(s.requests), 2, call[0])
+		})
+	}
+}
+
+// brokenNetwork makes connections that are open refuse every byte when told.
+type brokenNetwork struct {
+	link.Network
+	open []*brokenConn
+}
+
+type brokenConn struct {
+	net.Conn
+	broken atomic.Bool
+}
+
+func (n *brokenNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := n.Network.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	b := &brokenConn{Conn: c}
+	n.open = append(n.open, b)
+	return b, nil
+}
+
+func (c *brokenConn) Write(p []byte) (int, error) {
+	if c.broken.Load() {
+		return 0, syscall.EPIPE
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against an idle connection that the engine closed being taken for a lost
+// request: nothing was written, so the request goes over another connection.
+func TestStaleConnectionIsNotALoss(t *testing.T) {
+	for _, call := range [][2]string{{"GET", ""}, {"POST", ""}, {"POST", "body"}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &script{}
+			s.second = func(c net.Conn, r *bufio.Reader) { s.answer(c, r) }
+			memory := link.NewMemory()
+			l, err := memory.Listen("engine:80")
+			assert.NilError(t, err)
+			go s.serve(l)
+			s.requests = make(chan string, 100)
+			network := &brokenNetwork{Network: memory}
+			e := httpengine.New(network, "http://engine")
+			for range 10 {
+				assert.NilError(t, submit(e, call[0], call[1]))
+				synctest.Wait()
+				for _, c := range network.open {
+					c.broken.Store(true)
+				}
+			}
+			assert.Equal(t, len(s.requests), 10)
+			memory.Reset("engine:80")
+			assert.NilError(t, l.Close())
+		})
+	}
+}
+
+// Guards against a refused connection being reported as a request that may have run.
+func TestRefusedEngineIsNotSent(t *testing.T) {
+	e := httpengine.New(link.NewMemory(), "http://engine")
+	assert.ErrorIs(t, submit(e, "POST", "x"), endpoint.ErrNotSent)
+}
+
+// Guards against a deadline while connecting being reported as a request that may have
+// run, and against one after sending being reported as not sent.
+func TestDeadlineWhileConnectingAndAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := link.NewMemory()
+		l, err := network.Listen("engine:80")
+		assert.NilError(t, err)
+		defer func() { assert.NilError(t, l.Close()) }()
+		e := httpengine.New(network, "http://engine")
+		try := func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+			answer, err := e.Submit(ctx, &endpoint.Request{ID: "r", Method: "POST", Path: "/", Body: []byte("x")})
+			if err == nil {
+				_ = answer.Body.Close()
+			}
+			return err
+		}
+		network.SetFault("engine:80", link.FaultPartition)
+		assert.ErrorIs(t, try(), endpoint.ErrNotSent)
+		time.Sleep(2 * time.Second)
+		network.SetFault("engine:80", link.FaultNone)
+		err = try()
+		assert.Assert(t, err != nil && !errors.Is(err, endpoint.ErrNotSent), "%v", err)
+	})
+}
