--- a/control/client.go
+++ b/control/client.go
@@ -39,6 +39,9 @@
 	leader  string
 }
 
+// errNoLeader is the error of a replica that knows no leader.
+var errNoLeader = errors.New("no leader is known")
+
 // NewClient returns a client of the replicas at addrs. It does not dial yet.
 func NewClient(network link.Network, addrs []string) *Client {
 	return &Client{network: network, addrs: slices.Clone(addrs), clients: make(map[string]*link.Client)}
@@ -56,54 +59,54 @@
 
 // ApplyBundle makes a signed bundle the configuration.
 func (c *Client) ApplyBundle(ctx context.Context, in *api.ApplyBundle) (*api.ChangeReply, error) {
-	return call(ctx, c, "ApplyBundle", in, func(r *api.ChangeReply) string { return r.Leader })
+	return call(ctx, c, "ApplyBundle", in, func(r *api.ChangeReply) (string, bool) { return r.Leader, true })
 }
 
 // SetDomain drains or restores a failure domain.
 func (c *Client) SetDomain(ctx context.Context, in *api.SetDomain) (*api.ChangeReply, error) {
-	return call(ctx, c, "SetDomain", in, func(r *api.ChangeReply) string { return r.Leader })
+	return call(ctx, c, "SetDomain", in, func(r *api.ChangeReply) (string, bool) { return r.Leader, true })
 }
 
 // AbortMove takes back the move of a service.
 func (c *Client) AbortMove(ctx context.Context, in *api.AbortMove) (*api.ChangeReply, error) {
-	return call(ctx, c, "AbortMove", in, func(r *api.ChangeReply) string { return r.Leader })
+	return call(ctx, c, "AbortMove", in, func(r *api.ChangeReply) (string, bool) { return r.Leader, true })
 }
 
 // Register announces a process.
 func (c *Client) Register(ctx context.Context, in *api.Register) (*api.RegisterReply, error) {
-	return call(ctx, c, "Register", in, func(r *api.RegisterReply) string { return r.Leader })
+	return call(ctx, c, "Register", in, func(r *api.RegisterReply) (string, bool) { return r.Leader, true })
 }
 
 // KeepAlive renews a lease.
 func (c *Client) KeepAlive(ctx context.Context, in *api.KeepAlive) (*api.KeepAliveReply, error) {
-	return call(ctx, c, "KeepAlive", in, func(r *api.KeepAliveReply) string { return r.Leader })
+	return call(ctx, c, "KeepAlive", in, func(r *api.KeepAliveReply) (string, bool) { return r.Leader, true })
 }
 
 // Subscribe waits for a newer view.
 func (c *Client) Subscribe(ctx context.Context, in *api.Subscribe) (*api.View, error) {
-	return call(ctx, c, "Subscribe", in, func(r *api.View) string { return r.Leader })
+	return call(ctx, c, "Subscribe", in, func(r *api.View) (string, bool) { return r.Leader, true })
 }
 
 // Claim claims an idempotency key.
 func (c *Client) Claim(ctx context.Context, in *api.Claim) (*api.ClaimReply, error) {
-	return call(ctx, c, "Claim", in, func(r *api.ClaimReply) string { return r.Leader })
+	return call(ctx, c, "Claim", in, func(r *api.ClaimReply) (string, bool) { return r.Leader, true })
 }
 
 // CompleteClaim stores the outcome of a claim.
 func (c *Client) CompleteClaim(ctx context.Context, in *api.CompleteClaim) error {
-	_, err := call(ctx, c, "CompleteClaim", in, func(r *api.CompleteReply) string { return r.Leader })
+	_, err := call(ctx, c, "CompleteClaim", in, func(r *api.CompleteReply) (string, bool) { return r.Leader, true })
 	return err
 }
 
 // ReportEvidence sends observations.
 func (c *Client) ReportEvidence(ctx context.Context, in *api.Evidence) error {
-	_, err := call(ctx, c, "ReportEvidence", in, func(r *api.EvidenceReply) string { return r.Leader })
+	_, err := call(ctx, c, "ReportEvidence", in, func(r *api.EvidenceReply) (string, bool) { return r.Leader, true })
 	return err
 }
 
 // NextToken issues a fencing token.
 func (c *Client) NextToken(ctx context.Context) (uint64, error) {
-	r, err := call(ctx, c, "NextToken", &api.Empty{}, func(r *api.TokenReply) string { return r.Leader })
+	r, err := call(ctx, c, "NextToken", &api.Empty{}, func(r *api.TokenReply) (string, bool) { return r.Leader, true })
 	if err != nil {
 		return 0, err
 	}
@@ -112,7 +115,7 @@
 
 // Moves returns the latest move of each service.
 func (c *Client) Moves(ctx context.Context) ([]api.Move, error) {
-	r, err := call(ctx, c, "Moves", &api.Empty{}, func(r *api.MovesReply) string { return r.Leader })
+	r, err := call(ctx, c, "Moves", &api.Empty{}, func(r *api.MovesReply) (string, bool) { return r.Leader, true })
 	if err != nil {
 		return nil, err
 	}
@@ -121,16 +124,17 @@
 
 // Bundle returns the bundle in force.
 func (c *Client) Bundle(ctx context.Context) (*api.BundleReply, error) {
-	return call(ctx, c, "Bundle", &api.Empty{}, func(r *api.BundleReply) string { return r.Leader })
+	return call(ctx, c, "Bundle", &api.Empty{}, func(r *api.BundleReply) (string, bool) { return r.Leader, true })
 }
 
-// Status returns the leader's view.
+// Status returns the leader's view. A replica that knows no leader answers with its own
+// view, which may be old; the client goes on to the other replicas then.
 func (c *Client) Status(ctx context.Context) (*api.Status, error) {
-	return call(ctx, c, "Status", &api.Empty{}, func(r *api.Status) string { return r.Leader })
+	return call(ctx, c, "Status", &api.Empty{}, func(r *api.Status) (string, bool) { return r.Leader, r.Leader != "" })
 }
 
 // call tries the replicas until one answers as the leader or ctx ends.
-func call[In, Out any](ctx context.Context, c *Client, method string, in *In, leaderOf func(*Out) string) (*Out, error) {
+func call[In, Out any](ctx context.Context, c *Client, method string, in *In, leaderOf func(*Out) (leader string, known bool)) (*Out, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, clientTimeout)
@@ -155,7 +159,7 @@
 }
 
 // callAt calls one replica and follows its redirects.
-func callAt[In, Out any](ctx context.Context, c *Client, addr, method string, in *In, leaderOf func(*Out) string) (*Out, error) {
+func callAt[In, Out any](ctx context.Context, c *Client, addr, method string, in *In, leaderOf func(*Out) (leader string, known bool)) (*Out, error) {
 	for range 1 + maxRedirects {
 		out := new(Out)
 		attempt, cancel := context.WithTimeout(ctx, callTimeout)
@@ -165,7 +169,11 @@
 			c.setLeader(addr, "")
 			return nil, err
 		}
-		leader := leaderOf(out)
+		leader, known := leaderOf(out)
+		if !known {
+			c.setLeader(addr, "")
+			return nil, &link.Error{Step: "call Control." + method, Peer: addr, Err: errNoLeader}
+		}
 		if leader == "" || leader == addr {
 			c.setLeader("", addr)
 			return out, nil
--- /dev/null
+++ b/systemtest/deployment_test.go
@@ -0,0 +1,270 @@
+// Package systemtest runs the programs as separate processes on loopback and proves
+// the promises under kills, freezes, lost disks and racing operators.
+package systemtest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/examples"
+	"toucantiller.dev/fake"
+	"toucantiller.dev/link"
+)
+
+// waitLimit bounds every wait. It is far above what any step needs, so that the verdict
+// does not depend on the speed of the machine.
+const waitLimit = 60 * time.Second
+
+var binaries string
+
+// TestMain builds the programs once.
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "toucan-bin")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/toucan-control", "../cmd/toucan-gateway", "../cmd/toucan-agent", "../cmd/toucanctl")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Printf("building the programs: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one running program.
+type process struct {
+	t    *testing.T
+	name string
+	args []string
+	cmd  *exec.Cmd
+	out  *os.File
+}
+
+// start runs the program with its arguments; its output goes to a file that is shown
+// when the test fails.
+func (p *process) start() {
+	p.t.Helper()
+	out, err := os.OpenFile(filepath.Join(p.t.TempDir(), p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600)
+	assert.NilError(p.t, err)
+	p.out = out
+	p.cmd = exec.Command(filepath.Join(binaries, p.args[0]), p.args[1:]...)
+	p.cmd.Stdout = out
+	p.cmd.Stderr = out
+	assert.NilError(p.t, p.cmd.Start())
+	p.t.Cleanup(p.kill)
+}
+
+// kill ends the process at once, as kill -9 does.
+func (p *process) kill() {
+	if p.cmd.ProcessState != nil {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+	p.show()
+}
+
+func (p *process) show() {
+	if !p.t.Failed() {
+		return
+	}
+	b, _ := os.ReadFile(p.out.Name())
+	p.t.Logf("%s:\n%s", p.name, b)
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	assert.NilError(p.t, p.cmd.Process.Signal(s))
+}
+
+// terminate asks for a graceful stop and returns its exit error.
+func (p *process) terminate() error {
+	p.signal(syscall.SIGTERM)
+	err := p.cmd.Wait()
+	p.show()
+	return err
+}
+
+// deployment is a set of processes on loopback.
+type deployment struct {
+	t        *testing.T
+	control  []string
+	folders  []string
+	controls []*process
+	gateways []*process
+	callers  []string
+	client   *control.Client
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+const replicas = 3
+
+func startControl(t *testing.T) *deployment {
+	d := &deployment{t: t}
+	for range replicas {
+		d.control = append(d.control, freeAddress(t))
+		d.folders = append(d.folders, t.TempDir())
+	}
+	for i := range replicas {
+		d.controls = append(d.controls, d.newControl(i))
+		d.controls[i].start()
+	}
+	d.client = control.NewClient(link.TCP{}, d.control)
+	t.Cleanup(d.client.Close)
+	return d
+}
+
+func (d *deployment) newControl(i int) *process {
+	id := fmt.Sprintf("control-%d", i+1)
+	return &process{t: d.t, name: id, args: []string{
+		"toucan-control", "--id", id, "--domain", "lagos-a", "--admin-listen", "127.0.0.1:0",
+		"--listen", d.control[i], "--data", d.folders[i], "--members", strings.Join(d.control, ","),
+	}}
+}
+
+func (d *deployment) startGateway(domain string) {
+	address := freeAddress(d.t)
+	id := fmt.Sprintf("gateway-%d", len(d.gateways)+1)
+	p := &process{t: d.t, name: id, args: []string{
+		"toucan-gateway", "--id", id, "--domain", domain, "--admin-listen", "127.0.0.1:0",
+		"--listen", address, "--link-listen", "127.0.0.1:0", "--control", strings.Join(d.control, ","),
+	}}
+	p.start()
+	d.gateways = append(d.gateways, p)
+	d.callers = append(d.callers, "http://"+address)
+}
+
+// startAgent starts an agent beside an engine in the test process.
+func (d *deployment) startAgent(service, version, domain string, engine http.Handler) *process {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(d.t, err)
+	server := &http.Server{Handler: engine, ReadHeaderTimeout: waitLimit}
+	go func() { _ = server.Serve(l) }()
+	d.t.Cleanup(func() { _ = server.Close() })
+	id := fmt.Sprintf("%s-%s-%s-%d", service, version, domain, l.Addr().(*net.TCPAddr).Port)
+	p := &process{t: d.t, name: id, args: []string{
+		"toucan-agent", "--id", id, "--domain", domain, "--admin-listen", "127.0.0.1:0",
+		"--service", service, "--service-version", version, "--engine", "http://" + l.Addr().String(),
+		"--dispatch-listen", "127.0.0.1:0", "--link-listen", "127.0.0.1:0", "--control", strings.Join(d.control, ","),
+	}}
+	p.start()
+	return p
+}
+
+// waitFor polls until done returns true.
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if done() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(waitLimit), poll.WithDelay(20*time.Millisecond))
+}
+
+// status returns the leader's view, or nil while there is no leader.
+func (d *deployment) status() *api.Status {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	s, err := d.client.Status(ctx)
+	if err != nil || s.Leader == "" {
+		return nil
+	}
+	return s
+}
+
+func (d *deployment) waitEndpoints(n int) {
+	d.t.Helper()
+	waitFor(d.t, fmt.Sprintf("%d endpoints in force everywhere", n), func() bool {
+		s := d.status()
+		return s != nil && len(s.Endpoints) == n && s.InForce
+	})
+}
+
+// bundle returns the weavers' example with another version number.
+func bundle(t *testing.T, version int) []byte {
+	b, err := examples.Files.ReadFile("weavers.yaml")
+	assert.NilError(t, err)
+	return []byte(strings.Replace(string(b), "version: 1\n", fmt.Sprintf("version: %d\n", version), 1))
+}
+
+func signedBundle(content []byte, id, operator string) *api.ApplyBundle {
+	now := time.Now()
+	c := &api.ApplyBundle{
+		Operation:  api.Operation{ID: id, Operator: operator},
+		Content:    content,
+		Signatures: []api.Signature{api.Signature(contract.Sign(content, "bashir", contract.DemoKey("bashir"), now))},
+	}
+	api.Sign(c, contract.DemoKey(operator), now)
+	return c
+}
+
+func (d *deployment) apply(version int) {
+	d.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	r, err := d.client.ApplyBundle(ctx, signedBundle(bundle(d.t, version), fmt.Sprintf("apply-%d", version), "adaeze"))
+	assert.NilError(d.t, err)
+	assert.Equal(d.t, r.Outcome, api.OutcomeAccepted, r.Reason)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends one request to a gateway.
+func call(base, method, path, body string, header ...string) answer {
+	req, err := http.NewRequest(method, base+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer demo-aba-mills")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Timeout: waitLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+}
+
+// quickModel returns an engine that answers within a few milliseconds.
+func quickModel(name string) *fake.Model {
+	return fake.NewModel(name, fake.Behaviour{PrefillRate: 1e6, DecodeRate: 1e4})
+}
