--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -166,3 +166,6 @@
 	}
 	return s
 }
+
+// TermAt returns the term of an entry, or false if the log does not hold it.
+func (c *Core) TermAt(index uint64) (uint64, bool) { return c.log.term(index) }
--- a/consensus/replica/api.go
+++ b/consensus/replica/api.go
@@ -78,6 +78,10 @@
 	// OnChange, if set, is called from the replica's goroutine when the role, term or
 	// leader changes. It must not block or call the replica.
 	OnChange func(Status)
+
+	// core and newIdentity replace defaults in tests.
+	core        consensus.Config
+	newIdentity func() uint64
 }
 
 // Status is what a replica knows about itself and its group.
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -17,9 +17,9 @@
 
 // Bounds of what the replica takes in before it syncs.
 const (
-	inboxSize      = 4096
+	inboxSize      = 1024
 	inboxBatch     = 32
-	proposalQueue  = 1024
+	proposalQueue  = 256
 	proposalBatch  = 1024
 	proposalBytes  = 4 << 20
 	maxOutstanding = 8192
@@ -68,10 +68,21 @@
 
 // Start opens the data folder and starts the replica.
 func Start(cfg Config) (*Replica, error) {
+	r, err := open(cfg)
+	if err != nil {
+		return nil, err
+	}
+	r.cfg.Transport.Receive(r.receive)
+	go r.run()
+	return r, nil
+}
+
+// open builds a replica that is not running yet.
+func open(cfg Config) (*Replica, error) {
 	if err := cfg.complete(); err != nil {
 		return nil, err
 	}
-	s, recovered, err := openStorage(cfg.DataFolder, wal.Options{FS: cfg.FS})
+	s, recovered, err := openStorage(cfg.DataFolder, wal.Options{FS: cfg.FS, NewOwner: cfg.newIdentity})
 	if err != nil {
 		return nil, fmt.Errorf("start replica %s: %w", cfg.Address, err)
 	}
@@ -91,8 +102,6 @@
 		return nil, fmt.Errorf("start replica %s: %w", cfg.Address, errors.Join(err, s.close()))
 	}
 	r.publish()
-	cfg.Transport.Receive(r.receive)
-	go r.run()
 	return r, nil
 }
 
@@ -114,11 +123,16 @@
 
 // load builds the core and the state machine from the data folder.
 func (r *Replica) load(recovered consensus.Recovered) error {
-	core, err := consensus.New(consensus.Config{ID: r.storage.id, Seed: rand.Uint64()}, recovered)
+	core := r.cfg.core
+	core.ID = r.storage.id
+	if core.Seed == 0 {
+		core.Seed = rand.Uint64()
+	}
+	var err error
+	r.core, err = consensus.New(core, recovered)
 	if err != nil {
 		return err
 	}
-	r.core = core
 	if recovered.Snapshot == nil {
 		r.founder = newFounder(r.storage.id, r.cfg.Address, r.cfg.InitialMembers)
 		return nil
--- a/wal/faultfs/faultfs.go
+++ b/wal/faultfs/faultfs.go
@@ -120,6 +120,20 @@
 	d.crashed, d.crashAt, d.steps, d.syncFails = false, 0, 0, 0
 }
 
+// Kill ends the process that uses the disk while the machine runs on: content that was
+// not synced stays visible and can still be lost. A machine that crashed restarts.
+func (d *FS) Kill() {
+	d.mu.Lock()
+	if d.crashed {
+		d.mu.Unlock()
+		d.Restart()
+		return
+	}
+	defer d.mu.Unlock()
+	d.locked = make(map[string]bool)
+	d.boot++
+}
+
 func (d *FS) torn(n *inode) []byte {
 	if n.flushed < len(n.synced) || len(n.data) == n.flushed {
 		// A cut or replacement that was not synced is undone.
