--- /dev/null
+++ b/consensus/core_test.go
@@ -0,0 +1,277 @@
+package consensus_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/consensus"
+)
+
+// cluster runs cores over a network that loses nothing unless told to.
+type cluster struct {
+	t        *testing.T
+	cores    map[consensus.ID]*consensus.Core
+	cut      map[consensus.ID]bool
+	inflight []consensus.Message
+	// sent counts messages by type since it was last cleared.
+	sent map[consensus.MessageType]int
+}
+
+const electionTicks = 5
+
+func member(id consensus.ID) consensus.Member {
+	return consensus.Member{ID: id, Address: fmt.Sprintf("address-%d", id)}
+}
+
+func newCluster(t *testing.T, recovered map[consensus.ID]consensus.Recovered) *cluster {
+	c := &cluster{
+		t: t, cores: map[consensus.ID]*consensus.Core{}, cut: map[consensus.ID]bool{},
+		sent: map[consensus.MessageType]int{},
+	}
+	for id, r := range recovered {
+		core, err := consensus.New(consensus.Config{
+			ID: id, ElectionTicks: electionTicks, CatchUpLag: 2, Seed: uint64(id), Trailing: 1 << 20,
+		}, r)
+		assert.NilError(t, err)
+		c.cores[id] = core
+	}
+	return c
+}
+
+// founded is the disk of a founder of a group of n.
+func founded(n int, entries ...consensus.Entry) consensus.Recovered {
+	var members consensus.Membership
+	for i := range n {
+		members = append(members, member(consensus.ID(i+1)))
+	}
+	term := uint64(1)
+	if len(entries) > 0 {
+		term = entries[len(entries)-1].Term
+	}
+	return consensus.Recovered{
+		State:    consensus.State{Term: term},
+		Snapshot: &consensus.Snapshot{Index: 1, Term: 1, Group: 9, Members: members},
+		Entries:  entries,
+	}
+}
+
+func three(t *testing.T) *cluster {
+	return newCluster(t, map[consensus.ID]consensus.Recovered{1: founded(3), 2: founded(3), 3: founded(3)})
+}
+
+// drain carries out all batches and delivers all messages until nothing is left.
+func (c *cluster) drain() {
+	for {
+		for id := consensus.ID(1); id <= 9; id++ {
+			core := c.cores[id]
+			if core == nil {
+				continue
+			}
+			for r, ok := core.Ready(); ok; r, ok = core.Ready() {
+				for _, m := range append(r.Early, r.Messages...) {
+					c.sent[m.Type]++
+					c.inflight = append(c.inflight, m)
+				}
+				core.Advance(r)
+			}
+		}
+		if len(c.inflight) == 0 {
+			return
+		}
+		messages := c.inflight
+		c.inflight = nil
+		for _, m := range messages {
+			if core := c.cores[m.To]; core != nil && !c.cut[m.To] && !c.cut[m.From] {
+				core.Step(m)
+			}
+		}
+	}
+}
+
+func (c *cluster) tick(n int, ids ...consensus.ID) {
+	for range n {
+		for _, id := range ids {
+			c.cores[id].Tick()
+		}
+		c.drain()
+	}
+}
+
+// elect makes id the leader.
+func (c *cluster) elect(id consensus.ID) *consensus.Core {
+	c.t.Helper()
+	c.tick(2*electionTicks, id)
+	assert.Equal(c.t, c.cores[id].Status().Role, consensus.Leader)
+	return c.cores[id]
+}
+
+// Guards against a replica that comes back from a partition and deposes a working leader.
+func TestReturningReplicaDoesNotDisturb(t *testing.T) {
+	c := three(t)
+	leader := c.elect(1)
+	term := leader.Status().Term
+	c.cut[3] = true
+	c.tick(20*electionTicks, 1, 2, 3)
+	assert.Equal(t, c.cores[3].Status().Term, term, "a replica alone raised its term")
+	c.cut[3] = false
+	c.tick(4*electionTicks, 1, 2, 3)
+	assert.Equal(t, leader.Status().Role, consensus.Leader)
+	assert.Equal(t, leader.Status().Term, term)
+}
+
+// Guards against a candidate that deposes a leader which others hear, as a removed replica
+// with an old version of the rules may try.
+func TestVoteIsIgnoredWhileALeaderIsHeard(t *testing.T) {
+	c := three(t)
+	leader := c.elect(1)
+	term := leader.Status().Term
+	vote := consensus.Message{
+		Type: consensus.MsgVote, From: 3, To: 2, Group: 9, Term: term + 5, Index: 100, LogTerm: term,
+	}
+	c.cores[2].Step(vote)
+	vote.To = 1
+	leader.Step(vote)
+	c.drain()
+	assert.Equal(t, leader.Status().Term, term)
+	assert.Equal(t, c.cores[2].Status().Term, term)
+}
+
+// Guards against a leader that is cut off and goes on as leader.
+func TestCutOffLeaderStepsDown(t *testing.T) {
+	c := three(t)
+	leader := c.elect(1)
+	c.cut[1] = true
+	c.tick(electionTicks+1, 1)
+	assert.Equal(t, leader.Status().Role, consensus.Follower)
+	_, _, err := leader.Propose([]byte("x"))
+	assert.ErrorIs(t, err, consensus.ErrNotLeader)
+	assert.ErrorIs(t, leader.ReadIndex(1), consensus.ErrNotLeader)
+}
+
+// Guards against log repair that takes a message per entry.
+func TestBacktrackingSkipsTerms(t *testing.T) {
+	var long, other []consensus.Entry
+	for i := range uint64(1000) {
+		long = append(long, consensus.Entry{Index: i + 2, Term: 2 + i/500*4})
+		other = append(other, consensus.Entry{Index: i + 2, Term: 2 + (i+400)/500})
+	}
+	c := newCluster(t, map[consensus.ID]consensus.Recovered{
+		1: founded(3, long...), 2: founded(3, long...), 3: founded(3, other...),
+	})
+	c.cut[3] = true
+	leader := c.elect(1)
+	c.cut[3] = false
+	clear(c.sent)
+	c.tick(2*electionTicks, 1)
+	assert.Equal(t, c.cores[3].Status().Commit, leader.Status().Commit)
+	assert.Assert(t, c.sent[consensus.MsgAppend] <= 15, "%d appends", c.sent[consensus.MsgAppend])
+}
+
+// Guards against a learner that votes, or counts towards a quorum, before it holds the log.
+func TestLearnerCatchesUpBeforeItVotes(t *testing.T) {
+	c := three(t)
+	core, err := consensus.New(consensus.Config{ID: 4, ElectionTicks: electionTicks}, consensus.Recovered{})
+	assert.NilError(t, err)
+	c.cores[4] = core
+	leader := c.elect(1)
+	c.cut[4] = true
+	_, _, err = leader.AddLearner(member(4))
+	assert.NilError(t, err)
+	c.drain()
+	_, _, err = leader.Promote(4)
+	assert.ErrorIs(t, err, consensus.ErrNotCaughtUp)
+	assert.Equal(t, leader.Members().Quorum(), 2)
+	c.cut[4] = false
+	c.tick(2*electionTicks, 1, 4)
+	c.tick(4*electionTicks, 4)
+	assert.Equal(t, leader.Status().Role, consensus.Leader, "a learner started an election")
+	_, _, err = leader.Promote(4)
+	assert.NilError(t, err)
+	c.drain()
+	assert.Equal(t, leader.Members().Quorum(), 3)
+}
+
+// Guards against two membership changes at once, whose quorums need not overlap.
+func TestOneMembershipChangeAtATime(t *testing.T) {
+	c := three(t)
+	leader := c.elect(1)
+	c.cut[2], c.cut[3] = true, true
+	_, _, err := leader.Remove(2)
+	assert.NilError(t, err)
+	_, _, err = leader.Remove(3)
+	assert.ErrorIs(t, err, consensus.ErrChangePending)
+	c.cut[3] = false
+	c.tick(3, 1)
+	_, _, err = leader.Remove(3)
+	assert.NilError(t, err)
+	c.drain()
+	_, _, err = leader.Remove(1)
+	assert.Assert(t, errors.Is(err, consensus.ErrLastVoter) || errors.Is(err, consensus.ErrChangePending))
+}
+
+// Guards against a membership change by a leader that has not committed in its term, which
+// an earlier leader's change can collide with.
+func TestMembershipChangeNeedsACommitInTheTerm(t *testing.T) {
+	c := three(t)
+	c.cores[1].Tick()
+	for c.cores[1].Status().Role != consensus.Leader {
+		c.cores[1].Tick()
+		r, _ := c.cores[1].Ready()
+		c.cores[1].Advance(r)
+		for _, m := range r.Messages {
+			reply := consensus.Message{From: m.To, To: 1, Group: 9, Term: m.Term}
+			switch m.Type {
+			case consensus.MsgPreVote:
+				reply.Type = consensus.MsgPreVoteReply
+			case consensus.MsgVote:
+				reply.Type = consensus.MsgVoteReply
+			default:
+				continue
+			}
+			c.cores[1].Step(reply)
+		}
+	}
+	_, _, err := c.cores[1].Remove(3)
+	assert.ErrorIs(t, err, consensus.ErrChangePending)
+}
+
+// Guards against messages that promise a new term before it is on disk: a single voter
+// leads at once, and after a crash could lead the same term twice towards its learner.
+func TestAppendsOfANewTermWaitForTheDisk(t *testing.T) {
+	r := founded(1)
+	r.Snapshot.Members = append(r.Snapshot.Members, consensus.Member{ID: 2, Address: "b", Learner: true})
+	c := newCluster(t, map[consensus.ID]consensus.Recovered{1: r})
+	core := c.cores[1]
+	for core.Status().Role != consensus.Leader {
+		core.Tick()
+	}
+	ready, ok := core.Ready()
+	assert.Assert(t, ok && ready.State != nil && len(ready.Messages) > 0)
+	assert.Equal(t, len(ready.Early), 0)
+}
+
+// Guards against a transfer that leaves the group without a leader, or that lets proposals
+// slip in between.
+func TestTransferLeadership(t *testing.T) {
+	c := three(t)
+	leader := c.elect(1)
+	c.cut[2] = true
+	_, _, err := leader.Propose([]byte("x"))
+	assert.NilError(t, err)
+	c.drain()
+	assert.NilError(t, leader.TransferLeadership(2))
+	_, _, err = leader.Propose([]byte("y"))
+	assert.ErrorIs(t, err, consensus.ErrTransferring)
+	c.tick(electionTicks, 1)
+	_, _, err = leader.Propose([]byte("z"))
+	assert.NilError(t, err, "a failed transfer was not given up")
+	c.cut[2] = false
+	c.tick(4, 1)
+	assert.NilError(t, leader.TransferLeadership(0))
+	c.drain()
+	assert.Equal(t, leader.Status().Role, consensus.Follower)
+	assert.Assert(t, leader.Status().Leader != 0 && leader.Status().Leader != 1)
+}
