Test the driver over lost disks, cut-off leaders and failing disks

Cause: the API of the driver was covered by one test without faults. Change: tests in testing/synctest over the in-memory network and disk, and one over real files: failover, silent cut-off, shutdown with transfer, lost disks repaired one after the other, removal, failing, full and slow disks. Conclusion: others can rely on the documented errors of the API.

--- a/consensus/replica/replica_test.go
+++ b/consensus/replica/replica_test.go
@@ -1,19 +1,48 @@
 package replica_test
 
 import (
+	"context"
+	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"toucantiller.dev/consensus/replica"
 	"toucantiller.dev/link"
+	"toucantiller.dev/wal"
+	"toucantiller.dev/wal/faultfs"
 )
 
-// Guards against replicas that do not form a group or apply commands differently.
-func TestReplicasAgree(t *testing.T) {
+// inBubble runs a test with virtual time and a group of replicas on in-memory disks.
+func inBubble(t *testing.T, threshold uint64, test func(t *testing.T, g *group)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		g := newGroup(t, link.NewMemory(), "a", "b", "c")
+		g := &group{
+			t: t, network: link.NewMemory(), addresses: []string{"a", "b", "c"}, threshold: threshold,
+			fs: map[string]wal.FS{}, nodes: map[string]*node{}, folder: func(string) string { return "/data" },
+		}
+		for i, a := range g.addresses {
+			g.fs[a] = faultfs.New(uint64(i))
+			g.start(a)
+		}
 		defer g.stop()
+		test(t, g)
+	})
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against replicas that do not form a group or apply commands differently.
+func TestReplicasAgree(t *testing.T) {
+	inBubble(t, 0, func(t *testing.T, g *group) {
 		for i := range 20 {
 			g.propose("command %d", i)
 		}
@@ -25,3 +54,178 @@
 		}
 	})
 }
+
+// Guards against a group that stays without a leader for 2 s after its leader died, and
+// against commands lost by the change.
+func TestFailover(t *testing.T) {
+	inBubble(t, 0, func(t *testing.T, g *group) {
+		g.propose("before")
+		g.kill(g.leader())
+		start := time.Now()
+		g.propose("after")
+		assert.Assert(t, time.Since(start) < 2*time.Second, "%v", time.Since(start))
+		assert.DeepEqual(t, g.leader().journal.all(), []string{"before", "after"})
+	})
+}
+
+// Guards against callers that wait for a silently cut-off leader, or take its refusal for
+// a command without effect.
+func TestCutOffLeader(t *testing.T) {
+	inBubble(t, 0, func(t *testing.T, g *group) {
+		old := g.leader()
+		old.cut()
+		_, err := old.Propose(within(t, 5*time.Second), []byte("lost"))
+		var unknown *replica.UnknownOutcomeError
+		assert.Assert(t, errors.As(err, &unknown), "%v", err)
+		_, err = old.Propose(within(t, 5*time.Second), []byte("refused"))
+		var notLeader *replica.NotLeaderError
+		assert.Assert(t, errors.As(err, &notLeader), "%v", err)
+		assert.Assert(t, errors.As(old.ReadBarrier(within(t, time.Second)), &notLeader))
+	})
+}
+
+// Guards against a shutdown that leaves the group without a leader for an election timeout.
+func TestStopHandsOver(t *testing.T) {
+	inBubble(t, 0, func(t *testing.T, g *group) {
+		old := g.leader()
+		start := time.Now()
+		assert.NilError(t, old.Stop(within(t, 5*time.Second)))
+		delete(g.nodes, old.address)
+		g.leader()
+		assert.Assert(t, time.Since(start) < 400*time.Millisecond, "%v", time.Since(start))
+		_, err := old.Propose(within(t, time.Second), []byte("x"))
+		assert.ErrorIs(t, err, replica.ErrStopped)
+		old.cut()
+	})
+}
+
+// Guards against a replica that lost its disk and votes as its former self, against one
+// that cannot be replaced, and against acknowledged commands that a second loss right after
+// the repair takes away.
+func TestReplaceLostDisks(t *testing.T) {
+	inBubble(t, 5, func(t *testing.T, g *group) {
+		var want []string
+		for round := range 4 {
+			for range 9 {
+				want = append(want, "command "+strings.Repeat("x", len(want)))
+				g.propose("%s", want[len(want)-1])
+			}
+			lost := g.leader()
+			former := lost.Status().ID
+			g.kill(lost)
+			g.fs[lost.address] = faultfs.New(uint64(100 + round))
+			fresh := g.start(lost.address)
+			leader := g.leader()
+			assert.Assert(t, !fresh.Status().Joined, "a replica with an empty disk joined by itself")
+			assert.Assert(t, fresh.Status().ID != former)
+			assert.NilError(t, leader.AddReplica(within(t, 20*time.Second), replica.Member{Address: lost.address}))
+			members := leader.Status().Members
+			assert.Equal(t, len(members), 3)
+			for _, m := range members {
+				assert.Assert(t, !m.Learner && m.ID != former, "%v", members)
+			}
+			g.waitFor("the journal of the new replica", func() bool {
+				return len(fresh.journal.all()) == len(want)
+			})
+		}
+		for _, n := range g.nodes {
+			assert.DeepEqual(t, n.journal.all(), want)
+		}
+	})
+}
+
+// Guards against a membership call that reports success before it is in force, or that
+// leaves a removed replica in the quorum.
+func TestRemoveReplica(t *testing.T) {
+	inBubble(t, 0, func(t *testing.T, g *group) {
+		leader := g.leader()
+		var other *node
+		for _, n := range g.nodes {
+			if n != leader {
+				other = n
+			}
+		}
+		var notLeader *replica.NotLeaderError
+		err := other.RemoveReplica(within(t, time.Second), replica.Member{Address: leader.address})
+		assert.Assert(t, errors.As(err, &notLeader) && notLeader.Leader == leader.address, "%v", err)
+		assert.NilError(t, leader.RemoveReplica(within(t, time.Second), replica.Member{Address: other.address}))
+		assert.Equal(t, len(leader.Status().Members), 2)
+		err = leader.RemoveReplica(within(t, time.Second), replica.Member{Address: leader.address})
+		assert.ErrorContains(t, err, "transfer leadership first")
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, leader.Status().IsLeader, "the removed replica deposed the leader")
+		err = leader.AddReplica(within(t, 5*time.Second), replica.Member{Address: other.address})
+		assert.ErrorIs(t, err, replica.ErrBelongsToGroup)
+		assert.NilError(t, leader.AddReplica(within(t, 5*time.Second), replica.Member{
+			ID: other.Status().ID, Address: other.address,
+		}))
+		assert.Equal(t, len(leader.Status().Members), 3)
+	})
+}
+
+// Guards against a replica that goes on after its disk failed or filled up, and against a
+// group that does not go on without it.
+func TestDiskFailureStopsTheReplica(t *testing.T) {
+	for name, fault := range map[string]func(*faultfs.FS){
+		"failed sync": func(d *faultfs.FS) { d.FailSync(1) },
+		"full disk":   func(d *faultfs.FS) { d.SetCapacity(1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 0, func(t *testing.T, g *group) {
+				g.propose("before")
+				old := g.leader()
+				fault(g.fs[old.address].(*faultfs.FS))
+				_, err := old.Propose(within(t, 5*time.Second), []byte("unknown"))
+				var unknown *replica.UnknownOutcomeError
+				assert.Assert(t, errors.As(err, &unknown), "%v", err)
+				<-old.Done()
+				assert.ErrorContains(t, old.Err(), "write-ahead log stopped")
+				g.kill(old)
+				g.propose("after")
+			})
+		})
+	}
+}
+
+// Guards against a slow disk that costs the leader its leadership or loses commands.
+func TestSlowDisk(t *testing.T) {
+	inBubble(t, 0, func(t *testing.T, g *group) {
+		leader := g.leader()
+		g.fs[leader.address].(*faultfs.FS).DelaySync(150 * time.Millisecond)
+		for i := range 20 {
+			_, err := leader.Propose(within(t, 5*time.Second), []byte{byte(i)})
+			assert.NilError(t, err)
+		}
+		assert.Assert(t, leader.Status().IsLeader)
+	})
+}
+
+// Guards against data that does not survive a restart of all replicas on the real file
+// system, with and without snapshots.
+func TestRestartOnRealFiles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, link.NewMemory(), "a", "b", "c")
+		for i := range 30 {
+			g.propose("command %d", i)
+		}
+		g.stop()
+		g.threshold = 7
+		for _, a := range g.addresses {
+			g.start(a)
+		}
+		defer g.stop()
+		g.propose("last")
+		all := g.leader().journal.all()
+		assert.Equal(t, len(all), 31)
+		assert.Equal(t, all[30], "last")
+	})
+}
+
+// Guards against a command that is larger than a frame of the log can hold.
+func TestLargeCommands(t *testing.T) {
+	inBubble(t, 0, func(t *testing.T, g *group) {
+		_, err := g.leader().Propose(within(t, time.Second), make([]byte, replica.MaxCommandBytes+1))
+		assert.ErrorIs(t, err, replica.ErrCommandTooLarge)
+		g.propose("%s", strings.Repeat("x", replica.MaxCommandBytes))
+	})
+}
