--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,364 @@
+// Package limit finds how much work one endpoint can bear, in requests and in
+// tokens, without being told its hardware. It is a pure state machine: times
+// are arguments and the caller does the locking.
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxRequests   = 512
+	DefaultMaxTokens     = 1 << 22
+	DefaultInitialTokens = 8192
+)
+
+// Options bound a Limiter. Zero fields take the defaults.
+type Options struct {
+	// MaxRequests is the highest limit in requests.
+	MaxRequests int
+	// MaxTokens is the highest limit in outstanding prompt tokens.
+	MaxTokens int
+	// InitialTokens is the token limit of a cold endpoint and the lowest token limit.
+	InitialTokens int
+}
+
+// Thresholds of the control loop. Ratios compare a call's latency with the
+// latency that the learned baseline predicts for a call of its size.
+const (
+	// growRatio is the highest mean ratio at which the limit rises. It leaves room for
+	// the slower steps of a larger batch, which still raise throughput.
+	growRatio = 1.5
+	// firstGrow is the same for first token times alone. It is higher because calls that
+	// start together prefill together, which says little about the limit.
+	firstGrow = 4.0
+	// firstFull is the mean ratio of first token times at which the limit falls: calls
+	// wait in a queue of the engine.
+	firstFull = 8.0
+	// fullRatio is the ratio at which the limit falls gently.
+	fullRatio = 2.0
+	// jumpRatio is the rise over the recent ratio that counts as a sudden slowdown.
+	jumpRatio = 2.0
+	// coldRatio is the rise over the recent ratio after which the endpoint counts as
+	// cold again and the limit falls to 1.
+	coldRatio = 4.0
+	// overdueFactor is the multiple of the expected first token time after which a
+	// call counts as evidence before it finishes.
+	overdueFactor = 4.0
+	// maxSlower bounds the slowdown concluded from overdue calls, whose true time is not
+	// known yet.
+	maxSlower = 10.0
+	// overdueSlack keeps short scheduling delays from counting as evidence.
+	overdueSlack = 200 * time.Millisecond
+	// overdueRepeat is the time between two steps taken on overdue calls.
+	overdueRepeat = 500 * time.Millisecond
+
+	fastGain = 0.35
+	slowGain = 0.05
+	// jumpCalls of the last recentCalls must confirm a jump. The others may be calls
+	// that were nearly done when it began.
+	jumpCalls   = 3
+	recentCalls = 5
+	// failedInARow is the number of failures in a row that mark the endpoint cold.
+	failedInARow = 3
+	// failureShare is the smoothed share of failures that halves the limit.
+	failureShare = 0.3
+	failureGain  = 0.15
+	// coldGrowth and warmGrowth are the relative rises after a proof.
+	coldGrowth = 0.5
+	warmGrowth = 1.0 / 8
+	// minProof is the least number of successes that prove a limit; larger limits need
+	// one success per slot.
+	minProof = 2
+	// coldStepTime is the least time between two rises while cold. Short calls would
+	// otherwise prove a limit before the engine's load has shown in their latency.
+	coldStepTime = 200 * time.Millisecond
+	// firstShare weighs first token times as evidence of overload. They vary more than
+	// the time of a whole call, since the prefills of neighbours overlap.
+	firstShare = 0.5
+	// warmLimit is the limit at which a ramp counts as finished even though the
+	// endpoint's capacity has not been reached.
+	warmLimit = 16
+	// usedShare is the share of a limit that must have been in use to prove it.
+	usedShare = 0.75
+	// warmingRatio is the fall of the fast ratio against the slow one that shows an
+	// endpoint still getting faster; its limit does not rise meanwhile.
+	warmingRatio = 0.85
+)
+
+// Limiter adapts the concurrency limit of one endpoint. It is not safe for
+// concurrent use.
+type Limiter struct {
+	opt    Options
+	limit  float64
+	tokens float64
+	cold   bool
+
+	calls  calls
+	first  line
+	decode line
+
+	// fast and slow are means of the ratio over a few and over many calls.
+	fast, slow float64
+	// recent holds the last ratios since the last step, reference the slow mean before
+	// the latest one.
+	recent    [recentCalls]float64
+	reference float64
+	sinceStep int
+	steppedAt time.Time
+	overdueAt time.Time
+	failures  float64
+	failedRow int
+	longest   time.Duration
+
+	proof proof
+}
+
+// proof collects the successes of calls that started at the present limit.
+type proof struct {
+	successes  int
+	ratios     float64
+	firsts     float64
+	peak       int
+	peakTokens int
+	since      time.Time
+}
+
+// New returns the limiter of a new or restarted endpoint: limit 1, cold.
+func New(opt Options) *Limiter {
+	if opt.MaxRequests <= 0 {
+		opt.MaxRequests = DefaultMaxRequests
+	}
+	if opt.MaxTokens <= 0 {
+		opt.MaxTokens = DefaultMaxTokens
+	}
+	if opt.InitialTokens <= 0 {
+		opt.InitialTokens = DefaultInitialTokens
+	}
+	opt.InitialTokens = min(opt.InitialTokens, opt.MaxTokens)
+	return &Limiter{opt: opt, limit: 1, tokens: float64(opt.InitialTokens), cold: true}
+}
+
+// Limit is the number of requests the endpoint can bear; at least 1.
+func (l *Limiter) Limit() int { return int(l.limit) }
+
+// TokenLimit is the number of outstanding prompt tokens the endpoint can bear.
+func (l *Limiter) TokenLimit() int { return int(l.tokens) }
+
+// Cold reports whether the limit is still ramping up from 1.
+func (l *Limiter) Cold() bool { return l.cold }
+
+// Rates returns the learned speeds in tokens per second; 0 means not known. They
+// are those of the endpoint with few calls. A rate measured under load would keep
+// work away from an endpoint that has since become idle, and without work it would
+// never be corrected.
+func (l *Limiter) Rates() (prefill, decode float64) {
+	return l.first.rate(), l.decode.rate()
+}
+
+// Outstanding returns the calls started and not finished and their prompt tokens.
+func (l *Limiter) Outstanding() (requests, promptTokens int) {
+	return l.calls.open, l.calls.tokens
+}
+
+// Allows reports whether a call of this size may start now. A call larger than
+// the token limit may start when nothing else runs, since it could never start
+// otherwise.
+func (l *Limiter) Allows(promptTokens int) bool {
+	if l.calls.open == 0 {
+		return true
+	}
+	if l.calls.open >= l.Limit() {
+		return false
+	}
+	return l.calls.tokens+promptTokens <= l.TokenLimit()
+}
+
+// Ticket is one started call.
+type Ticket struct {
+	slot  int
+	gen   uint64
+	start time.Time
+	crowd crowd
+	// ahead is the prompt tokens that other calls had not yet prefilled.
+	ahead int
+}
+
+// Start records that a call was given to the endpoint.
+func (l *Limiter) Start(now time.Time, promptTokens int) Ticket {
+	t := l.calls.add(now, promptTokens)
+	t.crowd = l.crowd()
+	l.proof.peak = max(l.proof.peak, l.calls.open)
+	l.proof.peakTokens = max(l.proof.peakTokens, l.calls.tokens)
+	return t
+}
+
+// lightShare is the share of the limit up to which calls hardly slow each other.
+const lightShare = 0.25
+
+func (l *Limiter) crowd() crowd {
+	switch {
+	case l.calls.open <= 1:
+		return crowdAlone
+	case float64(l.calls.open) <= lightShare*l.limit:
+		return crowdLight
+	}
+	return crowdBusy
+}
+
+// FirstToken records that the answer of a call has begun, so that the call no
+// longer counts as overdue. Calling it is optional.
+func (l *Limiter) FirstToken(t Ticket, now time.Time) {
+	c := l.calls.get(t)
+	if !l.calls.begin(t) || !l.first.ready() {
+		return
+	}
+	ratio := firstShare * now.Sub(t.start).Seconds() / l.first.at(float64(c.prompt+t.ahead))
+	if ratio > fullRatio {
+		l.judge(ratio, t, now)
+	}
+}
+
+// Sample is the outcome of a call. Failed calls need no other field.
+type Sample struct {
+	FirstToken, Total time.Duration
+	PromptTokens      int
+	AnswerTokens      int
+	// Failed is set when the endpoint failed; a caller that gave up is not a failure.
+	Failed bool
+}
+
+// Finish records the outcome of a call. A ticket counts once.
+func (l *Limiter) Finish(t Ticket, s Sample, now time.Time) {
+	if !l.calls.remove(t) {
+		return
+	}
+	if s.Failed {
+		l.fail(t, now)
+		return
+	}
+	l.failedRow = 0
+	l.failures *= 1 - failureGain
+	l.longest = max(s.Total, l.longest-l.longest/64)
+	r := l.learn(t, s)
+	l.judge(r.load, t, now)
+	l.prove(r, t, now)
+}
+
+// Cancel records a call that was stopped before its end, such as one whose caller
+// left. s holds what was seen until then: FirstToken is 0 when there was none. A
+// call that had run for far longer than expected counts against the limit, since
+// callers give up on a slow endpoint and its calls might never finish.
+func (l *Limiter) Cancel(t Ticket, s Sample, now time.Time) {
+	c := l.calls.get(t)
+	if c == nil || !l.first.ready() {
+		l.calls.remove(t)
+		return
+	}
+	expected := l.expectedFirst(c)
+	l.calls.remove(t)
+	ratio := firstShare * s.Total.Seconds() / expected
+	if s.FirstToken > 0 {
+		decodeTime := (s.Total - s.FirstToken).Seconds()
+		if s.AnswerTokens < 2 || !l.decode.ready() {
+			return
+		}
+		_, ratio = l.decode.learn(float64(s.AnswerTokens), decodeTime, t.crowd)
+	}
+	if ratio > fullRatio {
+		l.judge(ratio, t, now)
+	}
+}
+
+// Restart forgets the endpoint: limit 1, cold, no rates. Use it when the engine
+// is known to have restarted.
+func (l *Limiter) Restart() {
+	open := l.calls
+	*l = *New(l.opt)
+	l.calls = open
+}
+
+// Waiting examines calls that have not finished. It returns true when calls that
+// are far over their expected time lowered the limit.
+func (l *Limiter) Waiting(now time.Time) bool {
+	if now.Sub(l.overdueAt) < overdueRepeat || !l.first.ready() {
+		return false
+	}
+	overdue, open, worst := l.overdue(now)
+	if overdue == 0 || (overdue < 2 && overdue < open) {
+		return false
+	}
+	if 2*overdue < open && overdue < 3 {
+		return false
+	}
+	l.overdueAt = now
+	if l.limit <= 1 {
+		return false
+	}
+	if worst >= 2*overdueFactor || overdue == open {
+		l.turnCold(math.Min(math.Max(worst, 1), maxSlower), now)
+		return true
+	}
+	l.step(0.5, now)
+	return true
+}
+
+func (l *Limiter) overdue(now time.Time) (overdue, open int, worst float64) {
+	typical := math.Max(1, l.slow)
+	for i := range l.calls.slots {
+		c := &l.calls.slots[i]
+		if !c.used || c.first {
+			continue
+		}
+		open++
+		expected := l.expectedFirst(c) * typical
+		elapsed := (now.Sub(c.start) - overdueSlack).Seconds()
+		if elapsed < overdueFactor*expected {
+			continue
+		}
+		overdue++
+		worst = math.Max(worst, elapsed/expected)
+	}
+	return overdue, open, worst
+}
+
+// expectedFirst is the time to first token of a call beside the other prefills, in
+// seconds. Without reports of first tokens, a call may be in its decode, so the
+// longest recent call bounds it.
+func (l *Limiter) expectedFirst(c *call) float64 {
+	if l.calls.reportsFirst {
+		return l.first.at(float64(max(c.prompt, l.calls.prefilling)))
+	}
+	return math.Max(l.first.at(float64(c.prompt)), l.longest.Seconds())
+}
+
+// ratios compare one call with the baseline of an idle endpoint.
+type ratios struct {
+	// load is the evidence of overload: the time of the whole call or its first token
+	// time, both corrected for the prefills ahead of it.
+	load float64
+	// first is the first token time without that correction.
+	first float64
+}
+
+// learn updates the baseline and the rates and returns the call's ratios.
+func (l *Limiter) learn(t Ticket, s Sample) ratios {
+	prompt := float64(max(s.PromptTokens, 1))
+	answer := float64(s.AnswerTokens)
+	firstTime := s.FirstToken.Seconds()
+	decodeTime := (s.Total - s.FirstToken).Seconds()
+	expected := l.first.at(prompt + float64(t.ahead))
+	if !l.first.known {
+		expected = firstTime
+	}
+	corrected := firstTime / expected
+	_, first := l.first.learn(prompt, firstTime, t.crowd)
+	if answer <= 1 || decodeTime <= 0 {
+		return ratios{load: first, first: first}
+	}
+	expectedDecode, _ := l.decode.learn(answer, decodeTime, t.crowd)
+	whole := s.Total.Seconds() / (expected + expectedDecode)
+	return ratios{load: math.Max(whole, firstShare*corrected), first: first}
+}
--- /dev/null
+++ b/schedule/candidate.go
@@ -0,0 +1,171 @@
+package schedule
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"toucantiller.dev/endpoint"
+)
+
+// Candidate is one endpoint with what this gateway knows about its load. Its
+// methods are safe for concurrent use.
+type Candidate struct {
+	Endpoint endpoint.Endpoint
+	// distance is the one-way latency from this gateway, in seconds.
+	distance float64
+	hash     uint64
+	state    *state
+}
+
+// state is the mutable part of a candidate. It outlives snapshots.
+type state struct {
+	report atomic.Pointer[report]
+	// marks holds markSuspended and markCache once they have applied.
+	marks    atomic.Uint32
+	requests atomic.Int64
+	prompt   atomic.Int64
+	answer   atomic.Int64
+	// suspended is kept as a time.Time, whose monotonic part ignores clock steps.
+	suspended atomic.Pointer[time.Time]
+	cache     prefixCache
+	history   history
+	base      *timeBase
+}
+
+// report is an immutable load report with what was known when it arrived.
+type report struct {
+	// made is when the agent made the report, as an offset from the time base.
+	made int64
+	// others and othersQueued are the requests and queued prompt tokens of other
+	// gateways: the report less this gateway's own work.
+	others, othersQueued float64
+	// usualOthers is the slow mean of others; an old report fades into it, since no
+	// news does not mean no load.
+	usualOthers float64
+	limit       float64
+	// perLimit, perPrefill and perDecode are the inverses; a pick multiplies by them.
+	perLimit, perPrefill, perDecode float64
+
+	// room is the number of requests up to which the endpoint is not saturated;
+	// holderRoom is the same for requests whose prefix it holds.
+	room, holderRoom float64
+	marks            mark
+
+	prefill, decode float64
+	load            endpoint.Load
+	at              time.Time
+}
+
+// prepare computes what picks derive from a report.
+func (r *report) prepare() {
+	r.room = r.limit
+	if !r.load.Cold {
+		r.room += math.Ceil(aheadShare * r.limit)
+	}
+	r.holderRoom = r.limit + math.Ceil(holderShare*r.limit)
+	if r.load.Leaving {
+		r.marks |= markLeaving
+	}
+	if r.load.Floor >= 0 {
+		r.marks |= markFloor
+	}
+
+	r.perLimit = 1 / r.limit
+	r.perPrefill = 1 / r.prefill
+	r.perDecode = 1 / r.decode
+}
+
+// aheadShare is the share of its limit that a warm endpoint may hold in addition,
+// so that its agent always has the next request at hand.
+const aheadShare = 0.25
+
+// holderShare is the same for requests whose prefix the endpoint holds. It is
+// larger because a prefill elsewhere takes the time of another endpoint and evicts
+// a prefix there; under load, requests that leave their holders cause more misses.
+const holderShare = 1.0
+
+// usualTime is the time over which usualOthers is a mean, in seconds. It spans
+// several reports that are a few seconds old.
+const usualTime = 10.0
+
+// Defaults for endpoints whose speeds are not known yet, in tokens per second.
+const (
+	defaultPrefillRate = 2000.0
+	defaultDecodeRate  = 30.0
+)
+
+// Observe takes in a load report that arrived now. Reports older than the one
+// known are ignored.
+func (c *Candidate) Observe(load endpoint.Load, now time.Time) {
+	made := now.Add(-load.Age)
+	old := c.state.report.Load()
+	if old != nil && made.Before(old.at) {
+		return
+	}
+	own := c.state.ownAt(c.state.base.nanos(made), c.state.base.nanos(now))
+	r := &report{
+		load:         load,
+		made:         c.state.base.nanos(made),
+		at:           made,
+		others:       math.Max(0, float64(load.Running+load.Queued)-own),
+		othersQueued: float64(load.QueuedTokens),
+		limit:        math.Max(1, float64(load.Limit)),
+		prefill:      orRate(load.PrefillRate, defaultPrefillRate),
+		decode:       orRate(load.DecodeRate, defaultDecodeRate),
+	}
+	r.usualOthers = r.others
+	if old != nil {
+		gain := min(1, made.Sub(old.at).Seconds()/usualTime)
+		r.usualOthers = old.usualOthers + gain*(r.others-old.usualOthers)
+	}
+	r.prepare()
+	c.state.report.CompareAndSwap(old, r)
+}
+
+func orRate(rate, standard float64) float64 {
+	if rate <= 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+		return standard
+	}
+	return rate
+}
+
+// AddOutstanding counts a request given to the endpoint.
+func (c *Candidate) AddOutstanding(promptTokens, answerTokens int) {
+	c.state.requests.Add(1)
+	c.state.prompt.Add(int64(promptTokens))
+	c.state.answer.Add(int64(answerTokens))
+}
+
+// PrefillDone records that the answer of a request has begun: its prompt no
+// longer waits. RemoveOutstanding is then called with promptTokens 0.
+func (c *Candidate) PrefillDone(promptTokens int) {
+	c.state.prompt.Add(-int64(promptTokens))
+}
+
+// RemoveOutstanding ends a request counted by AddOutstanding.
+func (c *Candidate) RemoveOutstanding(promptTokens, answerTokens int) {
+	c.state.requests.Add(-1)
+	c.state.prompt.Add(-int64(promptTokens))
+	c.state.answer.Add(-int64(answerTokens))
+}
+
+// Outstanding returns this gateway's requests at the endpoint.
+func (c *Candidate) Outstanding() int { return int(c.state.requests.Load()) }
+
+// Suspend leaves the candidate out until a time, for example after a lost
+// connection.
+func (c *Candidate) Suspend(until time.Time) {
+	c.state.suspended.Store(&until)
+	c.state.marks.Or(uint32(markSuspended))
+}
+
+// Load returns the latest report and when it was made; ok is false before the
+// first.
+func (c *Candidate) Load() (load endpoint.Load, made time.Time, ok bool) {
+	r := c.state.report.Load()
+	if r == nil {
+		return endpoint.Load{}, time.Time{}, false
+	}
+	return r.load, r.at, true
+}
--- /dev/null
+++ b/schedule/filter.go
@@ -0,0 +1,126 @@
+package schedule
+
+import (
+	"slices"
+
+	"toucantiller.dev/admission"
+)
+
+// Filter takes candidates out of a pick by removing them from the live list. It
+// works on all candidates at once, which keeps interface calls out of the inner
+// loop.
+type Filter interface {
+	// Reason is reported when the filter took out the last candidate.
+	Reason() Reason
+	Apply(x *scratch, r *Request)
+}
+
+// excludedFilter takes out endpoints that were tried before.
+type excludedFilter struct{}
+
+func (excludedFilter) Reason() Reason { return ReasonAllTried }
+
+func (excludedFilter) Apply(x *scratch, r *Request) {
+	if len(r.Excluded) == 0 {
+		return
+	}
+	live := x.live[:0]
+	for _, i := range x.live {
+		if !slices.Contains(r.Excluded, x.candidates[i].Endpoint.ID) {
+			live = append(live, i)
+		}
+	}
+	x.live = live
+}
+
+// suspendedFilter takes out endpoints whose connection was lost a moment ago.
+type suspendedFilter struct{}
+
+func (suspendedFilter) Reason() Reason { return ReasonUnreachable }
+
+func (suspendedFilter) Apply(x *scratch, _ *Request) {
+	if x.marks&markSuspended == 0 {
+		return
+	}
+	live := x.live[:0]
+	for _, i := range x.live {
+		until := x.candidates[i].state.suspended.Load()
+		if until == nil || !until.After(x.now) {
+			live = append(live, i)
+		}
+	}
+	x.live = live
+}
+
+// drainingFilter takes out endpoints whose agent reported that it leaves.
+type drainingFilter struct{}
+
+func (drainingFilter) Reason() Reason { return ReasonDraining }
+
+func (drainingFilter) Apply(x *scratch, _ *Request) {
+	if x.marks&markLeaving == 0 {
+		return
+	}
+	live := x.live[:0]
+	for _, i := range x.live {
+		if !x.reports[i].load.Leaving {
+			live = append(live, i)
+		}
+	}
+	x.live = live
+}
+
+// floorFilter takes out endpoints whose admission floor excludes the tier.
+type floorFilter struct{}
+
+func (floorFilter) Reason() Reason { return ReasonFloor }
+
+func (floorFilter) Apply(x *scratch, r *Request) {
+	if r.Tier == 0 || x.marks&markFloor == 0 {
+		return
+	}
+	oldest := x.nanos - admission.FloorTTL.Nanoseconds()
+	live := x.live[:0]
+	for _, i := range x.live {
+		rep := x.reports[i]
+		floor := rep.load.Floor
+		excludes := floor >= 0 && int(r.Tier) > floor && rep.made > oldest
+		if !excludes {
+			live = append(live, i)
+		}
+	}
+	x.live = live
+}
+
+// saturatedFilter takes out endpoints at their limit. Warm endpoints have room for
+// some more requests than their limit; cold ones do not.
+type saturatedFilter struct{}
+
+func (saturatedFilter) Reason() Reason { return ReasonSaturated }
+
+func (saturatedFilter) Apply(x *scratch, r *Request) {
+	live := x.live[:0]
+	half := float64(r.PromptTokens) / 2
+	for _, i := range x.live {
+		room := x.reports[i].room
+		if x.saved[i] > half {
+			room = x.reports[i].holderRoom
+		}
+		if x.requests[i]+1 <= room {
+			live = append(live, i)
+		}
+	}
+	x.live = live
+}
+
+// affinityMarker takes out nothing: it marks the prompt tokens that each live
+// candidate is expected to have cached, for the plugins after it.
+type affinityMarker struct{}
+
+func (affinityMarker) Reason() Reason { return ReasonNone }
+
+func (affinityMarker) Apply(x *scratch, r *Request) {
+	if len(r.Prefixes) > 0 && len(x.live) > 0 {
+		x.affinity(r)
+	}
+}
--- /dev/null
+++ b/schedule/picker.go
@@ -0,0 +1,41 @@
+package schedule
+
+import "math/rand/v2"
+
+// Picker chooses among the candidates that are live and scored.
+type Picker interface {
+	// Pick returns the index of the choice and the size of the near-best set. At least
+	// one candidate is live.
+	Pick(x *scratch, rng *rand.Rand) (index, near int)
+}
+
+// twoChoices draws two candidates from those near the best score and takes the
+// better one. Gateways that read the same stale report therefore do not all
+// choose the same endpoint.
+type twoChoices struct {
+	// share and slack bound the near-best set: best*(1+share)+slack seconds.
+	share, slack float64
+}
+
+func (p twoChoices) Pick(x *scratch, rng *rand.Rand) (index, near int) {
+	best := x.score[x.live[0]]
+	for _, i := range x.live {
+		best = min(best, x.score[i])
+	}
+	bound := best*(1+p.share) + p.slack
+	live := x.live[:0]
+	for _, i := range x.live {
+		if x.score[i] <= bound {
+			live = append(live, i)
+		}
+	}
+	x.live = live
+	near = len(live)
+	draw := rng.Uint64()
+	a := int(live[draw>>32*uint64(near)>>32])
+	b := int(live[draw&0xffffffff*uint64(near)>>32])
+	if x.score[b] < x.score[a] {
+		a = b
+	}
+	return a, near
+}
