--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -226,17 +226,16 @@
 	assert.Assert(t, errors.Is(err, consensus.ErrLastVoter) || errors.Is(err, consensus.ErrChangePending))
 }
 
-// Guards against a membership change by a leader that has not committed in its term, which
-// an earlier leader's change can collide with.
-func TestMembershipChangeNeedsACommitInTheTerm(t *testing.T) {
-	c := three(t)
-	c.cores[1].Tick()
-	for c.cores[1].Status().Role != consensus.Leader {
-		c.cores[1].Tick()
-		r, _ := c.cores[1].Ready()
-		c.cores[1].Advance(r)
+// winAlone lets id win an election by votes that the other members never cast in full, so
+// that nothing of its term is replicated.
+func (c *cluster) winAlone(id consensus.ID) *consensus.Core {
+	core := c.cores[id]
+	for core.Status().Role != consensus.Leader {
+		core.Tick()
+		r, _ := core.Ready()
+		core.Advance(r)
 		for _, m := range r.Messages {
-			reply := consensus.Message{From: m.To, To: 1, Group: 9, Term: m.Term}
+			reply := consensus.Message{From: m.To, To: id, Group: 9, Term: m.Term}
 			switch m.Type {
 			case consensus.MsgPreVote:
 				reply.Type = consensus.MsgPreVoteReply
@@ -245,13 +244,65 @@
 			default:
 				continue
 			}
-			c.cores[1].Step(reply)
+			core.Step(reply)
 		}
 	}
-	_, _, err := c.cores[1].Remove(3)
+	return core
+}
+
+// Guards against a membership change by a leader that has not committed in its term, which
+// an earlier leader's change can collide with.
+func TestMembershipChangeNeedsACommitInTheTerm(t *testing.T) {
+	_, _, err := three(t).winAlone(1).Remove(3)
 	assert.ErrorIs(t, err, consensus.ErrChangePending)
 }
 
+// Guards against a commit of an entry of an earlier term that a quorum holds: a replica with
+// a later entry of another term could still win and replace it.
+func TestEarlierTermIsNotCommittedByItself(t *testing.T) {
+	entry := consensus.Entry{Index: 2, Term: 2}
+	c := newCluster(t, map[consensus.ID]consensus.Recovered{1: founded(3, entry)})
+	leader := c.winAlone(1)
+	for r, ok := leader.Ready(); ok; r, ok = leader.Ready() {
+		leader.Advance(r)
+	}
+	ack := consensus.Message{
+		Type: consensus.MsgAppendReply, From: 2, To: 1, Group: 9, Term: leader.Status().Term, Index: 2,
+	}
+	leader.Step(ack)
+	assert.Equal(t, leader.Status().Commit, uint64(1))
+	ack.Index = 3
+	leader.Step(ack)
+	assert.Equal(t, leader.Status().Commit, uint64(3))
+}
+
+// Guards against a follower that commits a stale suffix which the append did not reach.
+func TestAppendCommitsOnlyWhatItMatched(t *testing.T) {
+	c := newCluster(t, map[consensus.ID]consensus.Recovered{1: founded(3, consensus.Entry{Index: 2, Term: 2})})
+	c.cores[1].Step(consensus.Message{
+		Type: consensus.MsgAppend, From: 2, To: 1, Group: 9, Term: 3, Index: 1, LogTerm: 1, Commit: 2,
+	})
+	assert.Equal(t, c.cores[1].Status().Commit, uint64(1))
+}
+
+// Guards against a read point that misses what an earlier leader committed: a new leader
+// does not know it before it has committed in its term.
+func TestReadWaitsForACommitInTheTerm(t *testing.T) {
+	c := three(t)
+	leader := c.winAlone(1)
+	assert.NilError(t, leader.ReadIndex(7))
+	for r, ok := leader.Ready(); ok; r, ok = leader.Ready() {
+		leader.Advance(r)
+	}
+	for round := range uint64(9) {
+		leader.Step(consensus.Message{
+			Type: consensus.MsgHeartbeatReply, From: 2, To: 1, Group: 9, Term: leader.Status().Term, Round: round,
+		})
+	}
+	r, _ := leader.Ready()
+	assert.Equal(t, len(r.Reads), 0)
+}
+
 // Guards against messages that promise a new term before it is on disk: a single voter
 // leads at once, and after a crash could lead the same term twice towards its learner.
 func TestAppendsOfANewTermWaitForTheDisk(t *testing.T) {
--- a/consensus/replica/bench_test.go
+++ b/consensus/replica/bench_test.go
@@ -23,7 +23,7 @@
 	for range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
-		defer l.Close() //nolint:gocritic // all stay open until all are chosen
+		defer func() { _ = l.Close() }() //nolint:gocritic // all stay open until all are chosen
 		out = append(out, l.Addr().String())
 	}
 	return out
--- a/wal/bench_test.go
+++ b/wal/bench_test.go
@@ -15,7 +15,7 @@
 		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) {
 			log, _, err := wal.Open(b.TempDir(), wal.Options{})
 			assert.NilError(b, err)
-			defer log.Close()
+			defer func() { _ = log.Close() }()
 			data := make([]byte, 200)
 			index := uint64(0)
 			entries := make([]wal.Entry, count)
