--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -64,7 +64,9 @@
 
 // drain carries out all batches and delivers all messages until nothing is left.
 func (c *cluster) drain() {
-	for {
+	c.t.Helper()
+	for round := 0; ; round++ {
+		assert.Assert(c.t, round < 10_000, "messages never end")
 		for id := consensus.ID(1); id <= 9; id++ {
 			core := c.cores[id]
 			if core == nil {
@@ -303,6 +305,36 @@
 	assert.Equal(t, len(r.Reads), 0)
 }
 
+// Guards against a membership that stays in force after another leader replaced its entry.
+func TestReplacedMembershipIsTakenBack(t *testing.T) {
+	c := three(t)
+	old := c.elect(1)
+	c.cut[1] = true
+	_, _, err := old.Remove(3)
+	assert.NilError(t, err)
+	c.tick(electionTicks+1, 1)
+	assert.Equal(t, old.Members().Voters(), 2)
+	c.tick(6*electionTicks, 2, 3)
+	c.cut[1] = false
+	c.tick(2*electionTicks, 2, 3)
+	assert.Assert(t, c.cores[2].Status().Role == consensus.Leader || c.cores[3].Status().Role == consensus.Leader)
+	assert.Equal(t, old.Members().Voters(), 3)
+}
+
+// Guards against a replica that takes part in a group which is not its own, or votes before
+// it belongs to any.
+func TestMessagesOfOtherGroupsAreIgnored(t *testing.T) {
+	for group, r := range map[consensus.GroupID]consensus.Recovered{8: founded(3), 9: {}} {
+		c := newCluster(t, map[consensus.ID]consensus.Recovered{3: r})
+		c.cores[3].Step(consensus.Message{
+			Type: consensus.MsgVote, From: 1, To: 3, Group: group, Term: 7, Index: 9, LogTerm: 6,
+		})
+		assert.Equal(t, c.cores[3].Status().Term, r.State.Term)
+		_, ok := c.cores[3].Ready()
+		assert.Assert(t, !ok, "group %d", group)
+	}
+}
+
 // Guards against messages that promise a new term before it is on disk: a single voter
 // leads at once, and after a crash could lead the same term twice towards its learner.
 func TestAppendsOfANewTermWaitForTheDisk(t *testing.T) {
--- a/consensus/replica/api.go
+++ b/consensus/replica/api.go
@@ -79,9 +79,10 @@
 	// leader changes. It must not block or call the replica.
 	OnChange func(Status)
 
-	// core and newIdentity replace defaults in tests.
+	// core, newIdentity and background replace defaults in tests.
 	core        consensus.Config
 	newIdentity func() uint64
+	background  func(func())
 }
 
 // Status is what a replica knows about itself and its group.
--- a/consensus/replica/process.go
+++ b/consensus/replica/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"toucantiller.dev/consensus"
+	"toucantiller.dev/wal"
 )
 
 // process carries out the core's batches until there is none left.
@@ -97,10 +98,18 @@
 	}
 }
 
-// snapshot replaces the log by a snapshot once it is long enough.
+// written is a snapshot of this replica that was written in the background.
+type written struct {
+	snapshot *consensus.Snapshot
+	encoded  *wal.Snapshot
+	err      error
+}
+
+// snapshot starts to replace the log by a snapshot once it is long enough. Its file is
+// written in the background, since commits must not wait for a large one.
 func (r *Replica) snapshot() {
 	s := r.core.Status()
-	if s.Group == 0 || s.Applied < s.Snapshot+r.cfg.SnapshotThreshold {
+	if r.writing || s.Group == 0 || s.Applied < s.Snapshot+r.cfg.SnapshotThreshold {
 		return
 	}
 	data, err := r.cfg.StateMachine.Snapshot()
@@ -108,12 +117,34 @@
 		r.fail(err)
 		return
 	}
-	snap := r.core.SnapshotAt(data)
-	if err := r.storage.saveSnapshot(snap, true); err != nil {
+	w := written{snapshot: r.core.SnapshotAt(data)}
+	if w.encoded, err = encodeSnapshot(w.snapshot); err != nil {
+		r.fail(err)
+		return
+	}
+	r.writing = true
+	r.cfg.background(func() {
+		w.err = r.storage.log.WriteSnapshot(w.encoded)
+		r.written <- w
+	})
+}
+
+// takeWritten cuts the log at a snapshot that is durable, unless a leader's later snapshot
+// replaced it meanwhile.
+func (r *Replica) takeWritten(w written) {
+	r.writing = false
+	if w.err != nil {
+		r.fail(w.err)
+		return
+	}
+	if w.snapshot.Index <= r.core.Status().Snapshot {
+		return
+	}
+	if err := r.storage.log.AdoptSnapshot(w.encoded, true); err != nil {
 		r.fail(err)
 		return
 	}
-	r.core.Compact(snap)
+	r.core.Compact(w.snapshot)
 }
 
 // publish updates Status and reports changes.
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -64,6 +64,9 @@
 	readToken uint64
 	learned   map[consensus.ID]string
 	lookups   map[string][]chan Hello
+	// writing is true from the start of a background write until its result was taken.
+	writing bool
+	written chan written
 }
 
 // Start opens the data folder and starts the replica.
@@ -97,6 +100,7 @@
 		reads:     make(map[uint64]chan outcome),
 		learned:   make(map[consensus.ID]string),
 		lookups:   make(map[string][]chan Hello),
+		written:   make(chan written, 1),
 	}
 	if err := r.load(recovered); err != nil {
 		return nil, fmt.Errorf("start replica %s: %w", cfg.Address, errors.Join(err, s.close()))
@@ -115,6 +119,9 @@
 	if c.SnapshotThreshold == 0 {
 		c.SnapshotThreshold = DefaultSnapshotThreshold
 	}
+	if c.background == nil {
+		c.background = func(f func()) { go f() }
+	}
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
@@ -195,6 +202,8 @@
 			r.takeProposals(p)
 		case f := <-r.calls:
 			f()
+		case w := <-r.written:
+			r.takeWritten(w)
 		}
 		r.process()
 	}
@@ -203,6 +212,9 @@
 
 func (r *Replica) shutDown() {
 	r.cfg.Transport.Receive(nil)
+	if r.writing {
+		<-r.written
+	}
 	if err := r.storage.close(); err != nil && r.err == nil {
 		r.err = fmt.Errorf("close log: %w", err)
 	}
--- a/consensus/replica/storage.go
+++ b/consensus/replica/storage.go
@@ -111,13 +111,19 @@
 
 // saveSnapshot makes a snapshot durable. keep tells that the log agrees with it.
 func (s *storage) saveSnapshot(snap *consensus.Snapshot, keep bool) error {
+	out, err := encodeSnapshot(snap)
+	if err != nil {
+		return err
+	}
+	return s.log.SaveSnapshot(out, keep)
+}
+
+func encodeSnapshot(snap *consensus.Snapshot) (*wal.Snapshot, error) {
 	meta, err := msgpack.Marshal(&snapshotMeta{Group: snap.Group, Members: snap.Members})
 	if err != nil {
-		return fmt.Errorf("encode snapshot %d: %w", snap.Index, err)
+		return nil, fmt.Errorf("encode snapshot %d: %w", snap.Index, err)
 	}
-	return s.log.SaveSnapshot(&wal.Snapshot{
-		Index: snap.Index, Term: snap.Term, Meta: meta, Data: snap.Data,
-	}, keep)
+	return &wal.Snapshot{Index: snap.Index, Term: snap.Term, Meta: meta, Data: snap.Data}, nil
 }
 
 func (s *storage) close() error { return s.log.Close() }
--- a/consensus/replica/world_test.go
+++ b/consensus/replica/world_test.go
@@ -42,6 +42,8 @@
 	disk    *faultfs.FS
 	replica *Replica
 	applied []appliedCommand
+	// tasks run in the background of the replica.
+	tasks []func()
 }
 
 type appliedCommand struct {
@@ -110,7 +112,7 @@
 	for _, n := range w.nodes {
 		initial = append(initial, n.address)
 	}
-	h.applied = nil
+	h.applied, h.tasks = nil, nil
 	r, err := open(Config{
 		DataFolder: "/data", Address: h.address, InitialMembers: initial, Transport: h, StateMachine: h,
 		FS: h.disk, SnapshotThreshold: 8,
@@ -118,6 +120,7 @@
 			AppendBytes: 24, Window: 6, PieceBytes: pieceBytes, Trailing: 4, CatchUpLag: 4, ElectionTicks: 5,
 			Seed: uint64(w.choose(1<<30)) + 1,
 		},
+		background:  func(f func()) { h.tasks = append(h.tasks, f) },
 		newIdentity: func() uint64 { w.nextID++; return w.nextID },
 	})
 	if err != nil {
@@ -162,6 +165,18 @@
 	h.world.check.observe(h)
 }
 
+// runTasks completes the work in the background.
+func (h *host) runTasks() {
+	if h.replica == nil || len(h.tasks) == 0 {
+		return
+	}
+	for _, task := range h.tasks {
+		task()
+	}
+	h.tasks = nil
+	h.run(func(r *Replica) { r.takeWritten(<-r.written) })
+}
+
 func (w *world) pick() *host { return w.nodes[w.choose(len(w.nodes))] }
 
 func (w *world) hostOf(to string) *host {
@@ -193,6 +208,8 @@
 func (w *world) act() {
 	h := w.pick()
 	switch n := w.choose(200); {
+	case n < 10:
+		h.runTasks()
 	case n < 60:
 		h.run((*Replica).tick)
 	case n < 150:
@@ -372,6 +389,7 @@
 				h.start()
 			}
 			h.run((*Replica).tick)
+			h.runTasks()
 			if round%2 == 0 {
 				w.changeMembers(h)
 			}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -71,6 +71,7 @@
 	folder      string
 	lock        io.Closer
 	segmentSize int64
+	owner       uint64
 
 	current   segment
 	file      File
@@ -106,6 +107,7 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, lock.Close())
 	}
+	l.owner = r.Owner
 	return l, r, nil
 }
 
@@ -138,9 +140,24 @@
 	if l.err != nil {
 		return l.err
 	}
-	if err := writeSnapshot(l.fs, l.folder, l.current.owner, s); err != nil {
+	if err := l.WriteSnapshot(s); err != nil {
 		return l.fail(err)
 	}
+	return l.AdoptSnapshot(s, keep)
+}
+
+// WriteSnapshot makes a snapshot durable without using it. It may run at the same time as
+// the other methods but Close, as long as no two snapshots have the same index. After an
+// error the log must not be used further.
+func (l *Log) WriteSnapshot(s *Snapshot) error {
+	return writeSnapshot(l.fs, l.folder, l.owner, s)
+}
+
+// AdoptSnapshot does what SaveSnapshot does with a snapshot that WriteSnapshot made durable.
+func (l *Log) AdoptSnapshot(s *Snapshot, keep bool) error {
+	if l.err != nil {
+		return l.err
+	}
 	if err := l.rotate(&mark{Index: s.Index, Keep: keep}); err != nil {
 		return l.fail(err)
 	}
