control: test three replicas through leader change and quorum loss

Cause: a new leader must expel nobody, and a leader without a quorum must serve nothing. Change: ReplicatedLog in place of ReplicaLog; Stop bounds the replica's own handover, which does not end while the replica is cut off (a test hung on it); two tests on three replicas over the in-memory network.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,134 +1,16 @@
 package control_test
 
 import (
-	"context"
-	"crypto/ed25519"
-	"encoding/base64"
-	"fmt"
-	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
-	"toucantiller.dev/distribution"
-	"toucantiller.dev/endpoint"
-	"toucantiller.dev/failuredomain"
-	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
-	"toucantiller.dev/membership"
 )
 
-var operatorKeys = map[string]ed25519.PrivateKey{
-	"ada":  ed25519.NewKeyFromSeed([]byte(strings.Repeat("a", 32))),
-	"bola": ed25519.NewKeyFromSeed([]byte(strings.Repeat("b", 32))),
-}
-
-// bundleText returns a valid bundle with one required sign-off.
-func bundleText(version int, extra string) []byte {
-	key := func(name string) string {
-		return base64.StdEncoding.EncodeToString(operatorKeys[name].Public().(ed25519.PublicKey))
-	}
-	return fmt.Appendf(nil, `name: looms
-version: %d
-author: ada
-sign_off: {required: 1}
-operators:
-  - {name: ada, public_key: %s}
-  - {name: bola, public_key: %s}
-tiers:
-  - {name: gold}
-accounts:
-  - {name: mill, tier: gold, key_hashes: [aa]}
-failure_domains:
-  - {name: lagos-a, region: lagos}
-  - {name: lagos-b, region: lagos}
-services:
-  - {name: weft, kind: model, version: v1}
-%s`, version, key("ada"), key("bola"), extra)
-}
-
-func signedBundle(id string, content []byte) *api.ApplyBundle {
-	now := time.Now()
-	c := &api.ApplyBundle{
-		Operation:  api.Operation{ID: id, Operator: "ada", At: now},
-		Content:    content,
-		Signatures: []api.Signature{api.SignOff(content, "bola", now, operatorKeys["bola"])},
-	}
-	api.Sign(c, operatorKeys["ada"])
-	return c
-}
-
-func drain(id string, domain failuredomain.ID) *api.SetDomain {
-	c := &api.SetDomain{Operation: api.Operation{ID: id, Operator: "ada", At: time.Now()}, Domain: domain, State: failuredomain.StateDrained}
-	api.Sign(c, operatorKeys["ada"])
-	return c
-}
-
-// process is a gateway or agent with its subscription, announcement and peer service.
-type process struct {
-	self      instance.Instance
-	holder    *distribution.Holder
-	announcer *membership.Announcer
-	cancel    context.CancelFunc
-}
-
-func startProcess(t *testing.T, network link.Network, self instance.Instance, addrs []string) *process {
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	p := &process{self: self, holder: distribution.NewHolder(nil), cancel: cancel}
-	client := control.NewClient(network, addrs)
-	opts := membership.Options{Control: client, Configuration: p.holder, Self: self}
-	if self.Role == instance.RoleAgent {
-		opts.Endpoint = &endpoint.Endpoint{ID: self.ID, Incarnation: self.Incarnation, Service: "weft", Version: "v1", Domain: self.Domain, Address: self.LinkAddress}
-	}
-	p.announcer = membership.NewAnnouncer(opts)
-	server := link.NewServer()
-	assert.NilError(t, server.Register(distribution.ServiceName, distribution.NewService(p.holder)))
-	listener, err := network.Listen(self.LinkAddress)
-	assert.NilError(t, err)
-	subscriber := distribution.NewSubscriber(distribution.SubscriberOptions{Network: network, Holder: p.holder, Self: self, Control: addrs})
-	go func() { _ = server.Serve(listener) }()
-	go p.announcer.Run(ctx)
-	go subscriber.Run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		_ = listener.Close()
-		server.Close()
-		client.Close()
-	})
-	return p
-}
-
-func newControl(t *testing.T, network link.Network, opts control.Options) *control.Server {
-	t.Helper()
-	if opts.Self.LinkAddress == "" {
-		opts.Self = instance.Instance{ID: "control-0", Role: instance.RoleControl, LinkAddress: "control-0"}
-	}
-	opts.Network = network
-	if opts.OpenLog == nil {
-		opts.OpenLog = control.MemoryLog(opts.Self.LinkAddress)
-	}
-	s, err := control.New(opts)
-	assert.NilError(t, err)
-	assert.NilError(t, s.Start(t.Context()))
-	t.Cleanup(func() { assert.NilError(t, s.Stop(context.Background())) })
-	return s
-}
-
-// bubble runs a test in a synctest bubble. At the end it lets the probes of closed
-// connections end.
-func bubble(t *testing.T, f func(t *testing.T)) {
-	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		t.Cleanup(func() { time.Sleep(10 * time.Second) })
-		f(t)
-	})
-}
-
 // Guards against an accepted drain that does not reach a process, or is reported in
 // force before every process confirmed it.
 func TestDrainReachesEveryProcess(t *testing.T) {
@@ -138,19 +20,13 @@
 		time.Sleep(time.Second)
 		client := control.NewClient(network, []string{"control-0"})
 		defer client.Close()
-		reply, err := client.ApplyBundle(t.Context(), signedBundle("op-1", bundleText(1, "")))
-		assert.NilError(t, err)
-		assert.Equal(t, reply.Outcome, api.OutcomeAccepted, reply.Reason)
-
+		apply(t, client.ApplyBundle, signedBundle("op-1", bundleText(1, "")))
 		var all []*process
 		for i := range 4 {
-			self := instance.Instance{ID: instance.ID(fmt.Sprintf("agent-%d", i)), Role: instance.RoleAgent, Domain: "lagos-a", Incarnation: 1, LinkAddress: fmt.Sprintf("agent-%d", i)}
-			all = append(all, startProcess(t, network, self, []string{"control-0"}))
+			all = append(all, startProcess(t, network, agent(i), []string{"control-0"}))
 		}
 		time.Sleep(3 * time.Second)
-		reply, err = client.SetDomain(t.Context(), drain("op-2", "lagos-a"))
-		assert.NilError(t, err)
-		assert.Equal(t, reply.Outcome, api.OutcomeAccepted, reply.Reason)
+		reply := apply(t, client.SetDomain, drain("op-2", "lagos-a"))
 		status, err := client.Status(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, len(status.Processes), 4)
@@ -162,8 +38,76 @@
 		status, err = client.Status(t.Context())
 		assert.NilError(t, err)
 		assert.Assert(t, status.InForce)
-		for _, p := range all {
-			p.cancel()
+	})
+}
+
+// Guards against a leader change that expels processes, reverts the revision, loses a
+// change or gives a resend another outcome.
+func TestLeaderChangeKeepsEverything(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startGroup(t, nil)
+		client := control.NewClient(g.network, replicas)
+		defer client.Close()
+		apply(t, client.ApplyBundle, signedBundle("op-1", bundleText(1, "")))
+		var all []*process
+		for i := range 4 {
+			all = append(all, startProcess(t, g.network, agent(i), replicas))
+		}
+		time.Sleep(3 * time.Second)
+		change := drain("op-2", "lagos-a")
+		first := apply(t, client.SetDomain, change)
+		leases := make([]uint64, len(all))
+		for i, p := range all {
+			leases[i] = p.announcer.Lease()
+		}
+		token, err := client.NextToken(t.Context())
+		assert.NilError(t, err)
+
+		old := g.leader(t, client)
+		g.network.SetFault(old, link.FaultPartition)
+		g.stop(t, old)
+		time.Sleep(20 * time.Second)
+
+		status, err := client.Status(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, status.Leader != old)
+		assert.Equal(t, status.Revision, first.Revision)
+		assert.Equal(t, len(status.Processes), 4)
+		assert.Assert(t, status.InForce)
+		for i, p := range all {
+			assert.Equal(t, p.announcer.Lease(), leases[i], "a leader change expelled %s", p.self.ID)
+			assert.Assert(t, p.holder.UnprovenAllowed(time.Now()))
+		}
+		assert.DeepEqual(t, apply(t, client.SetDomain, change), first)
+		later, err := client.NextToken(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, later > token)
+	})
+}
+
+// Guards against a leader without a quorum that still serves the configuration, makes
+// processes look fresh or accepts a change.
+func TestLeaderWithoutQuorumServesNothing(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startGroup(t, nil)
+		client := control.NewClient(g.network, replicas)
+		defer client.Close()
+		apply(t, client.ApplyBundle, signedBundle("op-1", bundleText(1, "")))
+		p := startProcess(t, g.network, agent(0), replicas)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, p.holder.UnprovenAllowed(time.Now()))
+		leader := g.leader(t, client)
+		for _, addr := range replicas {
+			if addr != leader {
+				g.stop(t, addr)
+			}
 		}
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !p.holder.UnprovenAllowed(time.Now()))
+		assert.Assert(t, p.holder.MayServe(time.Now()))
+		_, err := client.Subscribe(t.Context(), &api.Subscribe{})
+		assert.ErrorContains(t, err, "call Control.Subscribe")
+		_, err = client.SetDomain(t.Context(), drain("op-2", "lagos-a"))
+		assert.ErrorContains(t, err, "call Control.SetDomain")
 	})
 }
--- /dev/null
+++ b/control/helper_test.go
@@ -0,0 +1,196 @@
+package control_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/control"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/distribution"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+	"toucantiller.dev/membership"
+)
+
+var operatorKeys = map[string]ed25519.PrivateKey{
+	"ada":  ed25519.NewKeyFromSeed([]byte(strings.Repeat("a", 32))),
+	"bola": ed25519.NewKeyFromSeed([]byte(strings.Repeat("b", 32))),
+}
+
+// bundleText returns a valid bundle with one required sign-off.
+func bundleText(version int, extra string) []byte {
+	key := func(name string) string {
+		return base64.StdEncoding.EncodeToString(operatorKeys[name].Public().(ed25519.PublicKey))
+	}
+	return fmt.Appendf(nil, `name: looms
+version: %d
+author: ada
+sign_off: {required: 1}
+operators:
+  - {name: ada, public_key: %s}
+  - {name: bola, public_key: %s}
+tiers:
+  - {name: gold}
+accounts:
+  - {name: mill, tier: gold, key_hashes: [aa]}
+failure_domains:
+  - {name: lagos-a, region: lagos}
+  - {name: lagos-b, region: lagos}
+services:
+  - {name: weft, kind: model, version: v1}
+%s`, version, key("ada"), key("bola"), extra)
+}
+
+func signedBundle(id string, content []byte) *api.ApplyBundle {
+	now := time.Now()
+	c := &api.ApplyBundle{
+		Operation:  api.Operation{ID: id, Operator: "ada", At: now},
+		Content:    content,
+		Signatures: []api.Signature{api.SignOff(content, "bola", now, operatorKeys["bola"])},
+	}
+	api.Sign(c, operatorKeys["ada"])
+	return c
+}
+
+func drain(id string, domain failuredomain.ID) *api.SetDomain {
+	c := &api.SetDomain{Operation: api.Operation{ID: id, Operator: "ada", At: time.Now()}, Domain: domain, State: failuredomain.StateDrained}
+	api.Sign(c, operatorKeys["ada"])
+	return c
+}
+
+// process is a gateway or agent with its subscription, announcement and peer service.
+type process struct {
+	self      instance.Instance
+	holder    *distribution.Holder
+	announcer *membership.Announcer
+	cancel    context.CancelFunc
+}
+
+func startProcess(t *testing.T, network link.Network, self instance.Instance, addrs []string) *process {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	p := &process{self: self, holder: distribution.NewHolder(nil), cancel: cancel}
+	client := control.NewClient(network, addrs)
+	opts := membership.Options{Control: client, Configuration: p.holder, Self: self}
+	if self.Role == instance.RoleAgent {
+		opts.Endpoint = &endpoint.Endpoint{ID: self.ID, Incarnation: self.Incarnation, Service: "weft", Version: "v1", Domain: self.Domain, Address: self.LinkAddress}
+	}
+	p.announcer = membership.NewAnnouncer(opts)
+	server := link.NewServer()
+	assert.NilError(t, server.Register(distribution.ServiceName, distribution.NewService(p.holder)))
+	listener, err := network.Listen(self.LinkAddress)
+	assert.NilError(t, err)
+	subscriber := distribution.NewSubscriber(distribution.SubscriberOptions{Network: network, Holder: p.holder, Self: self, Control: addrs})
+	go func() { _ = server.Serve(listener) }()
+	go p.announcer.Run(ctx)
+	go subscriber.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		_ = listener.Close()
+		server.Close()
+		client.Close()
+	})
+	return p
+}
+
+func newControl(t *testing.T, network link.Network, opts control.Options) *control.Server {
+	t.Helper()
+	if opts.Self.LinkAddress == "" {
+		opts.Self = instance.Instance{ID: "control-0", Role: instance.RoleControl, LinkAddress: "control-0"}
+	}
+	opts.Network = network
+	if opts.OpenLog == nil {
+		opts.OpenLog = control.MemoryLog(opts.Self.LinkAddress)
+	}
+	s, err := control.New(opts)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Start(t.Context()))
+	t.Cleanup(func() { assert.NilError(t, s.Stop(context.Background())) })
+	return s
+}
+
+// bubble runs a test in a synctest bubble. At the end it lets the probes of closed
+// connections end.
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(10 * time.Second) })
+		f(t)
+	})
+}
+
+func agent(i int) instance.Instance {
+	id := fmt.Sprintf("agent-%d", i)
+	return instance.Instance{ID: instance.ID(id), Role: instance.RoleAgent, Domain: "lagos-a", Incarnation: 1, LinkAddress: id}
+}
+
+var replicas = []string{"control-0", "control-1", "control-2"}
+
+// group is three control replicas on the replicated log.
+type group struct {
+	network *link.Memory
+	servers map[string]*control.Server
+	folders map[string]string
+	decider func(api.Move) control.Decider
+}
+
+func startGroup(t *testing.T, decider func(api.Move) control.Decider) *group {
+	t.Helper()
+	g := &group{network: link.NewMemory(), servers: map[string]*control.Server{}, folders: map[string]string{}, decider: decider}
+	for _, addr := range replicas {
+		g.folders[addr] = t.TempDir()
+		g.start(t, addr)
+	}
+	time.Sleep(3 * time.Second)
+	return g
+}
+
+func (g *group) start(t *testing.T, addr string) {
+	t.Helper()
+	s, err := control.New(control.Options{
+		Self:    instance.Instance{ID: instance.ID(addr), Role: instance.RoleControl, LinkAddress: addr},
+		Network: g.network,
+		OpenLog: control.ReplicatedLog(control.ReplicatedLogOptions{
+			Data: g.folders[addr], Address: addr, Members: replicas, Network: g.network,
+		}),
+		NewDecider: g.decider,
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, s.Start(t.Context()))
+	g.servers[addr] = s
+	t.Cleanup(func() { g.stop(t, addr) })
+}
+
+func (g *group) stop(t *testing.T, addr string) {
+	t.Helper()
+	if s, ok := g.servers[addr]; ok {
+		delete(g.servers, addr)
+		assert.NilError(t, s.Stop(context.Background()))
+	}
+}
+
+func (g *group) leader(t *testing.T, c *control.Client) string {
+	t.Helper()
+	status, err := c.Status(t.Context())
+	assert.NilError(t, err)
+	return status.Leader
+}
+
+// apply sends a change and asserts that it is accepted.
+func apply[C api.Change](t *testing.T, send func(context.Context, C) (*api.ChangeReply, error), change C) *api.ChangeReply {
+	t.Helper()
+	reply, err := send(t.Context(), change)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Outcome, api.OutcomeAccepted, reply.Reason)
+	return reply
+}
--- a/control/replicalog.go
+++ b/control/replicatedlog.go
@@ -15,10 +15,10 @@
 // themselves after it.
 const handoverTimeout = time.Second
 
-// ReplicaOptions configures the replicated log.
-type ReplicaOptions struct {
-	// DataFolder holds the log; it belongs to one process at a time.
-	DataFolder string
+// ReplicatedLogOptions configures the replicated log.
+type ReplicatedLogOptions struct {
+	// Data is the folder that holds the log; it belongs to one process at a time.
+	Data string
 	// Address is the replica's link address; Members lists those of all replicas of a new
 	// group, including it.
 	Address string
@@ -27,15 +27,15 @@
 	Logger  log.Logger
 }
 
-// ReplicaLog returns an OpenLog for the replicated log.
-func ReplicaLog(opts ReplicaOptions) OpenLog {
+// ReplicatedLog returns an OpenLog for the replicated log.
+func ReplicatedLog(opts ReplicatedLogOptions) OpenLog {
 	return func(sm StateMachine, server *link.Server) (Log, error) {
 		transport, err := replica.NewLinkTransport(opts.Network, server)
 		if err != nil {
 			return nil, err
 		}
 		r, err := replica.Start(replica.Config{
-			DataFolder:     opts.DataFolder,
+			DataFolder:     opts.Data,
 			Address:        opts.Address,
 			InitialMembers: opts.Members,
 			Transport:      transport,
@@ -79,8 +79,20 @@
 
 func (l *replicaLog) Err() error { return l.replica.Err() }
 
+// Stop ends the replica. A replica that still believes it leads tries to hand over;
+// that is bounded, as it does not end while the replica is cut off.
 func (l *replicaLog) Stop(ctx context.Context) error {
-	err := l.replica.Stop(ctx)
+	bounded, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	err := l.replica.Stop(bounded)
+	if bounded.Err() != nil {
+		select {
+		case <-l.replica.Done():
+			err = l.replica.Err()
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+	}
 	l.transport.Close()
 	return err
 }
