--- a/control/api/api.go
+++ b/control/api/api.go
@@ -99,6 +99,8 @@
 	FullAt time.Time
 	Watch  time.Duration
 	Ended  time.Time
+	// StageSince is when the present stage began.
+	StageSince time.Time
 	// Cause says in one line why the move stands as it does.
 	Cause string
 	// Evidence lists what the decision rests on.
@@ -300,7 +302,9 @@
 
 // Status is "Control.Status": a replica's view for operators.
 type Status struct {
-	Replica  string
+	Replica string
+	// Self is the replica's process; control replicas hold no lease.
+	Self     instance.Instance
 	Leader   string
 	Term     uint64
 	Revision uint64
--- a/control/api/signing.go
+++ b/control/api/signing.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"crypto/ed25519"
 	"encoding/binary"
 	"time"
 
@@ -14,8 +13,6 @@
 	OperationValidity = time.Hour
 	// ClockTolerance is how far ahead of the leader's clock a signing time may be.
 	ClockTolerance = 5 * time.Minute
-	// DefaultSignOffValidity applies where a bundle's sign_off has no valid_for.
-	DefaultSignOffValidity = 24 * time.Hour
 )
 
 // Change is a change that an operator signs: ApplyBundle, SetDomain or AbortMove.
@@ -35,19 +32,11 @@
 	return joinParts(append(parts, change.signedFields()...))
 }
 
-// SignOffBytes returns the exact bytes that an operator signs to sign off a bundle.
-func SignOffBytes(content []byte, operator string, at time.Time) []byte {
-	return joinParts([]string{"toucantiller sign-off v1", operator, formatTime(at), string(content)})
-}
-
-// Sign sets the signature of a change. Set the operation's other fields before.
-func Sign(change Change, key ed25519.PrivateKey) {
-	change.Op().Signature = ed25519.Sign(key, SigningBytes(change))
-}
-
-// SignOff returns a sign-off over a bundle's exact content.
-func SignOff(content []byte, operator string, at time.Time, key ed25519.PrivateKey) Signature {
-	return Signature{Operator: operator, At: at, Signature: ed25519.Sign(key, SignOffBytes(content, operator, at))}
+// Sign dates and signs a change. Set its other fields before.
+func Sign(change Change, key contract.SigningKey, at time.Time) {
+	op := change.Op()
+	op.At = at.UTC()
+	op.Signature = key.Sign(SigningBytes(change))
 }
 
 // Op returns the operation.
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"encoding/base64"
 	"fmt"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"toucantiller.dev/account"
+	"toucantiller.dev/contract"
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/distribution"
@@ -22,16 +21,9 @@
 	"toucantiller.dev/membership"
 )
 
-var operatorKeys = map[string]ed25519.PrivateKey{
-	"ada":  ed25519.NewKeyFromSeed([]byte(strings.Repeat("a", 32))),
-	"bola": ed25519.NewKeyFromSeed([]byte(strings.Repeat("b", 32))),
-}
-
 // bundleText returns a valid bundle with one required sign-off.
 func bundleText(version int, extra string) []byte {
-	key := func(name string) string {
-		return base64.StdEncoding.EncodeToString(operatorKeys[name].Public().(ed25519.PublicKey))
-	}
+	key := func(name string) string { return contract.DemoKey(name).Public() }
 	return fmt.Appendf(nil, `name: looms
 version: %d
 author: ada
@@ -42,29 +34,29 @@
 tiers:
   - {name: gold}
 accounts:
-  - {name: mill, tier: gold, key_hashes: [aa]}
+  - {name: mill, tier: gold, key_hashes: [%s]}
 failure_domains:
   - {name: lagos-a, region: lagos}
   - {name: lagos-b, region: lagos}
 services:
-  - {name: weft, kind: model, version: v1}
-%s`, version, key("ada"), key("bola"), extra)
+  - {name: weft, kind: model, version: v1, models: [weft-lm], routes: [{name: chat, method: POST, path: /v1/chat/completions, idempotent: true}]}
+%s`, version, key("ada"), key("bola"), account.HashKey("mill-key"), extra)
 }
 
 func signedBundle(id string, content []byte) *api.ApplyBundle {
 	now := time.Now()
 	c := &api.ApplyBundle{
-		Operation:  api.Operation{ID: id, Operator: "ada", At: now},
+		Operation:  api.Operation{ID: id, Operator: "ada"},
 		Content:    content,
-		Signatures: []api.Signature{api.SignOff(content, "bola", now, operatorKeys["bola"])},
+		Signatures: []api.Signature{api.Signature(contract.Sign(content, "bola", contract.DemoKey("bola"), now))},
 	}
-	api.Sign(c, operatorKeys["ada"])
+	api.Sign(c, contract.DemoKey("ada"), time.Now())
 	return c
 }
 
 func drain(id string, domain failuredomain.ID) *api.SetDomain {
-	c := &api.SetDomain{Operation: api.Operation{ID: id, Operator: "ada", At: time.Now()}, Domain: domain, State: failuredomain.StateDrained}
-	api.Sign(c, operatorKeys["ada"])
+	c := &api.SetDomain{Operation: api.Operation{ID: id, Operator: "ada"}, Domain: domain, State: failuredomain.StateDrained}
+	api.Sign(c, contract.DemoKey("ada"), time.Now())
 	return c
 }
 
--- a/control/service.go
+++ b/control/service.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
 	"toucantiller.dev/instance"
@@ -49,9 +50,32 @@
 
 // ApplyBundle makes a signed bundle the configuration.
 func (v *service) ApplyBundle(in *api.ApplyBundle, out *api.ChangeReply) error {
+	if reason := v.invalid(in); reason != "" {
+		count(v.s.counts.refusals, 1)
+		*out = api.ChangeReply{Outcome: api.OutcomeRefused, Reason: reason, Revision: v.s.revision()}
+		return nil
+	}
 	return v.change(&state.Command{ApplyBundle: in}, in, "bundle", out)
 }
 
+// invalid returns the first problem of a bundle. A resend is not validated again: the
+// passing of time may have made it invalid, and it gets its first outcome.
+func (v *service) invalid(in *api.ApplyBundle) string {
+	if v.s.notLeading() != nil {
+		return ""
+	}
+	resent := false
+	v.s.machine.read(func(st *state.State) { resent = st.KnowsOperation(in.Operation.ID) })
+	problems := contract.Validate(in.Content, time.Now())
+	if resent || len(problems) == 0 {
+		return ""
+	}
+	if len(problems) == 1 {
+		return problems[0].String()
+	}
+	return fmt.Sprintf("%s (and %d more problems)", problems[0], len(problems)-1)
+}
+
 // SetDomain drains or restores a failure domain.
 func (v *service) SetDomain(in *api.SetDomain, out *api.ChangeReply) error {
 	return v.change(&state.Command{SetDomain: in}, in, "domain", out)
--- a/control/state/bundle.go
+++ b/control/state/bundle.go
@@ -4,7 +4,6 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"fmt"
-	"time"
 
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
@@ -23,7 +22,7 @@
 	if err != nil {
 		return s.refused("%v", err)
 	}
-	if reason := s.checkSignOffs(b, c, operators); reason != "" {
+	if reason := s.checkSignOffs(c); reason != "" {
 		return s.refused("%s", reason)
 	}
 	if reason := s.checkServices(b); reason != "" {
@@ -48,46 +47,14 @@
 	return ""
 }
 
-// checkSignOffs verifies the sign-offs against the operators in force. The stricter of
-// the rule in force and the bundle's own rule holds, so that a bundle cannot lower the
-// rule by which it is itself accepted.
-func (s *State) checkSignOffs(b *contract.Bundle, c *api.ApplyBundle, own map[string][]byte) string {
-	rule := b.SignOff
-	operators := own
-	validFor := signOffValidity(rule)
-	if s.bundle != nil {
-		operators = s.data.Operators
-		rule.Required = max(rule.Required, s.bundle.SignOff.Required)
-		validFor = min(validFor, signOffValidity(s.bundle.SignOff))
-	}
-	signed := make(map[string]bool)
-	for _, sig := range c.Signatures {
-		if reason := s.checkSignOff(sig, c.Content, operators, validFor); reason != "" {
-			return reason
-		}
-		if sig.Operator != b.Author {
-			signed[sig.Operator] = true
-		}
+// checkSignOffs verifies the sign-offs against the operators and the rule in force.
+func (s *State) checkSignOffs(c *api.ApplyBundle) string {
+	signatures := make([]contract.SignOff, len(c.Signatures))
+	for i, sig := range c.Signatures {
+		signatures[i] = contract.SignOff(sig)
 	}
-	if len(signed) < rule.Required {
-		return fmt.Sprintf("%d sign-offs by operators other than the author %s are required, %d are present", rule.Required, b.Author, len(signed))
-	}
-	return ""
-}
-
-func (s *State) checkSignOff(sig api.Signature, content []byte, operators map[string][]byte, validFor time.Duration) string {
-	key, ok := operators[sig.Operator]
-	if !ok {
-		return fmt.Sprintf("sign-off by %q: the operator is not known", sig.Operator)
-	}
-	if !ed25519.Verify(key, api.SignOffBytes(content, sig.Operator, sig.At), sig.Signature) {
-		return fmt.Sprintf("sign-off by %s does not match the bundle", sig.Operator)
-	}
-	if s.data.Now.Sub(sig.At) > validFor {
-		return fmt.Sprintf("sign-off by %s expired: it was made at %s", sig.Operator, sig.At.UTC())
-	}
-	if sig.At.Sub(s.data.Now) > api.ClockTolerance {
-		return fmt.Sprintf("sign-off by %s is dated in the future: %s", sig.Operator, sig.At.UTC())
+	if err := contract.Verify(c.Content, signatures, s.bundle, s.data.Now); err != nil {
+		return err.Error()
 	}
 	return ""
 }
@@ -201,10 +168,3 @@
 	}
 	return keys, nil
 }
-
-func signOffValidity(r contract.SignOffRule) time.Duration {
-	if r.ValidFor == 0 {
-		return api.DefaultSignOffValidity
-	}
-	return r.ValidFor
-}
--- a/control/state/move.go
+++ b/control/state/move.go
@@ -39,6 +39,8 @@
 		Deadline: deadline,
 		Watch:    spec.Watch,
 		Cause:    "started",
+
+		StageSince: s.data.Now,
 	}
 }
 
@@ -52,6 +54,7 @@
 	switch c.Decision.Action {
 	case api.DecisionRaise:
 		m.Stage = c.Decision.Stage
+		m.StageSince = s.data.Now
 		m.Share = c.Decision.Share
 		if m.Share >= fullShare {
 			m.Share = 1
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -31,6 +31,12 @@
 	// growRatio is the highest mean ratio at which the limit rises. It leaves room for
 	// the slower steps of a larger batch, which still raise throughput.
 	growRatio = 1.5
+	// firstGrow is the same for first token times alone. It is higher because calls that
+	// start together prefill together, which says little about the limit.
+	firstGrow = 4.0
+	// firstFull is the mean ratio of first token times at which the limit falls: calls
+	// wait in a queue of the engine.
+	firstFull = 8.0
 	// fullRatio is the ratio at which the limit falls gently.
 	fullRatio = 2.0
 	// jumpRatio is the rise over the recent ratio that counts as a sudden slowdown.
@@ -41,6 +47,9 @@
 	// overdueFactor is the multiple of the expected first token time after which a
 	// call counts as evidence before it finishes.
 	overdueFactor = 4.0
+	// maxSlower bounds the slowdown concluded from overdue calls, whose true time is not
+	// known yet.
+	maxSlower = 10.0
 	// overdueSlack keeps short scheduling delays from counting as evidence.
 	overdueSlack = 200 * time.Millisecond
 	// overdueRepeat is the time between two steps taken on overdue calls.
@@ -48,8 +57,10 @@
 
 	fastGain = 0.35
 	slowGain = 0.05
-	// jumpCalls is the number of calls that must confirm a jump.
-	jumpCalls = 3
+	// jumpCalls of the last recentCalls must confirm a jump. The others may be calls
+	// that were nearly done when it began.
+	jumpCalls   = 3
+	recentCalls = 5
 	// failedInARow is the number of failures in a row that mark the endpoint cold.
 	failedInARow = 3
 	// failureShare is the smoothed share of failures that halves the limit.
@@ -57,19 +68,19 @@
 	failureGain  = 0.15
 	// coldGrowth and warmGrowth are the relative rises after a proof.
 	coldGrowth = 0.5
-	warmGrowth = 1.0 / 16
+	warmGrowth = 1.0 / 8
 	// minProof is the least number of successes that prove a limit; larger limits need
 	// one success per slot.
 	minProof = 2
 	// coldStepTime is the least time between two rises while cold. Short calls would
 	// otherwise prove a limit before the engine's load has shown in their latency.
 	coldStepTime = 200 * time.Millisecond
-	// firstShare weighs the ratio of first token times. They vary more than the time
-	// of a whole call, since the prefills of neighbours overlap.
+	// firstShare weighs first token times as evidence of overload. They vary more than
+	// the time of a whole call, since the prefills of neighbours overlap.
 	firstShare = 0.5
 	// warmLimit is the limit at which a ramp counts as finished even though the
 	// endpoint's capacity has not been reached.
-	warmLimit = 8
+	warmLimit = 16
 	// usedShare is the share of a limit that must have been in use to prove it.
 	usedShare = 0.75
 	// warmingRatio is the fall of the fast ratio against the slow one that shows an
@@ -85,19 +96,22 @@
 	tokens float64
 	cold   bool
 
-	calls   calls
-	first   line
-	decode  line
-	prefill speed
-	decoded speed
+	calls  calls
+	first  line
+	decode line
 
+	// fast and slow are means of the ratio over a few and over many calls.
 	fast, slow float64
-	sinceStep  int
-	steppedAt  time.Time
-	overdueAt  time.Time
-	failures   float64
-	failedRow  int
-	longest    time.Duration
+	// recent holds the last ratios since the last step, reference the slow mean before
+	// the latest one.
+	recent    [recentCalls]float64
+	reference float64
+	sinceStep int
+	steppedAt time.Time
+	overdueAt time.Time
+	failures  float64
+	failedRow int
+	longest   time.Duration
 
 	proof proof
 }
@@ -106,6 +120,7 @@
 type proof struct {
 	successes  int
 	ratios     float64
+	firsts     float64
 	peak       int
 	peakTokens int
 	since      time.Time
@@ -135,9 +150,12 @@
 // Cold reports whether the limit is still ramping up from 1.
 func (l *Limiter) Cold() bool { return l.cold }
 
-// Rates returns the learned speeds in tokens per second; 0 means not known.
+// Rates returns the learned speeds in tokens per second; 0 means not known. They
+// are those of the endpoint with few calls. A rate measured under load would keep
+// work away from an endpoint that has since become idle, and without work it would
+// never be corrected.
 func (l *Limiter) Rates() (prefill, decode float64) {
-	return l.prefill.rate(), l.decoded.rate()
+	return l.first.rate(), l.decode.rate()
 }
 
 // Outstanding returns the calls started and not finished and their prompt tokens.
@@ -163,32 +181,43 @@
 	slot  int
 	gen   uint64
 	start time.Time
-	alone bool
+	crowd crowd
+	// ahead is the prompt tokens that other calls had not yet prefilled.
+	ahead int
 }
 
 // Start records that a call was given to the endpoint.
 func (l *Limiter) Start(now time.Time, promptTokens int) Ticket {
 	t := l.calls.add(now, promptTokens)
+	t.crowd = l.crowd()
 	l.proof.peak = max(l.proof.peak, l.calls.open)
 	l.proof.peakTokens = max(l.proof.peakTokens, l.calls.tokens)
 	return t
 }
 
+// lightShare is the share of the limit up to which calls hardly slow each other.
+const lightShare = 0.25
+
+func (l *Limiter) crowd() crowd {
+	switch {
+	case l.calls.open <= 1:
+		return crowdAlone
+	case float64(l.calls.open) <= lightShare*l.limit:
+		return crowdLight
+	}
+	return crowdBusy
+}
+
 // FirstToken records that the answer of a call has begun, so that the call no
 // longer counts as overdue. Calling it is optional.
 func (l *Limiter) FirstToken(t Ticket, now time.Time) {
 	c := l.calls.get(t)
-	if c == nil || c.first {
+	if !l.calls.begin(t) || !l.first.ready() {
 		return
 	}
-	c.first = true
-	l.calls.reportsFirst = true
-	x := float64(c.prompt)
-	if l.first.ready() {
-		ratio := firstShare * now.Sub(t.start).Seconds() / l.first.at(x)
-		if ratio > fullRatio {
-			l.judge(ratio, t, now)
-		}
+	ratio := firstShare * now.Sub(t.start).Seconds() / l.first.at(float64(c.prompt+t.ahead))
+	if ratio > fullRatio {
+		l.judge(ratio, t, now)
 	}
 }
 
@@ -213,14 +242,35 @@
 	l.failedRow = 0
 	l.failures *= 1 - failureGain
 	l.longest = max(s.Total, l.longest-l.longest/64)
-	ratio := l.learn(t, s)
-	l.judge(ratio, t, now)
-	l.prove(ratio, t, now)
+	r := l.learn(t, s)
+	l.judge(r.load, t, now)
+	l.prove(r, t, now)
 }
 
-// Cancel removes a call that ended without evidence, such as one whose caller
-// left.
-func (l *Limiter) Cancel(t Ticket) { l.calls.remove(t) }
+// Cancel records a call that was stopped before its end, such as one whose caller
+// left. s holds what was seen until then: FirstToken is 0 when there was none. A
+// call that had run for far longer than expected counts against the limit, since
+// callers give up on a slow endpoint and its calls might never finish.
+func (l *Limiter) Cancel(t Ticket, s Sample, now time.Time) {
+	c := l.calls.get(t)
+	if c == nil || !l.first.ready() {
+		l.calls.remove(t)
+		return
+	}
+	expected := l.expectedFirst(c)
+	l.calls.remove(t)
+	ratio := firstShare * s.Total.Seconds() / expected
+	if s.FirstToken > 0 {
+		decodeTime := (s.Total - s.FirstToken).Seconds()
+		if s.AnswerTokens < 2 || !l.decode.ready() {
+			return
+		}
+		_, ratio = l.decode.learn(float64(s.AnswerTokens), decodeTime, t.crowd)
+	}
+	if ratio > fullRatio {
+		l.judge(ratio, t, now)
+	}
+}
 
 // Restart forgets the endpoint: limit 1, cold, no rates. Use it when the engine
 // is known to have restarted.
@@ -248,7 +298,7 @@
 		return false
 	}
 	if worst >= 2*overdueFactor || overdue == open {
-		l.turnCold(now)
+		l.turnCold(math.Min(math.Max(worst, 1), maxSlower), now)
 		return true
 	}
 	l.step(0.5, now)
@@ -263,10 +313,7 @@
 			continue
 		}
 		open++
-		expected := l.first.at(float64(c.prompt)) * typical
-		if !l.calls.reportsFirst {
-			expected = math.Max(expected, l.longest.Seconds())
-		}
+		expected := l.expectedFirst(c) * typical
 		elapsed := (now.Sub(c.start) - overdueSlack).Seconds()
 		if elapsed < overdueFactor*expected {
 			continue
@@ -277,127 +324,41 @@
 	return overdue, open, worst
 }
 
-// learn updates the baseline and the rates and returns the call's ratio.
-func (l *Limiter) learn(t Ticket, s Sample) float64 {
-	prompt := float64(max(s.PromptTokens, 1))
-	answer := float64(s.AnswerTokens)
-	firstTime := s.FirstToken.Seconds()
-	decodeTime := (s.Total - s.FirstToken).Seconds()
-	l.prefill.add(prompt, firstTime)
-	expected, ratio := l.first.learn(prompt, firstTime, t.alone)
-	if answer <= 1 || decodeTime <= 0 {
-		return ratio
-	}
-	l.decoded.add(answer, decodeTime)
-	expectedDecode, _ := l.decode.learn(answer, decodeTime, t.alone)
-	whole := s.Total.Seconds() / (expected + expectedDecode)
-	return math.Max(whole, firstShare*ratio)
-}
-
-// judge lowers the limit on a jump over the recent ratio or on a high level.
-func (l *Limiter) judge(ratio float64, t Ticket, now time.Time) {
-	if t.start.Before(l.steppedAt) {
-		return
-	}
-	l.smooth(ratio)
-	if l.sinceStep < jumpCalls {
-		return
-	}
-	jump := l.fast / math.Max(l.slow, 1)
-	switch {
-	case jump >= coldRatio:
-		l.turnCold(now)
-	case jump >= jumpRatio:
-		l.step(1/jump, now)
-	case l.fast > fullRatio && l.limit > 1:
-		l.cold = false
-		l.step(math.Max(0.7, growRatio/l.fast), now)
-	}
-}
-
-func (l *Limiter) smooth(ratio float64) {
-	l.sinceStep++
-	if l.slow == 0 {
-		l.fast, l.slow = ratio, ratio
-		return
+// expectedFirst is the time to first token of a call beside the other prefills, in
+// seconds. Without reports of first tokens, a call may be in its decode, so the
+// longest recent call bounds it.
+func (l *Limiter) expectedFirst(c *call) float64 {
+	if l.calls.reportsFirst {
+		return l.first.at(float64(max(c.prompt, l.calls.prefilling)))
 	}
-	l.fast += fastGain * (ratio - l.fast)
-	l.slow += slowGain * (ratio - l.slow)
+	return math.Max(l.first.at(float64(c.prompt)), l.longest.Seconds())
 }
 
-// prove counts a success at the present limit and raises the limit after enough.
-func (l *Limiter) prove(ratio float64, t Ticket, now time.Time) {
-	if t.start.Before(l.proof.since) || t.start.Before(l.steppedAt) {
-		return
-	}
-	l.proof.successes++
-	l.proof.ratios += ratio
-	if l.proof.successes < max(minProof, l.Limit()) {
-		return
-	}
-	if l.cold && now.Sub(l.proof.since) < coldStepTime {
-		return
-	}
-	mean := l.proof.ratios / float64(l.proof.successes)
-	warming := l.fast < warmingRatio*l.slow
-	if mean <= growRatio && !warming {
-		l.grow()
-	} else if l.cold && mean > growRatio && l.limit >= 2 {
-		l.cold = false
-	}
-	l.restartProof(now)
-}
-
-func (l *Limiter) grow() {
-	rate := warmGrowth
-	if l.cold {
-		rate = coldGrowth
-	}
-	if float64(l.proof.peak) >= usedShare*math.Floor(l.limit) {
-		l.limit = math.Min(math.Floor(l.limit)+math.Max(1, math.Floor(l.limit*rate)), float64(l.opt.MaxRequests))
-	}
-	if float64(l.proof.peakTokens) >= usedShare*l.tokens/2 {
-		l.tokens = math.Min(l.tokens*(1+2*rate), float64(l.opt.MaxTokens))
-	}
-	if l.limit >= warmLimit {
-		l.cold = false
-	}
+// ratios compare one call with the baseline of an idle endpoint.
+type ratios struct {
+	// load is the evidence of overload: the time of the whole call or its first token
+	// time, both corrected for the prefills ahead of it.
+	load float64
+	// first is the first token time without that correction.
+	first float64
 }
 
-func (l *Limiter) fail(t Ticket, now time.Time) {
-	l.failedRow++
-	l.failures += failureGain * (1 - l.failures)
-	if l.failedRow >= failedInARow {
-		l.turnCold(now)
-		return
-	}
-	if l.failures >= failureShare && !t.start.Before(l.steppedAt) {
-		l.step(0.5, now)
+// learn updates the baseline and the rates and returns the call's ratios.
+func (l *Limiter) learn(t Ticket, s Sample) ratios {
+	prompt := float64(max(s.PromptTokens, 1))
+	answer := float64(s.AnswerTokens)
+	firstTime := s.FirstToken.Seconds()
+	decodeTime := (s.Total - s.FirstToken).Seconds()
+	expected := l.first.at(prompt + float64(t.ahead))
+	if !l.first.known {
+		expected = firstTime
 	}
-}
-
-// turnCold starts the ramp anew. The baseline is kept: calls that run alone
-// correct it within a few calls.
-func (l *Limiter) turnCold(now time.Time) {
-	l.step(0, now)
-	l.cold = true
-	l.fast, l.slow = 0, 0
-	l.failedRow = 0
-}
-
-func (l *Limiter) step(factor float64, now time.Time) {
-	if factor > 0 && l.fast > 0 {
-		l.prefill.scale(factor)
-		l.decoded.scale(factor)
+	corrected := firstTime / expected
+	_, first := l.first.learn(prompt, firstTime, t.crowd)
+	if answer <= 1 || decodeTime <= 0 {
+		return ratios{load: first, first: first}
 	}
-	l.limit = math.Max(1, math.Floor(l.limit*factor))
-	l.tokens = math.Max(float64(l.opt.InitialTokens), l.tokens*factor)
-	l.slow = l.fast
-	l.sinceStep = 0
-	l.steppedAt = now
-	l.restartProof(now)
-}
-
-func (l *Limiter) restartProof(now time.Time) {
-	l.proof = proof{since: now, peak: l.calls.open, peakTokens: l.calls.tokens}
+	expectedDecode, _ := l.decode.learn(answer, decodeTime, t.crowd)
+	whole := s.Total.Seconds() / (expected + expectedDecode)
+	return ratios{load: math.Max(whole, firstShare*corrected), first: first}
 }
