--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -152,8 +152,8 @@
 	s, err := control.New(control.Options{
 		Self:    instance.Instance{ID: instance.ID(addr), Role: instance.RoleControl, LinkAddress: addr},
 		Network: g.network,
-		OpenLog: control.ReplicatedLog(control.ReplicatedLogOptions{
-			Data: g.folders[addr], Address: addr, Members: replicas, Network: g.network,
+		OpenLog: control.ReplicaLog(control.ReplicaOptions{
+			DataFolder: g.folders[addr], Address: addr, Members: replicas, Network: g.network,
 		}),
 		NewDecider: g.decider,
 	})
--- a/control/replicatedlog.go
+++ b/control/replicalog.go
@@ -15,10 +15,10 @@
 // themselves after it.
 const handoverTimeout = time.Second
 
-// ReplicatedLogOptions configures the replicated log.
-type ReplicatedLogOptions struct {
-	// Data is the folder that holds the log; it belongs to one process at a time.
-	Data string
+// ReplicaOptions configures the replicated log.
+type ReplicaOptions struct {
+	// DataFolder holds the log; it belongs to one process at a time.
+	DataFolder string
 	// Address is the replica's link address; Members lists those of all replicas of a new
 	// group, including it.
 	Address string
@@ -27,15 +27,15 @@
 	Logger  log.Logger
 }
 
-// ReplicatedLog returns an OpenLog for the replicated log.
-func ReplicatedLog(opts ReplicatedLogOptions) OpenLog {
+// ReplicaLog returns an OpenLog for the replicated log.
+func ReplicaLog(opts ReplicaOptions) OpenLog {
 	return func(sm StateMachine, server *link.Server) (Log, error) {
 		transport, err := replica.NewLinkTransport(opts.Network, server)
 		if err != nil {
 			return nil, err
 		}
 		r, err := replica.Start(replica.Config{
-			DataFolder:     opts.Data,
+			DataFolder:     opts.DataFolder,
 			Address:        opts.Address,
 			InitialMembers: opts.Members,
 			Transport:      transport,
