--- a/control/control_test.go
+++ b/control/control_test.go
@@ -9,6 +9,7 @@
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/link"
+	"toucantiller.dev/membership"
 )
 
 // Guards against an accepted drain that does not reach a process, or is reported in
@@ -111,3 +112,74 @@
 		assert.ErrorContains(t, err, "call Control.SetDomain")
 	})
 }
+
+// Guards against "in force" while a process that went silent may still take work on old
+// settings, and against one that left on purpose holding it up.
+func TestSilentProcessHoldsUpInForce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		network := link.NewMemory()
+		newControl(t, network, control.Options{})
+		time.Sleep(time.Second)
+		c := control.NewClient(network, []string{"control-0"})
+		defer c.Close()
+		apply(t, c.ApplyBundle, signedBundle("op-1", bundleText(1, "serve_stale: 2m\n")))
+		silent := startProcess(t, network, agent(0), []string{"control-0"})
+		leaving := startProcess(t, network, agent(1), []string{"control-0"})
+		time.Sleep(3 * time.Second)
+		silent.cancel()
+		assert.NilError(t, leaving.announcer.Leave(t.Context()))
+		apply(t, c.SetDomain, drain("op-2", "lagos-a"))
+		inForce := func() bool {
+			status, err := c.Status(t.Context())
+			assert.NilError(t, err)
+			return status.InForce
+		}
+		time.Sleep(time.Minute)
+		status, err := c.Status(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(status.Endpoints), 0)
+		assert.Equal(t, len(status.Processes), 1)
+		assert.Assert(t, status.Processes[0].Lost && !status.InForce)
+		time.Sleep(2 * time.Minute)
+		assert.Assert(t, inForce())
+	})
+}
+
+// Guards against a thousand agents that return at once flooding the log, starving each
+// other or costing those already in their leases.
+func TestCrowdIsAdmittedAtBoundedRate(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		network := link.NewMemory()
+		newControl(t, network, control.Options{RegistrationsPerSecond: 100, RegistrationBurst: 10})
+		time.Sleep(time.Second)
+		apply(t, control.NewClient(network, []string{"control-0"}).ApplyBundle, signedBundle("op-1", bundleText(1, "")))
+		early := startProcess(t, network, agent(0), []string{"control-0"})
+		time.Sleep(time.Second)
+		first := early.announcer.Lease()
+		client := control.NewClient(network, []string{"control-0"})
+		defer client.Close()
+		var crowd []*membership.Announcer
+		for i := range 1000 {
+			self := agent(i + 1)
+			a := membership.NewAnnouncer(membership.Options{Control: client, Configuration: early.holder, Self: self})
+			crowd = append(crowd, a)
+			go a.Run(t.Context())
+		}
+		registered := func() (n int) {
+			for _, a := range crowd {
+				if a.Lease() != 0 {
+					n++
+				}
+			}
+			return n
+		}
+		time.Sleep(5 * time.Second)
+		half := registered()
+		assert.Assert(t, half > 400 && half < 600, "%d registered after 5 s at 100/s", half)
+		time.Sleep(7 * time.Second)
+		assert.Equal(t, registered(), 1000)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, registered(), 1000)
+		assert.Equal(t, early.announcer.Lease(), first)
+	})
+}
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -186,3 +186,9 @@
 	assert.Equal(t, reply.Outcome, api.OutcomeAccepted, reply.Reason)
 	return reply
 }
+
+func abort(id, service string) *api.AbortMove {
+	c := &api.AbortMove{Operation: api.Operation{ID: id, Operator: "ada"}, Service: service, Reason: "slow"}
+	api.Sign(c, contract.DemoKey("ada"), time.Now())
+	return c
+}
