control/state: accept a repeated change that was signed again

Cause: an operator who repeats a change with its operation ID signs it at another time, and it was refused as another change. Change: the content of a change leaves out the time of signing; the model resends changes with a new signature. Conclusion: a repeat gets the first outcome.

--- a/control/api/signing.go
+++ b/control/api/signing.go
@@ -32,6 +32,14 @@
 	return joinParts(append(parts, change.signedFields()...))
 }
 
+// ContentBytes returns what makes two changes the same: everything that is signed but
+// the time of signing. An operator who repeats a change signs it again.
+func ContentBytes(change Change) []byte {
+	op := change.Op()
+	parts := []string{change.method(), op.ID, op.Operator}
+	return joinParts(append(parts, change.signedFields()...))
+}
+
 // Sign dates and signs a change. Set its other fields before.
 func Sign(change Change, key contract.SigningKey, at time.Time) {
 	op := change.Op()
--- a/control/state/operation.go
+++ b/control/state/operation.go
@@ -93,6 +93,6 @@
 func accepted() api.ChangeReply { return api.ChangeReply{Outcome: api.OutcomeAccepted} }
 
 func changeDigest(c api.Change) string {
-	h := sha256.Sum256(api.SigningBytes(c))
+	h := sha256.Sum256(api.ContentBytes(c))
 	return hex.EncodeToString(h[:])
 }
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -241,7 +241,13 @@
 		api.Sign(c, contract.DemoKey("bola"), c.Operation.At)
 		return &Command{SetDomain: c}
 	}
-	return &Command{ApplyBundle: m.sent[id].ApplyBundle, SetDomain: m.sent[id].SetDomain}
+	c := &Command{ApplyBundle: m.sent[id].ApplyBundle, SetDomain: m.sent[id].SetDomain}
+	if c.SetDomain != nil && rapid.Bool().Draw(t, "sign again") {
+		again := *c.SetDomain
+		api.Sign(&again, contract.DemoKey(again.Operation.Operator), m.now)
+		c.SetDomain = &again
+	}
+	return c
 }
 
 func (m *model) drawStage(t *rapid.T, s *State) *Command {
