--- a/control/service.go
+++ b/control/service.go
@@ -8,6 +8,7 @@
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
+	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/lease"
 	"toucantiller.dev/timeline"
@@ -115,13 +116,35 @@
 		Revision: reply.Revision,
 		Detail:   fmt.Sprintf("operation %s by %s %s", change.Op().ID, change.Op().Operator, reply.Reason),
 	}
+	accepted := reply.Outcome == api.OutcomeAccepted
 	switch c := change.(type) {
 	case *api.SetDomain:
 		e.Domain = string(c.Domain)
+		if accepted {
+			e.Kind = domainEvents[c.State]
+		}
 	case *api.AbortMove:
 		e.Move = c.Service
+		if accepted {
+			e.Kind = "move.aborted"
+		}
+	case *api.ApplyBundle:
+		if accepted {
+			e.Kind = "bundle.applied"
+		}
 	}
-	v.s.opts.Recorder.Record(e)
+	cause := v.s.opts.Recorder.Record(e)
+	for _, m := range v.s.movesInProgress() {
+		if accepted && m.ID == reply.Revision {
+			v.s.opts.Recorder.Record(timeline.Event{Kind: "move.started", Cause: cause, Move: m.Service, Revision: m.ID, Detail: m.From + " to " + m.To})
+		}
+	}
+}
+
+var domainEvents = map[failuredomain.State]timeline.Kind{
+	failuredomain.StateDrained:   "domain.drained",
+	failuredomain.StateRestoring: "domain.restored",
+	failuredomain.StateActive:    "domain.restored",
 }
 
 // Register announces a process and grants it a lease.
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -300,7 +300,7 @@
 
 func (m *model) checkOperation(t *rapid.T, command *Command, c api.Change, r *Result, revision uint64) {
 	id := c.Op().ID
-	content := changeDigest(c)
+	content := string(api.ContentBytes(c))
 	outcome := fmt.Sprintf("%s %s %d", r.Change.Outcome, r.Change.Reason, r.Change.Revision)
 	first, seen := m.sent[id]
 	switch {
@@ -309,7 +309,7 @@
 	case !seen:
 		m.sent[id] = command
 		m.outcomes[id] = outcome
-	case changeDigest(changeOf(first)) == content:
+	case string(api.ContentBytes(changeOf(first))) == content:
 		assert.Equal(t, outcome, m.outcomes[id], "resend got another outcome")
 		assert.Equal(t, revision, m.revision, "resend changed the configuration")
 	default:
