--- a/operator/cli.go
+++ b/operator/cli.go
@@ -13,6 +13,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"toucantiller.dev/control"
 	"toucantiller.dev/program"
 )
 
@@ -52,6 +53,12 @@
 	Key      string `help:"Private key file of the operator." env:"TOUCAN_KEY" type:"path" required:""`
 }
 
+// changer is a signer of a change that control remembers by its operation ID.
+type changer struct {
+	signer
+	Operation string `help:"Repeat the change with this operation ID, after an outcome that was not known." env:"TOUCAN_OPERATION" placeholder:"ID"`
+}
+
 type bundleCommands struct {
 	Validate bundleValidateCmd `cmd:"" help:"Report every problem of a bundle with line, column and remedy."`
 	Sign     bundleSignCmd     `cmd:"" help:"Sign the exact content of a bundle off."`
@@ -176,12 +183,12 @@
 	if err != nil {
 		return nil, usageError{err}
 	}
-	s.control = NewClient(network, s.cli.Control)
+	s.control = control.NewClient(network, s.cli.Control)
 	return s.control, nil
 }
 
 func (s *session) close() {
-	if c, ok := s.control.(*Client); ok {
+	if c, ok := s.control.(*control.Client); ok {
 		c.Close()
 	}
 }
@@ -190,5 +197,3 @@
 func (s *session) timeout() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(s.ctx, s.cli.Timeout)
 }
-
-var _ Control = (*Client)(nil)
