--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -29,6 +29,7 @@
 	for _, sc := range scenarios() {
 		for _, seed := range seeds {
 			t.Run(fmt.Sprintf("%s/seed=%d", sc.name, seed), func(t *testing.T) {
+				t.Parallel()
 				r := sc.run(seed, false)
 				assert.Check(t, cmp.Equal(r.DoubleRuns, 0))
 				assert.Check(t, cmp.Equal(r.FalseNotRun, 0))
@@ -46,6 +47,7 @@
 	sc := byName("burst2x")
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			calm := sc
 			calm.measured = sc.usual
 			unloaded := calm.run(seed, false).goodShare(0)
