--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -127,11 +127,10 @@
 // An endpoint batches up to its limit, so a running call delays another only by
 // its prefill, however long its answer is. Work over the limit waits for slots,
 // which free up at the pace of the calls that hold them.
-func (x *scratch) estimate(i uint8, r *Request) (first, finish float64) {
+func (x *scratch) estimate(i uint8, prompt, answer float64) (first, finish float64) {
 	rep := x.reports[i]
 	c := x.candidates[i]
-	prompt := float64(r.PromptTokens) - x.saved[i]
-	answer := float64(max(r.AnswerTokens, 1))
+	prompt -= x.saved[i]
 	waiting := float64(c.state.prompt.Load()) + rep.othersQueued*x.weight[i]
 	first = (waiting+prompt)*rep.perPrefill + 2*c.distance
 	if over := x.requests[i] + 1 - rep.limit; over > 0 {
--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -99,18 +99,19 @@
 func (saturatedFilter) Reason() Reason { return ReasonSaturated }
 
 func (saturatedFilter) Apply(x *scratch, r *Request) {
-	live := x.live[:0]
+	n := 0
 	half := float64(r.PromptTokens) / 2
 	for _, i := range x.live {
 		room := x.reports[i].room
 		if x.saved[i] > half {
 			room = x.reports[i].holderRoom
 		}
+		x.live[n] = i
 		if x.requests[i]+1 <= room {
-			live = append(live, i)
+			n++
 		}
 	}
-	x.live = live
+	x.live = x.live[:n]
 }
 
 // affinityMarker takes out nothing: it marks the prompt tokens that each live
--- a/schedule/picker.go
+++ b/schedule/picker.go
@@ -20,17 +20,20 @@
 func (p twoChoices) Pick(x *scratch, rng *rand.Rand) (index, near int) {
 	best := x.score[x.live[0]]
 	for _, i := range x.live {
-		best = min(best, x.score[i])
+		if x.score[i] < best {
+			best = x.score[i]
+		}
 	}
 	bound := best*(1+p.share) + p.slack
-	live := x.live[:0]
 	for _, i := range x.live {
+		// The write without a condition avoids a branch that is hard to predict.
+		x.live[near] = i
 		if x.score[i] <= bound {
-			live = append(live, i)
+			near++
 		}
 	}
+	live := x.live[:near]
 	x.live = live
-	near = len(live)
 	draw := rng.Uint64()
 	a := int(live[draw>>32*uint64(near)>>32])
 	b := int(live[draw&0xffffffff*uint64(near)>>32])
--- a/schedule/scorer.go
+++ b/schedule/scorer.go
@@ -16,8 +16,9 @@
 type firstTokenScorer struct{}
 
 func (firstTokenScorer) Score(x *scratch, r *Request, weight float64) {
+	prompt, answer := float64(r.PromptTokens), float64(max(r.AnswerTokens, 1))
 	for _, i := range x.live {
-		x.first[i], x.finish[i] = x.estimate(i, r)
+		x.first[i], x.finish[i] = x.estimate(i, prompt, answer)
 		x.score[i] += weight * x.first[i]
 	}
 }
