Keep what picks read of a report in one cache line

Cause: a pick of 200 candidates touched three to four cache lines of each. Change: reports hold their hot fields in 64 bytes and point to the rest; the hot fields of a candidate come first.

--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -11,11 +11,11 @@
 // Candidate is one endpoint with what this gateway knows about its load. Its
 // methods are safe for concurrent use.
 type Candidate struct {
-	Endpoint endpoint.Endpoint
+	state *state
+	hash  uint64
 	// distance is the one-way latency from this gateway, in seconds.
 	distance float64
-	hash     uint64
-	state    *state
+	Endpoint endpoint.Endpoint
 }
 
 // state is the mutable part of a candidate. It outlives snapshots.
@@ -33,49 +33,60 @@
 	base      *timeBase
 }
 
-// report is an immutable load report with what was known when it arrived.
+// report is an immutable load report with what was known when it arrived. It holds
+// what every pick reads and fills one cache line.
 type report struct {
 	// made is when the agent made the report, as an offset from the time base.
 	made int64
+	// perLimit, perPrefill and perDecode are the inverses of the limit and the speeds; a
+	// pick multiplies by them.
+	perLimit, perPrefill, perDecode float64
 	// others and othersQueued are the requests and queued prompt tokens of other
 	// gateways: the report less this gateway's own work.
-	others, othersQueued float64
+	others, othersQueued float32
 	// usualOthers is the slow mean of others; an old report fades into it, since no
 	// news does not mean no load.
-	usualOthers float64
-	limit       float64
-	// perLimit, perPrefill and perDecode are the inverses; a pick multiplies by them.
-	perLimit, perPrefill, perDecode float64
-
-	// room is the number of requests up to which the endpoint is not saturated;
-	// holderRoom is the same for requests whose prefix it holds.
-	room, holderRoom float64
-	marks            mark
+	usualOthers float32
+	limit       float32
+	// room is the number of requests up to which the endpoint is not saturated.
+	room  float32
+	marks mark
+	*detail
+}
 
-	prefill, decode float64
-	load            endpoint.Load
-	at              time.Time
+// detail is the part of a report that few picks read.
+type detail struct {
+	load endpoint.Load
+	at   time.Time
 }
 
-// prepare computes what picks derive from a report.
-func (r *report) prepare() {
-	r.room = r.limit
-	if !r.load.Cold {
-		r.room += math.Ceil(aheadShare * r.limit)
+// newReport prepares what picks read from a load report.
+func newReport(load endpoint.Load) *report {
+	limit := math.Max(1, float64(load.Limit))
+	r := &report{
+		perLimit:     1 / limit,
+		perPrefill:   1 / orRate(load.PrefillRate, defaultPrefillRate),
+		perDecode:    1 / orRate(load.DecodeRate, defaultDecodeRate),
+		othersQueued: float32(load.QueuedTokens),
+		limit:        float32(limit),
+		room:         float32(limit),
+		detail:       &detail{load: load},
+	}
+	if !load.Cold {
+		r.room += float32(math.Ceil(aheadShare * limit))
 	}
-	r.holderRoom = r.limit + math.Ceil(holderShare*r.limit)
-	if r.load.Leaving {
+	if load.Leaving {
 		r.marks |= markLeaving
 	}
-	if r.load.Floor >= 0 {
+	if load.Floor >= 0 {
 		r.marks |= markFloor
 	}
-
-	r.perLimit = 1 / r.limit
-	r.perPrefill = 1 / r.prefill
-	r.perDecode = 1 / r.decode
+	return r
 }
 
+// holderRoom is room for requests whose prefix the endpoint holds.
+func (r *report) holderRoom() float32 { return r.limit * (1 + holderShare) }
+
 // aheadShare is the share of its limit that a warm endpoint may hold in addition,
 // so that its agent always has the next request at hand.
 const aheadShare = 0.25
@@ -104,22 +115,15 @@
 		return
 	}
 	own := c.state.ownAt(c.state.base.nanos(made), c.state.base.nanos(now))
-	r := &report{
-		load:         load,
-		made:         c.state.base.nanos(made),
-		at:           made,
-		others:       math.Max(0, float64(load.Running+load.Queued)-own),
-		othersQueued: float64(load.QueuedTokens),
-		limit:        math.Max(1, float64(load.Limit)),
-		prefill:      orRate(load.PrefillRate, defaultPrefillRate),
-		decode:       orRate(load.DecodeRate, defaultDecodeRate),
-	}
+	r := newReport(load)
+	r.made = c.state.base.nanos(made)
+	r.at = made
+	r.others = float32(math.Max(0, float64(load.Running+load.Queued)-own))
 	r.usualOthers = r.others
 	if old != nil {
-		gain := min(1, made.Sub(old.at).Seconds()/usualTime)
+		gain := float32(min(1, made.Sub(old.at).Seconds()/usualTime))
 		r.usualOthers = old.usualOthers + gain*(r.others-old.usualOthers)
 	}
-	r.prepare()
 	c.state.report.CompareAndSwap(old, r)
 }
 
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"toucantiller.dev/admission"
+	"toucantiller.dev/endpoint"
 )
 
 // fadeTime is the age, in nanoseconds, at which a report has lost about two thirds
@@ -43,15 +44,7 @@
 }
 
 // unknownReport stands in for endpoints that have not reported: they may be cold.
-var unknownReport = newUnknownReport()
-
-func newUnknownReport() *report {
-	r := &report{limit: 1, prefill: defaultPrefillRate, decode: defaultDecodeRate}
-	r.load.Cold = true
-	r.load.Floor = admission.NoFloor
-	r.prepare()
-	return r
-}
+var unknownReport = newReport(endpoint.Load{Cold: true, Floor: admission.NoFloor})
 
 // timeBase turns times into offsets, which are cheaper to store and compare. It is
 // set by the first time seen.
@@ -96,7 +89,8 @@
 		x.marks |= r.marks | mark(st.marks.Load())
 		own := float64(st.requests.Load())
 		weight := fade(x.nanos - r.made)
-		requests := own + r.usualOthers + weight*(r.others-r.usualOthers)
+		usual := float64(r.usualOthers)
+		requests := own + usual + weight*(float64(r.others)-usual)
 		x.live[at] = i
 		x.reports[i] = r
 		x.weight[i] = weight
@@ -131,9 +125,9 @@
 	rep := x.reports[i]
 	c := x.candidates[i]
 	prompt -= x.saved[i]
-	waiting := float64(c.state.prompt.Load()) + rep.othersQueued*x.weight[i]
+	waiting := float64(c.state.prompt.Load()) + float64(rep.othersQueued)*x.weight[i]
 	first = (waiting+prompt)*rep.perPrefill + 2*c.distance
-	if over := x.requests[i] + 1 - rep.limit; over > 0 {
+	if over := x.requests[i] + 1 - float64(rep.limit); over > 0 {
 		first += over * rep.perLimit * x.callTime(i, answer)
 	}
 	crowd := 1 + crowding*x.occupancy[i]*x.occupancy[i]
--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -104,10 +104,10 @@
 	for _, i := range x.live {
 		room := x.reports[i].room
 		if x.saved[i] > half {
-			room = x.reports[i].holderRoom
+			room = x.reports[i].holderRoom()
 		}
 		x.live[n] = i
-		if x.requests[i]+1 <= room {
+		if x.requests[i]+1 <= float64(room) {
 			n++
 		}
 	}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -225,7 +225,7 @@
 	}
 	now = now.Add(2 * time.Second)
 	c.Observe(endpoint.Load{Limit: 16, Running: 4, Floor: -1, Age: 2 * time.Second}, now)
-	assert.Equal(t, c.state.report.Load().others, 0.0)
+	assert.Equal(t, c.state.report.Load().others, float32(0))
 	fresh, old := &scratch{n: 1, candidates: []*Candidate{c}}, &scratch{n: 1, candidates: []*Candidate{c}}
 	fresh.nanos, old.nanos = s.base.nanos(now.Add(-2*time.Second)), s.base.nanos(now.Add(time.Minute))
 	fresh.load()
