Score a sample of large services

Change: above 128 candidates in play every k-th from a random start is scored, and those that hold the prompt; the likely holder is searched for the shortest and the longest prefix.

--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -101,11 +101,16 @@
 // gateway that sees the same candidates.
 func (x *scratch) affinity(r *Request) {
 	bound := x.occupancyBound()
-	for _, p := range r.Prefixes {
+	last := len(r.Prefixes) - 1
+	for k, p := range r.Prefixes {
 		if x.marks&markCache != 0 {
 			x.affinityKnown(p)
 		}
-		x.affinityLikely(p, bound)
+		// The longest prefix saves most and the shortest is shared most. A search for the
+		// holders of those between costs as much as theirs and seldom finds others.
+		if k == 0 || k == last {
+			x.affinityLikely(p, bound)
+		}
 	}
 }
 
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -177,6 +177,7 @@
 			return
 		}
 	}
+	x.sample(r, rng)
 	for _, s := range p.Scorers {
 		s.Scorer.Score(x, r, s.Weight)
 	}
@@ -189,4 +190,40 @@
 	d.Cold = x.reports[i].load.Cold
 }
 
+// sampleSize is the number of candidates above which only a sample is scored.
+const sampleSize = 64
+
+// sample thins a long live list to every k-th candidate from a random start. The best
+// of a third is hardly worse than the best of all, costs a third, and differs between
+// gateways that know the same. Candidates that hold most of the prompt stay.
+func (x *scratch) sample(r *Request, rng *rand.Rand) {
+	step := len(x.live) / sampleSize
+	if step < 2 {
+		return
+	}
+	next := rng.IntN(step)
+	if len(r.Prefixes) == 0 {
+		n := 0
+		for ; next < len(x.live); next += step {
+			x.live[n] = x.live[next]
+			n++
+		}
+		x.live = x.live[:n]
+		return
+	}
+	half := float64(r.PromptTokens) / 2
+	live := x.live[:0]
+	for at, i := range x.live {
+		if at == next {
+			next += step
+			live = append(live, i)
+			continue
+		}
+		if x.saved[i] > half {
+			live = append(live, i)
+		}
+	}
+	x.live = live
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -205,6 +205,32 @@
 	})
 }
 
+// TestSampleIsFair guards against candidates that a large service never picks, against
+// picks far from the best, and against a sample that misses the prefix holder.
+func TestSampleIsFair(t *testing.T) {
+	s := NewSnapshot(fleet(200, 1))
+	list := idle(s, 8, start)
+	rng := rand.New(rand.NewPCG(4, 2))
+	picked := map[endpoint.ID]bool{}
+	holders := map[endpoint.ID]bool{}
+	for range 4000 {
+		d := s.Pick(&Request{Service: "model-0", PromptTokens: 100, AnswerTokens: 50}, start, rng)
+		picked[d.Candidate.Endpoint.ID] = true
+		d = s.Pick(&Request{Service: "model-0", PromptTokens: 4400, AnswerTokens: 50, Prefixes: []Prefix{{77, 4000}}}, start, rng)
+		holders[d.Candidate.Endpoint.ID] = true
+	}
+	assert.Equal(t, len(picked), len(list))
+	assert.Equal(t, len(holders), 1)
+	// Slow endpoints are not picked as long as a sample holds fast ones.
+	for i, c := range list {
+		c.Observe(endpoint.Load{Limit: 8, PrefillRate: 400 + float64(i%10/8)*40000, DecodeRate: 40, Floor: -1}, start.Add(time.Second))
+	}
+	for range 1000 {
+		d := s.Pick(&Request{Service: "model-0", PromptTokens: 1000, AnswerTokens: 50}, start.Add(time.Second), rng)
+		assert.Assert(t, d.FirstToken < time.Second, "%s", d)
+	}
+}
+
 // TestOldReportsFade guards against an old report being taken for the present: it
 // counts the gateway's own requests of its time, and fades into the usual load.
 func TestOldReportsFade(t *testing.T) {
