--- a/operator/change.go
+++ b/operator/change.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -54,12 +55,13 @@
 		return err
 	}
 	op := change.Op()
-	op.ID = who.Operation
-	if op.ID == "" {
-		op.ID = s.NewID()
+	id, at, err := s.operation(who.Operation)
+	if err != nil {
+		return usageError{err}
 	}
+	op.ID = id
 	op.Operator = who.Operator
-	api.Sign(change, key, s.Now())
+	api.Sign(change, key, at)
 	reply, err := send(control)
 	if err != nil {
 		return fmt.Errorf("the outcome is not known; repeat the command with --operation %s to learn it: %w", op.ID, err)
@@ -72,6 +74,21 @@
 	return s.print(out)
 }
 
+// operation returns the ID and the signing time of a change. The ID ends in the signing
+// time, as a repeated change must be the same in every byte to get the first outcome.
+func (s *session) operation(repeated string) (string, time.Time, error) {
+	if repeated == "" {
+		at := s.Now().UTC()
+		return fmt.Sprintf("%s.%s", s.NewID(), strconv.FormatInt(at.UnixNano(), 36)), at, nil
+	}
+	cut := strings.LastIndexByte(repeated, '.')
+	nanos, err := strconv.ParseInt(repeated[cut+1:], 36, 64)
+	if cut < 0 || err != nil {
+		return "", time.Time{}, errors.New("--operation: not an operation ID that toucanctl printed")
+	}
+	return repeated, time.Unix(0, nanos).UTC(), nil
+}
+
 // inForce fills in whether the revision is in force; it asks until it is when wait is set.
 func (s *session) inForce(out *changed, wait bool) {
 	deadline := s.Now().Add(s.cli.Timeout)
--- a/operator/session_test.go
+++ b/operator/session_test.go
@@ -33,6 +33,7 @@
 	by      string
 	applied map[uint64]string
 	results map[string]*api.ChangeReply
+	signed  map[string]string
 	status  api.Status
 	// script holds the moves that following calls of Status show.
 	script []api.Move
@@ -45,7 +46,11 @@
 	op := c.Op()
 	f.calls = append(f.calls, op.ID)
 	reply, seen := f.results[op.ID]
+	if seen && f.signed[op.ID] != string(api.SigningBytes(c)) {
+		return &api.ChangeReply{Outcome: api.OutcomeRefused, Reason: "operation " + op.ID + " was used for another change"}, nil
+	}
 	if !seen {
+		f.signed[op.ID] = string(api.SigningBytes(c))
 		reply = &api.ChangeReply{Outcome: api.OutcomeAccepted}
 		if reason := f.refusal(c, carry); reason != "" {
 			reply = &api.ChangeReply{Outcome: api.OutcomeRefused, Reason: reason}
@@ -139,7 +144,7 @@
 func newShell(t *testing.T) *shell {
 	t.Helper()
 	s := &shell{t: t, dir: t.TempDir(), clock: start}
-	s.control = &fakeControl{now: func() time.Time { return s.clock }, applied: map[uint64]string{}, results: map[string]*api.ChangeReply{}}
+	s.control = &fakeControl{now: func() time.Time { return s.clock }, applied: map[uint64]string{}, results: map[string]*api.ChangeReply{}, signed: map[string]string{}}
 	s.control.status = api.Status{Replica: "control-1", InForce: true, Domains: []failuredomain.Domain{{ID: "lagos-a", Region: "lagos", State: failuredomain.StateActive}, {ID: "lagos-b", Region: "lagos", State: failuredomain.StateActive}}}
 	for _, name := range []string{"weavers.yaml", "weavers-move.yaml"} {
 		content, err := os.ReadFile("../examples/" + name)
@@ -233,7 +238,11 @@
 	assert.Equal(t, s.run("bundle apply @other.yaml"+asChidinma), 1)
 	s.control.lose = 1
 	assert.Equal(t, s.run("domain drain lagos-a"+asAdaeze), 1)
-	assert.Equal(t, s.run("domain drain lagos-a --operation operation-3"+asAdaeze), 0)
+	s.clock = s.clock.Add(time.Minute)
+	lost := s.control.calls[len(s.control.calls)-1]
+	assert.Equal(t, s.run("domain drain lagos-a --operation "+lost+asAdaeze), 0)
+	assert.Equal(t, s.run("domain restore lagos-a --operation "+lost+asAdaeze), 1)
+	assert.Equal(t, s.run("domain restore lagos-a --operation 1"+asAdaeze), 2)
 	assert.Equal(t, s.control.status.Revision, uint64(2), "a repeated change must happen once")
 	s.golden("race.golden")
 }
