Compare versions that answer in different failure domains

A held cause also replaced the committed one of an ended move for one interval.

Where one endpoint differs, small stages wait to learn whether others do. Control shows hold causes of running moves only.

--- a/control/moves.go
+++ b/control/moves.go
@@ -157,6 +157,7 @@
 		_ = level.Warn(s.opts.Logger).Log("msg", "stage change refused", "service", m.Service, "reason", result.Refused)
 		return
 	}
+	s.currentEvidence().setCause(m.ID, "")
 	count(s.counts.stages, 1)
 	s.opts.Recorder.Record(timeline.Event{Kind: moveEvent(d.Action), Move: m.Service, Detail: d.Cause, Revision: s.revision()})
 }
@@ -176,13 +177,24 @@
 	s.machine.read(func(st *state.State) { moves = st.Moves() })
 	out := moves[:0]
 	for _, m := range moves {
-		if m.State == api.MoveRunning || m.State == api.MoveWatching {
+		if inProgress(&m) {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
+func inProgress(m *api.Move) bool {
+	return m.State == api.MoveRunning || m.State == api.MoveWatching
+}
+
+// currentEvidence returns the collector of the present leadership.
+func (s *Server) currentEvidence() *collector {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evidence
+}
+
 func (s *Server) revision() (revision uint64) {
 	s.machine.read(func(st *state.State) { revision = st.Revision() })
 	return revision
--- a/control/status.go
+++ b/control/status.go
@@ -64,6 +64,9 @@
 // withCauses adds why moves are held, which only the leader knows.
 func (v *service) withCauses(moves []api.Move) []api.Move {
 	for i := range moves {
+		if !inProgress(&moves[i]) {
+			continue // the committed cause stands
+		}
 		if cause := v.s.evidence.cause(moves[i].ID); cause != "" {
 			moves[i].Cause = cause
 		}
--- a/rollout/correction.go
+++ b/rollout/correction.go
@@ -100,19 +100,23 @@
 	c.size.learn(x, y-byLoad-byDomain)
 }
 
-func (c *correction) domainEffect(name string) float64 {
+// domainEffect is known only where the old version was seen: another domain may have
+// other hardware.
+func (c *correction) domainEffect(name string) (float64, bool) {
 	if d := c.domains[name]; d != nil && d.n >= leastBin {
-		return d.mean
+		return d.mean, true
 	}
-	return 0
+	return 0, false
 }
 
 // residual returns the logarithm of the time over what the old version would have taken
 // at the same size, load and
-// failure domain. ok is false where the old version was not seen at such a load.
+// failure domain. ok is false where the old version was not seen at such a load
+// or in the domain.
 func (c *correction) residual(o *Observation, seconds float64) (value float64, ok bool) {
-	effect, ok := c.loadEffect(o.Load)
-	return math.Log(seconds) - c.size.predict(sizes(o)) - c.domainEffect(o.Domain) - effect, ok
+	load, seenLoad := c.loadEffect(o.Load)
+	domain, seenDomain := c.domainEffect(o.Domain)
+	return math.Log(seconds) - c.size.predict(sizes(o)) - load - domain, seenLoad && seenDomain
 }
 
 // loadEffect interpolates between the centres of bins, as a step at a bin's edge would
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -42,7 +42,7 @@
 	if next == len(plan) {
 		return j.decision(StartWatch, 1, "full share; the old version stays warm")
 	}
-	share, obstacle := j.obstacle(now, s, next, robust)
+	share, obstacle := j.obstacle(now, s, next, all, robust, group)
 	if obstacle != "" && j.hopeless(now, s, next) {
 		return j.takeBack(fmt.Sprintf("cannot finish by the deadline: %s", obstacle))
 	}
@@ -67,7 +67,11 @@
 	if action == Raise || action == StartWatch {
 		stage++
 	}
-	return Decision{Action: action, Stage: stage, Share: share, Cause: cause, Evidence: j.evidence(cited)}
+	d := Decision{Action: action, Stage: stage, Share: share, Cause: cause}
+	if action != Hold {
+		d.Evidence = j.evidence(cited)
+	}
+	return d
 }
 
 func (j *Judge) takeBack(cause string) Decision {
@@ -87,12 +91,15 @@
 }
 
 // obstacle says what stands against the next stage, or returns the share it may have.
-func (j *Judge) obstacle(now time.Time, s schedule, next int, robust float64) (float64, string) {
+func (j *Judge) obstacle(now time.Time, s schedule, next int, all, robust float64, group string) (float64, string) {
 	if robust >= suspicion {
 		return 0, "a difference is suspected and being examined: " + j.strongest()
 	}
+	if all >= 1/falseAlarmRate && now.Before(j.patience(s, next)) {
+		return 0, fmt.Sprintf("%s differs and the others are being examined", group)
+	}
 	if need, have := j.needed(); have < need {
-		return 0, fmt.Sprintf("%d of %d needed answers of %s were judged", have, need, j.move.To)
+		return 0, fmt.Sprintf("%d of %d needed answers of %s were judged, %.0f came in this stage", have, need, j.move.To, j.loadN)
 	}
 	if route := j.unjudged(plan[next].share); route != "" && now.Before(j.patience(s, next)) {
 		return 0, fmt.Sprintf("route %s has fewer than %d judged answers of %s", route, routeEvidence, j.move.To)
@@ -133,10 +140,11 @@
 	return ""
 }
 
-// patienceShare is the part of the slack that one small stage may spend on rare routes.
+// patienceShare is the part of the slack that one small stage may spend on rare routes
+// or on telling a bad version from a bad endpoint.
 const patienceShare = 0.25
 
-// patience is until when a stage waits for rare routes. Later stages do not wait: there
+// patience is until when a stage waits for such evidence. Later stages do not wait: there
 // the slack is needed for bursts and cold endpoints.
 func (j *Judge) patience(s schedule, next int) time.Time {
 	due, latest := s.due(next, j.move.Share, j.since), s.latest(next)
@@ -147,8 +155,8 @@
 }
 
 // hopeless reports whether the move can no longer be at full share by its deadline: its
-// next stage is past its latest start, or at three times the present rate the answers it
-// needs would come too late.
+// next stage is past its latest start, or at three times the rate of answers in this
+// stage those it needs would come too late.
 func (j *Judge) hopeless(now time.Time, s schedule, next int) bool {
 	latest := s.latest(next)
 	if !now.Before(latest) {
@@ -159,14 +167,14 @@
 	if have >= need || now.Before(s.start.Add(s.part(forecastFrom))) || elapsed < s.part(plan[1].start) {
 		return false
 	}
-	rate := forecastSlack * (float64(have) + 1) / elapsed.Seconds()
+	rate := forecastSlack * (j.loadN + 1) / elapsed.Seconds()
 	return now.Add(time.Duration(float64(need-have) / rate * float64(time.Second))).After(latest)
 }
 
 // holdCause adds an endpoint or domain that alone stands out to the cause of a hold.
 func (j *Judge) holdCause(cause string, all, robust float64, group string) string {
 	if all >= 1/falseAlarmRate && robust < suspicion {
-		return fmt.Sprintf("%s; %s alone differs, the version does not", cause, group)
+		return fmt.Sprintf("%s; so far only %s differs", cause, group)
 	}
 	return cause
 }
--- a/rollout/types.go
+++ b/rollout/types.go
@@ -92,6 +92,6 @@
 	Share float64
 	// Cause says why in one plain line.
 	Cause string
-	// Evidence lists what the decision rests on, the strongest first.
+	// Evidence lists what a decision other than Hold rests on, the strongest first.
 	Evidence []Evidence
 }
