--- /dev/null
+++ b/timeline/example_test.go
@@ -0,0 +1,21 @@
+package timeline_test
+
+import (
+	"os"
+
+	"toucantiller.dev/timeline"
+)
+
+// Events of two processes in one order; the second happened after the first although the
+// clocks agree.
+func ExampleWriteText() {
+	events := []timeline.Event{
+		{At: timeline.Time{Wall: 1e9, Logical: 1}, Process: "agent-1", Seq: 1, Kind: "dispatch.committed", Request: "r1"},
+		{At: timeline.Time{Wall: 1e9}, Process: "gateway-1", Seq: 1, Kind: "request.received", Request: "r1"},
+	}
+	timeline.Sort(events)
+	timeline.WriteText(os.Stdout, events)
+	// Output:
+	// 00:00:01.000000  gateway-1  request.received         request=r1
+	// 00:00:01.000000  agent-1    dispatch.committed       request=r1
+}
