Let idle endpoints with a limit of 1 take work again; add path benchmarks

Cause: the estimate of other gateways' work is a fraction, so an idle cold endpoint counted as saturated once that mean was above 0. Change: saturation allows half a request for rounding; a load report fetched by a waiting queue wakes it. Benchmarks of added latency, streamed tokens and memory run the gateway alone in a process. Conclusion: the limit takes sub-millisecond calls for slowdowns of the engine (it fell to 1 again and again); the benchmark's engine takes 5 ms.

--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,128 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/gateway"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+// benchPath is a gateway in this process and agents in a child process.
+type benchPath struct {
+	b      *testing.B
+	agents agentsReady
+	url    string
+}
+
+func newBenchPath(b *testing.B, agents int) *benchPath {
+	p := &benchPath{b: b}
+	c := startChild(b, "agents", agentsOrder{Agents: agents})
+	b.Cleanup(c.end)
+	c.read(b, &p.agents)
+	v := &view{}
+	config := testConfig()
+	config.Services[1].QueueLength = 4096
+	v.config.Store(config)
+	v.directory.Store(&api.Directory{Endpoints: p.agents.Endpoints})
+	g, err := gateway.New(gateway.Options{Instance: instance.Instance{ID: "g1", Incarnation: instance.NewIncarnation(), Domain: "a"}, View: v, Network: link.TCP{}})
+	must(err)
+	l := tcpListen()
+	go func() { _ = g.Serve(l) }()
+	b.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = g.Stop(ctx)
+	})
+	p.url = "http://" + l.Addr().String() + "/services/desk"
+	return p
+}
+
+// load runs callers in a child process.
+func (p *benchPath) load(order loadOrder) loadResult {
+	c := startChild(p.b, "load", order)
+	defer c.end()
+	var r loadResult
+	c.read(p.b, &r)
+	if r.Failures > 0 {
+		p.b.Logf("%d of %d requests failed", r.Failures, r.Requests)
+	}
+	return r
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	must(syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+const benchRun = 3 * time.Second
+
+// BenchmarkAddedLatency compares calls through gateway and agent with direct calls to
+// the same engine, at half of the rate at which the path saturates.
+func BenchmarkAddedLatency(b *testing.B) {
+	for range b.N {
+		p := newBenchPath(b, 32)
+		p.load(loadOrder{URL: p.url + "/unary", Callers: 128, Duration: benchRun})
+		before := processorTime()
+		full := p.load(loadOrder{URL: p.url + "/unary", Callers: 128, Duration: benchRun})
+		used := processorTime() - before
+		rate := float64(full.Requests) / full.Elapsed.Seconds()
+		path := p.load(loadOrder{URL: p.url + "/unary", Callers: 64, Rate: rate / 2, Duration: benchRun})
+		direct := p.load(loadOrder{URL: "http://" + p.agents.Direct + "/unary", Callers: 64, Rate: rate / 2, Duration: benchRun})
+		b.ReportMetric(rate, "req/s")
+		b.ReportMetric(float64(full.Requests)/used.Seconds(), "req/s/core")
+		b.ReportMetric(float64(path.P50.Microseconds()), "path-p50-us")
+		b.ReportMetric(float64(path.P99.Microseconds()), "path-p99-us")
+		b.ReportMetric(float64((path.P50 - direct.P50).Microseconds()), "added-p50-us")
+		b.ReportMetric(float64((path.P99 - direct.P99).Microseconds()), "added-p99-us")
+	}
+}
+
+// BenchmarkStreamedTokens streams 1,000 tokens/s to each of 100 callers and reports
+// the tokens for a second of the gateway's processor time.
+func BenchmarkStreamedTokens(b *testing.B) {
+	for range b.N {
+		p := newBenchPath(b, 150)
+		before := processorTime()
+		r := p.load(loadOrder{URL: p.url + "/stream", Callers: 100, Duration: 4 * time.Second})
+		used := processorTime() - before
+		b.ReportMetric(float64(r.Tokens)/r.Elapsed.Seconds(), "tokens/s")
+		b.ReportMetric(float64(r.Tokens)/used.Seconds(), "tokens/s/core")
+	}
+}
+
+// BenchmarkIdleStreams reports the memory of an open stream that carries nothing, in the
+// gateway and in agents with their engines' server.
+func BenchmarkIdleStreams(b *testing.B) {
+	const streams = 180
+	for range b.N {
+		p := newBenchPath(b, streams)
+		p.load(loadOrder{URL: p.url + "/unary", Callers: streams, Duration: time.Second})
+		gatewayBefore, agentsBefore := memoryInUse(), p.agentMemory()
+		c := startChild(b, "load", loadOrder{URL: p.url + "/idle", Callers: streams, Duration: time.Hour, Hold: true})
+		var r loadResult
+		c.read(b, &r)
+		b.ReportMetric((float64(memoryInUse())-float64(gatewayBefore))/streams/1024, "gateway-KB/stream")
+		b.ReportMetric((float64(p.agentMemory())-float64(agentsBefore))/streams/1024, "agent-KB/stream")
+		c.end()
+	}
+}
+
+func (p *benchPath) agentMemory() uint64 {
+	resp, err := http.Get("http://" + p.agents.Direct + "/memory")
+	must(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	must(err)
+	n, err := strconv.ParseUint(string(body), 10, 64)
+	must(err)
+	return n
+}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -238,6 +238,9 @@
 	}
 	c.Observe(m.Load, time.Now())
 	g.observeFloor(c.Endpoint.Service, m.Load.Floor)
+	if q := g.route().queues[c.Endpoint.Service]; q != nil {
+		q.wake()
+	}
 }
 
 // observeFloor takes in the admission floor that an agent reported.
--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -92,6 +92,11 @@
 	x.live = live
 }
 
+// estimateSlack rounds the estimated number of requests. Without it, an idle endpoint
+// with a limit of 1 is saturated as soon as the mean of other gateways' work is above
+// 0, and no request ever goes there again.
+const estimateSlack = 0.5
+
 // saturatedFilter takes out endpoints at their limit. Warm endpoints have room for
 // some more requests than their limit; cold ones do not.
 type saturatedFilter struct{}
@@ -106,7 +111,7 @@
 		if x.saved[i] > half {
 			room = x.reports[i].holderRoom
 		}
-		if x.requests[i]+1 <= room {
+		if x.requests[i]+1 <= room+estimateSlack {
 			live = append(live, i)
 		}
 	}
