--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,14 +62,19 @@
 func (g *Gateway) newAttempt(c *call, out *answerWriter, d schedule.Decision) *attempt {
 	e := &d.Candidate.Endpoint
 	a := &attempt{gateway: g, call: c, decision: d, candidate: d.Candidate, endpoint: e, peer: g.peer(e.Address), out: out}
-	// Attempt is unique in this incarnation: two calls may carry the same X-Request-Id.
-	a.id = dispatch.ID{Request: c.id, Attempt: int(g.sequence.Add(1)), Gateway: g.opt.Instance.Incarnation} //nolint:gosec // far below the largest int
+	a.id = g.newID(c)
 	if load, _, ok := d.Candidate.Load(); ok && load.Limit > 0 {
 		a.load = float64(load.Running) / float64(load.Limit)
 	}
 	return a
 }
 
+// newID returns a dispatch identity. Attempt is unique in this incarnation: two calls may
+// carry the same X-Request-Id.
+func (g *Gateway) newID(c *call) dispatch.ID {
+	return dispatch.ID{Request: c.id, Attempt: int(g.sequence.Add(1)), Gateway: g.opt.Instance.Incarnation} //nolint:gosec // far below the largest int
+}
+
 // run dispatches and reads the answer. It returns once the request has run, its outcome
 // is unknown, or it provably did not run.
 func (a *attempt) run(ctx context.Context) result {
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -9,6 +9,7 @@
 
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
 	"toucantiller.dev/timeline"
 )
 
@@ -31,6 +32,8 @@
 	held *dispatch.ID
 	// attempt is the one that held belongs to.
 	attempt *attempt
+	// asked is set once control was asked.
+	asked bool
 }
 
 // runningClaim is an entry of Gateway.claims.
@@ -62,9 +65,23 @@
 	defer g.claims.Delete(local)
 	ctx = context.WithoutCancel(ctx)
 	r := g.place(ctx, c, out, k)
+	if r.notRun && !k.asked {
+		r = k.lookUp(ctx, r)
+	}
 	return k.finish(ctx, out, r)
 }
 
+// lookUp finds the outcome of an earlier call with the key when there was no endpoint
+// to claim a dispatch for. A claim without target was never dispatched.
+func (k *claim) lookUp(ctx context.Context, refused result) result {
+	nowhere := &attempt{gateway: k.gateway, call: k.call, endpoint: &endpoint.Endpoint{}}
+	nowhere.id = k.gateway.newID(k.call)
+	if r, held := k.hold(ctx, nowhere); !held {
+		return r
+	}
+	return refused
+}
+
 // hold makes the claim on a dispatch durable. When it is not granted, the result says
 // what the caller gets instead.
 func (k *claim) hold(ctx context.Context, a *attempt) (result, bool) {
@@ -72,6 +89,7 @@
 		Account: k.call.account.Name, Key: k.call.key, BodyDigest: k.digest, TTL: k.call.route.ClaimTTL,
 		Owner: k.gateway.opt.Instance.ID, Target: *a.endpoint, Dispatch: a.id, Previous: k.held,
 	}
+	k.asked = true
 	for range maxTakeovers {
 		reply, err := k.send(ctx, in)
 		if err != nil {
@@ -126,6 +144,9 @@
 	if held.OwnerAlive && !mine {
 		return nil, result{problem: stillRunning()}
 	}
+	if held.Target.ID == "" {
+		return &held.Dispatch, result{}
+	}
 	g.opt.Timeline.Record(timeline.Event{Kind: "claim.settling", Request: k.call.id, Endpoint: string(held.Target.ID)})
 	ctx, cancel := context.WithDeadline(ctx, k.call.deadline)
 	defer cancel()
--- a/gateway/claims_test.go
+++ b/gateway/claims_test.go
@@ -38,6 +38,24 @@
 	})
 }
 
+// Guards against a repeat that is told "not run" when there is no endpoint at present,
+// though the first call ran, and against a key that the question itself blocks.
+func TestRepeatWithoutEndpoint(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := &counted{}
+		a := w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 200, `"ok":true`)
+		a.Drain()
+		w.post(booking, "{}", "Idempotency-Key", "k2").expect(t, 503, "draining", executionOf("not_run"))
+		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 200, `"ok":true`)
+		w.post(booking, "{}", "Idempotency-Key", "k2").expect(t, 503, "no_endpoint", executionOf("not_run"))
+		w.addAgent("e2", "desk", engine)
+		w.post(booking, "{}", "Idempotency-Key", "k2").expect(t, 200)
+		assert.Equal(t, engine.runs.Load(), int64(2))
+	})
+}
+
 // Guards against two runs when the repeat comes while the first still runs, and against
 // losing the answer of a caller that hung up.
 func TestRepeatWhileRunning(t *testing.T) {
