Test the retry budget, tier order, drained domains and observations

Cause: the overload rules of the gateway had no test on the path. Change: tests for the retry budget, tier order, shedding of the lower tier first, a drained domain, versions without share and observations.

--- /dev/null
+++ b/gateway/overload_test.go
@@ -0,0 +1,170 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/fake"
+)
+
+// refusingEngine cannot be reached and counts the tries.
+type refusingEngine struct {
+	fake.Resumable
+	tries *atomic.Int64
+}
+
+func (e *refusingEngine) Submit(context.Context, *endpoint.Request) (*endpoint.Answer, error) {
+	e.tries.Add(1)
+	return nil, fmt.Errorf("connection refused: %w", endpoint.ErrNotSent)
+}
+
+// Guards against retries that multiply the load when every attempt is refused.
+func TestRetryBudget(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		var tries atomic.Int64
+		for i := range 4 {
+			w.addEngine(fmt.Sprintf("e%d", i), "desk", &refusingEngine{tries: &tries})
+		}
+		w.startGateway()
+		const calls = 200
+		for range calls {
+			w.post(booking, "{}").expect(t, 503, executionOf("not_run"))
+		}
+		// A fifth of the calls and the reserve of 20.
+		assert.Assert(t, tries.Load() <= calls+calls/5+20, "%d tries", tries.Load())
+		assert.Assert(t, tries.Load() > calls, "%d tries", tries.Load())
+	})
+}
+
+// order records the tiers in the order in which the engine ran them.
+type order struct {
+	mu  sync.Mutex
+	ran []string
+}
+
+func (o *order) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.mu.Lock()
+	o.ran = append(o.ran, r.URL.Path)
+	o.mu.Unlock()
+	time.Sleep(300 * time.Millisecond)
+	_, _ = w.Write([]byte("ok"))
+}
+
+// Guards against a lower tier that is served while a higher one waits.
+func TestHigherTierGoesFirst(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := &order{}
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		var calls sync.WaitGroup
+		call := func(path, tier string) {
+			calls.Go(func() { w.post("/services/desk/"+path, "", "X-Request-Tier", tier).expect(t, 200) })
+			time.Sleep(time.Millisecond)
+		}
+		call("first", "batch")
+		call("low1", "batch")
+		call("low2", "batch")
+		call("high1", "counter")
+		call("high2", "counter")
+		calls.Wait()
+		assert.DeepEqual(t, engine.ran, []string{"/first", "/high1", "/high2", "/low1", "/low2"})
+	})
+}
+
+// Guards against the higher tier being shed while lower-tier work is served: the floor
+// must reach the agents first.
+func TestLowerTierIsShedFirst(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		config := testConfig()
+		config.Services[1].QueueLength = 6
+		w.view.config.Store(config)
+		w.addAgent("e1", "desk", &order{})
+		w.startGateway()
+		var calls sync.WaitGroup
+		var served, shed [2]atomic.Int64
+		for i := range 40 {
+			for tier, name := range []string{"counter", "batch"} {
+				if tier == 0 && i%4 != 0 {
+					continue
+				}
+				calls.Go(func() {
+					a := w.post(booking, "", "X-Request-Tier", name)
+					if a.status == 200 {
+						served[tier].Add(1)
+						return
+					}
+					a.expect(t, 503, executionOf("not_run"))
+					shed[tier].Add(1)
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		calls.Wait()
+		assert.Equal(t, shed[0].Load(), int64(0))
+		assert.Equal(t, served[0].Load(), int64(10))
+		assert.Assert(t, shed[1].Load() > 0)
+	})
+}
+
+// Guards against new work in a failure domain that was taken out, at the gateway and at
+// an agent whose gateway does not know yet.
+func TestDrainedDomainTakesNoWork(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := &counted{}
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		w.post(booking, "{}").expect(t, 200)
+		config := testConfig()
+		config.Revision = 2
+		config.Domains["a"] = failuredomain.Domain{ID: "a", State: failuredomain.StateDrained}
+		w.view.config.Store(config.Index())
+		w.post(booking, "{}").expect(t, 503, executionOf("not_run"))
+		assert.Equal(t, engine.runs.Load(), int64(1))
+	})
+}
+
+// Guards against requests of one service, or of a version with no share, at another's
+// endpoints, and against a version that gets traffic without a share.
+func TestVersionWithoutShareGetsNothing(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		engine := &counted{}
+		w.addAgent("e1", "desk", engine)
+		config := testConfig()
+		config.Services[1].Versions = []contract.VersionShare{{Version: "2", Share: 1}}
+		w.view.config.Store(config)
+		w.startGateway()
+		w.post(booking, "{}").expect(t, 503, "no_endpoint", executionOf("not_run"))
+		assert.Equal(t, engine.runs.Load(), int64(0))
+	})
+}
+
+// Guards against observations that are missing, counted twice, or blame a version for a
+// request that did not run.
+func TestObservations(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.addAgent("e1", "lm", fake.NewModel("lm", fake.Behaviour{PrefillRate: 100, DecodeRate: 10}))
+		w.addAgent("e2", "desk", breaking("application/json", 10))
+		w.startGateway()
+		w.post("/v1/completions", `{"model":"lm","prompt":"x","stream":true}`).expect(t, 200)
+		w.post(booking, "{}").expect(t, 502)
+		w.post("/v1/completions", `{"model":"lm","prompt":"x"}`, "X-Request-Timeout-Ms", "600").expect(t, 504, executionOf("unknown"))
+		w.agents["e1"].Drain()
+		w.post("/v1/completions", `{"model":"lm","prompt":"x"}`).expect(t, 503)
+		assert.Equal(t, len(w.seen), 3)
+		assert.Equal(t, w.seen[0].AnswerTokens, 8)
+		assert.Equal(t, w.seen[0].BetweenTokens, 100*time.Millisecond)
+		assert.Assert(t, !w.seen[0].Failed && w.seen[0].Cold)
+		assert.Assert(t, w.seen[1].Failed)
+		assert.Assert(t, !w.seen[2].Failed)
+	})
+}
