Take the lock out of the time line's clock

Cause: every request records events, and the clock that stamps them held one lock for the whole gateway. Change: the clock is one atomic; equal readings move it on by 1 ns. A service that left the configuration during a call is answered with no_endpoint.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"toucantiller.dev/dispatch"
+	"toucantiller.dev/schedule"
 	"toucantiller.dev/timeline"
 )
 
@@ -77,7 +78,11 @@
 	if time.Until(c.deadline) <= 0 {
 		return result{problem: deadlineProblem(), notRun: true}, false
 	}
-	d, p := g.route().queues[c.service.Name].acquire(ctx, c)
+	q := g.route().queues[c.service.Name]
+	if q == nil {
+		return result{problem: noEndpoint(c, schedule.ReasonUnknownService), notRun: true}, false
+	}
+	d, p := q.acquire(ctx, c)
 	if p != nil {
 		return result{problem: p, notRun: true}, false
 	}
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -5,7 +5,7 @@
 import (
 	"cmp"
 	"fmt"
-	"sync"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -28,31 +28,33 @@
 // String returns "wall.logical".
 func (t Time) String() string { return fmt.Sprintf("%d.%d", t.Wall, t.Logical) }
 
-// Clock issues hybrid logical times. Its zero value is ready for use.
-type Clock struct {
-	mu   sync.Mutex
-	last Time
-}
+// Clock issues hybrid logical times. Its zero value is ready for use. It takes no lock,
+// since every request of a process records events.
+type Clock struct{ last atomic.Int64 }
 
-// Now returns a time after every time issued or observed before.
+// Now returns a time after every time issued or observed before. Where the wall clock
+// has not moved on, the time is 1 ns ahead of it instead of counting in Logical.
 func (c *Clock) Now() Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	wall := time.Now().UnixNano()
-	if wall > c.last.Wall {
-		c.last = Time{Wall: wall}
-	} else {
-		c.last.Logical++
+	for {
+		last := c.last.Load()
+		wall := max(time.Now().UnixNano(), last+1)
+		if c.last.CompareAndSwap(last, wall) {
+			return Time{Wall: wall}
+		}
 	}
-	return c.last
 }
 
 // Observe merges a time received from another process.
 func (c *Clock) Observe(t Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if t.Compare(c.last) > 0 {
-		c.last = t
+	wall := t.Wall
+	if t.Logical > 0 {
+		wall++
+	}
+	for {
+		last := c.last.Load()
+		if wall <= last || c.last.CompareAndSwap(last, wall) {
+			return
+		}
 	}
 }
 
@@ -112,7 +114,7 @@
 	e.Process = r.process
 	e.Seq = seq
 	r.slots[(seq-1)%uint64(len(r.slots))].Store(&e)
-	return fmt.Sprintf("%s/%d", r.process, seq)
+	return r.process + "/" + strconv.FormatUint(seq, 10)
 }
 
 // Events returns the kept events that match, oldest first.
