--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -23,7 +23,6 @@
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/examples"
-	"toucantiller.dev/fake"
 	"toucantiller.dev/link"
 )
 
@@ -263,8 +262,3 @@
 	b, err := io.ReadAll(resp.Body)
 	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
 }
-
-// quickModel returns an engine that answers within a few milliseconds.
-func quickModel(name string) *fake.Model {
-	return fake.NewModel(name, fake.Behaviour{PrefillRate: 1e6, DecodeRate: 1e4})
-}
