Stake continuously; hand answers without old peers over; test what mutations showed

Cause: trials that removed one rule at a time survived for the shuffle, for late stakes and for unknown hardware.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -73,11 +73,7 @@
 		if w == nil || !w.aged(now, limit) {
 			continue
 		}
-		if w.countOld() < windowOld {
-			l.hand(w, now)
-		} else if len(w.answers) >= minAgedSize {
-			j.close(l, w, now)
-		}
+		j.close(l, w, now)
 	}
 	if w := l.windows[anyDomain]; w != nil && w.aged(now, limit) && len(w.answers) >= minAgedSize {
 		j.close(l, w, now)
@@ -226,8 +222,14 @@
 // close judges the answers of a window and empties it.
 func (j *Judge) close(l *line, w *window, now time.Time) {
 	old := w.countOld()
-	if old < windowOld && len(w.answers) < maxWindow && j.move.Share < fullEnough {
-		return // more answers may bring enough old ones
+	if old < windowOld && j.move.Share < fullEnough {
+		if w != l.windows[anyDomain] {
+			l.hand(w, now)
+			return
+		}
+		if len(w.answers) < maxWindow {
+			return // more answers may bring enough old ones
+		}
 	}
 	before := l.judged
 	for _, c := range l.components() {
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -65,6 +65,7 @@
 		r := rand.New(rand.NewPCG(5, 5))
 		return func(o *rollout.Observation) {
 			o.Endpoint, o.Domain = "v1-b", "lagos-b"
+			o.FirstToken *= 20 // seconds
 			if o.Version == "v2" {
 				o.Endpoint, o.Domain = "v2-a", "lagos-a"
 				o.FirstToken *= 3 // slower hardware there
@@ -105,6 +106,27 @@
 	assert.Assert(t, strings.Contains(d.Cause, "of what they can bear"), d.Cause)
 }
 
+// Guards against evidence for a good version that outweighs what follows when it turns
+// bad: detection must be as fast late as early.
+func TestLateBadnessIsFoundFast(t *testing.T) {
+	const turns = 25 * time.Minute
+	r := rand.New(rand.NewPCG(4, 4))
+	j := rollout.NewJudge(1)
+	m := rollout.Move{From: "v1", To: "v2", Stage: 1, Share: 0.5, Started: epoch, StageSince: epoch, Deadline: epoch.Add(time.Hour)}
+	for at := time.Second; at < turns+time.Minute; at += time.Second {
+		d := j.Decide(epoch.Add(at), m, feed(r, 30, m.Share, func(o *rollout.Observation) {
+			if at > turns && o.Version == "v2" {
+				o.Failed = r.Float64() < 0.3
+			}
+		}))
+		if d.Action == rollout.TakeBack {
+			assert.Assert(t, at > turns && at < turns+30*time.Second, "taken back after %s: %s", at, d.Cause)
+			return
+		}
+	}
+	t.Fatal("not found within a minute")
+}
+
 // Guards against a new leader that repeats, skips or loses a stage: it starts without
 // evidence at the committed stage.
 func TestNewLeaderGoesOn(t *testing.T) {
--- a/rollout/martingale_test.go
+++ b/rollout/martingale_test.go
@@ -86,6 +86,32 @@
 	}
 }
 
+// Guards against drift within a window that is taken for a difference: judged in the order
+// of arrival, answers that get slower all the time have a mean wealth of 1.7.
+func TestDriftWithinAWindow(t *testing.T) {
+	const n, k, windows = windowOld + 3, 3, 40000
+	r := rand.New(rand.NewPCG(1, 1))
+	j := NewJudge(1)
+	j.move.Share = 0.5
+	total := 0.0
+	for range windows {
+		chosen := r.Perm(n)[:k]
+		w := &window{}
+		for i := range n {
+			a := nullAnswer(i, 0)
+			if a.isNew = slices.Contains(chosen, i); a.isNew {
+				a.times[0] += latencyMargin
+			}
+			w.answers = append(w.answers, a)
+		}
+		l := newLine("r", 1)
+		staked := sum(l.times[0].all)
+		j.close(l, w, time.Time{})
+		total += sum(l.times[0].all) / staked
+	}
+	assert.Assert(t, total/windows < 1.25, "mean wealth %g", total/windows)
+}
+
 // nullAnswer is the i-th answer of a window in which failures answers fail.
 func nullAnswer(i, failures int) answer {
 	return answer{endpoint: -1, domain: -1, failed: i < failures, times: [2]float64{float64(i), math.NaN()}}
--- a/rollout/wealth.go
+++ b/rollout/wealth.go
@@ -13,7 +13,7 @@
 	// rest is staked in equal parts over the move, so that a version that turns bad late
 	// is caught as soon as one that is bad at once.
 	startCapital = 0.3
-	stakeSlots   = 35
+	stakeSlots   = 600
 
 	// pooledWeight is the part of the capital on all routes together.
 	pooledWeight = 0.25
--- a/rollout/window.go
+++ b/rollout/window.go
@@ -23,10 +23,6 @@
 	agePart = 0.25
 	// anyDomain is the window of new answers in domains without old ones.
 	anyDomain = -1
-	// presence is the decayed count of old answers from which a domain has old ones, and
-	// presenceHalfLife its half-life.
-	presence         = 4.0
-	presenceHalfLife = 30 * time.Second
 	// fullEnough is the share from which old answers at the same time are too rare.
 	fullEnough = 0.97
 	// leastPast is the number of past answers that a comparison of times needs.
@@ -89,35 +85,14 @@
 	return len(w.answers) > 0 && now.Sub(w.since) >= age
 }
 
-// decayed is a count that halves every presenceHalfLife.
-type decayed struct {
-	n  float64
-	at time.Time
-}
-
-func (d *decayed) value(now time.Time) float64 {
-	return d.n * math.Exp2(-now.Sub(d.at).Seconds()/presenceHalfLife.Seconds())
-}
-
-func (d *decayed) add(now time.Time) {
-	d.n, d.at = d.value(now)+1, now
-}
-
 // put adds an answer and returns the windows it went into. Every old answer also joins
-// the window over all domains; a new one joins it only where its own domain has no old
-// answers to compare with.
+// the window over all domains.
 func (l *line) put(a *answer, now time.Time) (own, rest *window) {
-	if !a.isNew {
-		l.remember(a)
-		old := l.oldIn[a.domain]
-		old.add(now)
-		l.oldIn[a.domain] = old
-		return l.into(a.domain, a, now), l.into(anyDomain, a, now)
-	}
-	if old := l.oldIn[a.domain]; old.value(now) < presence {
-		return nil, l.into(anyDomain, a, now)
+	if a.isNew {
+		return l.into(a.domain, a, now), nil
 	}
-	return l.into(a.domain, a, now), nil
+	l.remember(a)
+	return l.into(a.domain, a, now), l.into(anyDomain, a, now)
 }
 
 func (l *line) into(domain int, a *answer, now time.Time) *window {
@@ -133,8 +108,8 @@
 	return w
 }
 
-// hand gives the new answers of a window without enough old ones to the window over all
-// domains.
+// hand gives the new answers of a domain without enough old ones to the window over all
+// domains and empties the domain's window.
 func (l *line) hand(w *window, now time.Time) {
 	for i := range w.answers {
 		if w.answers[i].isNew {
@@ -160,7 +135,6 @@
 	errors    *component
 	times     [2]*component
 	windows   map[int]*window
-	oldIn     map[int]decayed
 	reference [2]reference
 	oldRate   recent
 	judged    int
@@ -168,7 +142,7 @@
 }
 
 func newLine(route string, weight float64) *line {
-	l := &line{windows: make(map[int]*window), oldIn: make(map[int]decayed)}
+	l := &line{windows: make(map[int]*window)}
 	each := weight / 3
 	l.errors = newComponent(route, MeasureErrors, each)
 	for i, m := range timeMeasures {
