--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -79,8 +79,20 @@
 
 func (l *replicaLog) Err() error { return l.replica.Err() }
 
+// Stop ends the replica. A replica that still believes it leads tries to hand over;
+// that is bounded, as it does not end while the replica is cut off.
 func (l *replicaLog) Stop(ctx context.Context) error {
-	err := l.replica.Stop(ctx)
+	bounded, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	err := l.replica.Stop(bounded)
+	if bounded.Err() != nil {
+		select {
+		case <-l.replica.Done():
+			err = l.replica.Err()
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+	}
 	l.transport.Close()
 	return err
 }
--- a/control/state/view.go
+++ b/control/state/view.go
@@ -80,6 +80,12 @@
 // CurrentBundle returns the bundle in force, nil before the first. It is immutable.
 func (s *State) CurrentBundle() *Bundle { return s.data.Bundles[s.data.Current] }
 
+// KnowsOperation reports whether an operation has a recorded outcome.
+func (s *State) KnowsOperation(id string) bool {
+	_, ok := s.data.Operations[id]
+	return ok
+}
+
 // Registrations returns copies of the registrations in order of instance ID.
 func (s *State) Registrations() []Registration {
 	out := make([]Registration, 0, len(s.data.Registrations))
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"toucantiller.dev/admission"
+	"toucantiller.dev/endpoint"
 )
 
 // fadeTime is the age, in nanoseconds, at which a report has lost about two thirds
@@ -43,15 +44,7 @@
 }
 
 // unknownReport stands in for endpoints that have not reported: they may be cold.
-var unknownReport = newUnknownReport()
-
-func newUnknownReport() *report {
-	r := &report{limit: 1, prefill: defaultPrefillRate, decode: defaultDecodeRate}
-	r.load.Cold = true
-	r.load.Floor = admission.NoFloor
-	r.prepare()
-	return r
-}
+var unknownReport = newReport(endpoint.Load{Cold: true, Floor: admission.NoFloor})
 
 // timeBase turns times into offsets, which are cheaper to store and compare. It is
 // set by the first time seen.
@@ -96,7 +89,8 @@
 		x.marks |= r.marks | mark(st.marks.Load())
 		own := float64(st.requests.Load())
 		weight := fade(x.nanos - r.made)
-		requests := own + r.usualOthers + weight*(r.others-r.usualOthers)
+		usual := float64(r.usualOthers)
+		requests := own + usual + weight*(float64(r.others)-usual)
 		x.live[at] = i
 		x.reports[i] = r
 		x.weight[i] = weight
@@ -127,14 +121,13 @@
 // An endpoint batches up to its limit, so a running call delays another only by
 // its prefill, however long its answer is. Work over the limit waits for slots,
 // which free up at the pace of the calls that hold them.
-func (x *scratch) estimate(i uint8, r *Request) (first, finish float64) {
+func (x *scratch) estimate(i uint8, prompt, answer float64) (first, finish float64) {
 	rep := x.reports[i]
 	c := x.candidates[i]
-	prompt := float64(r.PromptTokens) - x.saved[i]
-	answer := float64(max(r.AnswerTokens, 1))
-	waiting := float64(c.state.prompt.Load()) + rep.othersQueued*x.weight[i]
+	prompt -= x.saved[i]
+	waiting := float64(c.state.prompt.Load()) + float64(rep.othersQueued)*x.weight[i]
 	first = (waiting+prompt)*rep.perPrefill + 2*c.distance
-	if over := x.requests[i] + 1 - rep.limit; over > 0 {
+	if over := x.requests[i] + 1 - float64(rep.limit); over > 0 {
 		first += over * rep.perLimit * x.callTime(i, answer)
 	}
 	crowd := 1 + crowding*x.occupancy[i]*x.occupancy[i]
