--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -287,6 +287,26 @@
 	assert.Equal(t, c.cores[1].Status().Commit, uint64(1))
 }
 
+// Guards against a read served by a leader that no quorum has confirmed since the read began.
+func TestReadWaitsForAQuorum(t *testing.T) {
+	c := three(t)
+	leader := c.elect(1)
+	assert.NilError(t, leader.ReadIndex(7))
+	r, _ := leader.Ready()
+	assert.Equal(t, len(r.Reads), 0)
+	leader.Advance(r)
+	reply := consensus.Message{Type: consensus.MsgHeartbeatReply, From: 2, To: 1, Group: 9, Term: r.Early[0].Term}
+	reply.Round = r.Early[0].Round - 1
+	leader.Step(reply)
+	r, _ = leader.Ready()
+	assert.Equal(t, len(r.Reads), 0, "an answer to an earlier round counts")
+	leader.Advance(r)
+	reply.Round++
+	leader.Step(reply)
+	r, _ = leader.Ready()
+	assert.DeepEqual(t, r.Reads, []consensus.Read{{Token: 7, Index: leader.Status().Commit}})
+}
+
 // Guards against a read point that misses what an earlier leader committed: a new leader
 // does not know it before it has committed in its term.
 func TestReadWaitsForACommitInTheTerm(t *testing.T) {
@@ -305,6 +325,24 @@
 	assert.Equal(t, len(r.Reads), 0)
 }
 
+// Guards against an election won by votes of replicas that are not voters, such as one that
+// lost its disk and answers under a new identity.
+func TestOnlyVotersVote(t *testing.T) {
+	c := newCluster(t, map[consensus.ID]consensus.Recovered{1: founded(3)})
+	core := c.cores[1]
+	for core.Status().Role == consensus.Follower {
+		core.Tick()
+	}
+	grant := consensus.Message{
+		Type: consensus.MsgPreVoteReply, From: 7, To: 1, Group: 9, Term: core.Status().Term + 1,
+	}
+	core.Step(grant)
+	assert.Equal(t, core.Status().Role, consensus.PreCandidate)
+	grant.From = 3
+	core.Step(grant)
+	assert.Equal(t, core.Status().Role, consensus.Candidate)
+}
+
 // Guards against a membership that stays in force after another leader replaced its entry.
 func TestReplacedMembershipIsTakenBack(t *testing.T) {
 	c := three(t)
--- a/consensus/replica/schedule_test.go
+++ b/consensus/replica/schedule_test.go
@@ -11,6 +11,10 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"toucantiller.dev/consensus"
+	"toucantiller.dev/wal"
+	"toucantiller.dev/wal/faultfs"
 )
 
 // Schedules of the seeded run and events of each one. TOUCAN_SCHEDULES sets another number
@@ -100,6 +104,19 @@
 	}
 }
 
+// Guards against a replica that forgets its vote or term over a crash, and votes twice.
+func TestVoteSurvivesACrash(t *testing.T) {
+	disk := faultfs.New(1)
+	s, _, err := openStorage("/data", wal.Options{FS: disk})
+	assert.NilError(t, err)
+	want := consensus.State{Term: 3, Vote: 7}
+	assert.NilError(t, s.save(&consensus.Ready{State: &want}))
+	disk.Restart()
+	_, found, err := openStorage("/data", wal.Options{FS: disk})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, found.State, want)
+}
+
 // Guards against the same faults with schedules that rapid shrinks.
 func TestRapidSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/consensus/replica/world_test.go
+++ b/consensus/replica/world_test.go
@@ -44,6 +44,9 @@
 	applied []appliedCommand
 	// tasks run in the background of the replica.
 	tasks []func()
+	// slow is true while the clock of the host runs at an eighth of its rate, so that a leader
+	// that was replaced notices it late.
+	slow bool
 }
 
 type appliedCommand struct {
@@ -211,7 +214,9 @@
 	case n < 10:
 		h.runTasks()
 	case n < 60:
-		h.run((*Replica).tick)
+		if !h.slow || w.choose(8) == 0 {
+			h.run((*Replica).tick)
+		}
 	case n < 150:
 		for range 3 {
 			w.deliver(true)
@@ -237,7 +242,9 @@
 		}
 	case n < 194:
 		w.loseDisk(h)
-	case n < 196 && h.replica != nil:
+	case n < 195:
+		h.slow = !h.slow
+	case n < 197 && h.replica != nil:
 		h.run(func(r *Replica) { _ = r.core.TransferLeadership(0) })
 	default:
 		if h.replica == nil {
@@ -294,17 +301,25 @@
 	})
 }
 
-// answerCalls checks the calls that ended.
+// answerCalls checks the calls that ended. After each answered write it reads from every
+// leader, since one that was replaced does not know of the write.
 func (w *world) answerCalls() {
+	wrote := false
 	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool {
 		select {
 		case o := <-c.reply:
 			w.check.answered(c, o)
+			wrote = wrote || (!c.read && o.err == nil)
 			return true
 		default:
 			return false
 		}
 	})
+	for _, h := range w.nodes {
+		if wrote && h.replica != nil && h.replica.Status().IsLeader {
+			w.read(h)
+		}
+	}
 }
 
 // changeMembers lets an operator take the next step of a change: replace the identity of
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -195,18 +195,23 @@
 
 // Guards against a damaged snapshot that is restored or skipped.
 func TestDamagedSnapshot(t *testing.T) {
-	fs := faultfs.New(1)
-	fill(t, fs, 3)
-	log, _, err := wal.Open(folder, wal.Options{FS: fs})
-	assert.NilError(t, err)
-	assert.NilError(t, log.SaveSnapshot(&wal.Snapshot{Index: 2, Term: 1, Data: []byte("data")}, true))
-	assert.NilError(t, log.Close())
-	name := folder + "/0000000000000002.snap"
-	fs.Damage(name, 25)
-	_, _, err = wal.Open(folder, wal.Options{FS: fs})
-	var corrupt *wal.CorruptError
-	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
-	assert.Equal(t, corrupt.File, name)
+	const name = folder + "/0000000000000002.snap"
+	for offset, size := 0, 1; offset < size; offset++ {
+		fs := faultfs.New(1)
+		fill(t, fs, 3)
+		log, _, err := wal.Open(folder, wal.Options{FS: fs})
+		assert.NilError(t, err)
+		assert.NilError(t, log.SaveSnapshot(&wal.Snapshot{Index: 2, Term: 1, Data: []byte("data")}, true))
+		assert.NilError(t, log.Close())
+		data, err := fs.ReadFile(name)
+		assert.NilError(t, err)
+		size = len(data)
+		fs.Damage(name, offset)
+		_, _, err = wal.Open(folder, wal.Options{FS: fs})
+		var corrupt *wal.CorruptError
+		assert.Assert(t, errors.As(err, &corrupt), "offset %d: %v", offset, err)
+		assert.Equal(t, corrupt.File, name)
+	}
 }
 
 // Guards against a replica that runs on without a part of its log.
