Let a founder that missed the start join later

Cause: schedule 1007824 ended with a group that did not work again. A founder whose identity it names joins by it. Conclusion: a long run belongs to every change of the founding rules.

--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -136,5 +136,10 @@
 // MembersIndex returns the index of the entry that holds the latest membership.
 func (c *Core) MembersIndex() uint64 { return c.memberships[len(c.memberships)-1].index }
 
-// FirstMembers returns the membership at the last snapshot.
-func (c *Core) FirstMembers() Membership { return append(Membership(nil), c.memberships[0].members...) }
+// Founding returns the membership with which the group began, nil without a group.
+func (c *Core) Founding() Membership {
+	if c.snapshot == nil {
+		return nil
+	}
+	return append(Membership(nil), c.snapshot.Founding...)
+}
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -50,11 +50,12 @@
 
 // Piece is a bounded part of a snapshot.
 type Piece struct {
-	Index   uint64
-	Term    uint64
-	Members Membership
-	Offset  uint64
-	Total   uint64
+	Index    uint64
+	Term     uint64
+	Members  Membership
+	Founding Membership
+	Offset   uint64
+	Total    uint64
 	// Checksum is the CRC-32C of the whole data.
 	Checksum uint32
 	Data     []byte
--- a/consensus/replica/bootstrap.go
+++ b/consensus/replica/bootstrap.go
@@ -30,8 +30,7 @@
 	Joined bool
 	// Ask asks for a Hello in return.
 	Ask bool
-	// Founding is the founding membership of the sender's group, as long as the sender
-	// still knows it.
+	// Founding is the founding membership of the sender's group.
 	Founding consensus.Membership
 }
 
@@ -131,6 +130,6 @@
 	}
 	return &consensus.Snapshot{
 		Index: foundingIndex, Term: foundingTerm,
-		Group: consensus.GroupID(h.Sum64() | 1), Members: members,
+		Group: consensus.GroupID(h.Sum64() | 1), Members: members, Founding: members,
 	}
 }
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -267,7 +267,9 @@
 		return
 	}
 	r.founder = nil
-	if err := r.load(consensus.Recovered{Snapshot: s}); err != nil {
+	// A replica without a group never voted, but may have met a higher term.
+	state := consensus.State{Term: r.core.Status().Term}
+	if err := r.load(consensus.Recovered{State: state, Snapshot: s}); err != nil {
 		r.fail(err)
 		return
 	}
@@ -318,10 +320,7 @@
 }
 
 func (r *Replica) sendHello(address string, ask bool) {
-	h := &Hello{ID: r.storage.id, Joined: r.founder == nil, Ask: ask}
-	if s := r.core.Status(); r.founder == nil && s.Snapshot == foundingIndex {
-		h.Founding = r.core.FirstMembers()
-	}
+	h := &Hello{ID: r.storage.id, Joined: r.founder == nil, Ask: ask, Founding: r.core.Founding()}
 	r.cfg.Transport.Send(address, Packet{From: r.cfg.Address, Hello: h})
 }
 
--- a/consensus/replica/replica_test.go
+++ b/consensus/replica/replica_test.go
@@ -134,6 +134,25 @@
 	})
 }
 
+// Guards against a founder that missed the start and cannot vote later, when its vote is
+// needed. Schedule 1007824 of TestSchedules found it.
+func TestLateFounder(t *testing.T) {
+	inBubble(t, 5, func(t *testing.T, g *group) {
+		g.waitFor("the start of the group", g.nodes["a"].joined)
+		assert.Assert(t, !g.nodes["b"].joined(), "the test needs a founder that missed the start")
+		g.kill(g.nodes["b"])
+		for i := range 10 {
+			g.propose("command %d", i)
+		}
+		g.kill(g.nodes["c"])
+		g.start("b")
+		g.propose("after")
+		assert.Equal(t, len(g.leader().journal.all()), 11)
+	})
+}
+
+func (n *node) joined() bool { return n.Status().Joined }
+
 // Guards against a membership call that reports success before it is in force, or that
 // leaves a removed replica in the quorum.
 func TestRemoveReplica(t *testing.T) {
--- a/consensus/replica/storage.go
+++ b/consensus/replica/storage.go
@@ -18,8 +18,9 @@
 
 // snapshotMeta is the part of a snapshot that belongs to the core.
 type snapshotMeta struct {
-	Group   consensus.GroupID    `msgpack:"g"`
-	Members consensus.Membership `msgpack:"m"`
+	Group    consensus.GroupID    `msgpack:"g"`
+	Members  consensus.Membership `msgpack:"m"`
+	Founding consensus.Membership `msgpack:"f"`
 }
 
 // storedEntry is the payload of a log entry.
@@ -57,7 +58,7 @@
 			return r, fmt.Errorf("decode snapshot %d: %w", s.Index, err)
 		}
 		r.Snapshot = &consensus.Snapshot{
-			Index: s.Index, Term: s.Term, Group: meta.Group, Members: meta.Members, Data: s.Data,
+			Index: s.Index, Term: s.Term, Group: meta.Group, Members: meta.Members, Founding: meta.Founding, Data: s.Data,
 		}
 	}
 	r.Entries = make([]consensus.Entry, 0, len(found.Entries))
@@ -119,7 +120,7 @@
 }
 
 func encodeSnapshot(snap *consensus.Snapshot) (*wal.Snapshot, error) {
-	meta, err := msgpack.Marshal(&snapshotMeta{Group: snap.Group, Members: snap.Members})
+	meta, err := msgpack.Marshal(&snapshotMeta{Group: snap.Group, Members: snap.Members, Founding: snap.Founding})
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot %d: %w", snap.Index, err)
 	}
--- a/consensus/replica/world_test.go
+++ b/consensus/replica/world_test.go
@@ -420,7 +420,18 @@
 			w.propose(w.pick())
 		}
 	}
-	w.check.fail("the group does not work again after all faults ended")
+	w.check.fail("the group does not work again after all faults ended:%s", w.describe())
+}
+
+// describe lists the state of the hosts.
+func (w *world) describe() string {
+	out := ""
+	for _, h := range w.nodes {
+		if h.replica != nil {
+			out += fmt.Sprintf("\n%+v members %v", h.replica.core.Status(), h.replica.core.Members())
+		}
+	}
+	return out
 }
 
 // settled reports whether all voters run and applied everything that was committed.
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -23,7 +23,7 @@
 	s := p.snapshot
 	end := min(p.offset+uint64(c.cfg.PieceBytes), uint64(len(s.Data)))
 	c.send(Message{Type: MsgSnapshot, To: p.id, Index: s.Index, Piece: &Piece{
-		Index: s.Index, Term: s.Term, Members: s.Members,
+		Index: s.Index, Term: s.Term, Members: s.Members, Founding: s.Founding,
 		Offset: p.offset, Total: uint64(len(s.Data)),
 		Checksum: p.checksum, Data: s.Data[p.offset:end],
 	}})
@@ -68,7 +68,7 @@
 		return
 	}
 	c.installSnapshot(&Snapshot{
-		Index: p.Index, Term: p.Term, Group: m.Group, Members: p.Members, Data: in.data,
+		Index: p.Index, Term: p.Term, Group: m.Group, Members: p.Members, Founding: p.Founding, Data: in.data,
 	})
 	c.send(Message{Type: MsgAppendReply, To: m.From, Index: c.commit})
 }
@@ -90,7 +90,7 @@
 	term, _ := c.log.term(c.applied)
 	return &Snapshot{
 		Index: c.applied, Term: term, Group: c.group,
-		Members: c.membersAt(c.applied), Data: data,
+		Members: c.membersAt(c.applied), Founding: c.snapshot.Founding, Data: data,
 	}
 }
 
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -103,6 +103,9 @@
 	Term    uint64
 	Group   GroupID
 	Members Membership
+	// Founding is the membership with which the group began. A founder that has missed the
+	// start is a voter all the same, and joins by it.
+	Founding Membership
 	// Data is the state machine's snapshot; empty for the first snapshot of a group.
 	Data []byte
 }
