--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,125 +1,17 @@
 package control_test
 
 import (
-	"context"
-	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"toucantiller.dev/contract"
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
-	"toucantiller.dev/distribution"
-	"toucantiller.dev/endpoint"
-	"toucantiller.dev/failuredomain"
-	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 	"toucantiller.dev/membership"
 )
 
-// bundleText returns a valid bundle with one required sign-off.
-func bundleText(version int, extra string) []byte {
-	key := func(name string) string { return contract.DemoKey(name).Public() }
-	return fmt.Appendf(nil, `name: looms
-version: %d
-author: ada
-sign_off: {required: 1}
-operators:
-  - {name: ada, public_key: %s}
-  - {name: bola, public_key: %s}
-tiers:
-  - {name: gold}
-accounts:
-  - {name: mill, tier: gold, key_hashes: [aa]}
-failure_domains:
-  - {name: lagos-a, region: lagos}
-  - {name: lagos-b, region: lagos}
-services:
-  - {name: weft, kind: model, version: v1}
-%s`, version, key("ada"), key("bola"), extra)
-}
-
-func signedBundle(id string, content []byte) *api.ApplyBundle {
-	now := time.Now()
-	c := &api.ApplyBundle{
-		Operation:  api.Operation{ID: id, Operator: "ada"},
-		Content:    content,
-		Signatures: []api.Signature{api.Signature(contract.Sign(content, "bola", contract.DemoKey("bola"), now))},
-	}
-	api.Sign(c, contract.DemoKey("ada"), time.Now())
-	return c
-}
-
-func drain(id string, domain failuredomain.ID) *api.SetDomain {
-	c := &api.SetDomain{Operation: api.Operation{ID: id, Operator: "ada"}, Domain: domain, State: failuredomain.StateDrained}
-	api.Sign(c, contract.DemoKey("ada"), time.Now())
-	return c
-}
-
-// process is a gateway or agent with its subscription, announcement and peer service.
-type process struct {
-	self      instance.Instance
-	holder    *distribution.Holder
-	announcer *membership.Announcer
-	cancel    context.CancelFunc
-}
-
-func startProcess(t *testing.T, network link.Network, self instance.Instance, addrs []string) *process {
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	p := &process{self: self, holder: distribution.NewHolder(nil), cancel: cancel}
-	client := control.NewClient(network, addrs)
-	opts := membership.Options{Control: client, Configuration: p.holder, Self: self}
-	if self.Role == instance.RoleAgent {
-		opts.Endpoint = &endpoint.Endpoint{ID: self.ID, Incarnation: self.Incarnation, Service: "weft", Version: "v1", Domain: self.Domain, Address: self.LinkAddress}
-	}
-	p.announcer = membership.NewAnnouncer(opts)
-	server := link.NewServer()
-	assert.NilError(t, server.Register(distribution.ServiceName, distribution.NewService(p.holder)))
-	listener, err := network.Listen(self.LinkAddress)
-	assert.NilError(t, err)
-	subscriber := distribution.NewSubscriber(distribution.SubscriberOptions{Network: network, Holder: p.holder, Self: self, Control: addrs})
-	go func() { _ = server.Serve(listener) }()
-	go p.announcer.Run(ctx)
-	go subscriber.Run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		_ = listener.Close()
-		server.Close()
-		client.Close()
-	})
-	return p
-}
-
-func newControl(t *testing.T, network link.Network, opts control.Options) *control.Server {
-	t.Helper()
-	if opts.Self.LinkAddress == "" {
-		opts.Self = instance.Instance{ID: "control-0", Role: instance.RoleControl, LinkAddress: "control-0"}
-	}
-	opts.Network = network
-	if opts.OpenLog == nil {
-		opts.OpenLog = control.MemoryLog(opts.Self.LinkAddress)
-	}
-	s, err := control.New(opts)
-	assert.NilError(t, err)
-	assert.NilError(t, s.Start(t.Context()))
-	t.Cleanup(func() { assert.NilError(t, s.Stop(context.Background())) })
-	return s
-}
-
-// bubble runs a test in a synctest bubble. At the end it lets the probes of closed
-// connections end.
-func bubble(t *testing.T, f func(t *testing.T)) {
-	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		t.Cleanup(func() { time.Sleep(10 * time.Second) })
-		f(t)
-	})
-}
-
 // Guards against an accepted drain that does not reach a process, or is reported in
 // force before every process confirmed it.
 func TestDrainReachesEveryProcess(t *testing.T) {
@@ -129,19 +21,13 @@
 		time.Sleep(time.Second)
 		client := control.NewClient(network, []string{"control-0"})
 		defer client.Close()
-		reply, err := client.ApplyBundle(t.Context(), signedBundle("op-1", bundleText(1, "")))
-		assert.NilError(t, err)
-		assert.Equal(t, reply.Outcome, api.OutcomeAccepted, reply.Reason)
-
+		apply(t, client.ApplyBundle, signedBundle("op-1", bundleText(1, "")))
 		var all []*process
 		for i := range 4 {
-			self := instance.Instance{ID: instance.ID(fmt.Sprintf("agent-%d", i)), Role: instance.RoleAgent, Domain: "lagos-a", Incarnation: 1, LinkAddress: fmt.Sprintf("agent-%d", i)}
-			all = append(all, startProcess(t, network, self, []string{"control-0"}))
+			all = append(all, startProcess(t, network, agent(i), []string{"control-0"}))
 		}
 		time.Sleep(3 * time.Second)
-		reply, err = client.SetDomain(t.Context(), drain("op-2", "lagos-a"))
-		assert.NilError(t, err)
-		assert.Equal(t, reply.Outcome, api.OutcomeAccepted, reply.Reason)
+		reply := apply(t, client.SetDomain, drain("op-2", "lagos-a"))
 		status, err := client.Status(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, len(status.Processes), 4)
@@ -153,8 +39,147 @@
 		status, err = client.Status(t.Context())
 		assert.NilError(t, err)
 		assert.Assert(t, status.InForce)
-		for _, p := range all {
-			p.cancel()
+	})
+}
+
+// Guards against a leader change that expels processes, reverts the revision, loses a
+// change or gives a resend another outcome.
+func TestLeaderChangeKeepsEverything(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startGroup(t, nil)
+		client := control.NewClient(g.network, replicas)
+		defer client.Close()
+		apply(t, client.ApplyBundle, signedBundle("op-1", bundleText(1, "")))
+		var all []*process
+		for i := range 4 {
+			all = append(all, startProcess(t, g.network, agent(i), replicas))
+		}
+		time.Sleep(3 * time.Second)
+		change := drain("op-2", "lagos-a")
+		first := apply(t, client.SetDomain, change)
+		leases := make([]uint64, len(all))
+		for i, p := range all {
+			leases[i] = p.announcer.Lease()
+		}
+		token, err := client.NextToken(t.Context())
+		assert.NilError(t, err)
+
+		old := g.leader(t, client)
+		g.network.SetFault(old, link.FaultPartition)
+		g.stop(t, old)
+		time.Sleep(20 * time.Second)
+
+		status, err := client.Status(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, status.Leader != old)
+		assert.Equal(t, status.Revision, first.Revision)
+		assert.Equal(t, len(status.Processes), 4)
+		assert.Assert(t, status.InForce)
+		for i, p := range all {
+			assert.Equal(t, p.announcer.Lease(), leases[i], "a leader change expelled %s", p.self.ID)
+			assert.Assert(t, p.holder.UnprovenAllowed(time.Now()))
+		}
+		assert.DeepEqual(t, apply(t, client.SetDomain, change), first)
+		later, err := client.NextToken(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, later > token)
+	})
+}
+
+// Guards against a leader without a quorum that still serves the configuration, makes
+// processes look fresh or accepts a change.
+func TestLeaderWithoutQuorumServesNothing(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startGroup(t, nil)
+		client := control.NewClient(g.network, replicas)
+		defer client.Close()
+		apply(t, client.ApplyBundle, signedBundle("op-1", bundleText(1, "")))
+		p := startProcess(t, g.network, agent(0), replicas)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, p.holder.UnprovenAllowed(time.Now()))
+		leader := g.leader(t, client)
+		for _, addr := range replicas {
+			if addr != leader {
+				g.stop(t, addr)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !p.holder.UnprovenAllowed(time.Now()))
+		assert.Assert(t, p.holder.MayServe(time.Now()))
+		_, err := client.Subscribe(t.Context(), &api.Subscribe{})
+		assert.ErrorContains(t, err, "call Control.Subscribe")
+		_, err = client.SetDomain(t.Context(), drain("op-2", "lagos-a"))
+		assert.ErrorContains(t, err, "call Control.SetDomain")
+	})
+}
+
+// Guards against "in force" while a process that went silent may still take work on old
+// settings, and against one that left on purpose holding it up.
+func TestSilentProcessHoldsUpInForce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		network := link.NewMemory()
+		newControl(t, network, control.Options{})
+		time.Sleep(time.Second)
+		c := control.NewClient(network, []string{"control-0"})
+		defer c.Close()
+		apply(t, c.ApplyBundle, signedBundle("op-1", bundleText(1, "serve_stale: 2m\n")))
+		silent := startProcess(t, network, agent(0), []string{"control-0"})
+		leaving := startProcess(t, network, agent(1), []string{"control-0"})
+		time.Sleep(3 * time.Second)
+		silent.cancel()
+		assert.NilError(t, leaving.announcer.Leave(t.Context()))
+		apply(t, c.SetDomain, drain("op-2", "lagos-a"))
+		inForce := func() bool {
+			status, err := c.Status(t.Context())
+			assert.NilError(t, err)
+			return status.InForce
+		}
+		time.Sleep(time.Minute)
+		status, err := c.Status(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(status.Endpoints), 0)
+		assert.Equal(t, len(status.Processes), 1)
+		assert.Assert(t, status.Processes[0].Lost && !status.InForce)
+		time.Sleep(2 * time.Minute)
+		assert.Assert(t, inForce())
+	})
+}
+
+// Guards against a thousand agents that return at once flooding the log, starving each
+// other or costing those already in their leases.
+func TestCrowdIsAdmittedAtBoundedRate(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		network := link.NewMemory()
+		newControl(t, network, control.Options{RegistrationsPerSecond: 100, RegistrationBurst: 10})
+		time.Sleep(time.Second)
+		apply(t, control.NewClient(network, []string{"control-0"}).ApplyBundle, signedBundle("op-1", bundleText(1, "")))
+		early := startProcess(t, network, agent(0), []string{"control-0"})
+		time.Sleep(time.Second)
+		first := early.announcer.Lease()
+		client := control.NewClient(network, []string{"control-0"})
+		defer client.Close()
+		var crowd []*membership.Announcer
+		for i := range 1000 {
+			self := agent(i + 1)
+			a := membership.NewAnnouncer(membership.Options{Control: client, Configuration: early.holder, Self: self})
+			crowd = append(crowd, a)
+			go a.Run(t.Context())
+		}
+		registered := func() (n int) {
+			for _, a := range crowd {
+				if a.Lease() != 0 {
+					n++
+				}
+			}
+			return n
 		}
+		time.Sleep(5 * time.Second)
+		half := registered()
+		assert.Assert(t, half > 400 && half < 600, "%d registered after 5 s at 100/s", half)
+		time.Sleep(7 * time.Second)
+		assert.Equal(t, registered(), 1000)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, registered(), 1000)
+		assert.Equal(t, early.announcer.Lease(), first)
 	})
 }
--- a/rollout/window.go
+++ b/rollout/window.go
@@ -17,7 +17,12 @@
 	minWindow    = 24
 	maxWindow    = 128
 	maxWindowAge = 45 * time.Second
-	minAgedSize  = 24
+	minWindowAge = 2 * time.Second
+	minAgedSize  = 12
+	// agePart is the part of a stage's planned time that a window may last.
+	agePart = 0.25
+	// anyDomain is the window of new answers in domains without old ones.
+	anyDomain = -1
 	// fullEnough is the share from which old answers at the same time are too rare.
 	fullEnough = 0.97
 	// leastPast is the number of past answers that a comparison of times needs.
@@ -76,8 +81,42 @@
 	return int(min(maxWindow, max(minWindow, size)))
 }
 
-func (w *window) aged(now time.Time) bool {
-	return len(w.answers) >= minAgedSize && now.Sub(w.since) >= maxWindowAge
+func (w *window) aged(now time.Time, age time.Duration) bool {
+	return len(w.answers) > 0 && now.Sub(w.since) >= age
+}
+
+// put adds an answer and returns the windows it went into. Every old answer also joins
+// the window over all domains.
+func (l *line) put(a *answer, now time.Time) (own, rest *window) {
+	if a.isNew {
+		return l.into(a.domain, a, now), nil
+	}
+	l.remember(a)
+	return l.into(a.domain, a, now), l.into(anyDomain, a, now)
+}
+
+func (l *line) into(domain int, a *answer, now time.Time) *window {
+	w := l.windows[domain]
+	if w == nil {
+		w = &window{}
+		l.windows[domain] = w
+	}
+	if len(w.answers) == 0 {
+		w.since = now
+	}
+	w.answers = append(w.answers, *a)
+	return w
+}
+
+// hand gives the new answers of a domain without enough old ones to the window over all
+// domains and empties the domain's window.
+func (l *line) hand(w *window, now time.Time) {
+	for i := range w.answers {
+		if w.answers[i].isNew {
+			l.into(anyDomain, &w.answers[i], now)
+		}
+	}
+	w.answers = w.answers[:0]
 }
 
 func (w *window) countOld() int {
--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -92,6 +92,11 @@
 	x.live = live
 }
 
+// estimateSlack rounds the estimated number of requests. Without it, an idle endpoint
+// with a limit of 1 is saturated as soon as the mean of other gateways' work is above
+// 0, and no request ever goes there again.
+const estimateSlack = 0.5
+
 // saturatedFilter takes out endpoints at their limit. Warm endpoints have room for
 // some more requests than their limit; cold ones do not.
 type saturatedFilter struct{}
@@ -99,18 +104,19 @@
 func (saturatedFilter) Reason() Reason { return ReasonSaturated }
 
 func (saturatedFilter) Apply(x *scratch, r *Request) {
-	live := x.live[:0]
+	n := 0
 	half := float64(r.PromptTokens) / 2
 	for _, i := range x.live {
 		room := x.reports[i].room
 		if x.saved[i] > half {
-			room = x.reports[i].holderRoom
+			room = x.reports[i].holderRoom()
 		}
-		if x.requests[i]+1 <= room {
-			live = append(live, i)
+		x.live[n] = i
+		if x.requests[i]+1 <= float64(room)+estimateSlack {
+			n++
 		}
 	}
-	x.live = live
+	x.live = x.live[:n]
 }
 
 // affinityMarker takes out nothing: it marks the prompt tokens that each live
