--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -205,3 +205,23 @@
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
 	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
 }
+
+// BenchmarkKeepAlive measures one keepalive over loopback.
+func BenchmarkKeepAlive(b *testing.B) {
+	addr := freeAddress(b)
+	newControl(b, link.TCP{}, control.Options{Self: instance.Instance{ID: "control-0", LinkAddress: addr}})
+	c := control.NewClient(link.TCP{}, []string{addr})
+	b.Cleanup(c.Close)
+	reply, err := c.Register(b.Context(), &api.Register{Instance: agent(0)})
+	assert.NilError(b, err)
+	before := cpuTime()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := c.KeepAlive(b.Context(), &api.KeepAlive{Lease: reply.Lease, Instance: "agent-0", Revision: 1}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	b.ReportMetric(float64((cpuTime()-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
+}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -224,3 +224,42 @@
 		assert.Assert(t, p.holder.UnprovenAllowed(time.Now()))
 	})
 }
+
+// Guards against a restart of all replicas that reverts the configuration, forgets a
+// claim or expels the processes.
+func TestRestartOfAllReplicasKeepsState(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startGroup(t, nil)
+		c := control.NewClient(g.network, replicas)
+		defer c.Close()
+		apply(t, c.ApplyBundle, signedBundle("op-1", bundleText(1, "")))
+		p := startProcess(t, g.network, agent(0), replicas)
+		time.Sleep(3 * time.Second)
+		first := p.announcer.Lease()
+		drained := apply(t, c.SetDomain, drain("op-2", "lagos-a"))
+		claim := &api.Claim{Account: "mill", Key: "k", TTL: time.Hour, Owner: "agent-0", Dispatch: dispatch.ID{Request: "r1", Gateway: 1}}
+		reply, err := c.Claim(t.Context(), claim)
+		assert.NilError(t, err)
+		assert.Equal(t, reply.State, api.ClaimGranted)
+		for _, addr := range replicas {
+			g.stop(t, addr)
+		}
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, !p.holder.UnprovenAllowed(time.Now()))
+		for _, addr := range replicas {
+			g.start(t, addr)
+		}
+		time.Sleep(10 * time.Second)
+		status, err := c.Status(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, status.Revision, drained.Revision)
+		assert.Assert(t, status.InForce)
+		assert.Equal(t, p.announcer.Lease(), first)
+		assert.Assert(t, p.holder.UnprovenAllowed(time.Now()))
+		claim.Dispatch.Request = "r2"
+		reply, err = c.Claim(t.Context(), claim)
+		assert.NilError(t, err)
+		assert.Equal(t, reply.State, api.ClaimRunning)
+		assert.Assert(t, reply.OwnerAlive)
+	})
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -10,6 +10,7 @@
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
 	"toucantiller.dev/distribution"
+	"toucantiller.dev/instance"
 	"toucantiller.dev/lease"
 	"toucantiller.dev/timeline"
 )
@@ -201,6 +202,7 @@
 	if len(ends) == 0 {
 		return
 	}
+	holders := s.holders(ends)
 	if _, err := s.propose(&state.Command{EndLeases: &state.EndLeases{Leases: ends}}); err != nil {
 		s.report("end leases", err)
 		return
@@ -211,9 +213,25 @@
 	}
 	s.mu.Unlock()
 	count(s.counts.expirations, len(ends))
+	for _, id := range holders {
+		s.opts.Recorder.Record(timeline.Event{Kind: "process.lost", Endpoint: string(id), Detail: "no keepalive for " + lease.TTL.String()})
+	}
 	_ = level.Info(s.opts.Logger).Log("msg", "leases expired", "count", len(ends))
 }
 
+// holders returns the processes that hold the leases.
+func (s *Server) holders(leases []state.EndLease) []instance.ID {
+	out := make([]instance.ID, 0, len(leases))
+	s.machine.read(func(st *state.State) {
+		for _, e := range leases {
+			if id, ok := st.Holder(e.Lease); ok {
+				out = append(out, id)
+			}
+		}
+	})
+	return out
+}
+
 func (s *Server) maintain() error {
 	_, err := s.propose(&state.Command{Maintain: &state.Maintain{}})
 	return err
