control: end leases whose registration had a lost outcome

Cause: a registration that was committed while its reply was lost had no keepalive time at the leader; if its process died, its endpoint stayed in the directory until the next leader change. Conclusion: every lease ends unless renewed.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
 	"toucantiller.dev/link"
 	"toucantiller.dev/membership"
 )
@@ -200,6 +202,34 @@
 	})
 }
 
+// Guards against an endpoint that stays in the directory for ever, because its process
+// died before the leader learned that its registration was committed.
+func TestRegistrationWithLostOutcomeExpires(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		network := link.NewMemory()
+		log := &cutLog{}
+		newControl(t, network, control.Options{OpenLog: log.open("control-0")})
+		time.Sleep(time.Second)
+		c := control.NewClient(network, []string{"control-0"})
+		defer c.Close()
+		endpoints := func() int {
+			status, err := c.Status(t.Context())
+			assert.NilError(t, err)
+			return len(status.Endpoints)
+		}
+		log.loseOutcome.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		self := agent(0)
+		_, err := c.Register(ctx, &api.Register{Instance: self, Endpoint: &endpoint.Endpoint{ID: self.ID}})
+		assert.ErrorContains(t, err, "outcome unknown")
+		log.loseOutcome.Store(false)
+		assert.Equal(t, endpoints(), 1)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, endpoints(), 0)
+	})
+}
+
 // Guards against a replica that does not know yet that it lost its quorum and goes on
 // issuing beacons or serving views.
 func TestNoBeaconWithoutConfirmedQuorum(t *testing.T) {
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -199,6 +200,16 @@
 type cutLog struct {
 	control.Log
 	cut atomic.Bool
+	// loseOutcome makes Propose commit and then fail.
+	loseOutcome atomic.Bool
+}
+
+func (l *cutLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	out, err := l.Log.Propose(ctx, command)
+	if err == nil && l.loseOutcome.Load() {
+		err = errors.New("outcome unknown")
+	}
+	return out, err
 }
 
 func (l *cutLog) ReadBarrier(ctx context.Context) error {
--- a/control/leader.go
+++ b/control/leader.go
@@ -72,6 +72,7 @@
 	}
 	if now.Sub(d.lastMaintain) >= maintainInterval {
 		d.lastMaintain = now
+		s.adoptLeases(now)
 		s.report("maintain", s.maintain())
 	}
 }
@@ -125,6 +126,14 @@
 	s.leases.Extend(ids, now)
 }
 
+func (s *Server) adoptLeases(now time.Time) {
+	var ids []uint64
+	s.machine.read(func(st *state.State) { ids = st.Leases() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases.Adopt(ids, now)
+}
+
 func (s *Server) confirmQuorum() bool {
 	ctx, cancel := context.WithTimeout(s.ctx, barrierTimeout)
 	defer cancel()
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -50,6 +50,17 @@
 	t.entries = next
 }
 
+// Adopt grants the given leases that the table does not hold yet. The leader calls it
+// from time to time: a registration whose outcome was lost on the way to the leader's
+// caller is in the log, and its lease must end if nobody renews it.
+func (t *Table) Adopt(leases []uint64, now time.Time) {
+	for _, id := range leases {
+		if _, ok := t.entries[id]; !ok {
+			t.Grant(id, now)
+		}
+	}
+}
+
 // Grant adds a lease, or renews it.
 func (t *Table) Grant(id uint64, now time.Time) {
 	if !t.Renew(id, 0, now) {
