Ask agents for their load while requests wait, in the scenarios

Change: the scenario's gateways probe four agents every 100 ms while requests wait, as package gateway does. Conclusion: a gateway with waiting requests must not rely on frames alone.

--- a/scenario/gateway.go
+++ b/scenario/gateway.go
@@ -19,6 +19,13 @@
 // gatewayQueue is the capacity of a gateway's queue in requests.
 const gatewayQueue = 48
 
+// A gateway with waiting requests asks probeCount agents for their load every
+// probeTicks ticks.
+const (
+	probeTicks = 2
+	probeCount = 4
+)
+
 // maxQueueTime bounds the wait in a gateway's queue for every tier.
 const maxQueueTime = 4 * time.Second
 
@@ -44,6 +51,8 @@
 	snapshot  *schedule.Snapshot
 	queue     *admission.ServiceQueue
 	estimator schedule.AnswerEstimator
+	ticks     int
+	probed    int
 	open      map[*entry]bool
 	deafTo    map[*dispatch]bool
 }
@@ -288,4 +297,27 @@
 	g.drop(g.queue.Expire(g.now()))
 	g.raise()
 	g.pump()
+	if g.ticks++; g.ticks%probeTicks == 0 && g.queue.Len() > 0 {
+		g.probe()
+	}
+}
+
+// probe asks the next few agents for their load, and with it their floor. Frames of
+// running calls may be too far apart to learn of a floor within ShedDelay.
+func (g *gateway) probe() {
+	for range min(probeCount, len(g.p.agents)) {
+		g.probed++
+		a := g.p.agents[g.probed%len(g.p.agents)]
+		g.w.clock.after(netDelay, func() {
+			if a.down {
+				return
+			}
+			load := a.load()
+			g.w.clock.after(netDelay, func() {
+				if !g.down {
+					g.observe(a, load)
+				}
+			})
+		})
+	}
 }
