--- a/limit/limit.go
+++ b/limit/limit.go
@@ -68,7 +68,9 @@
 	failureGain  = 0.15
 	// coldGrowth and warmGrowth are the relative rises after a proof.
 	coldGrowth = 0.5
-	warmGrowth = 1.0 / 8
+	warmGrowth = 0.25
+	// firstStep is the relative fall when first tokens take too long.
+	firstStep = 0.125
 	// minProof is the least number of successes that prove a limit; larger limits need
 	// one success per slot.
 	minProof = 2
--- a/limit/loop.go
+++ b/limit/loop.go
@@ -65,7 +65,7 @@
 	mean := l.proof.ratios / float64(l.proof.successes)
 	meanFirst := l.proof.firsts / float64(l.proof.successes)
 	if meanFirst > firstFull && l.limit > 1 {
-		l.step(1-warmGrowth, now)
+		l.step(1-firstStep, now)
 		return
 	}
 	warming := l.fast < warmingRatio*l.slow
@@ -83,7 +83,7 @@
 		rate = coldGrowth
 	}
 	if float64(l.proof.peak) >= usedShare*math.Floor(l.limit) {
-		l.limit = math.Min(math.Floor(l.limit)+math.Max(1, math.Floor(l.limit*rate)), float64(l.opt.MaxRequests))
+		l.limit = math.Min(math.Floor(l.limit)+math.Ceil(math.Floor(l.limit)*rate), float64(l.opt.MaxRequests))
 	}
 	if float64(l.proof.peakTokens) >= usedShare*l.tokens/2 {
 		l.tokens = math.Min(l.tokens*(1+rate), float64(l.opt.MaxTokens))
