Judge calls by the prefills beside them and raise limits only in use

Change: a rise needs three quarters of the limit in use on average; prompts that join within a call's expected time count for it; waiting calls turn an endpoint cold only when three are overdue or it has answered nothing since they began. Conclusion: one slow call in a burst no longer costs an engine its limit.

--- a/limit/calls.go
+++ b/limit/calls.go
@@ -21,6 +21,10 @@
 	gen    uint64
 	prompt int
 	start  time.Time
+	// beside is the prompt tokens whose prefill shares the engine with this call's: those
+	// ahead of it and those that joined within its expected time. Calls that join later
+	// are not counted, since a slow engine would else excuse itself.
+	beside int
 }
 
 func (c *calls) add(now time.Time, prompt int) Ticket {
@@ -33,10 +37,10 @@
 	}
 	c.gen++
 	c.slots[slot] = call{used: true, gen: c.gen, prompt: prompt, start: now}
-	t := Ticket{slot: slot, gen: c.gen, start: now}
 	if c.reportsFirst {
-		t.ahead = c.prefilling
+		c.slots[slot].beside = c.prefilling
 	}
+	t := Ticket{slot: slot, gen: c.gen, start: now}
 	c.open++
 	c.tokens += prompt
 	c.prefilling += prompt
@@ -54,6 +58,19 @@
 	return s
 }
 
+// join adds a new prompt to the calls beside whose prefill it runs.
+func (c *calls) join(now time.Time, prompt int, first *line) {
+	if !c.reportsFirst {
+		return
+	}
+	for i := range c.slots {
+		o := &c.slots[i]
+		if o.used && !o.first && now.Sub(o.start).Seconds() <= first.at(float64(o.prompt+o.beside)) {
+			o.beside += prompt
+		}
+	}
+}
+
 // begin records the first token of a call; it reports whether it was the first.
 func (c *calls) begin(t Ticket) bool {
 	s := c.get(t)
@@ -66,10 +83,10 @@
 	return true
 }
 
-func (c *calls) remove(t Ticket) bool {
+func (c *calls) remove(t Ticket) {
 	s := c.get(t)
 	if s == nil {
-		return false
+		return
 	}
 	c.open--
 	c.tokens -= s.prompt
@@ -78,5 +95,4 @@
 	}
 	s.used = false
 	c.free = append(c.free, t.slot)
-	return true
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -83,7 +83,9 @@
 	// warmLimit is the limit at which a ramp counts as finished even though the
 	// endpoint's capacity has not been reached.
 	warmLimit = 16
-	// usedShare is the share of a limit that must have been in use to prove it.
+	// usedShare is the mean share of a limit that must be in use for it to rise. Peaks
+	// alone would raise it far beyond need, and a burst would then fill the endpoint
+	// with calls that slow each other down.
 	usedShare = 0.75
 	// warmingRatio is the fall of the fast ratio against the slow one that shows an
 	// endpoint still getting faster; its limit does not rise meanwhile.
@@ -114,16 +116,19 @@
 	failures  float64
 	failedRow int
 	longest   time.Duration
+	// progressAt is when an answer last began or ended: the endpoint was not silent.
+	progressAt time.Time
 
 	proof proof
 }
 
 // proof collects the successes of calls that started at the present limit.
 type proof struct {
-	successes  int
-	ratios     float64
-	firsts     float64
-	peak       int
+	successes int
+	ratios    float64
+	firsts    float64
+	// open is the sum of the outstanding calls at each success.
+	open       int
 	peakTokens int
 	since      time.Time
 }
@@ -184,15 +189,13 @@
 	gen   uint64
 	start time.Time
 	crowd crowd
-	// ahead is the prompt tokens that other calls had not yet prefilled.
-	ahead int
 }
 
 // Start records that a call was given to the endpoint.
 func (l *Limiter) Start(now time.Time, promptTokens int) Ticket {
+	l.calls.join(now, promptTokens, &l.first)
 	t := l.calls.add(now, promptTokens)
 	t.crowd = l.crowd()
-	l.proof.peak = max(l.proof.peak, l.calls.open)
 	l.proof.peakTokens = max(l.proof.peakTokens, l.calls.tokens)
 	return t
 }
@@ -214,10 +217,14 @@
 // longer counts as overdue. Calling it is optional.
 func (l *Limiter) FirstToken(t Ticket, now time.Time) {
 	c := l.calls.get(t)
-	if !l.calls.begin(t) || !l.first.ready() {
+	if !l.calls.begin(t) {
 		return
 	}
-	ratio := firstShare * now.Sub(t.start).Seconds() / l.first.at(float64(c.prompt+t.ahead))
+	l.progressAt = now
+	if !l.first.ready() {
+		return
+	}
+	ratio := firstShare * now.Sub(t.start).Seconds() / l.first.at(float64(c.prompt+c.beside))
 	if ratio > fullRatio {
 		l.judge(ratio, t, now)
 	}
@@ -234,17 +241,21 @@
 
 // Finish records the outcome of a call. A ticket counts once.
 func (l *Limiter) Finish(t Ticket, s Sample, now time.Time) {
-	if !l.calls.remove(t) {
+	c := l.calls.get(t)
+	if c == nil {
 		return
 	}
+	beside := c.beside
+	l.calls.remove(t)
 	if s.Failed {
 		l.fail(t, now)
 		return
 	}
+	l.progressAt = now
 	l.failedRow = 0
 	l.failures *= 1 - failureGain
 	l.longest = max(s.Total, l.longest-l.longest/64)
-	r := l.learn(t, s)
+	r := l.learn(t, s, beside)
 	l.judge(r.load, t, now)
 	l.prove(r, t, now)
 }
@@ -288,42 +299,53 @@
 	if now.Sub(l.overdueAt) < overdueRepeat || !l.first.ready() {
 		return false
 	}
-	overdue, open, worst := l.overdue(now)
-	if overdue == 0 || (overdue < 2 && overdue < open) {
-		return false
-	}
-	if 2*overdue < open && overdue < 3 {
+	w := l.overdue(now)
+	silent := w.overdue == w.open && w.since.After(l.progressAt)
+	if w.overdue == 0 || (!silent && w.overdue < max(jumpCalls, w.open/2)) {
 		return false
 	}
 	l.overdueAt = now
 	if l.limit <= 1 {
 		return false
 	}
-	if worst >= 2*overdueFactor || overdue == open {
-		l.turnCold(math.Min(math.Max(worst, 1), maxSlower), now)
+	if w.worst >= 2*overdueFactor || silent {
+		l.turnCold(math.Min(math.Max(w.worst, 1), maxSlower), now)
 		return true
 	}
 	l.step(0.5, now)
 	return true
 }
 
-func (l *Limiter) overdue(now time.Time) (overdue, open int, worst float64) {
+// waiting sums up the calls without a first token.
+type waiting struct {
+	open, overdue int
+	// worst is the highest ratio of elapsed to expected time of the overdue calls, since
+	// the start of the latest of them.
+	worst float64
+	since time.Time
+}
+
+func (l *Limiter) overdue(now time.Time) waiting {
+	var w waiting
 	typical := math.Max(1, l.slow)
 	for i := range l.calls.slots {
 		c := &l.calls.slots[i]
 		if !c.used || c.first {
 			continue
 		}
-		open++
+		w.open++
 		expected := l.expectedFirst(c) * typical
 		elapsed := (now.Sub(c.start) - overdueSlack).Seconds()
 		if elapsed < overdueFactor*expected {
 			continue
 		}
-		overdue++
-		worst = math.Max(worst, elapsed/expected)
+		w.overdue++
+		w.worst = math.Max(w.worst, elapsed/expected)
+		if c.start.After(w.since) {
+			w.since = c.start
+		}
 	}
-	return overdue, open, worst
+	return w
 }
 
 // expectedFirst is the time to first token of a call beside the other prefills, in
@@ -339,19 +361,19 @@
 // ratios compare one call with the baseline of an idle endpoint.
 type ratios struct {
 	// load is the evidence of overload: the time of the whole call or its first token
-	// time, both corrected for the prefills ahead of it.
+	// time, both corrected for the prefills beside it.
 	load float64
 	// first is the first token time without that correction.
 	first float64
 }
 
 // learn updates the baseline and the rates and returns the call's ratios.
-func (l *Limiter) learn(t Ticket, s Sample) ratios {
+func (l *Limiter) learn(t Ticket, s Sample, beside int) ratios {
 	prompt := float64(max(s.PromptTokens, 1))
 	answer := float64(s.AnswerTokens)
 	firstTime := s.FirstToken.Seconds()
 	decodeTime := (s.Total - s.FirstToken).Seconds()
-	expected := l.first.at(prompt + float64(t.ahead))
+	expected := l.first.at(prompt + float64(beside))
 	if !l.first.known {
 		expected = firstTime
 	}
--- a/limit/loop.go
+++ b/limit/loop.go
@@ -54,6 +54,8 @@
 		return
 	}
 	l.proof.successes++
+	// The call itself has left the outstanding calls.
+	l.proof.open += l.calls.open + 1
 	l.proof.ratios += r.load
 	l.proof.firsts += r.first
 	if l.proof.successes < max(minProof, l.Limit()) {
@@ -82,7 +84,8 @@
 	if l.cold {
 		rate = coldGrowth
 	}
-	if float64(l.proof.peak) >= usedShare*math.Floor(l.limit) {
+	meanOpen := float64(l.proof.open) / float64(l.proof.successes)
+	if meanOpen >= usedShare*math.Floor(l.limit) {
 		l.limit = math.Min(math.Floor(l.limit)+math.Ceil(math.Floor(l.limit)*rate), float64(l.opt.MaxRequests))
 	}
 	if float64(l.proof.peakTokens) >= usedShare*l.tokens/2 {
@@ -128,5 +131,5 @@
 }
 
 func (l *Limiter) restartProof(now time.Time) {
-	l.proof = proof{since: now, peak: l.calls.open, peakTokens: l.calls.tokens}
+	l.proof = proof{since: now, peakTokens: l.calls.tokens}
 }
