--- a/control/decider/decider_test.go
+++ b/control/decider/decider_test.go
@@ -7,11 +7,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"toucantiller.dev/contract"
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/decider"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/rollout"
 )
 
 var start = time.Date(2031, 5, 4, 12, 0, 0, 0, time.UTC)
@@ -75,3 +77,8 @@
 	assert.Assert(t, len(back.Evidence) > 0)
 	assert.Equal(t, back.Evidence[0].Measure, "errors")
 }
+
+// Guards against bundles that validate with a time in which no move can be done.
+func TestShortestMoveOfBundlesIsThatOfRollout(t *testing.T) {
+	assert.Equal(t, contract.MinMoveTime, rollout.MinTime)
+}
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -89,6 +89,20 @@
 	assert.Assert(t, at < 8*time.Minute, "said after %s", at)
 }
 
+// Guards against a shortest time in which even a busy, good version cannot be moved.
+func TestShortestMoveIsDone(t *testing.T) {
+	for seed := range uint64(20) {
+		full := time.Duration(0)
+		d, at := drive(rollout.MinTime, 200, seed, nil, func(m rollout.Move, _ rollout.Decision) {
+			if !m.Watching {
+				full += time.Second
+			}
+		})
+		assert.Equal(t, d.Action, rollout.Finish, "%s after %s", d.Cause, at)
+		assert.Assert(t, full <= rollout.MinTime, "full share after %s", full)
+	}
+}
+
 // Guards against load that cold endpoints cannot bear: the share rises no faster than
 // their reported load allows.
 func TestShareIsBoundedByLoad(t *testing.T) {
