--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -92,6 +92,11 @@
 	x.live = live
 }
 
+// estimateSlack rounds the estimated number of requests. Without it, an idle endpoint
+// with a limit of 1 is saturated as soon as the mean of other gateways' work is above
+// 0, and no request ever goes there again.
+const estimateSlack = 0.5
+
 // saturatedFilter takes out endpoints at their limit. Warm endpoints have room for
 // some more requests than their limit; cold ones do not.
 type saturatedFilter struct{}
@@ -107,7 +112,7 @@
 			room = x.reports[i].holderRoom()
 		}
 		x.live[n] = i
-		if x.requests[i]+1 <= float64(room) {
+		if x.requests[i]+1 <= float64(room)+estimateSlack {
 			n++
 		}
 	}
