Sharpen the tests of seal, silence, drain and lost claims

Cause: trials with single mechanisms switched off showed tests that passed all the same: seal by another incarnation, hung agent behind a live connection, queued work at a draining agent, release of a claim whose reply was lost, cancelling the engine in time. Change: stub agents whose replies the test sets; an endpoint that is warmed up, so that its agent queues; a bound on the time until the engine is cancelled.

--- a/gateway/claims_test.go
+++ b/gateway/claims_test.go
@@ -105,6 +105,8 @@
 		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 503, "claims_unavailable", executionOf("not_run"))
 		w.claims.set(func() { w.claims.losing = false })
 		time.Sleep(2 * time.Second)
+		// Another gateway would find the key held by a live owner.
+		assert.Equal(t, len(w.claims.claims), 0)
 		w.post(booking, "{}", "Idempotency-Key", "k1").expect(t, 200)
 		assert.Equal(t, engine.runs.Load(), int64(1))
 	})
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -59,25 +59,22 @@
 // connection proves that it did not run, so it goes elsewhere.
 func TestSilenceInQueueGoesElsewhere(t *testing.T) {
 	bubble(t, func(t *testing.T, w *world) {
-		busy, free := slow(8*time.Second), &counted{}
-		w.addAgent("e1", "desk", busy)
+		busy, free := &warmed{delay: 8 * time.Second}, &counted{}
+		a := w.addAgent("e1", "desk", busy)
 		w.startGateway()
-		first := make(chan answer, 2)
-		go func() { first <- w.post("/services/desk/a", "{}") }()
-		time.Sleep(10 * time.Millisecond)
-		go func() { first <- w.post("/services/desk/b", "{}") }()
-		time.Sleep(10 * time.Millisecond)
+		results, running := w.fillAgent(a, busy)
 		w.addAgent("e2", "desk", free)
 		w.network.SetFault("agent-e1", link.FaultSilence)
-		got := []answer{<-first, <-first}
-		assert.Equal(t, busy.runs.Load(), int64(1))
-		assert.Equal(t, free.runs.Load(), int64(1))
-		for _, a := range got {
-			if a.status == 200 {
-				continue
+		unknown := 0
+		for range running + 1 {
+			if got := <-results; got.status != 200 {
+				got.expect(t, 502, executionOf("unknown"))
+				unknown++
 			}
-			a.expect(t, 502, executionOf("unknown"))
 		}
+		assert.Equal(t, unknown, running)
+		assert.Equal(t, busy.slowRuns.Load(), int64(running))
+		assert.Equal(t, free.runs.Load(), int64(1))
 	})
 }
 
@@ -164,11 +161,13 @@
 		}}
 		a := w.addAgent("e1", "desk", engine)
 		w.startGateway()
+		begin := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		got := w.send(ctx, http.MethodPost, "/services/desk/a", "{}")
 		assert.ErrorIs(t, got.err, context.DeadlineExceeded)
 		<-cancelled
+		assert.Assert(t, time.Since(begin) < 2*time.Second, "cancelled after %s", time.Since(begin))
 		synctest.Wait()
 		assert.Equal(t, a.Load().Running, 0)
 		w.post("/services/desk/b", "{}").expect(t, 200, "second")
@@ -178,21 +177,17 @@
 // Guards against a drain that cuts running work, drops queued work or lets new work in.
 func TestDrainHandsBackAndFinishes(t *testing.T) {
 	bubble(t, func(t *testing.T, w *world) {
-		one, two := slow(3*time.Second), &counted{}
+		one, two := &warmed{delay: 3 * time.Second}, &counted{}
 		a := w.addAgent("e1", "desk", one)
 		w.startGateway()
-		results := make(chan answer, 3)
-		for range 2 {
-			go func() { results <- w.post("/services/desk/a", "{}") }()
-		}
-		time.Sleep(100 * time.Millisecond)
+		results, running := w.fillAgent(a, one)
 		w.addAgent("e2", "desk", two)
 		a.Drain()
 		go func() { results <- w.post("/services/desk/b", "{}") }()
-		for range 3 {
+		for range running + 2 {
 			(<-results).expect(t, 200)
 		}
-		assert.Equal(t, one.runs.Load(), int64(1))
+		assert.Equal(t, one.slowRuns.Load(), int64(running))
 		assert.Equal(t, two.runs.Load(), int64(2))
 	})
 }
--- /dev/null
+++ b/gateway/stub_test.go
@@ -0,0 +1,93 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+// stubAgent is an agent of which each reply is set by the test.
+type stubAgent struct {
+	dispatch func(w http.ResponseWriter, r *http.Request, h *dispatch.Header)
+	seal     dispatch.SealReply
+}
+
+func (w *world) addStub(id string, incarnation instance.Incarnation, s *stubAgent) {
+	mux := http.NewServeMux()
+	mux.HandleFunc(dispatch.PathDispatch, func(rw http.ResponseWriter, r *http.Request) {
+		h, err := dispatch.ReadHeader(r.Header)
+		assert.NilError(w.t, err)
+		s.dispatch(rw, r, h)
+	})
+	mux.HandleFunc(dispatch.PathSeal, func(rw http.ResponseWriter, _ *http.Request) { _ = msgpack.NewEncoder(rw).Encode(&s.seal) })
+	e := endpoint.Endpoint{ID: instance.ID(id), Incarnation: incarnation, Service: "desk", Version: "1", Domain: "a", Address: "agent-" + id}
+	l, err := w.network.Listen(e.Address)
+	assert.NilError(w.t, err)
+	server := link.NewHTTPServer(mux)
+	go func() { _ = server.Serve(l) }()
+	w.t.Cleanup(func() { _ = server.Close() })
+	w.register(e)
+}
+
+func hang(_ http.ResponseWriter, r *http.Request, _ *dispatch.Header) { <-r.Context().Done() }
+
+// Guards against an agent that answers probes of the connection but not the dispatch
+// holding the request for ever.
+func TestHungAgentIsSettled(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.addStub("e1", 5, &stubAgent{dispatch: hang, seal: dispatch.SealReply{State: dispatch.SealSealed, Incarnation: 5}})
+		w.startGateway()
+		begin := time.Now()
+		w.post(booking, "{}").expect(t, 503, executionOf("not_run"))
+		assert.Assert(t, time.Since(begin) <= 2*time.Second, "took %s", time.Since(begin))
+	})
+}
+
+// Guards against the word of a new incarnation being taken for that of the one that had
+// the dispatch.
+func TestSealByOtherIncarnationProvesNothing(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.addStub("e1", 5, &stubAgent{dispatch: hang, seal: dispatch.SealReply{State: dispatch.SealSealed, Incarnation: 6}})
+		w.startGateway()
+		w.post(booking, "{}").expect(t, 502, executionOf("unknown"))
+	})
+}
+
+// Guards against a refusal of a second copy being taken for a proof that the first one
+// did not run.
+func TestDuplicateRefusalIsNotProof(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		refuse := func(rw http.ResponseWriter, _ *http.Request, h *dispatch.Header) {
+			_ = dispatch.NewWriter(rw, h.ID).WriteMessage(dispatch.FrameRefused, &dispatch.Refused{Code: dispatch.CodeDuplicate})
+		}
+		w.addStub("e1", 5, &stubAgent{dispatch: refuse, seal: dispatch.SealReply{State: dispatch.SealCommitted, Incarnation: 5}})
+		w.startGateway()
+		w.post(booking, "{}").expect(t, 502, executionOf("unknown"))
+	})
+}
+
+// Guards against the answer to another request reaching this caller.
+func TestCrossedAnswerIsNotDelivered(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		crossed := func(rw http.ResponseWriter, _ *http.Request, h *dispatch.Header) {
+			id := h.ID
+			id.Request = "other"
+			frames := dispatch.NewWriter(rw, id)
+			_ = frames.WriteMessage(dispatch.FrameStarted, &dispatch.Started{Status: 200})
+			_ = frames.WriteData([]byte("secret of another caller"))
+			_ = frames.WriteMessage(dispatch.FrameEnd, &dispatch.End{Length: 24})
+		}
+		w.addStub("e1", 5, &stubAgent{dispatch: crossed, seal: dispatch.SealReply{State: dispatch.SealCommitted, Incarnation: 5}})
+		w.startGateway()
+		a := w.post(booking, "{}")
+		a.expect(t, 502, executionOf("unknown"))
+	})
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -223,6 +223,48 @@
 	}}
 }
 
+// warmed answers /warm in 10 ms and everything else after a delay.
+type warmed struct {
+	delay    time.Duration
+	slowRuns atomic.Int64
+}
+
+func (e *warmed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	delay := 10 * time.Millisecond
+	if r.URL.Path != "/warm" {
+		e.slowRuns.Add(1)
+		delay = e.delay
+	}
+	select {
+	case <-time.After(delay):
+	case <-r.Context().Done():
+	}
+}
+
+// fillAgent warms an agent's endpoint up, since a cold one is given nothing to queue,
+// and sends it as many slow calls as it can bear and one more, which waits in its queue.
+func (w *world) fillAgent(a *agent.Agent, e *warmed) (results chan answer, running int) {
+	var warming sync.WaitGroup
+	for range 24 {
+		warming.Go(func() {
+			for range 40 {
+				w.post("/services/desk/warm", "").expect(w.t, 200)
+			}
+		})
+	}
+	warming.Wait()
+	assert.Assert(w.t, !a.Load().Cold, "%+v", a.Load())
+	running = a.Load().Limit
+	results = make(chan answer, running+2)
+	for range running + 1 {
+		go func() { results <- w.post("/services/desk/slow", "{}") }()
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(w.t, e.slowRuns.Load(), int64(running))
+	assert.Equal(w.t, a.Load().Queued, 1)
+	return results, running
+}
+
 func (w *world) totalRuns(engines ...*counted) int64 {
 	var n int64
 	for _, e := range engines {
