--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -1,7 +1,10 @@
 package gateway_test
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,20 +21,37 @@
 type stubAgent struct {
 	dispatch func(w http.ResponseWriter, r *http.Request, h *dispatch.Header)
 	seal     dispatch.SealReply
+	// stuck makes seals on a connection that carried a dispatch hang.
+	stuck bool
 }
 
+// connKey is the context key of a connection's state.
+type connKey struct{}
+
+type connState struct{ dispatched atomic.Bool }
+
 func (w *world) addStub(id string, incarnation instance.Incarnation, s *stubAgent) {
 	mux := http.NewServeMux()
 	mux.HandleFunc(dispatch.PathDispatch, func(rw http.ResponseWriter, r *http.Request) {
 		h, err := dispatch.ReadHeader(r.Header)
 		assert.NilError(w.t, err)
+		r.Context().Value(connKey{}).(*connState).dispatched.Store(true)
 		s.dispatch(rw, r, h)
 	})
-	mux.HandleFunc(dispatch.PathSeal, func(rw http.ResponseWriter, _ *http.Request) { _ = msgpack.NewEncoder(rw).Encode(&s.seal) })
+	mux.HandleFunc(dispatch.PathSeal, func(rw http.ResponseWriter, r *http.Request) {
+		if s.stuck && r.Context().Value(connKey{}).(*connState).dispatched.Load() {
+			<-r.Context().Done()
+			return
+		}
+		_ = msgpack.NewEncoder(rw).Encode(&s.seal)
+	})
 	e := endpoint.Endpoint{ID: instance.ID(id), Incarnation: incarnation, Service: "desk", Version: "1", Domain: "a", Address: "agent-" + id}
 	l, err := w.network.Listen(e.Address)
 	assert.NilError(w.t, err)
 	server := link.NewHTTPServer(mux)
+	server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, &connState{})
+	}
 	go func() { _ = server.Serve(l) }()
 	w.t.Cleanup(func() { _ = server.Close() })
 	w.register(e)
@@ -51,6 +71,17 @@
 	})
 }
 
+// Guards against asking how a dispatch stands over the connection that failed it.
+func TestSealGoesOverNewConnection(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.addStub("e1", 5, &stubAgent{dispatch: hang, stuck: true, seal: dispatch.SealReply{State: dispatch.SealSealed, Incarnation: 5}})
+		w.startGateway()
+		begin := time.Now()
+		w.post(booking, "{}").expect(t, 503, executionOf("not_run"))
+		assert.Assert(t, time.Since(begin) <= 2*time.Second, "took %s", time.Since(begin))
+	})
+}
+
 // Guards against the word of a new incarnation being taken for that of the one that had
 // the dispatch.
 func TestSealByOtherIncarnationProvesNothing(t *testing.T) {
