--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -17,9 +17,9 @@
 
 // Bounds of what the replica takes in before it syncs.
 const (
-	inboxSize      = 4096
+	inboxSize      = 1024
 	inboxBatch     = 32
-	proposalQueue  = 1024
+	proposalQueue  = 256
 	proposalBatch  = 1024
 	proposalBytes  = 4 << 20
 	maxOutstanding = 8192
@@ -64,14 +64,28 @@
 	readToken uint64
 	learned   map[consensus.ID]string
 	lookups   map[string][]chan Hello
+	// writing is true from the start of a background write until its result was taken.
+	writing bool
+	written chan written
 }
 
 // Start opens the data folder and starts the replica.
 func Start(cfg Config) (*Replica, error) {
+	r, err := open(cfg)
+	if err != nil {
+		return nil, err
+	}
+	r.cfg.Transport.Receive(r.receive)
+	go r.run()
+	return r, nil
+}
+
+// open builds a replica that is not running yet.
+func open(cfg Config) (*Replica, error) {
 	if err := cfg.complete(); err != nil {
 		return nil, err
 	}
-	s, recovered, err := openStorage(cfg.DataFolder, wal.Options{FS: cfg.FS})
+	s, recovered, err := openStorage(cfg.DataFolder, wal.Options{FS: cfg.FS, NewOwner: cfg.newIdentity})
 	if err != nil {
 		return nil, fmt.Errorf("start replica %s: %w", cfg.Address, err)
 	}
@@ -86,13 +100,12 @@
 		reads:     make(map[uint64]chan outcome),
 		learned:   make(map[consensus.ID]string),
 		lookups:   make(map[string][]chan Hello),
+		written:   make(chan written, 1),
 	}
 	if err := r.load(recovered); err != nil {
 		return nil, fmt.Errorf("start replica %s: %w", cfg.Address, errors.Join(err, s.close()))
 	}
 	r.publish()
-	cfg.Transport.Receive(r.receive)
-	go r.run()
 	return r, nil
 }
 
@@ -106,6 +119,9 @@
 	if c.SnapshotThreshold == 0 {
 		c.SnapshotThreshold = DefaultSnapshotThreshold
 	}
+	if c.background == nil {
+		c.background = func(f func()) { go f() }
+	}
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
@@ -114,11 +130,16 @@
 
 // load builds the core and the state machine from the data folder.
 func (r *Replica) load(recovered consensus.Recovered) error {
-	core, err := consensus.New(consensus.Config{ID: r.storage.id, Seed: rand.Uint64()}, recovered)
+	core := r.cfg.core
+	core.ID = r.storage.id
+	if core.Seed == 0 {
+		core.Seed = rand.Uint64()
+	}
+	var err error
+	r.core, err = consensus.New(core, recovered)
 	if err != nil {
 		return err
 	}
-	r.core = core
 	if recovered.Snapshot == nil {
 		r.founder = newFounder(r.storage.id, r.cfg.Address, r.cfg.InitialMembers)
 		return nil
@@ -181,6 +202,8 @@
 			r.takeProposals(p)
 		case f := <-r.calls:
 			f()
+		case w := <-r.written:
+			r.takeWritten(w)
 		}
 		r.process()
 	}
@@ -189,6 +212,9 @@
 
 func (r *Replica) shutDown() {
 	r.cfg.Transport.Receive(nil)
+	if r.writing {
+		<-r.written
+	}
 	if err := r.storage.close(); err != nil && r.err == nil {
 		r.err = fmt.Errorf("close log: %w", err)
 	}
--- a/control/service.go
+++ b/control/service.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"time"
 
+	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
+	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/lease"
 	"toucantiller.dev/timeline"
@@ -49,9 +51,32 @@
 
 // ApplyBundle makes a signed bundle the configuration.
 func (v *service) ApplyBundle(in *api.ApplyBundle, out *api.ChangeReply) error {
+	if reason := v.invalid(in); reason != "" {
+		count(v.s.counts.refusals, 1)
+		*out = api.ChangeReply{Outcome: api.OutcomeRefused, Reason: reason, Revision: v.s.revision()}
+		return nil
+	}
 	return v.change(&state.Command{ApplyBundle: in}, in, "bundle", out)
 }
 
+// invalid returns the first problem of a bundle. A resend is not validated again: the
+// passing of time may have made it invalid, and it gets its first outcome.
+func (v *service) invalid(in *api.ApplyBundle) string {
+	if v.s.notLeading() != nil {
+		return ""
+	}
+	resent := false
+	v.s.machine.read(func(st *state.State) { resent = st.KnowsOperation(in.Operation.ID) })
+	problems := contract.Validate(in.Content, time.Now())
+	if resent || len(problems) == 0 {
+		return ""
+	}
+	if len(problems) == 1 {
+		return problems[0].String()
+	}
+	return fmt.Sprintf("%s (and %d more problems)", problems[0], len(problems)-1)
+}
+
 // SetDomain drains or restores a failure domain.
 func (v *service) SetDomain(in *api.SetDomain, out *api.ChangeReply) error {
 	return v.change(&state.Command{SetDomain: in}, in, "domain", out)
@@ -91,13 +116,35 @@
 		Revision: reply.Revision,
 		Detail:   fmt.Sprintf("operation %s by %s %s", change.Op().ID, change.Op().Operator, reply.Reason),
 	}
+	accepted := reply.Outcome == api.OutcomeAccepted
 	switch c := change.(type) {
 	case *api.SetDomain:
 		e.Domain = string(c.Domain)
+		if accepted {
+			e.Kind = domainEvents[c.State]
+		}
 	case *api.AbortMove:
 		e.Move = c.Service
+		if accepted {
+			e.Kind = "move.aborted"
+		}
+	case *api.ApplyBundle:
+		if accepted {
+			e.Kind = "bundle.applied"
+		}
+	}
+	cause := v.s.opts.Recorder.Record(e)
+	for _, m := range v.s.movesInProgress() {
+		if accepted && m.ID == reply.Revision {
+			v.s.opts.Recorder.Record(timeline.Event{Kind: "move.started", Cause: cause, Move: m.Service, Revision: m.ID, Detail: m.From + " to " + m.To})
+		}
 	}
-	v.s.opts.Recorder.Record(e)
+}
+
+var domainEvents = map[failuredomain.State]timeline.Kind{
+	failuredomain.StateDrained:   "domain.drained",
+	failuredomain.StateRestoring: "domain.restored",
+	failuredomain.StateActive:    "domain.restored",
 }
 
 // Register announces a process and grants it a lease.
