--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,3 +195,36 @@
 	api.Sign(c, contract.DemoKey("ada"), time.Now())
 	return c
 }
+
+// cutLog is a log whose replica believes that it leads, while its quorum can be lost.
+type cutLog struct {
+	control.Log
+	cut atomic.Bool
+	// loseOutcome makes Propose commit and then fail.
+	loseOutcome atomic.Bool
+}
+
+func (l *cutLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	out, err := l.Log.Propose(ctx, command)
+	if err == nil && l.loseOutcome.Load() {
+		err = errors.New("outcome unknown")
+	}
+	return out, err
+}
+
+func (l *cutLog) ReadBarrier(ctx context.Context) error {
+	if l.cut.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return l.Log.ReadBarrier(ctx)
+}
+
+// open returns an OpenLog for the log in memory.
+func (l *cutLog) open(address string) control.OpenLog {
+	return func(sm control.StateMachine, server *link.Server) (control.Log, error) {
+		log, err := control.MemoryLog(address)(sm, server)
+		l.Log = log
+		return l, err
+	}
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -10,6 +10,7 @@
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
 	"toucantiller.dev/distribution"
+	"toucantiller.dev/instance"
 	"toucantiller.dev/lease"
 	"toucantiller.dev/timeline"
 )
@@ -71,6 +72,7 @@
 	}
 	if now.Sub(d.lastMaintain) >= maintainInterval {
 		d.lastMaintain = now
+		s.adoptLeases(now)
 		s.report("maintain", s.maintain())
 	}
 }
@@ -124,6 +126,14 @@
 	s.leases.Extend(ids, now)
 }
 
+func (s *Server) adoptLeases(now time.Time) {
+	var ids []uint64
+	s.machine.read(func(st *state.State) { ids = st.Leases() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases.Adopt(ids, now)
+}
+
 func (s *Server) confirmQuorum() bool {
 	ctx, cancel := context.WithTimeout(s.ctx, barrierTimeout)
 	defer cancel()
@@ -201,6 +211,7 @@
 	if len(ends) == 0 {
 		return
 	}
+	holders := s.holders(ends)
 	if _, err := s.propose(&state.Command{EndLeases: &state.EndLeases{Leases: ends}}); err != nil {
 		s.report("end leases", err)
 		return
@@ -211,9 +222,25 @@
 	}
 	s.mu.Unlock()
 	count(s.counts.expirations, len(ends))
+	for _, id := range holders {
+		s.opts.Recorder.Record(timeline.Event{Kind: "process.lost", Endpoint: string(id), Detail: "no keepalive for " + lease.TTL.String()})
+	}
 	_ = level.Info(s.opts.Logger).Log("msg", "leases expired", "count", len(ends))
 }
 
+// holders returns the processes that hold the leases.
+func (s *Server) holders(leases []state.EndLease) []instance.ID {
+	out := make([]instance.ID, 0, len(leases))
+	s.machine.read(func(st *state.State) {
+		for _, e := range leases {
+			if id, ok := st.Holder(e.Lease); ok {
+				out = append(out, id)
+			}
+		}
+	})
+	return out
+}
+
 func (s *Server) maintain() error {
 	_, err := s.propose(&state.Command{Maintain: &state.Maintain{}})
 	return err
--- /dev/null
+++ b/gateway/stub_test.go
@@ -0,0 +1,124 @@
+package gateway_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+// stubAgent is an agent of which each reply is set by the test.
+type stubAgent struct {
+	dispatch func(w http.ResponseWriter, r *http.Request, h *dispatch.Header)
+	seal     dispatch.SealReply
+	// stuck makes seals on a connection that carried a dispatch hang.
+	stuck bool
+}
+
+// connKey is the context key of a connection's state.
+type connKey struct{}
+
+type connState struct{ dispatched atomic.Bool }
+
+func (w *world) addStub(id string, incarnation instance.Incarnation, s *stubAgent) {
+	mux := http.NewServeMux()
+	mux.HandleFunc(dispatch.PathDispatch, func(rw http.ResponseWriter, r *http.Request) {
+		h, err := dispatch.ReadHeader(r.Header)
+		assert.NilError(w.t, err)
+		r.Context().Value(connKey{}).(*connState).dispatched.Store(true)
+		s.dispatch(rw, r, h)
+	})
+	mux.HandleFunc(dispatch.PathSeal, func(rw http.ResponseWriter, r *http.Request) {
+		if s.stuck && r.Context().Value(connKey{}).(*connState).dispatched.Load() {
+			<-r.Context().Done()
+			return
+		}
+		_ = msgpack.NewEncoder(rw).Encode(&s.seal)
+	})
+	e := endpoint.Endpoint{ID: instance.ID(id), Incarnation: incarnation, Service: "desk", Version: "1", Domain: "a", Address: "agent-" + id}
+	l, err := w.network.Listen(e.Address)
+	assert.NilError(w.t, err)
+	server := link.NewHTTPServer(mux)
+	server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, &connState{})
+	}
+	go func() { _ = server.Serve(l) }()
+	w.t.Cleanup(func() { _ = server.Close() })
+	w.register(e)
+}
+
+func hang(_ http.ResponseWriter, r *http.Request, _ *dispatch.Header) { <-r.Context().Done() }
+
+// Guards against an agent that answers probes of the connection but not the dispatch
+// holding the request for ever.
+func TestHungAgentIsSettled(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.addStub("e1", 5, &stubAgent{dispatch: hang, seal: dispatch.SealReply{State: dispatch.SealSealed, Incarnation: 5}})
+		w.startGateway()
+		begin := time.Now()
+		w.post(booking, "{}").expect(t, 503, executionOf("not_run"))
+		assert.Assert(t, time.Since(begin) <= 2*time.Second, "took %s", time.Since(begin))
+	})
+}
+
+// Guards against asking how a dispatch stands over the connection that failed it.
+func TestSealGoesOverNewConnection(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.addStub("e1", 5, &stubAgent{dispatch: hang, stuck: true, seal: dispatch.SealReply{State: dispatch.SealSealed, Incarnation: 5}})
+		w.startGateway()
+		begin := time.Now()
+		w.post(booking, "{}").expect(t, 503, executionOf("not_run"))
+		assert.Assert(t, time.Since(begin) <= 2*time.Second, "took %s", time.Since(begin))
+	})
+}
+
+// Guards against the word of a new incarnation being taken for that of the one that had
+// the dispatch.
+func TestSealByOtherIncarnationProvesNothing(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.addStub("e1", 5, &stubAgent{dispatch: hang, seal: dispatch.SealReply{State: dispatch.SealSealed, Incarnation: 6}})
+		w.startGateway()
+		w.post(booking, "{}").expect(t, 502, executionOf("unknown"))
+	})
+}
+
+// Guards against a refusal of a second copy being taken for a proof that the first one
+// did not run.
+func TestDuplicateRefusalIsNotProof(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		refuse := func(rw http.ResponseWriter, _ *http.Request, h *dispatch.Header) {
+			_ = dispatch.NewWriter(rw, h.ID).WriteMessage(dispatch.FrameRefused, &dispatch.Refused{Code: dispatch.CodeDuplicate})
+		}
+		w.addStub("e1", 5, &stubAgent{dispatch: refuse, seal: dispatch.SealReply{State: dispatch.SealCommitted, Incarnation: 5}})
+		w.startGateway()
+		w.post(booking, "{}").expect(t, 502, executionOf("unknown"))
+	})
+}
+
+// Guards against the answer to another request reaching this caller.
+func TestCrossedAnswerIsNotDelivered(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		crossed := func(rw http.ResponseWriter, _ *http.Request, h *dispatch.Header) {
+			id := h.ID
+			id.Request = "other"
+			frames := dispatch.NewWriter(rw, id)
+			_ = frames.WriteMessage(dispatch.FrameStarted, &dispatch.Started{Status: 200})
+			_ = frames.WriteData([]byte("secret of another caller"))
+			_ = frames.WriteMessage(dispatch.FrameEnd, &dispatch.End{Length: 24})
+		}
+		w.addStub("e1", 5, &stubAgent{dispatch: crossed, seal: dispatch.SealReply{State: dispatch.SealCommitted, Incarnation: 5}})
+		w.startGateway()
+		a := w.post(booking, "{}")
+		a.expect(t, 502, executionOf("unknown"))
+	})
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -17,6 +17,7 @@
 	"toucantiller.dev/agent/httpengine"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/gateway"
@@ -223,6 +224,21 @@
 	}}
 }
 
+// queueAtAgent makes a call wait in the queue of endpoint e1's agent: another gateway has
+// the endpoint's only place, which this gateway does not know. The other gateway's call
+// ends with the engine's answer or with its connection.
+func (w *world) queueAtAgent(a *agent.Agent, path string) (result chan answer, other chan error) {
+	other = make(chan error, 1)
+	go func() { other <- w.dispatchAs(dispatch.ID{Request: "r0", Attempt: 1, Gateway: 99}, time.Minute) }()
+	time.Sleep(100 * time.Millisecond)
+	result = make(chan answer, 1)
+	go func() { result <- w.post(path, "{}") }()
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(w.t, a.Load().Running, 1)
+	assert.Equal(w.t, a.Load().Queued, 1)
+	return result, other
+}
+
 func (w *world) totalRuns(engines ...*counted) int64 {
 	var n int64
 	for _, e := range engines {
