distribution: do not follow redirects to a leader that just failed

Cause: after the loss of a leader, followers that had not elected another sent subscribers back to it, each time at the cost of a timeout. Change: candidates are listed once a round; an address that failed is tried last and not followed as a redirect for 2 s; pauses grow more slowly.

--- /dev/null
+++ b/control/failover_test.go
@@ -0,0 +1,38 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/control"
+	"toucantiller.dev/link"
+)
+
+// Guards against a process that is sent back to a dead leader by its followers, and so
+// learns a change accepted by the new leader seconds late (it took 2.2 s in a trial).
+func TestChangeAfterLeaderLossIsLearnedAtOnce(t *testing.T) {
+	for range 4 {
+		bubble(t, func(t *testing.T) {
+			g := startGroup(t, nil)
+			c := control.NewClient(g.network, replicas)
+			defer c.Close()
+			apply(t, c.ApplyBundle, signedBundle("op-1", bundleText(1, "")))
+			p := startProcess(t, g.network, agent(0), replicas)
+			time.Sleep(15 * time.Second)
+			leader := g.leader(t, c)
+			lost := time.Now()
+			g.network.SetFault(leader, link.FaultPartition)
+			apply(t, c.SetDomain, drain("op-2", "lagos-a"))
+			accepted := time.Now()
+			for p.holder.Config().Domains["lagos-a"].AcceptsWork() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			t.Logf("accepted %s after the loss, learned %s later", accepted.Sub(lost), time.Since(accepted))
+			assert.Assert(t, time.Since(accepted) < 2*time.Second)
+			g.network.SetFault(leader, link.FaultNone)
+			time.Sleep(3 * time.Second)
+		})
+	}
+}
--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -22,8 +22,12 @@
 	pollTimeout = pollWait + 250*time.Millisecond
 	// staleParent is the age of the last beacon at which a subscriber tries another relay.
 	staleParent = 3 * BeaconInterval
-	// retryDelay is the mean pause after every candidate failed; it doubles up to
-	// 2^maxDoublings times, so that processes without control do not flood it.
+	// failedLeader is how long a leader that failed is not called again; it is the time in
+	// which another is elected.
+	failedLeader = 2 * time.Second
+	// retryDelay is the mean pause after every candidate failed; it doubles with every
+	// second failure up to 2^maxDoublings times, so that processes without control do not
+	// flood it, but are not slow after an election either.
 	retryDelay   = 200 * time.Millisecond
 	maxDoublings = 3
 	// preferredRetry is how long a subscriber stays with a fallback.
@@ -45,7 +49,10 @@
 	opts    SubscriberOptions
 	clients map[string]*link.Client
 	leader  string
-	parent  atomic.Pointer[string]
+	// failed is the last address that failed, at failedAt.
+	failed   string
+	failedAt time.Time
+	parent   atomic.Pointer[string]
 
 	// relays and peers are derived from directory.
 	directory *api.Directory
@@ -75,21 +82,26 @@
 // Run follows relays until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) {
 	defer s.closeClients()
-	next, rounds := 0, 0
+	failures := 0
 	for ctx.Err() == nil {
-		candidates := s.candidates()
-		if next >= len(candidates) {
-			next = 0
-			s.pause(ctx, rounds)
-			rounds++
+		if s.round(ctx) {
+			failures = 0
 			continue
 		}
-		if s.follow(ctx, candidates[next], next > 0) {
-			next, rounds = 0, 0
-			continue
+		s.pause(ctx, failures)
+		failures++
+	}
+}
+
+// round tries each candidate once, in order. It returns true as soon as the choice
+// should be made anew.
+func (s *Subscriber) round(ctx context.Context) bool {
+	for i, c := range s.candidates() {
+		if s.follow(ctx, c, i > 0) {
+			return true
 		}
-		next++
 	}
+	return false
 }
 
 // candidates lists the relays of the process's place in the tree, then control and
@@ -113,18 +125,23 @@
 	return out
 }
 
-// controlOrder lists the control replicas, the leader first.
+// controlOrder lists the control replicas, the leader first and one that failed a moment
+// ago last.
 func (s *Subscriber) controlOrder() []string {
-	var out []string
+	var first, others, last []string
 	if s.leader != "" {
-		out = append(out, s.leader)
+		first = append(first, s.leader)
 	}
 	for _, i := range rand.Perm(len(s.opts.Control)) {
-		if address := s.opts.Control[i]; address != s.leader {
-			out = append(out, address)
+		switch address := s.opts.Control[i]; {
+		case address == s.leader:
+		case s.failedLately(address):
+			last = append(last, address)
+		default:
+			others = append(others, address)
 		}
 	}
-	return out
+	return slices.Concat(first, others, last)
 }
 
 // derive finds the process's place in the tree once for each directory.
@@ -150,7 +167,7 @@
 		switch {
 		case err != nil:
 			return false
-		case leader != "" && (redirected || leader == c.address):
+		case leader != "" && (redirected || leader == c.address || s.failedLately(leader)):
 			return false
 		case leader != "":
 			redirected = true
@@ -186,11 +203,18 @@
 		if c.address == s.leader {
 			s.leader = ""
 		}
+		s.failed, s.failedAt = c.address, time.Now()
 		return "", err
 	}
 	return view.Leader, nil
 }
 
+// failedLately reports whether an address was the last to fail a moment ago. Followers
+// name a dead leader until they elect another; calling it again would cost a timeout.
+func (s *Subscriber) failedLately(address string) bool {
+	return address == s.failed && time.Since(s.failedAt) < failedLeader
+}
+
 func (s *Subscriber) fresh() bool { return s.opts.Holder.Freshness(time.Now()) < staleParent }
 
 func (s *Subscriber) stillParent(c candidate) bool {
@@ -231,8 +255,8 @@
 	}
 }
 
-func (s *Subscriber) pause(ctx context.Context, rounds int) {
-	mean := retryDelay << min(rounds, maxDoublings)
+func (s *Subscriber) pause(ctx context.Context, failures int) {
+	mean := retryDelay << min(failures/2, maxDoublings)
 	t := time.NewTimer(mean/2 + rand.N(mean))
 	defer t.Stop()
 	select {
