Test the faults that more seeds showed

Cause: seeds beyond the first five showed sheds before lower work, healthy engines that turned cold and limits far above use. Change: those seeds join the fixed ones; two tests of package limit. Conclusion: the faults stay found.

--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -166,6 +166,48 @@
 	assert.Check(t, cmp.Equal(b.l.Limit(), 1))
 }
 
+// TestOneLateCallInABurstIsNoSilence guards against a healthy endpoint that turns cold
+// because the only call without a first token waited behind a burst of prefills.
+func TestOneLateCallInABurstIsNoSilence(t *testing.T) {
+	b := newBench(100*time.Millisecond, 16)
+	b.finishN(1000)
+	high := b.l.Limit()
+	for _, r := range b.open {
+		b.l.Cancel(r.ticket, Sample{}, b.now)
+	}
+	late := b.l.Start(b.now, 100)
+	for range 8 {
+		b.l.FirstToken(b.l.Start(b.now, 100), b.now.Add(50*time.Millisecond))
+	}
+	b.l.FirstToken(late, b.now.Add(time.Second))
+	late = b.l.Start(b.now, 100)
+	assert.Check(t, !b.l.Waiting(b.now.Add(900*time.Millisecond)))
+	assert.Check(t, cmp.Equal(b.l.Limit(), high))
+	b.l.Cancel(late, Sample{}, b.now)
+}
+
+// TestLimitStaysNearTheLoad guards against a limit that rises on peaks alone, so that
+// a burst fills the endpoint with calls that slow each other down.
+func TestLimitStaysNearTheLoad(t *testing.T) {
+	l := New(Options{})
+	now := start
+	for range 500 {
+		var open []Ticket
+		for range min(l.Limit(), 12) {
+			open = append(open, l.Start(now, 100))
+		}
+		for i, ticket := range open {
+			now = now.Add(10 * time.Millisecond)
+			l.Finish(ticket, Sample{FirstToken: 100 * time.Millisecond, Total: time.Second, PromptTokens: 100, AnswerTokens: 40}, now)
+			// One call stays at a time between bursts of twelve.
+			if i == len(open)-1 {
+				now = now.Add(time.Second)
+			}
+		}
+	}
+	assert.Check(t, l.Limit() < 16, "limit %d for bursts of 12", l.Limit())
+}
+
 // TestFailuresLowerTheLimit guards against an endpoint that fails fast and so looks
 // fast: three failures in a row turn it cold.
 func TestFailuresLowerTheLimit(t *testing.T) {
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -17,6 +17,13 @@
 
 var seeds = []uint64{1, 2, 3, 4, 5}
 
+// Seeds on which earlier versions failed: 138 shed a tier while lower work waited, the
+// others missed the goodput at 2x load.
+var (
+	zeroSeeds     = append([]uint64{138}, seeds...)
+	overloadSeeds = append([]uint64{101, 114, 241, 263, 334}, seeds...)
+)
+
 // goodput is the rate of complete answers in the measured time over capacity.
 func (sc *scenario) goodput(r *Result) float64 {
 	return float64(r.GoodInTime) / (capacity(sc.speeds, &sc.load) * measuredTime.Seconds())
@@ -27,7 +34,7 @@
 // until it falls over.
 func TestZeroTargets(t *testing.T) {
 	for _, sc := range scenarios() {
-		for _, seed := range seeds {
+		for _, seed := range zeroSeeds {
 			t.Run(fmt.Sprintf("%s/seed=%d", sc.name, seed), func(t *testing.T) {
 				t.Parallel()
 				r := sc.run(seed, false)
@@ -45,7 +52,7 @@
 // idle capacity during it, and against prefill spent on calls that do not finish.
 func TestOverloadTargets(t *testing.T) {
 	sc := byName("burst2x")
-	for _, seed := range seeds {
+	for _, seed := range overloadSeeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			calm := sc
