--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -286,8 +286,6 @@
 	CodeStaleConfig      Code = "stale_config"
 	// CodeQueueTime: the request waited as long as its tier allows.
 	CodeQueueTime Code = "queue_time"
-	// CodeAnswerCut: the engine's answer broke off.
-	CodeAnswerCut Code = "answer_cut"
 )
 
 // SealState is the outcome of a seal.
