--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,6 +9,8 @@
 
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
 	"toucantiller.dev/link"
 	"toucantiller.dev/membership"
 )
@@ -183,3 +186,110 @@
 		assert.Equal(t, early.announcer.Lease(), first)
 	})
 }
+
+// Guards against a claim whose answer is too large for the log being sent again and
+// again until the call times out.
+func TestTooLargeAnswerIsRefusedAtOnce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startGroup(t, nil)
+		c := control.NewClient(g.network, replicas)
+		defer c.Close()
+		start := time.Now()
+		answer := &dispatch.StoredAnswer{Body: make([]byte, 5<<20)}
+		err := c.CompleteClaim(t.Context(), &api.CompleteClaim{Account: "mill", Key: "k", State: api.ClaimDone, Answer: answer})
+		assert.ErrorContains(t, err, control.ErrTooLarge.Error())
+		assert.Assert(t, time.Since(start) < time.Second)
+	})
+}
+
+// Guards against an endpoint that stays in the directory for ever, because its process
+// died before the leader learned that its registration was committed.
+func TestRegistrationWithLostOutcomeExpires(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		network := link.NewMemory()
+		log := &cutLog{}
+		newControl(t, network, control.Options{OpenLog: log.open("control-0")})
+		time.Sleep(time.Second)
+		c := control.NewClient(network, []string{"control-0"})
+		defer c.Close()
+		endpoints := func() int {
+			status, err := c.Status(t.Context())
+			assert.NilError(t, err)
+			return len(status.Endpoints)
+		}
+		log.loseOutcome.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		self := agent(0)
+		_, err := c.Register(ctx, &api.Register{Instance: self, Endpoint: &endpoint.Endpoint{ID: self.ID}})
+		assert.ErrorContains(t, err, "outcome unknown")
+		log.loseOutcome.Store(false)
+		assert.Equal(t, endpoints(), 1)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, endpoints(), 0)
+	})
+}
+
+// Guards against a replica that does not know yet that it lost its quorum and goes on
+// issuing beacons or serving views.
+func TestNoBeaconWithoutConfirmedQuorum(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		network := link.NewMemory()
+		log := &cutLog{}
+		newControl(t, network, control.Options{OpenLog: log.open("control-0")})
+		time.Sleep(time.Second)
+		c := control.NewClient(network, []string{"control-0"})
+		defer c.Close()
+		apply(t, c.ApplyBundle, signedBundle("op-1", bundleText(1, "")))
+		p := startProcess(t, network, agent(0), []string{"control-0"})
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, p.holder.UnprovenAllowed(time.Now()))
+		log.cut.Store(true)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !p.holder.UnprovenAllowed(time.Now()))
+		_, err := c.Subscribe(t.Context(), &api.Subscribe{})
+		assert.ErrorContains(t, err, "quorum is not confirmed")
+		log.cut.Store(false)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, p.holder.UnprovenAllowed(time.Now()))
+	})
+}
+
+// Guards against a restart of all replicas that reverts the configuration, forgets a
+// claim or expels the processes.
+func TestRestartOfAllReplicasKeepsState(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startGroup(t, nil)
+		c := control.NewClient(g.network, replicas)
+		defer c.Close()
+		apply(t, c.ApplyBundle, signedBundle("op-1", bundleText(1, "")))
+		p := startProcess(t, g.network, agent(0), replicas)
+		time.Sleep(3 * time.Second)
+		first := p.announcer.Lease()
+		drained := apply(t, c.SetDomain, drain("op-2", "lagos-a"))
+		claim := &api.Claim{Account: "mill", Key: "k", TTL: time.Hour, Owner: "agent-0", Dispatch: dispatch.ID{Request: "r1", Gateway: 1}}
+		reply, err := c.Claim(t.Context(), claim)
+		assert.NilError(t, err)
+		assert.Equal(t, reply.State, api.ClaimGranted)
+		for _, addr := range replicas {
+			g.stop(t, addr)
+		}
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, !p.holder.UnprovenAllowed(time.Now()))
+		for _, addr := range replicas {
+			g.start(t, addr)
+		}
+		time.Sleep(10 * time.Second)
+		status, err := c.Status(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, status.Revision, drained.Revision)
+		assert.Assert(t, status.InForce)
+		assert.Equal(t, p.announcer.Lease(), first)
+		assert.Assert(t, p.holder.UnprovenAllowed(time.Now()))
+		claim.Dispatch.Request = "r2"
+		reply, err = c.Claim(t.Context(), claim)
+		assert.NilError(t, err)
+		assert.Equal(t, reply.State, api.ClaimRunning)
+		assert.Assert(t, reply.OwnerAlive)
+	})
+}
