--- a/systemtest/path_test.go
+++ b/systemtest/path_test.go
@@ -117,6 +117,7 @@
 
 // load sends streamed calls one after the other from several callers.
 type load struct {
+	sent atomic.Int64
 	done atomic.Int64
 	halt atomic.Bool
 	wait sync.WaitGroup
@@ -136,7 +137,9 @@
 
 func (l *load) run() {
 	for !l.halt.Load() {
-		a := call(l.base, http.MethodPost, "/v1/completions", `{"model":"weft-lm","prompt":"thread stock","stream":true}`)
+		// Prompts differ, so that no endpoint is preferred as the holder of their prefix.
+		body := fmt.Sprintf(`{"model":"weft-lm","prompt":"%d thread stock","stream":true}`, l.sent.Add(1))
+		a := call(l.base, http.MethodPost, "/v1/completions", body)
 		if a.err != nil || a.status != http.StatusOK || !strings.HasSuffix(a.body, "data: [DONE]\n\n") {
 			l.mu.Lock()
 			l.bad = append(l.bad, fmt.Sprintf("%d %v %s", a.status, a.err, a.body))
