--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -49,10 +50,9 @@
 	opts    SubscriberOptions
 	clients map[string]*link.Client
 	leader  string
-	// failed is the last address that failed, at failedAt.
-	failed   string
-	failedAt time.Time
-	parent   atomic.Pointer[string]
+	// failed holds when addresses failed.
+	failed map[string]time.Time
+	parent atomic.Pointer[string]
 
 	// relays and peers are derived from directory.
 	directory *api.Directory
@@ -68,7 +68,7 @@
 
 // NewSubscriber returns a subscriber; call Run.
 func NewSubscriber(opts SubscriberOptions) *Subscriber {
-	return &Subscriber{opts: opts, clients: make(map[string]*link.Client)}
+	return &Subscriber{opts: opts, clients: make(map[string]*link.Client), failed: make(map[string]time.Time)}
 }
 
 // Parent returns the address that the subscriber follows at present.
@@ -96,8 +96,8 @@
 // round tries each candidate once, in order. It returns true as soon as the choice
 // should be made anew.
 func (s *Subscriber) round(ctx context.Context) bool {
-	for i, c := range s.candidates() {
-		if s.follow(ctx, c, i > 0) {
+	for _, c := range s.candidates() {
+		if s.follow(ctx, c) {
 			return true
 		}
 	}
@@ -106,42 +106,67 @@
 
 // candidates lists the relays of the process's place in the tree, then control and
 // other processes by turns: a process cut off from every control replica would else
-// wait for each of them before it asks a peer.
+// wait for each of them before it asks a peer. Once a replica has failed, a peer is next.
 func (s *Subscriber) candidates() []candidate {
 	s.derive()
 	var out []candidate
 	for _, address := range s.relays {
 		out = append(out, candidate{address: address})
 	}
-	control := s.controlOrder()
-	for i := range max(len(control), len(s.peers)) {
-		if i < len(control) {
-			out = append(out, candidate{address: control[i], control: true})
+	var control, peers []candidate
+	for _, address := range s.controlOrder() {
+		control = append(control, candidate{address: address, control: true})
+	}
+	for _, address := range s.peers {
+		if !slices.Contains(s.relays, address) {
+			peers = append(peers, candidate{address: address})
+		}
+	}
+	if slices.ContainsFunc(s.opts.Control, s.failedLately) {
+		out = append(out, byTurns(peers, control)...)
+	} else {
+		out = append(out, byTurns(control, peers)...)
+	}
+	// What failed a moment ago is tried last.
+	slices.SortStableFunc(out, func(a, b candidate) int {
+		return cmp.Compare(s.penalty(a.address), s.penalty(b.address))
+	})
+	return out
+}
+
+// byTurns takes one of a, one of b, and so on.
+func byTurns(a, b []candidate) []candidate {
+	out := make([]candidate, 0, len(a)+len(b))
+	for i := range max(len(a), len(b)) {
+		if i < len(a) {
+			out = append(out, a[i])
 		}
-		if i < len(s.peers) && !slices.Contains(s.relays, s.peers[i]) {
-			out = append(out, candidate{address: s.peers[i]})
+		if i < len(b) {
+			out = append(out, b[i])
 		}
 	}
 	return out
 }
 
-// controlOrder lists the control replicas, the leader first and one that failed a moment
-// ago last.
+func (s *Subscriber) penalty(address string) int {
+	if s.failedLately(address) {
+		return 1
+	}
+	return 0
+}
+
+// controlOrder lists the control replicas, the leader first.
 func (s *Subscriber) controlOrder() []string {
-	var first, others, last []string
+	var out []string
 	if s.leader != "" {
-		first = append(first, s.leader)
+		out = append(out, s.leader)
 	}
 	for _, i := range rand.Perm(len(s.opts.Control)) {
-		switch address := s.opts.Control[i]; {
-		case address == s.leader:
-		case s.failedLately(address):
-			last = append(last, address)
-		default:
-			others = append(others, address)
+		if address := s.opts.Control[i]; address != s.leader {
+			out = append(out, address)
 		}
 	}
-	return slices.Concat(first, others, last)
+	return out
 }
 
 // derive finds the process's place in the tree once for each directory.
@@ -156,32 +181,36 @@
 }
 
 // follow polls one candidate until it fails or its beacons are stale. It returns true
-// when the choice should be made anew: the directory gives the process another parent,
-// or a fallback has been followed for preferredRetry.
-func (s *Subscriber) follow(ctx context.Context, c candidate, fallback bool) bool {
+// when the choice should be made anew: the candidate was followed before it failed, the
+// directory gives the process another parent, or a fallback has been followed for
+// preferredRetry.
+func (s *Subscriber) follow(ctx context.Context, c candidate) bool {
 	start := time.Now()
-	redirected := false
+	redirected, followed := false, false
+	preferred := s.preferred(c)
 	wait := time.Duration(0) // the first answer shows at once what the candidate has
 	for ctx.Err() == nil {
 		leader, err := s.poll(ctx, c, wait)
 		switch {
 		case err != nil:
-			return false
+			return followed
 		case leader != "" && (redirected || leader == c.address || s.failedLately(leader)):
-			return false
+			return followed
 		case leader != "":
 			redirected = true
 			s.leader = leader
 			c.address = leader
 			continue
 		case !s.fresh():
-			return false
+			s.failed[c.address] = time.Now()
+			return followed
 		}
 		s.follows(c.address)
-		if fallback && time.Since(start) > preferredRetry {
+		followed = wait > 0
+		if now := s.preferred(c); now != preferred {
 			return true
 		}
-		if !fallback && !s.stillParent(c) {
+		if !preferred && time.Since(start) > preferredRetry {
 			return true
 		}
 		wait = pollWait
@@ -203,21 +232,27 @@
 		if c.address == s.leader {
 			s.leader = ""
 		}
-		s.failed, s.failedAt = c.address, time.Now()
+		s.failed[c.address] = time.Now()
 		return "", err
 	}
 	return view.Leader, nil
 }
 
-// failedLately reports whether an address was the last to fail a moment ago. Followers
-// name a dead leader until they elect another; calling it again would cost a timeout.
+// failedLately reports whether an address failed a moment ago. Followers name a dead
+// leader until they elect another; calling it again would cost a timeout.
 func (s *Subscriber) failedLately(address string) bool {
-	return address == s.failed && time.Since(s.failedAt) < failedLeader
+	at, ok := s.failed[address]
+	if ok && time.Since(at) >= failedLeader {
+		delete(s.failed, address)
+		return false
+	}
+	return ok
 }
 
 func (s *Subscriber) fresh() bool { return s.opts.Holder.Freshness(time.Now()) < staleParent }
 
-func (s *Subscriber) stillParent(c candidate) bool {
+// preferred reports whether a candidate is the process's parent in the tree.
+func (s *Subscriber) preferred(c candidate) bool {
 	s.derive()
 	if len(s.relays) == 0 {
 		return c.control
