Keep the idle stream benchmark from hanging

Cause: the benchmark waited for ever when one of its streams was refused: it had as many cold endpoints as streams.

--- a/gateway/bench_child_test.go
+++ b/gateway/bench_child_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -211,6 +212,9 @@
 		}
 		c.call()
 		if c.order.Hold {
+			if c.tokens == 0 {
+				must(errors.New("a stream to be held open was refused"))
+			}
 			return
 		}
 	}
