Assume the best known speed for endpoints that have not shown theirs

Their state is new, their speed unknown, and the router took it for 30 tokens/s, far below that of the endpoints beside them, so that they were never picked and never showed their speed. Ruled out: the admission limit (1, not reached), prefix affinity (the same with unlike prompts), a stale report (the state is dropped when a domain drains). Change: an unknown speed is taken for the highest known of the version; the limit of 1 still bounds what such an endpoint gets. Conclusion: a returning endpoint is used as far as its limit allows.

--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -75,6 +75,12 @@
 	if !load.Cold {
 		r.room += float32(math.Ceil(aheadShare * limit))
 	}
+	if load.PrefillRate <= 0 {
+		r.marks |= markNoPrefill
+	}
+	if load.DecodeRate <= 0 {
+		r.marks |= markNoDecode
+	}
 	if load.Leaving {
 		r.marks |= markLeaving
 	}
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -41,6 +41,9 @@
 	first  [maxIndex]float64
 	finish [maxIndex]float64
 	score  [maxIndex]float64
+	// assumed holds the reports of endpoints without learned speeds, with the speeds that
+	// they are assumed to have.
+	assumed [maxIndex]report
 }
 
 // unknownReport stands in for endpoints that have not reported: they may be cold.
@@ -71,6 +74,9 @@
 	markFloor
 	markSuspended
 	markCache
+	// markNoPrefill and markNoDecode flag reports without a learned speed.
+	markNoPrefill
+	markNoDecode
 )
 
 // load estimates the requests at each candidate: own outstanding work is exact;
@@ -102,6 +108,43 @@
 	}
 }
 
+// assumeSpeeds gives endpoints without learned speeds the highest known of the version.
+// With a low standard instead, an endpoint that returns beside fast ones gets no work,
+// and so never shows its speed.
+func (x *scratch) assumeSpeeds() {
+	if x.marks&(markNoPrefill|markNoDecode) == 0 {
+		return
+	}
+	prefill, decode := x.bestSpeeds()
+	for _, i := range x.live {
+		r := x.reports[i]
+		if r.marks&(markNoPrefill|markNoDecode) == 0 {
+			continue
+		}
+		x.assumed[i] = *r
+		if r.marks&markNoPrefill != 0 && prefill > 0 {
+			x.assumed[i].perPrefill = prefill
+		}
+		if r.marks&markNoDecode != 0 && decode > 0 {
+			x.assumed[i].perDecode = decode
+		}
+		x.reports[i] = &x.assumed[i]
+	}
+}
+
+// bestSpeeds returns the inverses of the highest known speeds, 0 when none is known.
+func (x *scratch) bestSpeeds() (prefill, decode float64) {
+	for _, r := range x.reports[:x.n] {
+		if r.marks&markNoPrefill == 0 && (prefill == 0 || r.perPrefill < prefill) {
+			prefill = r.perPrefill
+		}
+		if r.marks&markNoDecode == 0 && (decode == 0 || r.perDecode < decode) {
+			decode = r.perDecode
+		}
+	}
+	return prefill, decode
+}
+
 // fade approximates exp(-age/fadeTime) at a fraction of its cost.
 func fade(age int64) float64 {
 	if age <= 0 {
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -178,6 +178,7 @@
 		}
 	}
 	x.sample(r, rng)
+	x.assumeSpeeds()
 	for _, s := range p.Scorers {
 		s.Scorer.Score(x, r, s.Weight)
 	}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -399,3 +399,24 @@
 	unknown := e.Estimate("chat", "new")
 	assert.Check(t, unknown > 50 && unknown < 900, "%d", unknown)
 }
+
+// Guards against an endpoint that returns beside faster ones getting no work, because
+// its speed is not known and is taken for a low one: it then never shows its speed.
+func TestUnknownSpeedIsTried(t *testing.T) {
+	in := fleet(3, 1)
+	s := NewSnapshot(in)
+	now := start.Add(time.Second)
+	list := s.Candidates("model-0")
+	for _, c := range list[1:] {
+		c.Observe(endpoint.Load{Limit: 16, PrefillRate: 50000, DecodeRate: 400, Running: 2, Floor: -1}, now)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	tried := 0
+	for range 200 {
+		d := s.Pick(&Request{Service: "model-0", PromptTokens: 100, AnswerTokens: 50}, now, rng)
+		if d.Candidate == list[0] {
+			tried++
+		}
+	}
+	assert.Assert(t, tried > 20, "picked %d times of 200", tried)
+}
