Return refusals for load to the queue; end a control program whose replica failed

Cause: an agent without room counted against the attempts and the retry budget, so a high tier could be refused after four evictions while lower tiers waited; and a control program went on after its replica had stopped by itself. Change: refusals for load go back to the service's queue, which alone sheds; requests wait with their least time, so that a deadline that cannot be met is refused while queued; toucan-control ends with status 1 when its log fails. After: it waits through 30 and is served. The end of the control program is not tested by a real disk failure: a trial with a file size limit did not reach the limit. Conclusion: P2 no longer depends on the retry budget.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,6 +29,7 @@
 	retries       counter
 	replaced      counter
 	budgetEmpty   counter
+	returned      counter
 	linksLost     counter
 	floors        counter
 	claimFailures counter
@@ -55,6 +56,7 @@
 		{&out.sheds, "toucan.gateway.requests.shed", "{request}", "Requests refused before dispatch, by reason and tier."},
 		{&out.retries, "toucan.gateway.dispatches.retried", "{dispatch}", "Dispatches after a proven not-run, from the retry budget."},
 		{&out.replaced, "toucan.gateway.dispatches.handed_back", "{dispatch}", "Dispatches handed back by an endpoint that leaves and placed elsewhere."},
+		{&out.returned, "toucan.gateway.dispatches.returned", "{dispatch}", "Dispatches that an agent had no room for and that went back to the queue."},
 		{&out.budgetEmpty, "toucan.gateway.retry_budget.exhausted", "{request}", "Requests not tried again because the retry budget was used up."},
 		{&out.linksLost, "toucan.gateway.links.lost", "{dispatch}", "Dispatches whose connection broke or went silent."},
 		{&out.floors, "toucan.gateway.floor.raised", "{floor}", "Times this gateway raised the admission floor."},
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"toucantiller.dev/contract"
+	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/fake"
@@ -167,3 +168,25 @@
 		assert.Assert(t, !w.seen[2].Failed)
 	})
 }
+
+// Guards against a request that agents have no room for being refused after a number of
+// tries: only the queue, which knows the tiers, may shed it.
+func TestRefusalForLoadGoesBackToTheQueue(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		const refusals = 30
+		var tries atomic.Int64
+		idle := endpoint.Load{Limit: 4, Floor: -1}
+		w.addStub("e1", 5, &stubAgent{dispatch: func(rw http.ResponseWriter, _ *http.Request, h *dispatch.Header) {
+			frames := dispatch.NewWriter(rw, h.ID)
+			if tries.Add(1) <= refusals {
+				assert.Check(t, frames.WriteMessage(dispatch.FrameRefused, dispatch.Refused{Code: dispatch.CodeEvicted, Load: idle}))
+				return
+			}
+			assert.Check(t, frames.WriteMessage(dispatch.FrameStarted, dispatch.Started{Status: http.StatusOK}))
+			assert.Check(t, frames.WriteMessage(dispatch.FrameEnd, dispatch.End{Load: idle}))
+		}})
+		w.startGateway()
+		w.post(booking, "{}").expect(t, http.StatusOK)
+		assert.Equal(t, tries.Load(), int64(refusals+1))
+	})
+}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -105,8 +105,9 @@
 
 func (q *serviceQueue) enter(c *call) (*ticket, *Problem) {
 	t := &ticket{call: c, turn: make(chan turn, 1)}
+	least := q.gateway.routing.Load().snapshot.LeastTime(q.service, c.promptTokens, c.answerTokens)
 	t.item = admission.Item{
-		Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
+		LeastTime: least, Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
 		Cost: c.promptTokens + c.answerTokens, Deadline: c.deadline, Value: t,
 	}
 	now := time.Now()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,11 +55,18 @@
 // there is one, is moved to each dispatch before it is sent.
 func (g *Gateway) place(ctx context.Context, c *call, out *answerWriter, claim *claim) result {
 	var last result
-	for range maxAttempts {
+	for attempts := 0; attempts < maxAttempts; attempts++ {
 		r, again := g.tryOnce(ctx, c, out, claim)
 		if r.problem == nil || !r.notRun {
 			return r
 		}
+		if again && refusedForLoad(r.code) {
+			// The queue decides what is shed, by tier and over all endpoints. A bound on
+			// attempts here would shed this request before lower tiers.
+			g.metrics.returned.one()
+			last, attempts = r, attempts-1
+			continue
+		}
 		if r.code == "" && last.problem != nil {
 			// No further endpoint: the reason of the last refusal says more.
 			return last
@@ -119,6 +126,11 @@
 	return true
 }
 
+// refusedForLoad reports whether an agent had no room for a request.
+func refusedForLoad(code dispatch.Code) bool {
+	return code == dispatch.CodeQueueFull || code == dispatch.CodeEvicted
+}
+
 func handedBack(code dispatch.Code) bool {
 	switch code {
 	case dispatch.CodeDraining, dispatch.CodeDomainDrained, dispatch.CodeWrongIncarnation, dispatch.CodeWrongVersion:
@@ -130,8 +142,7 @@
 // exclude keeps the call from an endpoint that refused it, unless the refusal was one of
 // load: there it may wait for its turn again.
 func (c *call) exclude(a *attempt, code dispatch.Code) {
-	switch code {
-	case dispatch.CodeQueueFull, dispatch.CodeEvicted:
+	if refusedForLoad(code) {
 		return
 	}
 	c.excluded = append(c.excluded, a.endpoint.ID)
--- a/program/app.go
+++ b/program/app.go
@@ -16,6 +16,15 @@
 	Stop(ctx context.Context) error
 }
 
+// failing is a process that may stop by itself.
+type failing interface{ Failed() <-chan struct{} }
+
+// stopOnFailure ends the program with status 1 when its process has failed.
+func stopOnFailure(f failing, shutdown fx.Shutdowner) {
+	<-f.Failed()
+	_ = shutdown.Shutdown(fx.ExitCode(ExitFailure)) // fails only when the program already stops
+}
+
 // Module returns the fx options of one daemon: its settings, network and logger, and
 // the process that build makes of them.
 func Module[S any, P Process](settings S, common *Common, build func(S, link.Network, kitlog.Logger) (P, error)) fx.Option {
@@ -26,8 +35,11 @@
 			func() kitlog.Logger { return NewLogger(os.Stderr, common.ID) },
 			build,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, p P) {
+		fx.Invoke(func(lc fx.Lifecycle, shutdown fx.Shutdowner, p P) {
 			lc.Append(fx.Hook{OnStart: p.Start, OnStop: p.Stop})
+			if f, ok := any(p).(failing); ok {
+				go stopOnFailure(f, shutdown)
+			}
 		}),
 	)
 }
--- a/program/control.go
+++ b/program/control.go
@@ -37,6 +37,7 @@
 	admin    *Admin
 	network  link.Network
 	server   *control.Server
+	failed   chan struct{}
 }
 
 // NewControl builds a replica.
@@ -45,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Control{settings: s, logger: logger, admin: admin, network: network}, nil
+	return &Control{settings: s, logger: logger, admin: admin, network: network, failed: make(chan struct{})}, nil
 }
 
 // Start opens the log and serves.
@@ -73,6 +74,7 @@
 	}
 	c.server = server
 	c.admin.Telemetry.SetReady(true)
+	go c.watch()
 	_ = c.logger.Log("msg", "control replica started", "listen", c.settings.Listen)
 	return nil
 }
@@ -87,6 +89,20 @@
 	}
 }
 
+// Failed is closed when the replica has stopped by itself, for example because its disk
+// failed.
+func (c *Control) Failed() <-chan struct{} { return c.failed }
+
+// watch reports a replica that stops by itself.
+func (c *Control) watch() {
+	<-c.server.Done()
+	if err := c.server.Err(); err != nil {
+		c.admin.Telemetry.SetReady(false)
+		_ = c.logger.Log("msg", "control replica failed", "err", err)
+		close(c.failed)
+	}
+}
+
 // Stop ends the replica.
 func (c *Control) Stop(ctx context.Context) error {
 	c.admin.Telemetry.SetReady(false)
