Let operators change the control group by a signed call

Cause: AddReplica and RemoveReplica of consensus/replica could be called by no RPC, so a lost control replica could not be replaced. Change: Control.ChangeReplicas with Operation, Action and Address. The state machine verifies the signature as for every operator change and keeps the operation pending; the leader changes the group and commits the outcome, so that a resend continues a pending change, on a new leader too, and gets the first outcome of one that ended. The resend of a pending change is verified again, since the leader acts on it. Control.Status lists the members. Conclusion: a replica can be replaced through control.Client.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -21,6 +21,9 @@
 const (
 	OutcomeAccepted Outcome = "accepted"
 	OutcomeRefused  Outcome = "refused"
+	// OutcomePending is recorded for a ChangeReplicas that was verified and has not ended
+	// yet. No reply carries it.
+	OutcomePending Outcome = "pending"
 )
 
 // Operation identifies a change: a resend with the same ID and content gets the
@@ -37,7 +40,9 @@
 type ChangeReply struct {
 	Outcome Outcome
 	// Reason is set for OutcomeRefused and names who or what stands against it.
-	Reason   string
+	Reason string
+	// Detail says what an accepted ChangeReplicas did.
+	Detail   string
 	Revision uint64
 	// Leader is set when the called replica is not the leader; call that address.
 	Leader string
@@ -71,6 +76,33 @@
 	Reason    string
 }
 
+// ReplicasAction is what ChangeReplicas does.
+type ReplicasAction string
+
+// Actions on the control group.
+const (
+	ReplicasAdd    ReplicasAction = "add"
+	ReplicasRemove ReplicasAction = "remove"
+)
+
+// ChangeReplicas is "Control.ChangeReplicas": adds the replica at an address to the
+// control group, or removes it. A replica whose disk was lost is added again at its
+// address, which removes its former identity.
+type ChangeReplicas struct {
+	Operation Operation
+	Action    ReplicasAction
+	Address   string
+}
+
+// Replica is a member of the control group.
+type Replica struct {
+	Address string
+	// ID identifies the data folder of the replica, as in its log lines.
+	ID uint64
+	// Voter is false for a learner, which receives the log and does not vote.
+	Voter bool
+}
+
 // MoveState is the state of a move.
 type MoveState string
 
@@ -315,6 +347,8 @@
 	// silence and that may still take work on old settings.
 	Processes []ProcessStatus
 	Endpoints []endpoint.Endpoint
+	// Replicas lists the members of the control group in order of address.
+	Replicas []Replica
 	// InForce is true when every process that holds a lease has confirmed Revision and no
 	// silent one can still take work on old settings.
 	InForce bool
--- a/control/api/signing.go
+++ b/control/api/signing.go
@@ -15,7 +15,8 @@
 	ClockTolerance = 5 * time.Minute
 )
 
-// Change is a change that an operator signs: ApplyBundle, SetDomain or AbortMove.
+// Change is a change that an operator signs: ApplyBundle, SetDomain, AbortMove or
+// ChangeReplicas.
 type Change interface {
 	// Op returns the operation, which callers may modify.
 	Op() *Operation
@@ -56,9 +57,13 @@
 // Op returns the operation.
 func (c *AbortMove) Op() *Operation { return &c.Operation }
 
-func (c *ApplyBundle) method() string { return "ApplyBundle" }
-func (c *SetDomain) method() string   { return "SetDomain" }
-func (c *AbortMove) method() string   { return "AbortMove" }
+// Op returns the operation.
+func (c *ChangeReplicas) Op() *Operation { return &c.Operation }
+
+func (c *ApplyBundle) method() string    { return "ApplyBundle" }
+func (c *SetDomain) method() string      { return "SetDomain" }
+func (c *AbortMove) method() string      { return "AbortMove" }
+func (c *ChangeReplicas) method() string { return "ChangeReplicas" }
 
 func (c *ApplyBundle) signedFields() []string {
 	fields := []string{contract.Digest(c.Content)}
@@ -72,6 +77,8 @@
 
 func (c *AbortMove) signedFields() []string { return []string{c.Service, c.Reason} }
 
+func (c *ChangeReplicas) signedFields() []string { return []string{string(c.Action), c.Address} }
+
 func formatTime(t time.Time) string { return t.UTC().Format(time.RFC3339Nano) }
 
 func joinParts(parts []string) []byte {
--- a/control/client.go
+++ b/control/client.go
@@ -72,6 +72,12 @@
 	return call(ctx, c, "AbortMove", in, func(r *api.ChangeReply) (string, bool) { return r.Leader, true })
 }
 
+// ChangeReplicas adds a replica to the control group or removes one. A replica that has
+// not caught up yet is awaited until ctx ends.
+func (c *Client) ChangeReplicas(ctx context.Context, in *api.ChangeReplicas) (*api.ChangeReply, error) {
+	return call(ctx, c, "ChangeReplicas", in, func(r *api.ChangeReply) (string, bool) { return r.Leader, true })
+}
+
 // Register announces a process.
 func (c *Client) Register(ctx context.Context, in *api.Register) (*api.RegisterReply, error) {
 	return call(ctx, c, "Register", in, func(r *api.RegisterReply) (string, bool) { return r.Leader, true })
--- a/control/control.go
+++ b/control/control.go
@@ -36,6 +36,10 @@
 // proposeTimeout bounds a log write; it exceeds the time of a failover.
 const proposeTimeout = 4 * time.Second
 
+// replicasTimeout bounds one attempt at a change of the control group. With the two log
+// writes around it, an attempt usually ends within callTimeout; the client repeats it.
+const replicasTimeout = 3 * time.Second
+
 // Decider decides what a move does next. Each move gets its own Decider, made anew by
 // each new leader. obs holds the observations since the last call.
 type Decider interface {
@@ -79,6 +83,9 @@
 	leases    *lease.Table
 	admission *lease.Admission
 	evidence  *collector
+
+	// changingReplicas is held while the leader changes the control group.
+	changingReplicas sync.Mutex
 }
 
 // New returns a replica; call Start.
--- a/control/log.go
+++ b/control/log.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 
+	"toucantiller.dev/control/api"
 	"toucantiller.dev/link"
 )
 
@@ -19,6 +20,14 @@
 	ReadBarrier(ctx context.Context) error
 	// Status returns the replica's view of the leadership.
 	Status() LogStatus
+	// Members lists the replicas that hold the log, as this replica knows them.
+	Members() []api.Replica
+	// AddReplica adds the replica at an address and returns once it votes; it may be
+	// repeated, and continues then. RemoveReplica removes every replica at an address; an
+	// address without one is no error. Both fail with *NotLeader on a replica that does not
+	// lead, and with *ReplicaRefused if a repeat cannot succeed.
+	AddReplica(ctx context.Context, address string) error
+	RemoveReplica(ctx context.Context, address string) error
 	// Handover passes the leadership to another replica, if this one leads.
 	Handover(ctx context.Context) error
 	// Done closes when the log has ended, by Stop or by a failure that Err names.
@@ -53,6 +62,15 @@
 // ErrTooLarge is returned by Propose for a command that exceeds the log's bound.
 var ErrTooLarge = errors.New("the command is too large for the log")
 
+// ReplicaRefused is the error of a change of the replicas that the log does not allow.
+type ReplicaRefused struct{ Err error }
+
+// Error returns the cause.
+func (e *ReplicaRefused) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ReplicaRefused) Unwrap() error { return e.Err }
+
 // StateMachine is what a Log applies its commands to.
 type StateMachine interface {
 	Apply(index uint64, command []byte) (result []byte)
@@ -71,6 +89,8 @@
 	}
 }
 
+var errOneReplica = &ReplicaRefused{errors.New("the log in memory has one replica")}
+
 type memoryLog struct {
 	mu      sync.Mutex
 	index   uint64
@@ -92,6 +112,14 @@
 	return LogStatus{Leading: true, Leader: l.address, Term: 1}
 }
 
+func (l *memoryLog) Members() []api.Replica {
+	return []api.Replica{{Address: l.address, ID: 1, Voter: true}}
+}
+
+func (l *memoryLog) AddReplica(context.Context, string) error { return errOneReplica }
+
+func (l *memoryLog) RemoveReplica(context.Context, string) error { return errOneReplica }
+
 func (l *memoryLog) Handover(context.Context) error { return nil }
 
 func (l *memoryLog) Done() <-chan struct{} { return l.done }
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -1,13 +1,18 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"toucantiller.dev/consensus"
 	"toucantiller.dev/consensus/replica"
+	"toucantiller.dev/control/api"
 	"toucantiller.dev/link"
 )
 
@@ -69,6 +74,25 @@
 	return LogStatus{Leading: s.IsLeader, Leader: s.Leader, Term: s.Term}
 }
 
+func (l *replicaLog) Members() []api.Replica {
+	var out []api.Replica
+	for _, m := range l.replica.Status().Members {
+		out = append(out, api.Replica{Address: m.Address, ID: uint64(m.ID), Voter: !m.Learner})
+	}
+	slices.SortFunc(out, func(a, b api.Replica) int {
+		return cmp.Or(strings.Compare(a.Address, b.Address), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+func (l *replicaLog) AddReplica(ctx context.Context, address string) error {
+	return logError(l.replica.AddReplica(ctx, replica.Member{Address: address}))
+}
+
+func (l *replicaLog) RemoveReplica(ctx context.Context, address string) error {
+	return logError(l.replica.RemoveReplica(ctx, replica.Member{Address: address}))
+}
+
 func (l *replicaLog) Handover(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
@@ -105,5 +129,10 @@
 	if errors.Is(err, replica.ErrCommandTooLarge) {
 		return ErrTooLarge
 	}
+	for _, lasting := range []error{replica.ErrBelongsToGroup, consensus.ErrRemoveLeader, consensus.ErrLastVoter} {
+		if errors.Is(err, lasting) {
+			return &ReplicaRefused{lasting}
+		}
+	}
 	return err
 }
--- a/control/service.go
+++ b/control/service.go
@@ -132,6 +132,11 @@
 		if accepted {
 			e.Kind = "move.aborted"
 		}
+	case *api.ChangeReplicas:
+		e.Detail += c.Address
+		if accepted {
+			e.Kind = replicaEvents[c.Action]
+		}
 	case *api.ApplyBundle:
 		if accepted {
 			e.Kind = "bundle.applied"
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -28,6 +28,9 @@
 	Maintain      *Maintain
 	Lead          *Lead
 	NextToken     *NextToken
+
+	ChangeReplicas *api.ChangeReplicas
+	EndReplicas    *EndReplicas
 }
 
 // StageMove changes the stage of a move. It is refused unless the move is at
@@ -62,6 +65,13 @@
 // NextToken issues a fencing token.
 type NextToken struct{}
 
+// EndReplicas records the outcome of a ChangeReplicas, which the leader carries out
+// outside the state machine.
+type EndReplicas struct {
+	Operation string
+	Reply     api.ChangeReply
+}
+
 // Result is the outcome of a command.
 type Result struct {
 	Change   *api.ChangeReply
--- a/control/state/operation.go
+++ b/control/state/operation.go
@@ -16,16 +16,23 @@
 func (s *State) change(c api.Change, run func() api.ChangeReply) *Result {
 	op := c.Op()
 	digest := changeDigest(c)
-	if first, ok := s.data.Operations[op.ID]; ok {
-		if first.Digest == digest {
-			reply := first.Reply
-			return &Result{Change: &reply}
-		}
+	first, known := s.data.Operations[op.ID]
+	if known && first.Digest != digest {
 		return s.refuse("operation %s was used for another change", op.ID)
 	}
+	if known && first.Reply.Outcome != api.OutcomePending {
+		reply := first.Reply
+		return &Result{Change: &reply}
+	}
+	// The resend of a pending change makes the leader act again, so it is verified as the
+	// first one was.
 	if reason := s.verify(c); reason != "" {
 		return s.refuse("%s", reason)
 	}
+	if known {
+		reply := first.Reply
+		return &Result{Change: &reply}
+	}
 	reply := run()
 	reply.Revision = s.data.Revision
 	s.data.Operations[op.ID] = &Operation{Digest: digest, Reply: reply, At: s.data.Now}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -113,6 +113,10 @@
 		return s.change(c.SetDomain, func() api.ChangeReply { return s.setDomain(c.SetDomain) })
 	case c.AbortMove != nil:
 		return s.change(c.AbortMove, func() api.ChangeReply { return s.abortMove(c.AbortMove) })
+	case c.ChangeReplicas != nil:
+		return s.change(c.ChangeReplicas, func() api.ChangeReply { return s.changeReplicas(c.ChangeReplicas) })
+	case c.EndReplicas != nil:
+		return s.endReplicas(c.EndReplicas)
 	case c.StageMove != nil:
 		return s.stageMove(c.StageMove)
 	case c.Register != nil:
--- a/control/status.go
+++ b/control/status.go
@@ -23,6 +23,7 @@
 			return err
 		}
 	}
+	out.Replicas = v.s.log.Members()
 	v.s.mu.Lock()
 	defer v.s.mu.Unlock()
 	v.s.machine.read(func(st *state.State) {
