Report what a control replica answered when a call runs out of time

Cause: a call that no leader carried out in time reported the last error, such as a refused dial of a stopped replica, in place of the leader's answer that the added replica does not answer. Change: control.Client keeps the last error that a replica returned itself over errors of reaching one. Result: TestReplicaIsReplacedAcrossLeaderChange checks the message, and fails without the change; go test -race ./control passes. Conclusion: the operator reads why a replica was not added.

--- a/control/client.go
+++ b/control/client.go
@@ -156,7 +156,10 @@
 			if final(err) {
 				return nil, err
 			}
-			last = err
+			// What a replica answered says more than that another one was not reached.
+			if last == nil || answered(err) || !answered(last) {
+				last = err
+			}
 		}
 		if err := pause(ctx); err != nil {
 			return nil, &link.Error{Step: "call Control." + method, Peer: strings.Join(c.addrs, ","), Err: errors.Join(err, last)}
@@ -189,6 +192,12 @@
 	return nil, &link.Error{Step: "call Control." + method, Peer: addr, Err: errors.New("replicas do not agree on a leader")}
 }
 
+// answered reports whether a replica returned the error itself.
+func answered(err error) bool {
+	var server rpc.ServerError
+	return errors.As(err, &server)
+}
+
 // final reports whether an error will be the same on every attempt: the leader itself
 // refused the call.
 func final(err error) bool {
--- a/control/replicas_test.go
+++ b/control/replicas_test.go
@@ -127,7 +127,8 @@
 }
 
 // Guards against an addition that cannot be continued after the caller gave up or the
-// leader changed, and against one that leaves the lost identity in the quorum.
+// leader changed, one that leaves the lost identity in the quorum, and an error that names
+// the last replica that could not be dialed instead of what the leader answered.
 func TestReplicaIsReplacedAcrossLeaderChange(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		g := startGroup(t, nil)
@@ -151,7 +152,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
 		defer cancel()
 		_, err := c.ChangeReplicas(ctx, change)
-		assert.ErrorContains(t, err, "call Control.ChangeReplicas")
+		assert.ErrorContains(t, err, "replica "+lost+" does not answer")
 		g.stop(t, g.leader(t, c))
 		time.Sleep(3 * time.Second)
 		g.start(t, lost)
