Draw changes of the control group in the model test of the state

Cause: TestStateAgainstModel drew no ChangeReplicas and no EndReplicas. Change: it draws both, resends the former, and checks that only the first end of a pending change sets its outcome. Result: go test -race ./control/state passes; with the outcome overwritten by a later end, in a trial, the test fails.

--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -201,7 +201,7 @@
 // draw chooses a command: often a resend, sometimes with altered content.
 func (m *model) draw(t *rapid.T, s *State, step int) *Command {
 	id := fmt.Sprintf("op-%d", step)
-	switch rapid.IntRange(0, 7).Draw(t, "command") {
+	switch rapid.IntRange(0, 9).Draw(t, "command") {
 	case 0, 1:
 		operator := rapid.SampledFrom([]string{"ada", "bola", "chi"}).Draw(t, "operator")
 		version := uint64(rapid.IntRange(1, 4).Draw(t, "version"))
@@ -224,6 +224,15 @@
 		return &Command{Register: &api.Register{Instance: i, Endpoint: &endpoint.Endpoint{ID: i.ID, Incarnation: i.Incarnation}}}
 	case 6:
 		return &Command{EndLeases: &EndLeases{Leases: []EndLease{{Lease: uint64(rapid.IntRange(1, 4).Draw(t, "lease"))}}}}
+	case 7:
+		action := rapid.SampledFrom([]api.ReplicasAction{api.ReplicasAdd, api.ReplicasRemove, "replace"}).Draw(t, "action")
+		c := &api.ChangeReplicas{Operation: api.Operation{ID: id, Operator: "ada"}, Action: action, Address: "a"}
+		api.Sign(c, contract.DemoKey("ada"), m.now)
+		return &Command{ChangeReplicas: c}
+	case 8:
+		outcome := rapid.SampledFrom([]api.Outcome{api.OutcomeAccepted, api.OutcomeRefused}).Draw(t, "outcome")
+		ended := fmt.Sprintf("op-%d", rapid.IntRange(0, step).Draw(t, "ended"))
+		return &Command{EndReplicas: &EndReplicas{Operation: ended, Reply: api.ChangeReply{Outcome: outcome, Reason: id}}}
 	}
 	return rapid.SampledFrom([]*Command{{NextToken: &NextToken{}}, {Lead: &Lead{Term: s.Term() + 1}}, {Maintain: &Maintain{}}}).Draw(t, "other")
 }
@@ -241,7 +250,8 @@
 		api.Sign(c, contract.DemoKey("bola"), c.Operation.At)
 		return &Command{SetDomain: c}
 	}
-	c := &Command{ApplyBundle: m.sent[id].ApplyBundle, SetDomain: m.sent[id].SetDomain}
+	first := m.sent[id]
+	c := &Command{ApplyBundle: first.ApplyBundle, SetDomain: first.SetDomain, ChangeReplicas: first.ChangeReplicas}
 	if c.SetDomain != nil && rapid.Bool().Draw(t, "sign again") {
 		again := *c.SetDomain
 		api.Sign(&again, contract.DemoKey(again.Operation.Operator), m.now)
@@ -276,6 +286,10 @@
 		m.checkWinner(t, c.ApplyBundle, r)
 	case c.SetDomain != nil:
 		m.checkOperation(t, c, c.SetDomain, r, s.Revision())
+	case c.ChangeReplicas != nil:
+		m.checkOperation(t, c, c.ChangeReplicas, r, s.Revision())
+	case c.EndReplicas != nil:
+		m.checkEnd(t, c.EndReplicas, r)
 	case c.StageMove != nil:
 		m.checkStage(t, s, c.StageMove, r)
 	case c.NextToken != nil, c.Lead != nil:
@@ -301,7 +315,7 @@
 func (m *model) checkOperation(t *rapid.T, command *Command, c api.Change, r *Result, revision uint64) {
 	id := c.Op().ID
 	content := string(api.ContentBytes(c))
-	outcome := fmt.Sprintf("%s %s %d", r.Change.Outcome, r.Change.Reason, r.Change.Revision)
+	outcome := outcomeOf(r)
 	first, seen := m.sent[id]
 	switch {
 	case !seen && strings.Contains(r.Change.Reason, "not known"), !seen && strings.Contains(r.Change.Reason, "no bundle"):
@@ -317,9 +331,31 @@
 	}
 }
 
+// checkEnd checks that only the first end of a pending change sets its outcome.
+func (m *model) checkEnd(t *rapid.T, c *EndReplicas, r *Result) {
+	first, known := m.outcomes[c.Operation]
+	switch {
+	case !known:
+		assert.Assert(t, r.Refused != "")
+	case strings.HasPrefix(first, string(api.OutcomePending)):
+		assert.Equal(t, r.Change.Outcome, c.Reply.Outcome)
+		assert.Equal(t, r.Change.Reason, c.Reply.Reason)
+		m.outcomes[c.Operation] = outcomeOf(r)
+	default:
+		assert.Equal(t, outcomeOf(r), first, "a change ended twice")
+	}
+}
+
+func outcomeOf(r *Result) string {
+	return fmt.Sprintf("%s %s %d", r.Change.Outcome, r.Change.Reason, r.Change.Revision)
+}
+
 func changeOf(c *Command) api.Change {
-	if c.ApplyBundle != nil {
+	switch {
+	case c.ApplyBundle != nil:
 		return c.ApplyBundle
+	case c.ChangeReplicas != nil:
+		return c.ChangeReplicas
 	}
 	return c.SetDomain
 }
