--- a/control/client.go
+++ b/control/client.go
@@ -72,6 +72,12 @@
 	return call(ctx, c, "AbortMove", in, func(r *api.ChangeReply) (string, bool) { return r.Leader, true })
 }
 
+// ChangeReplicas adds a replica to the control group or removes one. A replica that has
+// not caught up yet is awaited until ctx ends.
+func (c *Client) ChangeReplicas(ctx context.Context, in *api.ChangeReplicas) (*api.ChangeReply, error) {
+	return call(ctx, c, "ChangeReplicas", in, func(r *api.ChangeReply) (string, bool) { return r.Leader, true })
+}
+
 // Register announces a process.
 func (c *Client) Register(ctx context.Context, in *api.Register) (*api.RegisterReply, error) {
 	return call(ctx, c, "Register", in, func(r *api.RegisterReply) (string, bool) { return r.Leader, true })
@@ -150,7 +156,10 @@
 			if final(err) {
 				return nil, err
 			}
-			last = err
+			// What a replica answered says more than that another one was not reached.
+			if last == nil || answered(err) || !answered(last) {
+				last = err
+			}
 		}
 		if err := pause(ctx); err != nil {
 			return nil, &link.Error{Step: "call Control." + method, Peer: strings.Join(c.addrs, ","), Err: errors.Join(err, last)}
@@ -183,6 +192,12 @@
 	return nil, &link.Error{Step: "call Control." + method, Peer: addr, Err: errors.New("replicas do not agree on a leader")}
 }
 
+// answered reports whether a replica returned the error itself.
+func answered(err error) bool {
+	var server rpc.ServerError
+	return errors.As(err, &server)
+}
+
 // final reports whether an error will be the same on every attempt: the leader itself
 // refused the call.
 func final(err error) bool {
