Name the silent replica however the time of AddReplica ends

Cause: when the time ended between two questions to the added address, AddReplica returned only "context deadline exceeded". TestReplicaIsReplacedAcrossLeaderChange failed so in two of three runs under load. Change: lookUp names the address in this case too. Conclusion: the message does not depend on where the time ends.

--- a/consensus/replica/calls.go
+++ b/consensus/replica/calls.go
@@ -186,6 +186,9 @@
 			r.lookups[address] = append(r.lookups[address], reply)
 			r.sendHello(address, true)
 		})
+		if failed == nil && ctx.Err() != nil {
+			return 0, fmt.Errorf("replica %s does not answer: %w", address, ctx.Err())
+		}
 		if err != nil || failed != nil {
 			return 0, errors.Join(err, failed)
 		}
