Wait in system tests until every gateway carries calls

Change: tests wait for an answered call through each gateway before they begin. The checks stay as they are. Conclusion: the refusal itself was true (not_run); the test began too early.

--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -208,6 +208,27 @@
 	})
 }
 
+// waitServing waits until every gateway carries calls of a service to an endpoint. A
+// gateway that starts slowly may hold no configuration or directory yet, and refuses.
+func (d *deployment) waitServing(method, path, body string) {
+	d.t.Helper()
+	for _, base := range d.callers {
+		waitFor(d.t, "a call through "+base, func() bool { return call(base, method, path, body).status == http.StatusOK })
+	}
+}
+
+// waitDesk waits until every gateway reaches the plain service.
+func (d *deployment) waitDesk() {
+	d.t.Helper()
+	d.waitServing(http.MethodGet, "/services/member-desk/stock", "")
+}
+
+// waitModel waits until every gateway reaches the model service.
+func (d *deployment) waitModel() {
+	d.t.Helper()
+	d.waitServing(http.MethodPost, "/v1/completions", `{"model":"weft-lm","prompt":"thread stock"}`)
+}
+
 // bundle returns the weavers' example with another version number.
 func bundle(t *testing.T, version int) []byte {
 	b, err := examples.Files.ReadFile("weavers.yaml")
--- a/systemtest/domain_test.go
+++ b/systemtest/domain_test.go
@@ -71,6 +71,8 @@
 	d.startAgent("member-desk", "v1", "lagos-a", fake.NewPlain("desk", 0))
 	d.apply(1)
 	d.waitEndpoints(5)
+	d.waitModel()
+	d.waitDesk()
 	return f
 }
 
--- a/systemtest/path_test.go
+++ b/systemtest/path_test.go
@@ -25,6 +25,7 @@
 	d.startAgent("member-desk", "v1", "lagos-a", desk)
 	d.apply(1)
 	d.waitEndpoints(1)
+	d.waitDesk()
 
 	first := make(chan answer, 1)
 	go func() {
@@ -54,7 +55,11 @@
 
 func newSlowDesk() *slowDesk { return &slowDesk{finish: make(chan struct{})} }
 
-func (s *slowDesk) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+// ServeHTTP answers reads at once and changes when finish is closed.
+func (s *slowDesk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		return
+	}
 	n := s.runs.Add(1)
 	<-s.finish
 	_, _ = fmt.Fprintf(w, "booked %d\n", n)
@@ -70,6 +75,7 @@
 	agents := []*process{d.startAgent("member-desk", "v1", "lagos-a", desk), d.startAgent("member-desk", "v1", "lagos-b", desk)}
 	d.apply(1)
 	d.waitEndpoints(2)
+	d.waitDesk()
 
 	result := make(chan answer, 1)
 	go func() {
@@ -98,6 +104,7 @@
 	d.startAgent("weft-lm", "v1", "lagos-b", fake.NewModel("two", slow))
 	d.apply(1)
 	d.waitEndpoints(2)
+	d.waitModel()
 
 	load := startLoad(d.callers[1], 4)
 	waitFor(t, "traffic", func() bool { return load.done.Load() > 20 })
@@ -169,6 +176,7 @@
 	frozen := d.startAgent("member-desk", "v1", "lagos-a", desk)
 	d.apply(1)
 	d.waitEndpoints(1)
+	d.waitDesk()
 	result := make(chan answer, 1)
 	go func() {
 		result <- call(d.callers[0], http.MethodPost, "/services/member-desk/dues/payments", `{"mill":"kano"}`)
