Keep step and address in start errors

Cause: start errors were unwrapped to their innermost cause, which dropped the step and the address. Change: only what the application framework adds is removed; a test with an address in use. Before: control said 'bind: address already in use' alone. After: the line names the flag or the address. Conclusion: an operator sees what to change.

--- a/program/program.go
+++ b/program/program.go
@@ -13,6 +13,7 @@
 
 	"github.com/alecthomas/kong"
 	kitlog "github.com/go-kit/log"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -70,7 +71,7 @@
 	)
 	app := fx.New(options...)
 	if err := runApp(app); err != nil {
-		_, _ = fmt.Fprintf(os.Stderr, "%s: %v\n", name, rootCause(err))
+		_, _ = fmt.Fprintf(os.Stderr, "%s: %v\n", name, dig.RootCause(err))
 		os.Exit(ExitFailure)
 	}
 }
@@ -93,21 +94,6 @@
 	return nil
 }
 
-// rootCause removes what fx adds about its constructors.
-func rootCause(err error) error {
-	for {
-		inner := errors.Unwrap(err)
-		if inner == nil {
-			return err
-		}
-		var setting *SettingError
-		if errors.As(err, &setting) {
-			return setting
-		}
-		err = inner
-	}
-}
-
 // SettingError is a bad setting.
 type SettingError struct {
 	Flag string
--- a/systemtest/settings_test.go
+++ b/systemtest/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -42,3 +43,27 @@
 		})
 	}
 }
+
+// Guards against a start that fails without saying which address was taken.
+func TestAddressInUse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	address := l.Addr().String()
+	for _, c := range []struct {
+		args  []string
+		names string
+	}{
+		{[]string{"toucan-gateway", "--id=g", "--domain=d", "--control=127.0.0.1:1", "--admin-listen=127.0.0.1:0", "--link-listen=127.0.0.1:0", "--listen=" + address}, "--listen"},
+		{[]string{"toucan-gateway", "--id=g", "--domain=d", "--control=127.0.0.1:1", "--admin-listen=" + address}, "--admin-listen"},
+		{[]string{"toucan-control", "--id=c", "--domain=d", "--data=" + t.TempDir(), "--members=" + address, "--admin-listen=127.0.0.1:0", "--listen=" + address}, "listen " + address},
+	} {
+		out, err := exec.Command(filepath.Join(binaries, c.args[0]), c.args[1:]...).CombinedOutput()
+		var exit *exec.ExitError
+		assert.Assert(t, errors.As(err, &exit), "%v %s", err, out)
+		assert.Equal(t, exit.ExitCode(), 1, "%s", out)
+		lines := strings.Split(strings.TrimSpace(string(out)), "\n")
+		last := lines[len(lines)-1]
+		assert.Assert(t, strings.Contains(last, c.names) && strings.Contains(last, "address already in use"), last)
+	}
+}
