Measure goodput while a failure domain leaves and returns

Cause: the target is a share of the goodput before, and only the absence of failed calls was tested. Change: BenchmarkDomainReturn over separate processes, 8 callers, whole answers within 0.4 s, windows of 8 s.

--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -54,7 +54,7 @@
 
 // process is one running program.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	args []string
 	cmd  *exec.Cmd
@@ -108,7 +108,7 @@
 
 // deployment is a set of processes on loopback.
 type deployment struct {
-	t        *testing.T
+	t        testing.TB
 	control  []string
 	folders  []string
 	controls []*process
@@ -117,7 +117,7 @@
 	client   *control.Client
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
@@ -126,7 +126,7 @@
 
 const replicas = 3
 
-func startControl(t *testing.T) *deployment {
+func startControl(t testing.TB) *deployment {
 	d := &deployment{t: t}
 	for range replicas {
 		d.control = append(d.control, freeAddress(t))
@@ -179,7 +179,7 @@
 }
 
 // waitFor polls until done returns true.
-func waitFor(t *testing.T, what string, done func() bool) {
+func waitFor(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if done() {
@@ -230,7 +230,7 @@
 }
 
 // bundle returns the weavers' example with another version number.
-func bundle(t *testing.T, version int) []byte {
+func bundle(t testing.TB, version int) []byte {
 	b, err := examples.Files.ReadFile("weavers.yaml")
 	assert.NilError(t, err)
 	return []byte(strings.Replace(string(b), "version: 1\n", fmt.Sprintf("version: %d\n", version), 1))
@@ -262,6 +262,7 @@
 	header http.Header
 	body   string
 	err    error
+	took   time.Duration
 }
 
 // call sends one request to a gateway.
@@ -275,11 +276,12 @@
 		req.Header.Set(header[i], header[i+1])
 	}
 	client := &http.Client{Timeout: waitLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	begin := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
 		return answer{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err, took: time.Since(begin)}
 }
--- a/systemtest/domain_test.go
+++ b/systemtest/domain_test.go
@@ -55,7 +55,7 @@
 	drained []*watched
 }
 
-func startDomainFleet(t *testing.T) *domainFleet {
+func startDomainFleet(t testing.TB) *domainFleet {
 	d := startControl(t)
 	d.startGateway("lagos-a")
 	d.startGateway("lagos-c")
@@ -147,3 +147,34 @@
 	assert.Equal(t, claim.status, http.StatusServiceUnavailable, "the gateway reaches control: %s", claim.body)
 	assert.Assert(t, strings.Contains(claim.body, `"execution":"not_run"`), claim.body)
 }
+
+// BenchmarkDomainReturn reports the goodput of the top tier while a domain leaves and while
+// it returns, as a share of the goodput before: whole answers in time, from 8 callers who
+// each send one call after the other.
+func BenchmarkDomainReturn(b *testing.B) {
+	f := startDomainFleet(b)
+	loads := []*load{startLoad(f.callers[0], 4), startLoad(f.callers[1], 4)}
+	good := func() float64 {
+		before := loads[0].good.Load() + loads[1].good.Load()
+		time.Sleep(window)
+		return float64(loads[0].good.Load()+loads[1].good.Load()-before) / window.Seconds()
+	}
+	good()
+	before := good()
+	f.setDomain("drain", "lagos-b", failuredomain.StateDrained)
+	during := good()
+	f.setDomain("restore", "lagos-b", failuredomain.StateActive)
+	after := good()
+	var failed int
+	for _, l := range loads {
+		l.stop()
+		failed += len(l.bad)
+	}
+	b.ReportMetric(before, "good/s-before")
+	b.ReportMetric(during/before, "share-leaving")
+	b.ReportMetric(after/before, "share-returning")
+	b.ReportMetric(float64(failed), "failed")
+}
+
+// window is the time over which goodput is counted.
+const window = 8 * time.Second
--- a/systemtest/path_test.go
+++ b/systemtest/path_test.go
@@ -126,6 +126,8 @@
 type load struct {
 	sent atomic.Int64
 	done atomic.Int64
+	// good counts whole answers in time.
+	good atomic.Int64
 	halt atomic.Bool
 	wait sync.WaitGroup
 
@@ -153,9 +155,15 @@
 			l.mu.Unlock()
 		}
 		l.done.Add(1)
+		if a.err == nil && a.status == http.StatusOK && a.took <= inTime {
+			l.good.Add(1)
+		}
 	}
 }
 
+// inTime is the time within which an answer counts as goodput.
+const inTime = 400 * time.Millisecond
+
 func (l *load) stop() {
 	l.halt.Store(true)
 	l.wait.Wait()
