Ask peers first when control is lost right after the first answer

Its first list of addresses has control replicas only, since it knows no directory yet; when the replica failed between the first and the second answer, the list was worked through to its end, 1 s for each replica. Ruled out: penalties of peers, stale beacons, the order of replicas (a trace shows four replicas before the first peer). Change: a failure makes the choice anew when a directory has arrived since the follow began. A first try compared with the last derived directory, which is updated on the way, and did not help.

--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -22,6 +22,19 @@
 // Guards against a process that is cut off from control but not from its peers and
 // keeps sending work to a drained domain (P5: 3 s).
 func TestCutOffProcessLearnsADrainFromAPeer(t *testing.T) {
+	checkCutOff(t, time.Second)
+}
+
+// Guards against a process that is cut off right after its first answer, when the list it
+// works through has no peers yet, asking every control replica first.
+func TestCutOffAfterFirstAnswer(t *testing.T) {
+	checkCutOff(t, time.Millisecond)
+}
+
+// checkCutOff cuts a process off from control as soon as it follows a replica, which is
+// looked at every step.
+func checkCutOff(t *testing.T, step time.Duration) {
+	t.Helper()
 	for _, fault := range []link.Fault{link.FaultPartition, link.FaultSilence, link.FaultRefuse} {
 		bubble(t, func(t *testing.T) {
 			unreachable := []string{"control-v", "control-w", "control-x", "control-y", "control-z"}
@@ -31,7 +44,7 @@
 			l.start(t, "a", "control")
 			cutOff := l.start(t, "b", unreachable...)
 			for !slices.Contains(unreachable, cutOff.subscriber.Parent()) {
-				time.Sleep(time.Second)
+				time.Sleep(step)
 			}
 			for _, addr := range unreachable {
 				l.network.SetFault(addr, fault)
--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -187,13 +187,16 @@
 func (s *Subscriber) follow(ctx context.Context, c candidate) bool {
 	start := time.Now()
 	redirected, followed := false, false
+	listed := s.opts.Holder.Directory()
 	preferred := s.preferred(c)
 	wait := time.Duration(0) // the first answer shows at once what the candidate has
 	for ctx.Err() == nil {
 		leader, err := s.poll(ctx, c, wait)
 		switch {
 		case err != nil:
-			return followed
+			// The first list of a process has control replicas only. If control is lost right
+			// after the first answer, the peers of that answer come before the other replicas.
+			return followed || s.opts.Holder.Directory() != listed
 		case leader != "" && (redirected || leader == c.address || s.failedLately(leader)):
 			return followed
 		case leader != "":
