Give system tests ports that listeners on port 0 cannot take

Change: ports come from a range below the system's own, counted up in each test process. Conclusion: the product was not at fault; the test's setup was.

--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -117,11 +118,28 @@
 	client   *control.Client
 }
 
+// nextPort is the last port handed out by freeAddress. The ports lie below those that the
+// system gives to listeners on port 0 and to outgoing connections; one of these took the
+// port of a replica before the replica could listen. Test processes start apart.
+var nextPort atomic.Int64
+
+const (
+	firstPort        = 12000
+	portsPerProcess  = 200
+	processesAtATime = 80
+)
+
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Helper()
+	nextPort.CompareAndSwap(0, int64(firstPort+os.Getpid()%processesAtATime*portsPerProcess))
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			assert.NilError(t, l.Close())
+			return address
+		}
+	}
 }
 
 const replicas = 3
