Use cmp.Or and one check step in place of repeated code

Change: orDefault and firstError are gone; Gateway.check serves models and plain services. No behaviour changes and no test is touched.

--- a/contract/compile.go
+++ b/contract/compile.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"cmp"
 	"time"
 
 	"toucantiller.dev/account"
@@ -45,12 +46,12 @@
 		Revision:   in.Revision,
 		Bundle:     in.Ref,
 		Domains:    make(map[failuredomain.ID]failuredomain.Domain, len(b.Domains)),
-		ServeStale: orDefault(b.ServeStale, DefaultServeStale),
+		ServeStale: cmp.Or(b.ServeStale, DefaultServeStale),
 	}
 	rank := make(map[string]account.Tier, len(b.Tiers))
 	for i, t := range b.Tiers {
 		rank[t.Name] = account.Tier(i)
-		c.Tiers = append(c.Tiers, Tier{Name: t.Name, MaxQueueTime: orDefault(t.MaxQueueTime, DefaultMaxQueueTime), FirstToken: t.FirstToken})
+		c.Tiers = append(c.Tiers, Tier{Name: t.Name, MaxQueueTime: cmp.Or(t.MaxQueueTime, DefaultMaxQueueTime), FirstToken: t.FirstToken})
 	}
 	for _, a := range b.Accounts {
 		c.Accounts = append(c.Accounts, compileAccount(a, rank))
@@ -69,7 +70,7 @@
 		Name:              a.Name,
 		KeyHashes:         a.KeyHashes,
 		Tier:              rank[a.Tier],
-		Weight:            orDefault(a.Weight, 1),
+		Weight:            cmp.Or(a.Weight, 1),
 		RequestsPerSecond: a.RequestsPerSecond,
 		Burst:             a.Burst,
 		MaxConcurrent:     a.MaxConcurrent,
@@ -93,12 +94,12 @@
 		Name:        s.Name,
 		Kind:        s.Kind,
 		Models:      s.Models,
-		MaxBody:     orDefault(s.MaxBody, DefaultMaxBody),
-		QueueLength: orDefault(s.QueueLength, DefaultQueueLength),
-		Timeout:     orDefault(s.Timeout, DefaultTimeout),
+		MaxBody:     cmp.Or(s.MaxBody, DefaultMaxBody),
+		QueueLength: cmp.Or(s.QueueLength, DefaultQueueLength),
+		Timeout:     cmp.Or(s.Timeout, DefaultTimeout),
 	}
 	for _, r := range s.Routes {
-		out.Routes = append(out.Routes, Route{Name: r.Name, Method: r.Method, Path: r.Path, Idempotent: r.Idempotent, ClaimTTL: orDefault(r.ClaimTTL, DefaultClaimTTL)})
+		out.Routes = append(out.Routes, Route{Name: r.Name, Method: r.Method, Path: r.Path, Idempotent: r.Idempotent, ClaimTTL: cmp.Or(r.ClaimTTL, DefaultClaimTTL)})
 	}
 	out.Versions = compileVersions(s, in)
 	return out
@@ -119,11 +120,3 @@
 	}
 	return []VersionShare{{Version: version, Share: 1}}
 }
-
-func orDefault[T comparable](value, standard T) T {
-	var zero T
-	if value == zero {
-		return standard
-	}
-	return value
-}
--- a/contract/signoff.go
+++ b/contract/signoff.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/ed25519"
 	"crypto/rand"
 	"crypto/sha256"
@@ -141,7 +142,7 @@
 		trusted = inForce
 		rule = stricter(rule, inForce.SignOff)
 	}
-	validFor := orDefault(rule.ValidFor, DefaultSignOffValidFor)
+	validFor := cmp.Or(rule.ValidFor, DefaultSignOffValidFor)
 	signers := make(map[string]bool)
 	var faults []string
 	for _, s := range signatures {
@@ -161,7 +162,7 @@
 func stricter(a, b SignOffRule) SignOffRule {
 	return SignOffRule{
 		Required: max(a.Required, b.Required),
-		ValidFor: min(orDefault(a.ValidFor, DefaultSignOffValidFor), orDefault(b.ValidFor, DefaultSignOffValidFor)),
+		ValidFor: min(cmp.Or(a.ValidFor, DefaultSignOffValidFor), cmp.Or(b.ValidFor, DefaultSignOffValidFor)),
 	}
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -205,14 +205,23 @@
 	MaxCompletionTokens int    `json:"max_completion_tokens"`
 }
 
-func (g *Gateway) serveModel(w http.ResponseWriter, r *http.Request) {
+// check reads a call with its checks; it answers a refused one and returns nil.
+func (g *Gateway) check(w http.ResponseWriter, r *http.Request, read func(*call, *http.Request) *Problem) *call {
 	c, p := g.begin(w, r)
 	if p == nil {
-		p = c.readModel(r)
+		p = read(c, r)
 	}
 	if p != nil {
 		g.metrics.problem(p)
 		p.write(w)
+		return nil
+	}
+	return c
+}
+
+func (g *Gateway) serveModel(w http.ResponseWriter, r *http.Request) {
+	c := g.check(w, r, (*call).readModel)
+	if c == nil {
 		return
 	}
 	c.path = r.URL.Path
@@ -263,13 +272,8 @@
 }
 
 func (g *Gateway) servePlain(w http.ResponseWriter, r *http.Request) {
-	c, p := g.begin(w, r)
-	if p == nil {
-		p = c.readPlain(r)
-	}
-	if p != nil {
-		g.metrics.problem(p)
-		p.write(w)
+	c := g.check(w, r, (*call).readPlain)
+	if c == nil {
 		return
 	}
 	g.serve(w, r, c)
--- a/operator/bundle.go
+++ b/operator/bundle.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -120,7 +121,7 @@
 	if c.Operator == b.Author {
 		return fmt.Errorf("%s is the author of %s; another operator must sign it", c.Operator, c.File)
 	}
-	path := orDefault(c.Signatures, c.File+".signatures")
+	path := cmp.Or(c.Signatures, c.File+".signatures")
 	all, err := readSignatures(path)
 	if err != nil {
 		return usageError{err}
@@ -133,13 +134,6 @@
 	return s.print(&signed{File: c.File, Digest: contract.Digest(content), Operator: c.Operator, Signatures: path, Count: len(all), Required: b.SignOff.Required})
 }
 
-func orDefault(value, standard string) string {
-	if value == "" {
-		return standard
-	}
-	return value
-}
-
 // readSignatures reads a signatures file; a missing one is empty.
 func readSignatures(path string) ([]contract.SignOff, error) {
 	content, err := os.ReadFile(path)
@@ -173,7 +167,7 @@
 	if v := s.validate(c.File, content); !v.Valid {
 		return errors.Join(s.print(v), ErrRefused)
 	}
-	all, err := readSignatures(orDefault(c.Signatures, c.File+".signatures"))
+	all, err := readSignatures(cmp.Or(c.Signatures, c.File+".signatures"))
 	if err != nil {
 		return usageError{err}
 	}
--- a/program/agent.go
+++ b/program/agent.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -28,7 +29,7 @@
 
 // Check checks the settings.
 func (s *AgentSettings) Check() error {
-	return firstError(
+	return cmp.Or(
 		s.Common.Check(),
 		CheckAddress("dispatch-listen", s.DispatchListen),
 		CheckAddress("link-listen", s.LinkListen),
@@ -137,5 +138,5 @@
 	a.cancel()
 	a.member.stop()
 	_ = a.logger.Log("msg", "agent stopped")
-	return firstError(err, a.admin.Stop(ctx))
+	return cmp.Or(err, a.admin.Stop(ctx))
 }
--- a/program/control.go
+++ b/program/control.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"cmp"
 	"context"
 
 	kitlog "github.com/go-kit/log"
@@ -22,7 +23,7 @@
 
 // Check checks the settings.
 func (s *ControlSettings) Check() error {
-	return firstError(
+	return cmp.Or(
 		s.Common.Check(),
 		CheckAddress("listen", s.Listen),
 		CheckFolder("data", s.Data),
@@ -108,5 +109,5 @@
 	c.admin.Telemetry.SetReady(false)
 	err := c.server.Stop(ctx)
 	_ = c.logger.Log("msg", "control replica stopped")
-	return firstError(err, c.admin.Stop(ctx))
+	return cmp.Or(err, c.admin.Stop(ctx))
 }
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"cmp"
 	"context"
 	"net"
 
@@ -23,7 +24,7 @@
 
 // Check checks the settings.
 func (s *GatewaySettings) Check() error {
-	return firstError(
+	return cmp.Or(
 		s.Common.Check(),
 		CheckAddress("listen", s.Listen),
 		CheckAddress("link-listen", s.LinkListen),
@@ -31,15 +32,6 @@
 	)
 }
 
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Gateway is a running gateway process.
 type Gateway struct {
 	settings *GatewaySettings
@@ -141,7 +133,7 @@
 	g.cancel()
 	g.member.stop()
 	_ = g.logger.Log("msg", "gateway stopped")
-	return firstError(err, g.admin.Stop(ctx))
+	return cmp.Or(err, g.admin.Stop(ctx))
 }
 
 // claims adapts the control client to gateway.Claims.
