Make the choice of a parent anew whenever a directory has arrived

A trace shows the first replica answering before the leader's first beacon: its answer brought the directory but counted as stale, the next replica was then followed with a list that had no peers, and the check for a new directory compared with the one that had already arrived. Ruled out: the penalty of peers, which the trace does not meet in these runs. Change: round compares with the directory from which it made the list, whatever the reason for which a candidate was left. Conclusion: one of two causes; the rest are lists in which peers that were stale at the start come after all silent replicas, and need another change.

--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -94,10 +94,14 @@
 }
 
 // round tries each candidate once, in order. It returns true as soon as the choice
-// should be made anew.
+// should be made anew: follow says so, or the list was made from an older directory.
 func (s *Subscriber) round(ctx context.Context) bool {
+	listed := s.opts.Holder.Directory()
 	for _, c := range s.candidates() {
-		if s.follow(ctx, c) {
+		// The first list of a process has control replicas only. Once a replica has given it
+		// a directory, the peers named there come before the other replicas, whether that
+		// replica failed, was stale or was followed for a moment.
+		if s.follow(ctx, c) || s.opts.Holder.Directory() != listed {
 			return true
 		}
 	}
@@ -187,16 +191,13 @@
 func (s *Subscriber) follow(ctx context.Context, c candidate) bool {
 	start := time.Now()
 	redirected, followed := false, false
-	listed := s.opts.Holder.Directory()
 	preferred := s.preferred(c)
 	wait := time.Duration(0) // the first answer shows at once what the candidate has
 	for ctx.Err() == nil {
 		leader, err := s.poll(ctx, c, wait)
 		switch {
 		case err != nil:
-			// The first list of a process has control replicas only. If control is lost right
-			// after the first answer, the peers of that answer come before the other replicas.
-			return followed || s.opts.Holder.Directory() != listed
+			return followed
 		case leader != "" && (redirected || leader == c.address || s.failedLately(leader)):
 			return followed
 		case leader != "":
