Call the next candidate for a parent while a silent one has not answered

A trace shows peers that were refused or stale when the process started, which are then tried last; before them come control replicas that are silent, each for 1 s (5.4 s in all), and a search that went on with its old list after a follow of 1.25 s did not come back to a peer that had failed at the start. Ruled out: probes (they find the silent connection in time) and the order of peers (it is as designed). An address that was called is not called again because a follower names it as leader. Processes that find control slow may call several replicas at once for 1.25 s.

--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -93,19 +93,23 @@
 	}
 }
 
-// round tries each candidate once, in order. It returns true as soon as the choice
-// should be made anew: follow says so, or the list was made from an older directory.
+// round tries each candidate once. It returns true as soon as the choice should be made
+// anew: follow says so, or the list was made from an older directory. The first list of
+// a process has control replicas only; once one of them has given it a directory, the
+// peers named there come before the other replicas.
 func (s *Subscriber) round(ctx context.Context) bool {
 	listed := s.opts.Holder.Directory()
-	for _, c := range s.candidates() {
-		// The first list of a process has control replicas only. Once a replica has given it
-		// a directory, the peers named there come before the other replicas, whether that
-		// replica failed, was stale or was followed for a moment.
-		if s.follow(ctx, c) || s.opts.Holder.Directory() != listed {
+	changed := func() bool { return s.opts.Holder.Directory() != listed }
+	search := contact{s: s, waiting: s.candidates()}
+	for {
+		c, found := search.find(ctx, changed)
+		if !found {
+			return changed()
+		}
+		if s.follow(ctx, c) || changed() {
 			return true
 		}
 	}
-	return false
 }
 
 // candidates lists the relays of the process's place in the tree, then control and
@@ -184,62 +188,71 @@
 	s.peers = Peers(d, s.opts.Self)
 }
 
-// follow polls one candidate until it fails or its beacons are stale. It returns true
-// when the choice should be made anew: the candidate was followed before it failed, the
-// directory gives the process another parent, or a fallback has been followed for
-// preferredRetry.
+// follow polls a candidate that gave a fresh view until it fails or its beacons are
+// stale. It returns true when the choice should be made anew: the candidate was followed
+// or silent before it failed, it is not the control leader any more, the directory gives
+// the process another parent, or a fallback has been followed for preferredRetry.
 func (s *Subscriber) follow(ctx context.Context, c candidate) bool {
 	start := time.Now()
-	redirected, followed := false, false
 	preferred := s.preferred(c)
-	wait := time.Duration(0) // the first answer shows at once what the candidate has
+	s.follows(c.address)
+	followed := false
 	for ctx.Err() == nil {
-		leader, err := s.poll(ctx, c, wait)
-		switch {
-		case err != nil:
-			return followed
-		case leader != "" && (redirected || leader == c.address || s.failedLately(leader)):
-			return followed
-		case leader != "":
-			redirected = true
-			s.leader = leader
-			c.address = leader
-			continue
-		case !s.fresh():
-			s.failed[c.address] = time.Now()
-			return followed
+		leader, err := s.newCall(c, pollWait)(ctx)
+		if !s.usable(answer{from: c, leader: leader, err: err}) {
+			// Candidates that failed before may answer after a call that took its time.
+			return followed || leader != "" || time.Since(start) >= contactDelay
 		}
-		s.follows(c.address)
-		followed = wait > 0
+		followed = true
 		if now := s.preferred(c); now != preferred {
 			return true
 		}
 		if !preferred && time.Since(start) > preferredRetry {
 			return true
 		}
-		wait = pollWait
 	}
 	return false
 }
 
-func (s *Subscriber) poll(ctx context.Context, c candidate, wait time.Duration) (leader string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
+// newCall returns a call that takes over a candidate's view, for which the candidate may
+// wait, and tells the leader that a follower named instead. The call may run
+// concurrently with others.
+func (s *Subscriber) newCall(c candidate, wait time.Duration) func(context.Context) (leader string, err error) {
 	method := ServiceName + ".Subscribe"
 	if c.control {
 		method = "Control.Subscribe"
 	}
+	client := s.client(c.address)
 	in := s.opts.Holder.position(wait)
 	in.Instance = s.opts.Self.ID
-	view, err := s.opts.Holder.pull(ctx, s.client(c.address), method, in)
-	if err != nil {
-		if c.address == s.leader {
+	return func(ctx context.Context) (string, error) {
+		ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+		defer cancel()
+		view, err := s.opts.Holder.pull(ctx, client, method, in)
+		if err != nil {
+			return "", err
+		}
+		return view.Leader, nil
+	}
+}
+
+// usable reports whether an answer makes its candidate one to follow, and notes a
+// candidate that failed or is stale.
+func (s *Subscriber) usable(a answer) bool {
+	switch {
+	case a.err != nil:
+		if a.from.address == s.leader {
 			s.leader = ""
 		}
-		s.failed[c.address] = time.Now()
-		return "", err
+		s.failed[a.from.address] = time.Now()
+		return false
+	case a.leader != "":
+		return false
+	case !s.fresh():
+		s.failed[a.from.address] = time.Now()
+		return false
 	}
-	return view.Leader, nil
+	return true
 }
 
 // failedLately reports whether an address failed a moment ago. Followers name a dead
