--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -18,7 +18,7 @@
 const (
 	// pollWait is two beacon intervals: a relay that is not cut off answers before it ends.
 	pollWait = 2 * BeaconInterval
-	// pollTimeout bounds a call, so that two silent relays in a row still leave time
+	// pollTimeout bounds a call, so that a silent relay leaves time to find another
 	// within the 3 s in which a drained domain must get no new work.
 	pollTimeout = pollWait + 250*time.Millisecond
 	// staleParent is the age of the last beacon at which a subscriber tries another relay.
