Pass over endpoints whose answers fail

Cause: nothing in routing knew of failed answers. Ruled out: the agent's limit (it falls to 1, and one slot is enough for fast errors). Change: gateways keep a fading mean of failures for each endpoint and pass over those that fail, unless more than half of the candidates do. The time line shows both changes. Conclusion: what still fails are the calls with which each gateway finds out.

--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -7,6 +7,7 @@
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/dispatch"
+	"toucantiller.dev/timeline"
 )
 
 // succeeded reports an answer whose end has arrived.
@@ -49,6 +50,13 @@
 }
 
 func (a *attempt) report(o api.Observation) {
+	if failing, changed := a.candidate.Answered(o.Failed, time.Now()); changed {
+		kind := timeline.Kind("endpoint.recovered")
+		if failing {
+			kind = "endpoint.failing"
+		}
+		a.gateway.opt.Timeline.Record(timeline.Event{Kind: kind, Request: a.call.id, Endpoint: string(a.endpoint.ID)})
+	}
 	a.gateway.metrics.firstToken.record(o.FirstToken)
 	if a.gateway.opt.Evidence != nil {
 		a.gateway.opt.Evidence.Observe(o)
--- a/scenario/agent.go
+++ b/scenario/agent.go
@@ -183,7 +183,9 @@
 	delete(a.open, d)
 	if !ok {
 		a.limiter.Finish(d.ticket, limit.Sample{Failed: true}, a.now())
-		a.limiter.Restart()
+		if d.run.crashed {
+			a.limiter.Restart()
+		}
 		a.reply(d, func() { d.gateway.lostByAgent(d) })
 		return
 	}
--- a/scenario/engine.go
+++ b/scenario/engine.go
@@ -22,13 +22,17 @@
 	// that it only slows down.
 	bearFactor = 2.0
 	downTime   = 2 * time.Second
+	// errorWork is the prefill, in tokens, after which a failing engine answers with an error.
+	errorWork = 40.0
 )
 
 // engine admits all calls as they arrive, as model engines do.
 type engine struct {
-	w       *world
-	speed   float64
-	slow    float64
+	w     *world
+	speed float64
+	slow  float64
+	// failing is the share of calls that get an error in place of an answer.
+	failing float64
 	coldAt  time.Time
 	downTil time.Time
 	prefill *pool
@@ -41,11 +45,13 @@
 
 // run is one execution of a call.
 type run struct {
-	call    *call
-	work    float64
-	job     *job
-	pool    *pool
-	first   bool
+	call  *call
+	work  float64
+	job   *job
+	pool  *pool
+	first bool
+	// crashed is set when the engine fell over.
+	crashed bool
 	onFirst func()
 	onDone  func(ok bool)
 }
@@ -86,7 +92,12 @@
 	c.runs++
 	c.lastWork = r.work
 	r.pool = e.prefill
-	r.job = e.prefill.add(r.work, func() { e.startDecode(r) })
+	then := func() { e.startDecode(r) }
+	if e.failing > 0 && e.w.rng.Float64() < e.failing {
+		r.work = errorWork
+		then = func() { e.end(r, false) }
+	}
+	r.job = e.prefill.add(r.work, then)
 	if e.warmth() < 1 && float64(len(e.running)) > bearFactor*e.slots() {
 		e.w.result.ColdOver++
 		e.w.clock.after(0, e.restart)
@@ -140,6 +151,7 @@
 		e.cancel(r)
 	}
 	for _, r := range failed {
+		r.crashed = true
 		r.onDone(false)
 	}
 	for at := downTime; at < downTime+warmUp; at += 100 * time.Millisecond {
--- a/scenario/gateway.go
+++ b/scenario/gateway.go
@@ -225,6 +225,7 @@
 
 func (g *gateway) ended(d *dispatch) {
 	g.estimator.Observe("chat", d.call.account, d.call.answer)
+	g.answered(d, false)
 	g.w.finish(d.call)
 	g.pump()
 }
@@ -242,7 +243,14 @@
 	g.push(e)
 }
 
+func (g *gateway) answered(d *dispatch, failed bool) {
+	if d.entry.target != nil {
+		d.entry.target.Answered(failed, g.now())
+	}
+}
+
 func (g *gateway) lostByAgent(d *dispatch) {
+	g.answered(d, true)
 	g.w.lose(d.call)
 	g.pump()
 }
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -117,6 +117,12 @@
 		{name: "slow10x", speeds: six, gateways: 3, load: base, usual: 0.6, measured: 0.6, faults: func(w *world, _ system) {
 			w.engines[2].setSlow(10)
 		}},
+		{name: "failing", speeds: six, gateways: 3, load: base, usual: 0.6, measured: 0.6, faults: func(w *world, _ system) {
+			w.engines[2].failing = 0.5
+		}},
+		{name: "failingfast", speeds: six, gateways: 3, load: base, usual: 0.6, measured: 0.6, faults: func(w *world, _ system) {
+			w.engines[2].failing = 1
+		}},
 		{name: "gatewaykilled", speeds: six, gateways: 3, load: base, usual: 0.8, measured: 1.2, faults: func(w *world, s system) {
 			w.clock.after(10*time.Second, func() { s.killGateway(1) })
 		}},
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -21,13 +21,15 @@
 // state is the mutable part of a candidate. It outlives snapshots.
 type state struct {
 	report atomic.Pointer[report]
-	// marks holds markSuspended and markCache once they have applied.
+	// marks holds markSuspended and markCache once they have applied, and markFailing
+	// while the last answers failed.
 	marks    atomic.Uint32
 	requests atomic.Int64
 	prompt   atomic.Int64
 	answer   atomic.Int64
 	// suspended is kept as a time.Time, whose monotonic part ignores clock steps.
 	suspended atomic.Pointer[time.Time]
+	failures  failures
 	cache     prefixCache
 	history   history
 	base      *timeBase
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -77,6 +77,8 @@
 	// markNoPrefill and markNoDecode flag reports without a learned speed.
 	markNoPrefill
 	markNoDecode
+	// markFailing flags candidates whose answers fail often.
+	markFailing
 )
 
 // load estimates the requests at each candidate: own outstanding work is exact;
@@ -146,11 +148,13 @@
 }
 
 // fade approximates exp(-age/fadeTime) at a fraction of its cost.
-func fade(age int64) float64 {
-	if age <= 0 {
+func fade(age int64) float64 { return fadeOver(float64(age) * (1 / fadeTime)) }
+
+// fadeOver approximates exp(-a), 1 for negative ages.
+func fadeOver(a float64) float64 {
+	if a <= 0 {
 		return 1
 	}
-	a := float64(age) * (1 / fadeTime)
 	return 1 / (1 + a*(1+a*0.5))
 }
 
--- /dev/null
+++ b/schedule/failing.go
@@ -0,0 +1,101 @@
+package schedule
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// failureGain is the weight of one answer in an endpoint's share of failures.
+	failureGain = 0.15
+	// failingShare is the share of failures from which an endpoint counts as failing:
+	// two failures in a row reach it, a single one does not.
+	failingShare = 0.25
+	// recoveredShare is the share below which a failing endpoint is tried again. One more
+	// failure then passes it over for another 9 s, at each gateway.
+	recoveredShare = 0.1
+	// failureFade is the time, in milliseconds, in which a share falls to two fifths
+	// without answers, so that an endpoint that was passed over is tried again.
+	failureFade = 10_000
+)
+
+// failures is the recent share of an endpoint's answers that failed. One word holds the
+// share as a float32 and the time of the last answer in milliseconds, modulo 2^32.
+type failures struct{ word atomic.Uint64 }
+
+// add counts an answer. Of two answers at the same moment one may be lost, which a mean
+// does not notice.
+func (f *failures) add(failed bool, nanos int64) (share float64) {
+	old := f.word.Load()
+	share = fadedShare(old, nanos)
+	target := 0.0
+	if failed {
+		target = 1
+	}
+	share += failureGain * (target - share)
+	f.word.CompareAndSwap(old, uint64(math.Float32bits(float32(share)))<<32|uint64(milliseconds(nanos)))
+	return share
+}
+
+// share returns the share of failures at a time.
+func (f *failures) share(nanos int64) float64 { return fadedShare(f.word.Load(), nanos) }
+
+func fadedShare(word uint64, nanos int64) float64 {
+	age := int32(milliseconds(nanos) - uint32(word)) //nolint:gosec // the difference is taken modulo 2^32
+	share := float64(math.Float32frombits(uint32(word >> 32)))
+	return share * fadeOver(float64(age)/failureFade)
+}
+
+func milliseconds(nanos int64) uint32 { return uint32(nanos / int64(time.Millisecond)) } //nolint:gosec // taken modulo 2^32
+
+// Answered counts an answer of the endpoint. failed is set when the endpoint failed, not
+// when the caller gave up or the call was wrong. It returns whether the endpoint is
+// passed over as failing, and whether this answer changed that.
+func (c *Candidate) Answered(failed bool, now time.Time) (failing, changed bool) {
+	st := c.state
+	share := st.failures.add(failed, st.base.nanos(now))
+	before := mark(st.marks.Load())&markFailing != 0
+	switch {
+	case share >= failingShare && !before:
+		return true, mark(st.marks.Or(uint32(markFailing)))&markFailing == 0
+	case share < recoveredShare && before:
+		return false, mark(st.marks.And(^uint32(markFailing)))&markFailing != 0
+	}
+	return before, false
+}
+
+// failing reports whether the endpoint's answers failed often and it has not been left
+// alone for long enough since.
+func (st *state) failing(nanos int64) bool {
+	return mark(st.marks.Load())&markFailing != 0 && st.failures.share(nanos) >= recoveredShare
+}
+
+// failingFilter takes out endpoints that fail much of what they get. They are fast and
+// idle, so every score prefers them. When more than half of the candidates fail, the
+// cause is likely the version or the calls, and all stay.
+type failingFilter struct{}
+
+func (failingFilter) Reason() Reason { return ReasonFailing }
+
+func (failingFilter) Apply(x *scratch, _ *Request) {
+	if x.marks&markFailing == 0 {
+		return
+	}
+	count := 0
+	for _, i := range x.live {
+		if x.candidates[i].state.failing(x.nanos) {
+			count++
+		}
+	}
+	if count == 0 || 2*count > len(x.live) {
+		return
+	}
+	live := x.live[:0]
+	for _, i := range x.live {
+		if !x.candidates[i].state.failing(x.nanos) {
+			live = append(live, i)
+		}
+	}
+	x.live = live
+}
--- /dev/null
+++ b/schedule/failing_test.go
@@ -0,0 +1,34 @@
+package schedule
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestOnlyAMinorityIsPassedOver guards against a service of which most endpoints fail
+// being left with a few, and against a minority that fails keeping its traffic.
+func TestOnlyAMinorityIsPassedOver(t *testing.T) {
+	for failing := range 6 {
+		s := NewSnapshot(fleet(5, 1))
+		list := idle(s, 16, start)
+		for _, c := range list[:failing] {
+			c.Answered(true, start)
+			c.Answered(true, start)
+		}
+		want := 0
+		if failing <= 2 {
+			want = failing
+		}
+		r := &Request{Service: "model-0"}
+		for at := range uint64(50) {
+			d := s.Pick(r, start, rand.New(rand.NewPCG(at, 2)))
+			assert.Equal(t, int(d.Dropped[ReasonFailing]), want)
+			assert.Assert(t, want == 0 || !d.Candidate.state.failing(0))
+		}
+		d := s.Pick(r, start.Add(time.Minute), rand.New(rand.NewPCG(1, 2)))
+		assert.Equal(t, int(d.Dropped[ReasonFailing]), 0, "passed over for good")
+	}
+}
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -29,12 +29,15 @@
 	ReasonDraining
 	// ReasonFloor: the admission floor of all endpoints excludes the tier.
 	ReasonFloor
+	// ReasonFailing counts endpoints left out because their answers fail; it never takes
+	// out the last one.
+	ReasonFailing
 	// ReasonSaturated: all endpoints are at their limit; the request should wait.
 	ReasonSaturated
 )
 
 var reasonNames = [...]string{"none", "unknown_service", "no_endpoint", "domain_drained", "no_version",
-	"all_tried", "unreachable", "draining", "floor", "saturated"}
+	"all_tried", "unreachable", "draining", "floor", "failing", "saturated"}
 
 // String returns the reason's name.
 func (r Reason) String() string { return reasonNames[r] }
@@ -154,6 +157,7 @@
 			suspendedFilter{},
 			drainingFilter{},
 			floorFilter{},
+			failingFilter{},
 			affinityMarker{},
 			saturatedFilter{},
 		},
