End an answer's stream in one frame with its last bytes

Cause: the agent flushed the end frame and net/http sent the end of the stream in a frame of its own. The gateway had the whole answer before the stream had ended, closed it, and net/http reset the stream: one packet each way. Close also waited for the goroutine of the stream before the caller got the answer.

Change: the agent leaves the end frame in the buffer, so that it travels in one DATA frame with the end of the stream. The gateway ends the context before it closes the body, which makes Close return at once.

--- a/agent/stream.go
+++ b/agent/stream.go
@@ -90,6 +90,10 @@
 	}
 }
 
+// end writes the last frame. It is not flushed: net/http sends it when the handler
+// returns, in one DATA frame with the end of the stream. A gateway that read the end
+// frame before the end of the stream would reset the stream, at the cost of a packet
+// each way.
 func (s *stream) end(promptTokens, answerTokens int) {
 	s.agent.metrics.completed.add(1)
 	m := &dispatch.End{Load: s.agent.Load(), PromptTokens: promptTokens, AnswerTokens: answerTokens}
@@ -97,7 +101,6 @@
 	defer s.mu.Unlock()
 	m.Length = s.frames.Offset()
 	_ = s.frames.WriteMessage(dispatch.FrameEnd, m)
-	s.send()
 }
 
 func (s *stream) refuse(r refusal) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -92,6 +92,8 @@
 		return a.settle(ctx, "dispatch", err)
 	}
 	defer resp.Body.Close()
+	// Close waits for the goroutine of the stream unless the context has ended.
+	defer cancel()
 	if resp.StatusCode != http.StatusOK {
 		// The agent answers so only before it enters the dispatch in its ledger.
 		return a.settle(ctx, "dispatch", errors.New(resp.Status))
