Write dispatch headers in the form HTTP/2 sends them

Cause: net/http made a new string of each header name that was not in lower case, twice a request, and the request ID and the numbers each had a new value in each request, which evicts entries from the table of the header compression.

Change: Header.Write uses names in lower case; the request ID follows the numbers in one header. ReadHeader reads the canonical names that net/http gives to servers. The tests convert the names between the two in place of the link, and the round trip covers an ID with a semicolon.

--- a/agent/wasted_test.go
+++ b/agent/wasted_test.go
@@ -41,7 +41,11 @@
 		defer cancel()
 		r := httptest.NewRequestWithContext(ctx, http.MethodPost, dispatch.PathDispatch, strings.NewReader("{}"))
 		h := dispatch.Header{ID: dispatch.ID{Request: "r"}, Agent: 2, Service: "s", Version: "1", Method: "POST", Timeout: time.Minute, PromptTokens: 700}
-		h.Write(r.Header)
+		sent := make(http.Header)
+		h.Write(sent)
+		for name, values := range sent {
+			r.Header[http.CanonicalHeaderKey(name)] = values
+		}
 		a.Handler().ServeHTTP(httptest.NewRecorder(), r)
 		assert.Equal(t, a.Load().Running, 0)
 		assert.Equal(t, sum(t, reader, "toucan.agent.prefill.wasted"), int64(700))
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -84,7 +85,18 @@
 var PassedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Idempotency-Key", "Traceparent", "Tracestate"}
 
 // passPrefix marks a passed header on the link.
-const passPrefix = "Toucan-Pass-"
+const passPrefix = "toucan-pass-"
+
+// passedNames are the names of PassedHeaders on the link, in their order.
+var passedNames = linkNames(PassedHeaders)
+
+func linkNames(names []string) []string {
+	out := make([]string, len(names))
+	for i, name := range names {
+		out[i] = passPrefix + strings.ToLower(name)
+	}
+	return out
+}
 
 // AnswerHeaders names the engine's headers that reach the caller, in canonical form.
 var AnswerHeaders = []string{"Cache-Control", "Content-Disposition", "Content-Language", "Content-Type", "Etag", "Last-Modified", "Location"}
@@ -100,28 +112,29 @@
 	return out
 }
 
-// Names of the HTTP headers that carry a Header. The numbers share one header, since
-// each header with a new value costs the compression of HTTP/2 an entry of its table.
+// Names of the HTTP headers that carry a Header, as HTTP/2 writes them: net/http makes a
+// new string of a name in another form for each request. What differs between dispatches
+// shares one header, since each header with a new value costs the compression of HTTP/2
+// an entry of its table.
 const (
-	headerRequest = "Toucan-Request"
-	headerNumbers = "Toucan-Dispatch"
-	headerService = "Toucan-Service"
-	headerVersion = "Toucan-Version"
-	headerRoute   = "Toucan-Route"
-	headerAccount = "Toucan-Account"
-	headerMethod  = "Toucan-Method"
-	headerPath    = "Toucan-Path"
-	headerClaim   = "Toucan-Claim"
-	headerLink    = "Toucan-Link"
+	headerDispatch = "toucan-dispatch"
+	headerService  = "toucan-service"
+	headerVersion  = "toucan-version"
+	headerRoute    = "toucan-route"
+	headerAccount  = "toucan-account"
+	headerMethod   = "toucan-method"
+	headerPath     = "toucan-path"
+	headerClaim    = "toucan-claim"
+	headerLink     = "toucan-link"
 )
 
 // HeaderCount is the number of HTTP headers that carry a Header.
 const HeaderCount = 16
 
-// Write sets the HTTP headers.
+// Write sets the HTTP headers, with names in lower case.
 func (h *Header) Write(to http.Header) {
 	// One array backs the values, instead of one allocation for each.
-	values := []string{h.ID.Request, h.numbers(), h.Service, h.Version, h.Route, h.Account, h.Method, h.Path}
+	values := []string{h.identity(), h.Service, h.Version, h.Route, h.Account, h.Method, h.Path}
 	for i, name := range requiredHeaders {
 		to[name] = values[i : i+1 : i+1]
 	}
@@ -131,40 +144,37 @@
 	if h.Link != "" {
 		to[headerLink] = []string{h.Link}
 	}
-	for _, name := range PassedHeaders {
+	for i, name := range PassedHeaders {
 		if v := h.Pass[name]; len(v) > 0 {
-			to[passPrefix+name] = v
+			to[passedNames[i]] = v
 		}
 	}
 }
 
 // requiredHeaders names the headers of every dispatch, in the order used by Write.
-var requiredHeaders = [...]string{headerRequest, headerNumbers, headerService, headerVersion, headerRoute, headerAccount, headerMethod, headerPath}
+var requiredHeaders = [...]string{headerDispatch, headerService, headerVersion, headerRoute, headerAccount, headerMethod, headerPath}
 
-// numberCount is the number of fields in headerNumbers: attempt, gateway incarnation,
+// numberCount is the number of numbers in headerDispatch: attempt, gateway incarnation,
 // agent incarnation, tier, revision, timeout in microseconds, prompt tokens and answer
-// tokens, in hexadecimal and separated by ";".
+// tokens, in hexadecimal and each followed by ";". The request ID follows them.
 const numberCount = 8
 
-func (h *Header) numbers() string {
+func (h *Header) identity() string {
 	values := [numberCount]uint64{
 		uint64(h.ID.Attempt), uint64(h.ID.Gateway), uint64(h.Agent), uint64(h.Tier), //nolint:gosec // never negative
 		h.Revision, uint64(h.Timeout.Microseconds()), uint64(h.PromptTokens), uint64(h.AnswerTokens), //nolint:gosec // never negative
 	}
-	out := make([]byte, 0, 64)
-	for i, v := range values {
-		if i > 0 {
-			out = append(out, ';')
-		}
+	out := make([]byte, 0, 192)
+	for _, v := range values {
 		out = strconv.AppendUint(out, v, 16)
+		out = append(out, ';')
 	}
-	return string(out)
+	return string(append(out, h.ID.Request...))
 }
 
-// ReadHeader parses the HTTP headers of a dispatch.
+// ReadHeader parses the HTTP headers of a dispatch, with names in canonical form.
 func ReadHeader(from http.Header) (*Header, error) {
 	h := &Header{
-		ID:      ID{Request: from.Get(headerRequest)},
 		Service: from.Get(headerService),
 		Version: from.Get(headerVersion),
 		Route:   from.Get(headerRoute),
@@ -175,14 +185,11 @@
 		Link:    from.Get(headerLink),
 		Pass:    make(http.Header),
 	}
-	if h.ID.Request == "" {
-		return nil, fmt.Errorf("dispatch header %s is missing", headerRequest)
+	if err := h.parseIdentity(from.Get(headerDispatch)); err != nil {
+		return nil, fmt.Errorf("dispatch header %s: %w", headerDispatch, err)
 	}
-	if err := h.parseNumbers(from.Get(headerNumbers)); err != nil {
-		return nil, fmt.Errorf("dispatch header %s: %w", headerNumbers, err)
-	}
-	for _, name := range PassedHeaders {
-		if v := from[passPrefix+name]; len(v) > 0 {
+	for i, name := range PassedHeaders {
+		if v := from.Values(passedNames[i]); len(v) > 0 {
 			h.Pass[name] = v
 		}
 	}
@@ -192,12 +199,12 @@
 // maxNumber bounds every field that is held in an int or a time.Duration.
 const maxNumber = 1 << 50
 
-func (h *Header) parseNumbers(s string) error {
+func (h *Header) parseIdentity(s string) error {
 	var values [numberCount]uint64
 	for i := range values {
 		field, rest, more := strings.Cut(s, ";")
-		if more != (i < numberCount-1) {
-			return fmt.Errorf("%d fields expected", numberCount)
+		if !more {
+			return fmt.Errorf("%d numbers and a request ID expected", numberCount)
 		}
 		v, err := strconv.ParseUint(field, 16, 64)
 		if err != nil {
@@ -211,6 +218,10 @@
 			return fmt.Errorf("field %d is out of range", i)
 		}
 	}
+	if s == "" {
+		return errors.New("the request ID is missing")
+	}
+	h.ID.Request = s
 	h.ID.Attempt = int(values[0]) //nolint:gosec // bounded by maxNumber
 	h.ID.Gateway = instance.Incarnation(values[1])
 	h.Agent = instance.Incarnation(values[2])
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -88,6 +88,15 @@
 	})
 }
 
+// received returns headers as net/http gives them to a server.
+func received(sent http.Header) http.Header {
+	out := make(http.Header, len(sent))
+	for name, values := range sent {
+		out[http.CanonicalHeaderKey(name)] = values
+	}
+	return out
+}
+
 // Guards against headers from a faulty peer that crash the agent or change meaning when
 // they are written again.
 func FuzzHeader(f *testing.F) {
@@ -95,7 +104,7 @@
 	f.Add("r1", "ffffffffffffffff;7;64;0;3;f4240;10;20", "", "")
 	f.Add("", "1;2", "x", "y")
 	f.Fuzz(func(t *testing.T, request, numbers, service, path string) {
-		in := http.Header{"Toucan-Request": {request}, "Toucan-Dispatch": {numbers}, "Toucan-Service": {service}, "Toucan-Path": {path}}
+		in := http.Header{"Toucan-Dispatch": {numbers + ";" + request}, "Toucan-Service": {service}, "Toucan-Path": {path}}
 		h, err := dispatch.ReadHeader(in)
 		if err != nil {
 			return
@@ -103,7 +112,7 @@
 		assert.Assert(t, h.Timeout >= 0 && h.Tier >= 0 && h.PromptTokens >= 0 && h.AnswerTokens >= 0)
 		out := make(http.Header)
 		h.Write(out)
-		again, err := dispatch.ReadHeader(out)
+		again, err := dispatch.ReadHeader(received(out))
 		assert.NilError(t, err)
 		assert.DeepEqual(t, h, again)
 	})
@@ -112,13 +121,13 @@
 // Guards against a field of the header that gets lost on the way.
 func TestHeaderRoundTrip(t *testing.T) {
 	h := &dispatch.Header{
-		ID: dispatch.ID{Request: "r", Attempt: 3, Gateway: 1<<64 - 1}, Agent: 1 << 63, Service: "s", Version: "v", Route: "o", Account: "a",
+		ID: dispatch.ID{Request: "r;1", Attempt: 3, Gateway: 1<<64 - 1}, Agent: 1 << 63, Service: "s", Version: "v", Route: "o", Account: "a",
 		Method: "PUT", Path: "/p?q=1", Tier: 2, Revision: 9, Timeout: 1500 * time.Microsecond, PromptTokens: 7, AnswerTokens: 8,
 		Claim: "a/k", Link: "127.0.0.1:1", Pass: http.Header{"Traceparent": {"00-1"}},
 	}
 	out := make(http.Header)
 	h.Write(out)
-	again, err := dispatch.ReadHeader(out)
+	again, err := dispatch.ReadHeader(received(out))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, h, again)
 }
