Add advertised addresses for listeners

Cause: a process announced the address it listens on, so one behind address translation, or listening on 0.0.0.0, could not be reached, and a test could not put a forwarder in front of a program.

Conclusion: a process can be reached through a forwarder.

--- a/control/control.go
+++ b/control/control.go
@@ -48,8 +48,10 @@
 
 // Options configures a Server. Self, Network and OpenLog are required.
 type Options struct {
-	// Self names the replica; it listens on Self.LinkAddress.
-	Self    instance.Instance
+	// Self names the replica; others reach it at Self.LinkAddress.
+	Self instance.Instance
+	// Listen is where the replica listens, Self.LinkAddress by default.
+	Listen  string
 	Network link.Network
 	OpenLog OpenLog
 	// NewDecider returns the decider of a move; without it moves stay where they are.
@@ -93,6 +95,9 @@
 	if opts.Self.LinkAddress == "" || opts.Network == nil || opts.OpenLog == nil {
 		return nil, errors.New("control: Self.LinkAddress, Network and OpenLog are required")
 	}
+	if opts.Listen == "" {
+		opts.Listen = opts.Self.LinkAddress
+	}
 	if opts.Logger == nil {
 		opts.Logger = log.NewNopLogger()
 	}
@@ -131,8 +136,8 @@
 	if s.log, err = s.opts.OpenLog(s.machine, s.rpc); err != nil {
 		return err
 	}
-	if s.listener, err = s.opts.Network.Listen(s.opts.Self.LinkAddress); err != nil {
-		return errors.Join(&link.Error{Step: "listen", Peer: s.opts.Self.LinkAddress, Err: err}, s.log.Stop(context.Background()))
+	if s.listener, err = s.opts.Network.Listen(s.opts.Listen); err != nil {
+		return errors.Join(&link.Error{Step: "listen", Peer: s.opts.Listen, Err: err}, s.log.Stop(context.Background()))
 	}
 	s.run(func() {
 		if err := s.rpc.Serve(s.listener); err != nil {
--- a/program/agent.go
+++ b/program/agent.go
@@ -18,13 +18,15 @@
 
 // AgentSettings are the settings of an agent.
 type AgentSettings struct {
-	Common         `embed:""`
-	Service        string   `help:"Service that the endpoint belongs to." env:"TOUCAN_SERVICE" required:""`
-	ServiceVersion string   `help:"Version that the endpoint serves." env:"TOUCAN_SERVICE_VERSION" required:""`
-	Engine         string   `help:"Base URL of the engine or plain service." env:"TOUCAN_ENGINE" required:""`
-	DispatchListen string   `help:"Address for dispatches of gateways, ip:port." env:"TOUCAN_DISPATCH_LISTEN" default:"127.0.0.1:7400"`
-	LinkListen     string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7401"`
-	Control        []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
+	Common            `embed:""`
+	Service           string   `help:"Service that the endpoint belongs to." env:"TOUCAN_SERVICE" required:""`
+	ServiceVersion    string   `help:"Version that the endpoint serves." env:"TOUCAN_SERVICE_VERSION" required:""`
+	Engine            string   `help:"Base URL of the engine or plain service." env:"TOUCAN_ENGINE" required:""`
+	DispatchListen    string   `help:"Address for dispatches of gateways, ip:port." env:"TOUCAN_DISPATCH_LISTEN" default:"127.0.0.1:7400"`
+	DispatchAdvertise string   `help:"Address at which gateways reach --dispatch-listen, ip:port, if not that address." env:"TOUCAN_DISPATCH_ADVERTISE"`
+	LinkListen        string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7401"`
+	LinkAdvertise     string   `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
+	Control           []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
 }
 
 // Check checks the settings.
@@ -32,7 +34,9 @@
 	return cmp.Or(
 		s.Common.Check(),
 		CheckAddress("dispatch-listen", s.DispatchListen),
+		CheckAdvertised("dispatch-advertise", s.DispatchAdvertise),
 		CheckAddress("link-listen", s.LinkListen),
+		CheckAdvertised("link-advertise", s.LinkAdvertise),
 		CheckAddresses("control", s.Control),
 		checkEngine(s.Engine),
 	)
@@ -104,7 +108,7 @@
 		return err
 	}
 	a.member.self.AdminAddress = a.admin.Address()
-	if err := a.member.listen(a.settings.LinkListen); err != nil {
+	if err := a.member.listen(a.settings.LinkListen, a.settings.LinkAdvertise); err != nil {
 		return err
 	}
 	l, err := a.member.network.Listen(a.settings.DispatchListen)
@@ -123,7 +127,7 @@
 		Service:      a.settings.Service,
 		Version:      a.settings.ServiceVersion,
 		Domain:       self.Domain,
-		Address:      a.dispatch.Addr().String(),
+		Address:      cmp.Or(a.settings.DispatchAdvertise, a.dispatch.Addr().String()),
 		LinkAddress:  self.LinkAddress,
 		AdminAddress: self.AdminAddress,
 	}
--- a/program/control.go
+++ b/program/control.go
@@ -15,10 +15,11 @@
 
 // ControlSettings are the settings of a control replica.
 type ControlSettings struct {
-	Common  `embed:""`
-	Listen  string   `help:"Address for other processes and operators, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:7100"`
-	Data    string   `help:"Folder for the replica's state; it must exist." env:"TOUCAN_DATA" required:"" type:"path"`
-	Members []string `help:"Addresses of all replicas including this one, ip:port, comma separated." env:"TOUCAN_MEMBERS" required:""`
+	Common    `embed:""`
+	Listen    string   `help:"Address for other processes and operators, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:7100"`
+	Advertise string   `help:"Address at which other processes reach this one, ip:port, if not --listen." env:"TOUCAN_ADVERTISE"`
+	Data      string   `help:"Folder for the replica's state; it must exist." env:"TOUCAN_DATA" required:"" type:"path"`
+	Members   []string `help:"Addresses of all replicas including this one, ip:port, comma separated." env:"TOUCAN_MEMBERS" required:""`
 }
 
 // Check checks the settings.
@@ -26,11 +27,15 @@
 	return cmp.Or(
 		s.Common.Check(),
 		CheckAddress("listen", s.Listen),
+		CheckAdvertised("advertise", s.Advertise),
 		CheckFolder("data", s.Data),
 		CheckAddresses("members", s.Members),
 	)
 }
 
+// address is the replica's address in the group.
+func (s *ControlSettings) address() string { return cmp.Or(s.Advertise, s.Listen) }
+
 // Control is a running control replica.
 type Control struct {
 	settings *ControlSettings
@@ -56,10 +61,11 @@
 		return err
 	}
 	self := c.settings.Instance(instance.RoleControl)
-	self.LinkAddress = c.settings.Listen
+	self.LinkAddress = c.settings.address()
 	self.AdminAddress = c.admin.Address()
 	server, err := control.New(control.Options{
 		Self:       self,
+		Listen:     c.settings.Listen,
 		Network:    c.network,
 		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
 		OpenLog:    control.ReplicaLog(c.logOptions()),
@@ -83,7 +89,7 @@
 func (c *Control) logOptions() control.ReplicaOptions {
 	return control.ReplicaOptions{
 		DataFolder: c.settings.Data,
-		Address:    c.settings.Listen,
+		Address:    c.settings.address(),
 		Members:    c.settings.Members,
 		Network:    c.network,
 		Logger:     c.logger,
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -16,10 +16,11 @@
 
 // GatewaySettings are the settings of a gateway.
 type GatewaySettings struct {
-	Common     `embed:""`
-	Listen     string   `help:"Address for callers, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:8080"`
-	LinkListen string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7300"`
-	Control    []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
+	Common        `embed:""`
+	Listen        string   `help:"Address for callers, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:8080"`
+	LinkListen    string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7300"`
+	LinkAdvertise string   `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
+	Control       []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
 }
 
 // Check checks the settings.
@@ -28,6 +29,7 @@
 		s.Common.Check(),
 		CheckAddress("listen", s.Listen),
 		CheckAddress("link-listen", s.LinkListen),
+		CheckAdvertised("link-advertise", s.LinkAdvertise),
 		CheckAddresses("control", s.Control),
 	)
 }
@@ -108,7 +110,7 @@
 		return err
 	}
 	g.member.self.AdminAddress = g.admin.Address()
-	if err := g.member.listen(g.settings.LinkListen); err != nil {
+	if err := g.member.listen(g.settings.LinkListen, g.settings.LinkAdvertise); err != nil {
 		return err
 	}
 	l, err := net.Listen("tcp", g.settings.Listen)
--- a/program/member.go
+++ b/program/member.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -59,14 +60,15 @@
 	}
 }
 
-// listen opens the net/rpc listener and fills self.LinkAddress.
-func (m *member) listen(address string) error {
+// listen opens the net/rpc listener and fills self.LinkAddress with the advertised address,
+// by default that of the listener.
+func (m *member) listen(address, advertised string) error {
 	l, err := m.network.Listen(address)
 	if err != nil {
 		return &SettingError{Flag: "link-listen", Err: err}
 	}
 	m.listener = l
-	m.self.LinkAddress = l.Addr().String()
+	m.self.LinkAddress = cmp.Or(advertised, l.Addr().String())
 	return m.rpc.Register(distribution.ServiceName, distribution.NewService(m.holder))
 }
 
--- a/program/program.go
+++ b/program/program.go
@@ -131,6 +131,25 @@
 	return nil
 }
 
+// CheckAdvertised reports a flag whose value is neither empty nor an "ip:port" that other
+// processes can connect to.
+func CheckAdvertised(flag, value string) error {
+	if value == "" {
+		return nil
+	}
+	if err := CheckAddress(flag, value); err != nil {
+		return err
+	}
+	a, err := net.ResolveTCPAddr("tcp", value)
+	if err != nil {
+		return &SettingError{Flag: flag, Err: err}
+	}
+	if a.Port == 0 || a.IP.IsUnspecified() {
+		return &SettingError{Flag: flag, Err: fmt.Errorf("other processes cannot connect to %q", value)}
+	}
+	return nil
+}
+
 // CheckFolder reports a flag that does not name a writable folder.
 func CheckFolder(flag, path string) error {
 	info, err := os.Stat(path)
