Bound writes on net/rpc connections

Cause: net/rpc writes while it holds the lock of the connection. On a connection that went silent, a message larger than the free socket buffers blocked in that write; the probe waited for the same lock and never began its timeout. Neither the call's deadline nor the probe ended it, and the connection was replaced only when TCP gave up, which takes minutes. A batch of consensus entries has up to 4 MB.

Change: the connections of link.Client and link.Server write in chunks of 64 KiB, each within ProbeTimeout, and close themselves when one takes longer.

Measured: TestConnectionThatTakesNoBytesIsReplaced, a call of 64 MiB to a peer that reads nothing.

Conclusion: a silent connection is replaced whether or not its buffers are full.

--- a/link/rpc.go
+++ b/link/rpc.go
@@ -86,7 +86,7 @@
 }
 
 func (s *Server) serveConn(c net.Conn) {
-	s.rpc.ServeConn(c)
+	s.rpc.ServeConn(boundedConn{c})
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -184,7 +184,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.conn = &connection{Client: rpc.NewClient(nc), done: make(chan struct{})}
+	c.conn = &connection{Client: rpc.NewClient(boundedConn{nc}), done: make(chan struct{})}
 	go c.probe(c.conn)
 	return c.conn, nil
 }
