--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -109,8 +109,10 @@
 
 // deployment is a set of processes on loopback.
 type deployment struct {
-	t        testing.TB
+	t testing.TB
+	// control are the addresses of the replicas, listens where they listen.
 	control  []string
+	listens  []string
 	folders  []string
 	controls []*process
 	gateways []*process
@@ -148,22 +150,27 @@
 	d := &deployment{t: t}
 	for range replicas {
 		d.control = append(d.control, freeAddress(t))
-		d.folders = append(d.folders, t.TempDir())
 	}
+	d.listens = d.control
+	d.startReplicas()
+	return d
+}
+
+func (d *deployment) startReplicas() {
 	for i := range replicas {
+		d.folders = append(d.folders, d.t.TempDir())
 		d.controls = append(d.controls, d.newControl(i))
 		d.controls[i].start()
 	}
 	d.client = control.NewClient(link.TCP{}, d.control)
-	t.Cleanup(d.client.Close)
-	return d
+	d.t.Cleanup(d.client.Close)
 }
 
 func (d *deployment) newControl(i int) *process {
 	id := fmt.Sprintf("control-%d", i+1)
 	return &process{t: d.t, name: id, args: []string{
 		"toucan-control", "--id", id, "--domain", "lagos-a", "--admin-listen", "127.0.0.1:0",
-		"--listen", d.control[i], "--data", d.folders[i], "--members", strings.Join(d.control, ","),
+		"--listen", d.listens[i], "--advertise", d.control[i], "--data", d.folders[i], "--members", strings.Join(d.control, ","),
 	}}
 }
 
@@ -179,19 +186,19 @@
 	d.callers = append(d.callers, "http://"+address)
 }
 
-// startAgent starts an agent beside an engine in the test process.
-func (d *deployment) startAgent(service, version, domain string, engine http.Handler) *process {
+// startAgent starts an agent beside an engine in the test process, with further flags.
+func (d *deployment) startAgent(service, version, domain string, engine http.Handler, flags ...string) *process {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(d.t, err)
 	server := &http.Server{Handler: engine, ReadHeaderTimeout: waitLimit}
 	go func() { _ = server.Serve(l) }()
 	d.t.Cleanup(func() { _ = server.Close() })
 	id := fmt.Sprintf("%s-%s-%s-%d", service, version, domain, l.Addr().(*net.TCPAddr).Port)
-	p := &process{t: d.t, name: id, args: []string{
+	p := &process{t: d.t, name: id, args: append([]string{
 		"toucan-agent", "--id", id, "--domain", domain, "--admin-listen", "127.0.0.1:0",
 		"--service", service, "--service-version", version, "--engine", "http://" + l.Addr().String(),
 		"--dispatch-listen", "127.0.0.1:0", "--link-listen", "127.0.0.1:0", "--control", strings.Join(d.control, ","),
-	}}
+	}, flags...)}
 	p.start()
 	return p
 }
