Wait for the other endpoints before the first answers convict

Cause: the evidence without the endpoint that stands out was only used once others had given a fifth of the answers. When the first answers of the new version all came from its one bad endpoint, 5 of them took a good version back.

Change: up to 16 answers of the new version, others are expected to answer still. A version with one endpoint is judged from the 16th on.

Conclusion: the new test fails without the rule (taken back after 5 answers).

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -279,11 +279,15 @@
 // left out: with less, the rest could not show that a version is bad.
 const leastPeers = 0.2
 
+// soloAnswers is the number of answers of the new version up to which others of a group's
+// kind may still answer: the first few often come from one endpoint of several.
+const soloAnswers = 16
+
 // hasPeers reports whether enough answers of the new version came from other groups of
-// the kind.
+// the kind, or still may.
 func (j *Judge) hasPeers(g int) bool {
 	n := j.answered[g]
-	return n > 0 && float64(j.newSeen-n) >= leastPeers*float64(j.newSeen)
+	return n > 0 && (j.newSeen < soloAnswers || float64(j.newSeen-n) >= leastPeers*float64(j.newSeen))
 }
 
 // evidence lists the comparisons, the strongest against the new version first.
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -58,6 +58,28 @@
 	}
 }
 
+// Guards against a version that is blamed for one bad endpoint whose answers happen to come
+// first, and against one that is never judged because it has no other endpoint.
+func TestFirstAnswersMayComeFromOneEndpoint(t *testing.T) {
+	r := rand.New(rand.NewPCG(7, 7))
+	j := rollout.NewJudge(1)
+	m := rollout.Move{From: "v1", To: "v2", Share: rollout.FirstShare, Started: epoch, StageSince: epoch, Deadline: epoch.Add(time.Hour)}
+	answers := 0
+	for at := time.Second; at < 10*time.Minute; at += time.Second {
+		d := j.Decide(epoch.Add(at), m, feed(r, 40, m.Share, func(o *rollout.Observation) {
+			if o.Version == "v2" {
+				o.Endpoint, o.Domain, o.FirstToken = "v2-0", "lagos-a", 20*o.FirstToken
+				answers++
+			}
+		}))
+		if d.Action == rollout.TakeBack {
+			assert.Assert(t, answers > 12, "taken back after %d answers: %s", answers, d.Cause)
+			return
+		}
+	}
+	t.Fatalf("not taken back after %d answers", answers)
+}
+
 // Guards against a move that is never judged because the versions answer in different
 // failure domains, as when gateways prefer one endpoint of each version.
 func TestVersionsInDifferentDomainsAreCompared(t *testing.T) {
