Judge short calls by their mean over 20 ms

Cause: the limit takes three of the last five calls above twice the expected time for a slowdown. Calls of 0.3 ms make five pieces of evidence in less than a millisecond, and one pause of the process or the machine delays all calls in flight, which then confirm each other.

Change: calls that the baseline expects to last less than 20 ms count together; the mean of those that span 20 ms is one piece of evidence. Longer calls are judged as before.

TestPausesAreNoSlowdown fails without the change (limit 5 after a pause of 9 ms) and when short calls are no evidence (no fall on a real slowdown).

--- a/gateway/bench_child_test.go
+++ b/gateway/bench_child_test.go
@@ -52,8 +52,7 @@
 	Direct string
 }
 
-// unaryTime is the engine's time for /unary. Calls of well under a millisecond vary by
-// more than the factor at which the agent's limit takes the engine for overloaded.
+// unaryTime is the engine's time for /unary.
 const unaryTime = 5 * time.Millisecond
 
 // benchEngine answers /unary after unaryTime, /stream with paced tokens, and /idle with one
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -55,6 +55,11 @@
 	// overdueRepeat is the time between two steps taken on overdue calls.
 	overdueRepeat = 500 * time.Millisecond
 
+	// evidenceTime is the least time that a piece of evidence spans. A pause of the process
+	// or the machine delays all short calls in flight by many times their length, and they
+	// would confirm each other.
+	evidenceTime = 20 * time.Millisecond
+
 	fastGain = 0.35
 	slowGain = 0.05
 	// jumpCalls of the last recentCalls must confirm a jump. The others may be calls
@@ -116,6 +121,8 @@
 	failures  float64
 	failedRow int
 	longest   time.Duration
+	// short holds the ratios of short calls until they span evidenceTime.
+	short evidence
 	// progressAt is when an answer last began or ended: the endpoint was not silent.
 	progressAt time.Time
 
@@ -224,9 +231,10 @@
 	if !l.first.ready() {
 		return
 	}
-	ratio := firstShare * now.Sub(t.start).Seconds() / l.first.at(float64(c.prompt+c.beside))
+	expected := l.first.at(float64(c.prompt + c.beside))
+	ratio := firstShare * now.Sub(t.start).Seconds() / expected
 	if ratio > fullRatio {
-		l.judge(ratio, t, now)
+		l.judge(ratio, expected, t, now)
 	}
 }
 
@@ -256,7 +264,7 @@
 	l.failures *= 1 - failureGain
 	l.longest = max(s.Total, l.longest-l.longest/64)
 	r := l.learn(t, s, beside)
-	l.judge(r.load, t, now)
+	l.judge(r.load, r.expected, t, now)
 	l.prove(r, t, now)
 }
 
@@ -278,10 +286,10 @@
 		if s.AnswerTokens < 2 || !l.decode.ready() {
 			return
 		}
-		_, ratio = l.decode.learn(float64(s.AnswerTokens), decodeTime, t.crowd)
+		expected, ratio = l.decode.learn(float64(s.AnswerTokens), decodeTime, t.crowd)
 	}
 	if ratio > fullRatio {
-		l.judge(ratio, t, now)
+		l.judge(ratio, expected, t, now)
 	}
 }
 
@@ -365,6 +373,8 @@
 	load float64
 	// first is the first token time without that correction.
 	first float64
+	// expected is the time of the whole call by the baseline, in seconds.
+	expected float64
 }
 
 // learn updates the baseline and the rates and returns the call's ratios.
@@ -380,9 +390,9 @@
 	corrected := firstTime / expected
 	_, first := l.first.learn(prompt, firstTime, t.crowd)
 	if answer <= 1 || decodeTime <= 0 {
-		return ratios{load: first, first: first}
+		return ratios{load: first, first: first, expected: expected}
 	}
 	expectedDecode, _ := l.decode.learn(answer, decodeTime, t.crowd)
 	whole := s.Total.Seconds() / (expected + expectedDecode)
-	return ratios{load: math.Max(whole, firstShare*corrected), first: first}
+	return ratios{load: math.Max(whole, firstShare*corrected), first: first, expected: expected + expectedDecode}
 }
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -147,6 +147,32 @@
 	assert.Check(t, b.l.Cold())
 }
 
+// TestPausesAreNoSlowdown guards against the limit of a service with calls of 0.3 ms that
+// turns cold whenever a pause delays all calls in flight, and against a real slowdown of
+// such a service that goes unseen for longer than a second.
+func TestPausesAreNoSlowdown(t *testing.T) {
+	b := newBench(3*time.Millisecond, 16)
+	b.size = func(int) int { return 0 }
+	b.finishN(100_000)
+	assert.Assert(t, b.l.Limit() >= 16)
+	for pause := 5 * time.Millisecond; pause <= 30*time.Millisecond; pause += time.Millisecond {
+		for i := range b.open {
+			r := &b.open[i]
+			r.at = r.at.Add(pause)
+			r.sample.FirstToken += pause
+			r.sample.Total += pause
+		}
+		b.finishN(5000)
+		assert.Check(t, b.l.Limit() >= 16, "limit %d after a pause of %v", b.l.Limit(), pause)
+	}
+	b.slow = 10
+	slowed := b.now
+	for b.l.Limit() > 1 && b.now.Sub(slowed) < time.Second {
+		b.finish()
+	}
+	assert.Check(t, cmp.Equal(b.l.Limit(), 1))
+}
+
 // TestWaitingCallsCountBeforeTheyFinish guards against an endpoint that stops
 // answering: no call finishes, so only the waiting ones can tell.
 func TestWaitingCallsCountBeforeTheyFinish(t *testing.T) {
--- a/limit/loop.go
+++ b/limit/loop.go
@@ -6,11 +6,41 @@
 	"time"
 )
 
-// judge lowers the limit on a jump over the recent ratio or on a high level.
-func (l *Limiter) judge(ratio float64, t Ticket, now time.Time) {
+// evidence is the sum of the ratios of short calls that ended since a time.
+type evidence struct {
+	since  time.Time
+	ratios float64
+	calls  int
+}
+
+// mean adds a ratio. Once the calls span evidenceTime it returns their mean and starts
+// anew.
+func (e *evidence) mean(ratio float64, t Ticket, now time.Time) (mean float64, ok bool) {
+	if e.calls == 0 {
+		e.since = t.start
+	}
+	e.ratios += ratio
+	e.calls++
+	if now.Sub(e.since) < evidenceTime {
+		return 0, false
+	}
+	mean = e.ratios / float64(e.calls)
+	*e = evidence{}
+	return mean, true
+}
+
+// judge lowers the limit on a jump over the recent ratio or on a high level. expected
+// is the time of the call by the baseline, in seconds.
+func (l *Limiter) judge(ratio, expected float64, t Ticket, now time.Time) {
 	if t.start.Before(l.steppedAt) {
 		return
 	}
+	if expected < evidenceTime.Seconds() {
+		var ok bool
+		if ratio, ok = l.short.mean(ratio, t, now); !ok {
+			return
+		}
+	}
 	l.smooth(ratio)
 	if l.sinceStep < jumpCalls {
 		return
@@ -126,6 +156,7 @@
 	l.slow = l.fast
 	l.sinceStep = 0
 	l.recent = [recentCalls]float64{}
+	l.short = evidence{}
 	l.steppedAt = now
 	l.restartProof(now)
 }
