--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -117,7 +117,7 @@
 // affinityKnown credits what cache events tell.
 func (x *scratch) affinityKnown(p Prefix) {
 	for _, i := range x.live {
-		if confidence, known := x.candidates[i].state.cache.held(p.Hash); known {
+		if confidence, known := x.states[i].cache.held(p.Hash); known {
 			x.save(i, confidence*float64(p.Tokens))
 		}
 	}
@@ -127,8 +127,9 @@
 func (x *scratch) affinityLikely(p Prefix, bound float64) {
 	best, bestRank := -1, uint64(0)
 	for _, i := range x.live {
-		rank := mix(p.Hash ^ x.candidates[i].hash)
-		if (rank > bestRank || best < 0) && x.occupancy[i] <= bound {
+		rank := mix(p.Hash ^ x.hashes[i])
+		// The rank is compared first: it is seldom the highest so far.
+		if rank >= bestRank && (rank > bestRank || best < 0) && x.occupancy[i] <= bound {
 			best, bestRank = int(i), rank
 		}
 	}
@@ -136,7 +137,7 @@
 		return
 	}
 	held := likelyHeld
-	confidence, known := x.candidates[uint8(best)].state.cache.held(p.Hash)
+	confidence, known := x.states[uint8(best)].cache.held(p.Hash)
 	if known && confidence == 0 {
 		held = evictedHeld
 	}
@@ -150,9 +151,12 @@
 }
 
 func (x *scratch) occupancyBound() float64 {
-	sum := 0.0
-	for _, i := range x.live {
-		sum += x.occupancy[i]
+	sum := x.used
+	if len(x.live) < x.n {
+		sum = 0
+		for _, i := range x.live {
+			sum += x.occupancy[i]
+		}
 	}
 	return loadBound*sum/float64(len(x.live)) + 0.25
 }
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +22,12 @@
 type scratch struct {
 	n          int
 	candidates []*Candidate
-	now        time.Time
+	// states are those of the candidates. Reading them through the candidates would
+	// touch one more cache line for each.
+	states []*state
+	// hashes are those of the candidates.
+	hashes []uint64
+	now    time.Time
 	// nanos is now as an offset from the base of the snapshot's times.
 	nanos   int64
 	live    []uint8
@@ -36,6 +42,13 @@
 	requests [maxIndex]float64
 	// occupancy is requests over limit.
 	occupancy [maxIndex]float64
+	// used is the sum of the occupancies of all n candidates.
+	used float64
+	// spare is the room for requests beyond the estimated number and one more; below 0
+	// the endpoint is saturated.
+	spare [maxIndex]float64
+	// anySaturated is set when some spare is below 0.
+	anySaturated bool
 	// saved is the prompt tokens expected in the endpoint's cache.
 	saved  [maxIndex]float64
 	first  [maxIndex]float64
@@ -84,30 +97,43 @@
 // the report ages.
 func (x *scratch) load() {
 	x.live = x.liveBuf[:x.n]
-	x.marks = 0
-	for at, c := range x.candidates {
+	copy(x.live, allIndexes[:])
+	clear(x.saved[:x.n])
+	clear(x.score[:x.n])
+	marks, used, signs := mark(0), 0.0, uint64(0)
+	for at, st := range x.states {
 		i := uint8(at)
-		st := c.state
 		r := st.report.Load()
 		if r == nil {
 			r = unknownReport
 		}
-		x.marks |= r.marks | mark(st.marks.Load())
+		marks |= r.marks | mark(st.marks.Load())
 		own := float64(st.requests.Load())
 		weight := fade(x.nanos - r.made)
 		usual := float64(r.usualOthers)
 		requests := own + usual + weight*(float64(r.others)-usual)
-		x.live[at] = i
 		x.reports[i] = r
 		x.weight[i] = weight
 		x.own[i] = own
 		x.requests[i] = requests
-		x.occupancy[i] = requests * r.perLimit
-		x.saved[i] = 0
-		x.score[i] = 0
+		occupancy := requests * r.perLimit
+		x.occupancy[i] = occupancy
+		used += occupancy
+		spare := float64(r.room) + estimateSlack - (requests + 1)
+		x.spare[i] = spare
+		signs |= math.Float64bits(spare)
 	}
+	x.marks, x.used, x.anySaturated = marks, used, signs>>63 != 0
 }
 
+// allIndexes is the live list before any filter.
+var allIndexes = func() (all [maxIndex]uint8) {
+	for i := range all {
+		all[i] = uint8(i)
+	}
+	return all
+}()
+
 // assumeSpeeds gives endpoints without learned speeds the highest known of the version.
 // With a low standard instead, an endpoint that returns beside fast ones gets no work,
 // and so never shows its speed.
@@ -168,7 +194,7 @@
 	rep := x.reports[i]
 	c := x.candidates[i]
 	prompt -= x.saved[i]
-	waiting := float64(c.state.prompt.Load()) + float64(rep.othersQueued)*x.weight[i]
+	waiting := float64(x.states[i].prompt.Load()) + float64(rep.othersQueued)*x.weight[i]
 	first = (waiting+prompt)*rep.perPrefill + 2*c.distance
 	if over := x.requests[i] + 1 - float64(rep.limit); over > 0 {
 		first += over * rep.perLimit * x.callTime(i, answer)
@@ -180,7 +206,7 @@
 // callTime is the mean remaining time of the calls at the endpoint.
 func (x *scratch) callTime(i uint8, answer float64) float64 {
 	if x.own[i] > 0 {
-		mean := float64(x.candidates[i].state.answer.Load()) / x.own[i]
+		mean := float64(x.states[i].answer.Load()) / x.own[i]
 		answer = max(answer, mean)
 	}
 	return answer * x.reports[i].perDecode
--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 
 	"toucantiller.dev/admission"
@@ -44,7 +45,7 @@
 	}
 	live := x.live[:0]
 	for _, i := range x.live {
-		until := x.candidates[i].state.suspended.Load()
+		until := x.states[i].suspended.Load()
 		if until == nil || !until.After(x.now) {
 			live = append(live, i)
 		}
@@ -104,19 +105,34 @@
 func (saturatedFilter) Reason() Reason { return ReasonSaturated }
 
 func (saturatedFilter) Apply(x *scratch, r *Request) {
-	n := 0
+	if !x.anySaturated {
+		return
+	}
+	if len(r.Prefixes) > 0 {
+		x.holderSpare(r)
+	}
+	n := uint8(0)
+	for _, i := range x.live {
+		// The sum without a condition avoids a branch that is hard to predict.
+		x.liveBuf[n] = i
+		n += notNegative(x.spare[i])
+	}
+	x.live = x.live[:n]
+}
+
+// holderSpare adds the room that endpoints have for requests whose prefix they hold.
+func (x *scratch) holderSpare(r *Request) {
 	half := float64(r.PromptTokens) / 2
 	for _, i := range x.live {
-		room := x.reports[i].room
 		if x.saved[i] > half {
-			room = x.reports[i].holderRoom()
-		}
-		x.live[n] = i
-		if x.requests[i]+1 <= float64(room)+estimateSlack {
-			n++
+			x.spare[i] = float64(x.reports[i].holderRoom()) + estimateSlack - (x.requests[i] + 1)
 		}
 	}
-	x.live = x.live[:n]
+}
+
+// notNegative returns 1 for numbers from 0 up and 0 below.
+func notNegative(f float64) uint8 {
+	return uint8(^math.Float64bits(f) >> 63)
 }
 
 // affinityMarker takes out nothing: it marks the prompt tokens that each live
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -120,11 +120,13 @@
 	x := scratches.Get().(*scratch)
 	x.n = to - from
 	x.candidates = svc.candidates[from:to]
+	x.states = svc.states[from:to]
+	x.hashes = svc.hashes[from:to]
 	x.now = now
 	x.nanos = s.base.nanos(now)
 	x.load()
 	s.profile.run(x, r, &d, rng)
-	x.candidates = nil
+	x.candidates, x.states, x.hashes = nil, nil, nil
 	scratches.Put(x)
 	return d
 }
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -71,6 +71,36 @@
 	})
 }
 
+// TestSaturatedFilterMatchesNaive guards against a saturated endpoint that is kept, and
+// one with room that is dropped, by the shortcut or by the sum of signs.
+func TestSaturatedFilterMatchesNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewSnapshot(fleet(rapid.IntRange(1, MaxCandidates).Draw(t, "endpoints"), 1))
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		busy := rapid.IntRange(0, 20).Draw(t, "busy")
+		for _, c := range s.Candidates("model-0") {
+			c.Observe(endpoint.Load{Limit: 1 + rng.IntN(8), Running: rng.IntN(busy + 1), Cold: rng.IntN(2) == 0, Floor: -1}, start)
+		}
+		svc := s.services["model-0"]
+		x := &scratch{n: len(svc.states), states: svc.states, nanos: s.base.nanos(start)}
+		x.load()
+		r := &Request{PromptTokens: 100, Prefixes: []Prefix{{1, 80}}}
+		var want []uint8
+		for i := range x.live {
+			x.saved[i] = float64(rng.IntN(2) * 80)
+			room := float64(x.reports[i].room)
+			if x.saved[i] > 50 {
+				room = float64(x.reports[i].holderRoom())
+			}
+			if x.requests[i]+1 <= room+estimateSlack {
+				want = append(want, uint8(i))
+			}
+		}
+		saturatedFilter{}.Apply(x, r)
+		assert.Assert(t, slices.Equal(x.live, want), "got %v, want %v", x.live, want)
+	})
+}
+
 // naiveCost adds up what the plugins of the default profile charge, in seconds.
 func naiveCost(in SnapshotInput, e endpoint.Endpoint, load endpoint.Load, own float64, r *Request) float64 {
 	requests := own + float64(load.Running)
@@ -252,7 +282,7 @@
 	now = now.Add(2 * time.Second)
 	c.Observe(endpoint.Load{Limit: 16, Running: 4, Floor: -1, Age: 2 * time.Second}, now)
 	assert.Equal(t, c.state.report.Load().others, float32(0))
-	fresh, old := &scratch{n: 1, candidates: []*Candidate{c}}, &scratch{n: 1, candidates: []*Candidate{c}}
+	fresh, old := &scratch{n: 1, states: []*state{c.state}}, &scratch{n: 1, states: []*state{c.state}}
 	fresh.nanos, old.nanos = s.base.nanos(now.Add(-2*time.Second)), s.base.nanos(now.Add(time.Minute))
 	fresh.load()
 	old.load()
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -53,8 +53,11 @@
 // adjacent.
 type service struct {
 	candidates []*Candidate
-	versions   []versionRange
-	shares     []contract.VersionShare
+	// states and hashes are those of the candidates, in the same order.
+	states   []*state
+	hashes   []uint64
+	versions []versionRange
+	shares   []contract.VersionShare
 	// excluded counts endpoints left out because they leave or their domain is drained.
 	leaving, drained int
 }
@@ -125,6 +128,8 @@
 	}
 	sortByVersion(svc.candidates)
 	for i, c := range svc.candidates {
+		svc.states = append(svc.states, c.state)
+		svc.hashes = append(svc.hashes, c.hash)
 		last := len(svc.versions) - 1
 		if last < 0 || svc.versions[last].version != c.Endpoint.Version {
 			svc.versions = append(svc.versions, versionRange{c.Endpoint.Version, i, i + 1})
