Count what a relay sends and receives for a child

Cause: BenchmarkSubscriberCost adds up both directions of all connections of a subscriber, so the bytes of a relay could only be bounded from above; the keepalive connection, which leads to control, was counted as the relay's.

Change: the benchmark reports the connections to other addresses than control separately, in both directions.

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -17,15 +17,19 @@
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/distribution"
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 )
 
-// countingNetwork counts the bytes of the connections that were dialled through it.
+// countingNetwork counts the bytes of the connections that were dialled through it, and
+// of those to other addresses than control what relays sent and received.
 type countingNetwork struct {
 	link.TCP
-	bytes, dials atomic.Int64
+	control               string
+	bytes, dials          atomic.Int64
+	relaySent, relayTaken atomic.Int64
 }
 
 func (n *countingNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
@@ -34,23 +38,30 @@
 		return nil, err
 	}
 	n.dials.Add(1)
-	return &countingConn{Conn: c, bytes: &n.bytes}, nil
+	return &countingConn{Conn: c, network: n, relay: addr != n.control}, nil
 }
 
 type countingConn struct {
 	net.Conn
-	bytes *atomic.Int64
+	network *countingNetwork
+	relay   bool
 }
 
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
+	c.network.bytes.Add(int64(n))
+	if c.relay {
+		c.network.relaySent.Add(int64(n))
+	}
 	return n, err
 }
 
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
+	c.network.bytes.Add(int64(n))
+	if c.relay {
+		c.network.relayTaken.Add(int64(n))
+	}
 	return n, err
 }
 
@@ -78,8 +89,8 @@
 
 func startFleet(b *testing.B, n int) *fleet {
 	b.Helper()
-	f := &fleet{network: &countingNetwork{}}
 	addr := freeAddress(b)
+	f := &fleet{network: &countingNetwork{control: addr}}
 	newControl(b, link.TCP{}, control.Options{
 		Self:                   instance.Instance{ID: "control-0", Role: instance.RoleControl, LinkAddress: addr},
 		RegistrationsPerSecond: 2000, RegistrationBurst: 2000,
@@ -166,9 +177,11 @@
 }
 
 // BenchmarkSubscriberCost measures what a subscriber costs with both ends of its
-// connections, idle and at ten changes a second.
+// connections, and what its relay sends and receives for it, idle and at ten changes a
+// second.
 func BenchmarkSubscriberCost(b *testing.B) {
 	const n = 200
+	const children = n - 2*distribution.RootsPerDomain
 	for _, perSecond := range []int{0, 10} {
 		b.Run(fmt.Sprintf("changes=%d", perSecond), func(b *testing.B) {
 			before := heap()
@@ -176,6 +189,7 @@
 			b.ReportMetric(float64(heap()-before)/n/1024, "KiB/subscriber")
 			for range b.N {
 				bytes, cpu, start := f.network.bytes.Load(), cpuTime(), time.Now()
+				sent, taken := f.network.relaySent.Load(), f.network.relayTaken.Load()
 				for time.Since(start) < 10*time.Second {
 					if perSecond > 0 {
 						f.change(b)
@@ -186,6 +200,8 @@
 				}
 				seconds := time.Since(start).Seconds()
 				b.ReportMetric(float64(f.network.bytes.Load()-bytes)/n/seconds, "B/s/subscriber")
+				b.ReportMetric(float64(f.network.relaySent.Load()-sent)/children/seconds, "relay-sent-B/s/child")
+				b.ReportMetric(float64(f.network.relayTaken.Load()-taken)/children/seconds, "relay-received-B/s/child")
 				b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/n/seconds, "cpu-us/s/subscriber")
 				b.ReportMetric(float64(f.changes)/seconds, "changes/s")
 			}
