Probe a net/rpc connection only after it has been quiet

Cause: every subscriber's connection was probed twice a second, although a beacon arrives on it twice a second and shows the same.

Change: a net/rpc connection is probed when nothing was delivered on it for 750 ms (ProbeAfter). HTTP/2 links are unchanged.

TestRepliesStandInForProbes counted 6 probes instead of 0 when the quiet time was not looked at.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -1,6 +1,7 @@
 package link_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -14,6 +15,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,6 +92,43 @@
 	})
 }
 
+// pingCounter counts the probes that are written to its connections.
+type pingCounter struct {
+	*link.Memory
+	pings atomic.Int64
+}
+
+func (n *pingCounter) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := n.Memory.Dial(ctx, addr)
+	return pingConn{c, n}, err
+}
+
+type pingConn struct {
+	net.Conn
+	network *pingCounter
+}
+
+func (c pingConn) Write(p []byte) (int, error) {
+	c.network.pings.Add(int64(bytes.Count(p, []byte("Link.Ping"))))
+	return c.Conn.Write(p)
+}
+
+// Guards against probes of a connection whose replies show that it is alive: relays would
+// pay for two probes a second of each child.
+func TestRepliesStandInForProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &pingCounter{Memory: link.NewMemory()}
+		c := link.NewClient(network, serveEcho(t, network))
+		t.Cleanup(c.Close)
+		for range 10 {
+			_, err := call(c, "Echo.Echo")
+			assert.NilError(t, err)
+			time.Sleep(link.ProbeInterval)
+		}
+		assert.Equal(t, network.pings.Load(), int64(0))
+	})
+}
+
 // Guards against a slow method being taken for a silent connection, and against calls
 // that outlive their deadline.
 func TestDeadlineOfSlowMethod(t *testing.T) {
--- a/link/rpc.go
+++ b/link/rpc.go
@@ -6,13 +6,19 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// Probe timing: a silent connection is found within ProbeInterval + ProbeTimeout.
+// Probe timing: a silent connection is found within ProbeInterval + ProbeTimeout over
+// HTTP/2, and within ProbeAfter + ProbeTimeout over net/rpc.
 const (
 	ProbeInterval = 500 * time.Millisecond
 	ProbeTimeout  = time.Second
+	// ProbeAfter is how long a net/rpc connection delivers nothing before it is probed. It
+	// is longer than the interval of beacons, which show that a connection is alive as
+	// probes do and are there anyway.
+	ProbeAfter = 750 * time.Millisecond
 	// CallTimeout is used for calls whose context has no deadline.
 	CallTimeout = 5 * time.Second
 )
@@ -106,8 +112,30 @@
 // connection is one open connection. done ends its probes.
 type connection struct {
 	*rpc.Client
-	done chan struct{}
-	once sync.Once
+	delivered *deliveries
+	done      chan struct{}
+	once      sync.Once
+}
+
+// deliveries is a network connection that keeps the time of its last delivery.
+type deliveries struct {
+	net.Conn
+	opened time.Time
+	last   atomic.Int64 // time.Duration since opened
+}
+
+// Read reads and notes the time.
+func (d *deliveries) Read(p []byte) (int, error) {
+	n, err := d.Conn.Read(p)
+	if n > 0 {
+		d.last.Store(int64(time.Since(d.opened)))
+	}
+	return n, err
+}
+
+// quiet returns the time since the last delivery.
+func (d *deliveries) quiet() time.Duration {
+	return time.Since(d.opened) - time.Duration(d.last.Load())
 }
 
 func (c *connection) close() {
@@ -184,7 +212,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c.conn = &connection{Client: rpc.NewClient(nc), done: make(chan struct{})}
+	delivered := &deliveries{Conn: nc, opened: time.Now()}
+	c.conn = &connection{Client: rpc.NewClient(delivered), delivered: delivered, done: make(chan struct{})}
 	go c.probe(c.conn)
 	return c.conn, nil
 }
@@ -198,17 +227,21 @@
 	conn.close()
 }
 
-// probe pings the connection until it fails or stays silent, then drops it, so that
-// waiting calls fail and the next call dials anew.
+// probe pings the connection whenever it has been quiet, until it fails or stays silent,
+// then drops it, so that waiting calls fail and the next call dials anew.
 func (c *Client) probe(conn *connection) {
-	ticker := time.NewTicker(ProbeInterval)
-	defer ticker.Stop()
-	for seq := uint64(1); ; seq++ {
+	next := time.NewTimer(ProbeAfter)
+	defer next.Stop()
+	for seq := uint64(1); ; {
 		select {
-		case <-ticker.C:
+		case <-next.C:
 		case <-conn.done:
 			return
 		}
+		if wait := ProbeAfter - conn.delivered.quiet(); wait > 0 {
+			next.Reset(wait)
+			continue
+		}
 		var reply Ping
 		call := conn.Go("Link.Ping", &Ping{Seq: seq}, &reply, make(chan *rpc.Call, 1))
 		timeout := time.NewTimer(ProbeTimeout)
@@ -223,5 +256,7 @@
 			c.drop(conn)
 			return
 		}
+		seq++
+		next.Reset(ProbeAfter)
 	}
 }
