Send only the changed domains, services and parts in a configuration delta

Cause: a delta carried every part of the configuration but the accounts, with 12 services about 1,400 bytes for a drain that changes one domain.

Change: a delta carries changed and removed domains, services that differ (by index, while their number is the same), and bundle and tiers only when they differ.

It failed when applying a delta left out removed domains, changed domains, services, tiers or bundle.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -213,8 +213,18 @@
 // ConfigDelta changes the configuration of revision From into that of Header.Revision.
 type ConfigDelta struct {
 	From uint64
-	// Header holds every part except the accounts.
+	// Header holds every part except the accounts, the domains and what is unchanged.
 	Header contract.Config
+	// SameBundle and SameTiers say that these parts are those of From.
+	SameBundle bool
+	SameTiers  bool
+	// SameServices says that the services of From remain, but for those in Services, which
+	// replace those at their index.
+	SameServices bool
+	Services     map[int]*contract.Service
+	// Domains replace those of the same ID or are added.
+	Domains        map[failuredomain.ID]failuredomain.Domain
+	RemovedDomains []failuredomain.ID
 	// Accounts replace those of the same name or are added at the end.
 	Accounts        []*account.Account
 	RemovedAccounts []string
--- a/distribution/delta.go
+++ b/distribution/delta.go
@@ -11,6 +11,7 @@
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/instance"
 )
 
@@ -53,6 +54,18 @@
 // diffConfig returns the change between two configurations.
 func diffConfig(old, next *contract.Config) *api.ConfigDelta {
 	d := &api.ConfigDelta{From: old.Revision, Header: headerOf(next)}
+	if d.SameBundle = old.Bundle == next.Bundle; d.SameBundle {
+		d.Header.Bundle = contract.BundleRef{}
+	}
+	if d.SameTiers = slices.Equal(old.Tiers, next.Tiers); d.SameTiers {
+		d.Header.Tiers = nil
+	}
+	if d.SameServices = len(old.Services) == len(next.Services); d.SameServices {
+		d.Header.Services = nil
+		d.Services = changedServices(old.Services, next.Services)
+	}
+	d.Header.Domains = nil
+	d.Domains, d.RemovedDomains = diffDomains(old.Domains, next.Domains)
 	before := accountsByName(old.Accounts)
 	for _, a := range next.Accounts {
 		if b, ok := before[a.Name]; !ok || (a != b && !reflect.DeepEqual(a, b)) {
@@ -64,9 +77,48 @@
 	return d
 }
 
-// applyConfig returns a new configuration; it shares unchanged accounts with old.
+// changedServices returns what differs in two lists of the same length.
+func changedServices(old, next []*contract.Service) map[int]*contract.Service {
+	changed := make(map[int]*contract.Service)
+	for i, s := range next {
+		if s != old[i] && !reflect.DeepEqual(s, old[i]) {
+			changed[i] = s
+		}
+	}
+	return changed
+}
+
+func diffDomains(old, next map[failuredomain.ID]failuredomain.Domain) (changed map[failuredomain.ID]failuredomain.Domain, removed []failuredomain.ID) {
+	changed = make(map[failuredomain.ID]failuredomain.Domain)
+	for id, d := range next {
+		if before, ok := old[id]; !ok || before != d {
+			changed[id] = d
+		}
+	}
+	for id := range old {
+		if _, ok := next[id]; !ok {
+			removed = append(removed, id)
+		}
+	}
+	return changed, removed
+}
+
+// applyConfig returns a new configuration; it shares unchanged parts with old.
 func applyConfig(old *contract.Config, d *api.ConfigDelta) *contract.Config {
 	next := headerOf(&d.Header)
+	if d.SameBundle {
+		next.Bundle = old.Bundle
+	}
+	if d.SameTiers {
+		next.Tiers = old.Tiers
+	}
+	if d.SameServices {
+		next.Services = slices.Clone(old.Services)
+		for i, s := range d.Services {
+			next.Services[i] = s
+		}
+	}
+	next.Domains = applyDomains(old.Domains, d.Domains, d.RemovedDomains)
 	changed := accountsByName(d.Accounts)
 	next.Accounts = make([]*account.Account, 0, len(old.Accounts)+len(d.Accounts))
 	for _, a := range old.Accounts {
@@ -87,6 +139,16 @@
 	return next.Index()
 }
 
+func applyDomains(old, changed map[failuredomain.ID]failuredomain.Domain, removed []failuredomain.ID) map[failuredomain.ID]failuredomain.Domain {
+	next := make(map[failuredomain.ID]failuredomain.Domain, len(old)+len(changed))
+	maps.Copy(next, old)
+	maps.Copy(next, changed)
+	for _, id := range removed {
+		delete(next, id)
+	}
+	return next
+}
+
 // headerOf copies every part but the accounts and the index.
 func headerOf(c *contract.Config) contract.Config {
 	return contract.Config{
--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -1,6 +1,7 @@
 package distribution_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -278,6 +279,7 @@
 		_, err = target.Accept(&v, 0)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, sorted(target.Config().Accounts), sorted(source.Config().Accounts))
+		assert.Equal(t, header(t, target), header(t, source))
 		assert.DeepEqual(t, target.Directory().Endpoints, source.Directory().Endpoints)
 		for _, a := range to.Config.Accounts {
 			_, found := target.Config().AccountByKey(a.Name)
@@ -290,11 +292,29 @@
 	return slices.SortedFunc(slices.Values(list), func(a, b *account.Account) int { return len(a.Name) - len(b.Name) })
 }
 
+// header returns every part of a holder's configuration but the accounts.
+func header(t *rapid.T, h *distribution.Holder) string {
+	c := *h.Config()
+	c.Accounts = nil
+	text, err := json.Marshal(&c)
+	assert.NilError(t, err)
+	return string(text)
+}
+
 func drawView(t *rapid.T, revision uint64) api.View {
-	v := api.View{Config: &contract.Config{Revision: revision}, Directory: &api.Directory{Revision: revision}}
+	v := api.View{Config: &contract.Config{Revision: revision, Domains: map[failuredomain.ID]failuredomain.Domain{}}, Directory: &api.Directory{Revision: revision}}
+	v.Config.Bundle.Version = rapid.Uint64Range(1, 2).Draw(t, "bundle")
 	name := ""
 	for range 12 {
 		name += "x"
+		if rapid.Bool().Draw(t, "domain") {
+			state := rapid.SampledFrom([]failuredomain.State{failuredomain.StateActive, failuredomain.StateDrained}).Draw(t, "state")
+			v.Config.Domains[failuredomain.ID(name)] = failuredomain.Domain{ID: failuredomain.ID(name), State: state}
+		}
+		if len(name) < 4 && rapid.Bool().Draw(t, "service") {
+			v.Config.Services = append(v.Config.Services, &contract.Service{Name: name, MaxBody: rapid.Int64Range(1, 2).Draw(t, "body")})
+			v.Config.Tiers = append(v.Config.Tiers, contract.Tier{Name: name})
+		}
 		if rapid.Bool().Draw(t, "account") {
 			v.Config.Accounts = append(v.Config.Accounts, &account.Account{
 				Name: name, KeyHashes: []string{account.HashKey(name)}, Weight: float64(rapid.IntRange(1, 2).Draw(t, "weight"))})
