Give each of 13 domains two relays below control

The code gave a domain two relays only while domains x 2 was at most the planned fan-out of 24; with 13 domains each had one, so its loss cut the way of a whole domain, and the tree had levels of 1, 24, 576 and 351.

Change: control is asked for up to MaxFanOut (32) subscribers, since its instances are set aside for control; 13 domains have 26.

TestTreeAtDesignSize guards the depth, both relays and the fan-out; it failed before the change.

--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -212,37 +212,62 @@
 			domain := failuredomain.ID(fmt.Sprintf("d%d", rapid.IntRange(1, domains).Draw(t, "domain")))
 			d.Endpoints = append(d.Endpoints, endpoint.Endpoint{ID: instance.ID(id), Domain: domain, Address: id})
 		}
-		parent := map[string]string{}
-		children := map[string]int{}
-		for _, e := range d.Endpoints {
-			self := instance.Instance{ID: e.ID, Domain: e.Domain}
-			parents := distribution.Parents(d, self)
-			to := "control"
-			if len(parents) > 0 {
-				to = parents[0]
-			}
-			if slices.Contains(parents, string(e.ID)) {
-				t.Fatalf("%s follows itself", e.ID)
-			}
-			parent[string(e.ID)] = to
-			children[to]++
-		}
+		steps, children := tree(t, d, d.Endpoints)
+		assert.Assert(t, len(steps) <= 5, "steps to control: %v", steps)
 		for to, n := range children {
-			if limit := 32; n > limit {
-				t.Fatalf("%s has %d children", to, n)
-			}
-		}
-		for id := range parent {
-			depth := 0
-			for at := id; at != "control"; at = parent[at] {
-				if depth++; depth > 4 {
-					t.Fatalf("%s is %d steps from control", id, depth)
-				}
-			}
+			assert.Assert(t, n <= distribution.MaxFanOut, "%s has %d children", to, n)
 		}
 	})
 }
 
+// Guards against a tree of the design size that is deeper than the time of a change was
+// worked out for, hangs a domain on a single relay or exceeds the planned fan-out.
+func TestTreeAtDesignSize(t *testing.T) {
+	const domains, processes = 13, 12370
+	d := &api.Directory{Revision: 1}
+	var first []endpoint.Endpoint
+	for i := range processes {
+		id := fmt.Sprintf("p%05d", i)
+		e := endpoint.Endpoint{ID: instance.ID(id), Domain: failuredomain.ID(fmt.Sprint(i % domains)), Address: id}
+		d.Endpoints = append(d.Endpoints, e)
+		if i%domains == 0 {
+			first = append(first, e)
+		}
+	}
+	steps, children := tree(t, d, first)
+	assert.DeepEqual(t, steps, []int{0, 2, 48, 902})
+	assert.Assert(t, children["control"]*domains <= distribution.MaxFanOut)
+	for to, n := range children {
+		assert.Assert(t, n <= distribution.PlannedFanOut, "%s has %d children", to, n)
+	}
+}
+
+// tree returns how many of the processes are so many steps from control, and the children
+// of each parent. The processes are those of whole domains; 10 steps stand for a cycle.
+func tree(t assert.TestingT, d *api.Directory, of []endpoint.Endpoint) (steps []int, children map[string]int) {
+	parent := map[string]string{}
+	children = map[string]int{}
+	for _, e := range of {
+		to := "control"
+		parents := distribution.Parents(d, instance.Instance{ID: e.ID, Domain: e.Domain})
+		assert.Assert(t, !slices.Contains(parents, e.Address), "%s follows itself", e.ID)
+		if len(parents) > 0 {
+			to = parents[0]
+		}
+		parent[e.Address] = to
+		children[to]++
+	}
+	for id := range parent {
+		n := 0
+		for at := id; at != "control" && n < 10; at = parent[at] {
+			n++
+		}
+		steps = append(steps, make([]int, max(0, n+1-len(steps)))...)
+		steps[n]++
+	}
+	return steps, children
+}
+
 // Guards against a relay that accepts any number of waiting subscribers.
 func TestServiceBoundsSubscribers(t *testing.T) {
 	bubble(t, func(t *testing.T) {
--- a/distribution/tree.go
+++ b/distribution/tree.go
@@ -12,7 +12,8 @@
 
 // Shape of the fan-out tree.
 const (
-	// PlannedFanOut leaves a quarter of MaxFanOut to subscribers whose own relay died.
+	// PlannedFanOut leaves a quarter of MaxFanOut to subscribers whose own relay died. Of
+	// control only MaxFanOut is asked: its instances are set aside for it.
 	PlannedFanOut = 24
 	// RootsPerDomain is the number of a domain's relays that follow control directly.
 	RootsPerDomain = 2
@@ -111,7 +112,7 @@
 }
 
 func rootsPerDomain(domains int) int {
-	if domains*RootsPerDomain > PlannedFanOut {
+	if domains*RootsPerDomain > MaxFanOut {
 		return 1
 	}
 	return RootsPerDomain
