Close connections to agents that carry no request

Cause: both ends probe an open connection that delivers nothing for 500 ms. A gateway with 2,200 candidates kept and probed a connection to each agent that it had used in the last 5 minutes.

Change: a gateway closes connections that have carried no request for 0.4 to 0.5 s, before their first probe, except for the 16 that it used last. A connection that carries a request is never closed; probes, heartbeats and the watchdog on it are unchanged, so silence is found as before (1.5 s).

A dial over TLS was not measured.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -79,6 +79,8 @@
 // is unknown, or it provably did not run.
 func (a *attempt) run(ctx context.Context) result {
 	a.began = time.Now()
+	a.peer.use.begin()
+	defer a.peer.use.end()
 	a.client = a.peer.client.Load()
 	ctx, cancel := context.WithDeadline(ctx, a.call.deadline.Add(deadlineGrace))
 	defer cancel()
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -18,13 +18,14 @@
 
 // benchPath is a gateway in this process and agents in a child process.
 type benchPath struct {
-	b      *testing.B
-	agents agentsReady
-	url    string
+	b       *testing.B
+	agents  agentsReady
+	url     string
+	network *countingNetwork
 }
 
 func newBenchPath(b *testing.B, agents int) *benchPath {
-	p := &benchPath{b: b}
+	p := &benchPath{b: b, network: &countingNetwork{Network: link.TCP{}}}
 	c := startChild(b, "agents", agentsOrder{Agents: agents})
 	b.Cleanup(c.end)
 	c.read(b, &p.agents)
@@ -33,7 +34,7 @@
 	config.Services[1].QueueLength = 4096
 	v.config.Store(config)
 	v.directory.Store(&api.Directory{Endpoints: p.agents.Endpoints})
-	g, err := gateway.New(gateway.Options{Instance: instance.Instance{ID: "g1", Incarnation: instance.NewIncarnation(), Domain: "a"}, View: v, Network: link.TCP{}})
+	g, err := gateway.New(gateway.Options{Instance: instance.Instance{ID: "g1", Incarnation: instance.NewIncarnation(), Domain: "a"}, View: v, Network: p.network})
 	must(err)
 	l := tcpListen()
 	go func() { _ = g.Serve(l) }()
@@ -126,6 +127,33 @@
 	}
 }
 
+// BenchmarkIdleAgents measures what the connections to agents cost that a gateway has used
+// and uses no more, and what a call takes that is the first after idling.
+func BenchmarkIdleAgents(b *testing.B) {
+	const agents, idle = 200, 5 * time.Second
+	for range b.N {
+		p := newBenchPath(b, agents)
+		warm := p.load(loadOrder{URL: p.url + "/unary", Callers: 100, Duration: benchRun})
+		b.ReportMetric(float64(p.network.opened.Load())/float64(warm.Requests), "warm-dials/call")
+		b.ReportMetric(float64(warm.Requests)/warm.Elapsed.Seconds(), "warm-req/s")
+		time.Sleep(time.Second)
+		bytes, used, opened := p.network.bytes.Load(), processorTime(), p.network.opened.Load()
+		time.Sleep(idle)
+		b.ReportMetric(float64(p.network.bytes.Load()-bytes)/idle.Seconds()/agents, "idle-B/s/agent")
+		b.ReportMetric(float64((processorTime()-used).Microseconds())/idle.Seconds()/agents, "idle-cpu-us/s/agent")
+		b.ReportMetric(float64(opened-p.network.closed.Load()), "open")
+		// One call at a time meets an agent again long after its last call.
+		bytes, used, opened = p.network.bytes.Load(), processorTime(), p.network.opened.Load()
+		r := p.load(loadOrder{URL: p.url + "/unary", Callers: 1, Rate: 20, Duration: idle})
+		b.ReportMetric(float64(p.network.opened.Load()-opened)/float64(r.Requests), "dials/call")
+		b.ReportMetric(float64(p.network.bytes.Load()-bytes)/float64(r.Requests), "B/call")
+		b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(r.Requests), "cpu-us/call")
+		b.ReportMetric(float64(r.P50.Microseconds()), "p50-us")
+		b.ReportMetric(float64(r.P99.Microseconds()), "p99-us")
+		b.ReportMetric(float64(warm.P50.Microseconds()), "warm-p50-us")
+	}
+}
+
 func (p *benchPath) agentMemory() uint64 {
 	resp, err := http.Get("http://" + p.agents.Direct + "/memory")
 	must(err)
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -199,3 +201,36 @@
 		(<-result).expect(t, 200)
 	})
 }
+
+// Guards against a gateway that keeps and probes a connection to every agent it has used,
+// and against one that closes a connection which carries a request.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		slow := func(_ http.ResponseWriter, r *http.Request) {
+			time.Sleep(time.Second)
+			if strings.HasSuffix(r.URL.Path, "slow") {
+				time.Sleep(5 * time.Second)
+			}
+		}
+		for i := range 40 {
+			w.addAgent(fmt.Sprint(i), "desk", http.HandlerFunc(slow))
+		}
+		w.startGateway()
+		open := func() int64 { return w.links.opened.Load() - w.links.closed.Load() }
+		answers := make(chan answer, 40)
+		for i := range 40 {
+			path := "/services/desk/" + []string{"fast", "slow"}[i/39]
+			go func() { answers <- w.post(path, "x") }()
+		}
+		time.Sleep(500 * time.Millisecond)
+		assert.Assert(t, open() >= 30, "%d connections", open())
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, open(), int64(17))
+		for range 40 {
+			(<-answers).expect(t, http.StatusOK)
+		}
+		w.post("/services/desk/fast", "x").expect(t, http.StatusOK)
+		time.Sleep(time.Second)
+		assert.Equal(t, open(), int64(16))
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,7 @@
 	server    *http.Server
 	leaving   atomic.Bool
 	peers     sync.Map // address -> *peer
+	idle      *idleLinks
 	sequence  atomic.Uint64
 	metrics   *metrics
 	routing   atomic.Pointer[routing]
@@ -102,6 +103,7 @@
 		return nil, eris.Wrap(err, "creating gateway metrics")
 	}
 	g := &Gateway{opt: opt, metrics: m, taskSlots: make(chan struct{}, maxTasks)}
+	g.idle = newIdleLinks(&g.peers)
 	g.taskCtx, g.endTasks = context.WithCancel(context.Background())
 	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: callerReadHeader, IdleTimeout: callerIdle}
 	g.server.ErrorLog = stdlog.New(log.NewStdlibAdapter(opt.Logger), "", 0)
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -31,10 +31,11 @@
 	address  string
 	dispatch *url.URL
 	client   atomic.Pointer[http.Client]
+	use      use
 }
 
-func newPeer(network link.Network, address string) *peer {
-	p := &peer{network: network, address: address}
+func newPeer(network link.Network, address string, links *idleLinks) *peer {
+	p := &peer{network: network, address: address, use: use{links: links}}
 	p.dispatch = &url.URL{Scheme: "http", Host: address, Path: dispatch.PathDispatch}
 	p.client.Store(link.NewHTTPClient(network, address))
 	return p
@@ -44,7 +45,7 @@
 	if p, ok := g.peers.Load(address); ok {
 		return p.(*peer)
 	}
-	p, _ := g.peers.LoadOrStore(address, newPeer(g.opt.Network, address))
+	p, _ := g.peers.LoadOrStore(address, newPeer(g.opt.Network, address, g.idle))
 	return p.(*peer)
 }
 
@@ -68,6 +69,8 @@
 	if err != nil {
 		return &link.Error{Step: "building " + path, Peer: p.address, Err: err}
 	}
+	p.use.begin()
+	defer p.use.end()
 	client := p.client.Load()
 	resp, err := client.Do(req)
 	if err != nil {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -59,10 +60,50 @@
 	return c.Index()
 }
 
+// countingNetwork counts the bytes of a gateway's connections to agents in both
+// directions, without headers of TCP and IP, and the connections opened and closed.
+type countingNetwork struct {
+	link.Network
+	bytes, opened, closed atomic.Int64
+}
+
+func (n *countingNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := n.Network.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	n.opened.Add(1)
+	return &countingConn{Conn: c, network: n}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	network *countingNetwork
+	closed  sync.Once
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.network.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.network.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Close() error {
+	c.closed.Do(func() { c.network.closed.Add(1) })
+	return c.Conn.Close()
+}
+
 // world is a gateway and agents on an in-memory network.
 type world struct {
 	t       *testing.T
 	network *link.Memory
+	links   *countingNetwork // the gateway's connections over network
 	view    *view
 	claims  *claimTable
 	gateway *gateway.Gateway
@@ -87,6 +128,7 @@
 	w := &world{t: t, network: link.NewMemory(), view: &view{}, agents: make(map[endpoint.ID]*agent.Agent)}
 	// Connections end some time after both sides were stopped.
 	t.Cleanup(func() { time.Sleep(time.Minute) })
+	w.links = &countingNetwork{Network: w.network}
 	w.claims = newClaimTable()
 	w.view.config.Store(testConfig())
 	w.view.directory.Store(&api.Directory{})
@@ -143,7 +185,7 @@
 func (w *world) startGateway() {
 	g, err := gateway.New(gateway.Options{
 		Instance: instance.Instance{ID: "g1", Incarnation: 7, Domain: "a"},
-		View:     w.view, Claims: w.claims, Evidence: w, Network: w.network, Timeline: w.events,
+		View:     w.view, Claims: w.claims, Evidence: w, Network: w.links, Timeline: w.events,
 	})
 	assert.NilError(w.t, err)
 	w.gateway = g
