--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -32,10 +32,11 @@
 	// dispatch is the request that each dispatch copies.
 	dispatch *http.Request
 	client   atomic.Pointer[http.Client]
+	use      use
 }
 
-func newPeer(network link.Network, address string) *peer {
-	p := &peer{network: network, address: address}
+func newPeer(network link.Network, address string, links *idleLinks) *peer {
+	p := &peer{network: network, address: address, use: use{links: links}}
 	p.dispatch = &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: dispatch.PathDispatch}, Host: address,
 		Proto: "HTTP/2.0", ProtoMajor: 2,
@@ -48,7 +49,7 @@
 	if p, ok := g.peers.Load(address); ok {
 		return p.(*peer)
 	}
-	p, _ := g.peers.LoadOrStore(address, newPeer(g.opt.Network, address))
+	p, _ := g.peers.LoadOrStore(address, newPeer(g.opt.Network, address, g.idle))
 	return p.(*peer)
 }
 
@@ -72,6 +73,8 @@
 	if err != nil {
 		return &link.Error{Step: "building " + path, Peer: p.address, Err: err}
 	}
+	p.use.begin()
+	defer p.use.end()
 	client := p.client.Load()
 	resp, err := client.Do(req)
 	if err != nil {
