Continue the effect of load below the lowest load seen

Cause: at a share of 3% the new endpoints are nearly idle, and their times were expected as at the lowest load that the old version had (0.36).

Change: below the lowest seen load the effect goes on as a line in the square of the load, fitted to the next bins, by at most 0.2, which is below the margin. The effects of load and domain are learned from the 25th answer on, as an unfitted size left its error in the slope.

Tried and dropped: a line in the load without a bound, which takes a good version back whose time has a knee (the new test shows it).

--- a/rollout/correction.go
+++ b/rollout/correction.go
@@ -8,7 +8,20 @@
 	binsPerLoad = 10
 	// leastBin is the number of old answers from which a bin's mean is used.
 	leastBin = 12
-	features = 3
+	// warmUp is the number of answers that only the effect of size learns from: an unfitted
+	// size would leave its whole error in the first bins of load and thus in their slope.
+	warmUp = 24
+	// slopeBins is the number of bins from the lowest seen one whose slope is continued
+	// below it.
+	slopeBins = 4
+	// slopeBin is the number of old answers from which a bin counts for the slope, and
+	// leastSpread the least variance of the squared load.
+	slopeBin    = 50
+	leastSpread = 1e-3
+	// mostExtrapolated bounds how much faster than seen an idle endpoint is expected. Below
+	// latencyMargin, a wrong slope alone cannot take a good version back.
+	mostExtrapolated = 0.2
+	features         = 3
 )
 
 // regression is recursive least squares on a few features.
@@ -56,6 +69,7 @@
 // correction predicts the logarithm of a time of the old version from size and load. It
 // learns from the old version only, so a slow new version cannot raise what is expected.
 type correction struct {
+	n    int
 	size regression
 	load [loadBins]effect
 	// domains holds the effect of each failure domain, as their hardware may differ.
@@ -93,6 +107,10 @@
 	}
 	x := sizes(o)
 	y := math.Log(seconds)
+	if c.n++; c.n <= warmUp {
+		c.size.learn(x, y)
+		return
+	}
 	load := &c.load[loadBin(o.Load)]
 	size, byLoad, byDomain := c.size.predict(x), load.mean, domain.mean
 	load.learn(y - size - byDomain)
@@ -122,6 +140,9 @@
 // loadEffect interpolates between the centres of bins, as a step at a bin's edge would
 // bias versions that run at different loads.
 func (c *correction) loadEffect(load float64) (float64, bool) {
+	if lowest, ok := c.lowest(); ok && load < binCentre(lowest) {
+		return c.extrapolated(load, lowest), true
+	}
 	at := load*binsPerLoad - 0.5
 	i := min(loadBins-1, max(0, int(math.Floor(at))))
 	j := min(loadBins-1, i+1)
@@ -152,6 +173,47 @@
 	return 0, false
 }
 
+// lowest returns the first bin in which the old version was seen.
+func (c *correction) lowest() (bin int, ok bool) {
+	for i := range c.load {
+		if c.load[i].n >= leastBin {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func binCentre(bin int) float64 { return (float64(bin) + 0.5) / binsPerLoad }
+
+// extrapolated continues the effect below the lowest seen bin as a line in the square of
+// the load, fitted to the seen bins next to it. A line in the load itself would expect too
+// little of an idle endpoint where time is convex in load, and thus blame a good version.
+func (c *correction) extrapolated(load float64, lowest int) float64 {
+	var n, x, y, xx, xy float64
+	for i := lowest; i < min(loadBins, lowest+slopeBins); i++ {
+		if c.load[i].n < slopeBin {
+			continue
+		}
+		square, weight := binCentre(i)*binCentre(i), math.Min(c.load[i].n, effectMemory)
+		n += weight
+		x += weight * square
+		y += weight * c.load[i].mean
+		xx += weight * square * square
+		xy += weight * square * c.load[i].mean
+	}
+	edge := c.load[lowest].mean
+	if n == 0 {
+		return edge
+	}
+	x, y = x/n, y/n
+	spread := xx/n - x*x
+	if spread < leastSpread {
+		return edge
+	}
+	slope := (xy/n - x*y) / spread
+	return min(edge, max(edge-mostExtrapolated, y+slope*(load*load-x)))
+}
+
 // failureRate is the old version's share of failed answers by load.
 type failureRate struct {
 	bins [loadBins]struct{ n, failed float64 }
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -80,6 +80,25 @@
 	t.Fatalf("not taken back after %d answers", answers)
 }
 
+// Guards against an expected time of idle endpoints that is too short, which takes a good
+// version back, where time does not grow with load as the correction assumes.
+func TestIdleEndpointsOfAGoodVersionAreNotSlow(t *testing.T) {
+	for name, curve := range map[string]func(load float64) float64{
+		"flat":     func(float64) float64 { return 1 },
+		"linear":   func(load float64) float64 { return 1 + 2*load },
+		"queueing": func(load float64) float64 { return 1 / (1 - load) },
+		"knee":     func(load float64) float64 { return 1 + 4*max(0, load-0.4) },
+	} {
+		for seed := range uint64(10) {
+			d, at := drive(10*time.Minute, 20, seed, func(o *rollout.Observation) {
+				o.FirstToken = time.Duration(float64(o.FirstToken) * curve(o.Load))
+				o.BetweenTokens = time.Duration(float64(o.BetweenTokens) * curve(o.Load))
+			}, nil)
+			assert.Equal(t, d.Action, rollout.Finish, "%s, seed %d, at %s: %s", name, seed, at, d.Cause)
+		}
+	}
+}
+
 // Guards against a move that is never judged because the versions answer in different
 // failure domains, as when gateways prefer one endpoint of each version.
 func TestVersionsInDifferentDomainsAreCompared(t *testing.T) {
--- a/rollout/scenario_test.go
+++ b/rollout/scenario_test.go
@@ -123,16 +123,22 @@
 	allTroubles = []trouble{quiet, bursts, domainLoss, coldStarts, badEndpoint}
 )
 
-// Guards against a bad version that is kept, or that meets more requests than promised.
+// badRuns is the number of seeded runs of a kind of badness. A slow version differs from the
+// old one by the least, so its rare worst runs need more.
+var badRuns = map[badness]int{badAtOnce: 60, badLater: 60, badLoad: 60, badRoute: 60, badSlow: 400}
+
+// Guards against a bad version that is kept, or that meets more requests than promised in
+// the mean or in a single run.
 func TestBadVersionsAreTakenBack(t *testing.T) {
 	for _, size := range sizes {
 		for _, bad := range allBad {
 			t.Run(fmt.Sprintf("%s/%d", bad, size.replicas), func(t *testing.T) {
 				t.Parallel()
-				s := summarize(runAll(scenario{replicas: size.replicas, rate: size.rate, bad: bad, trouble: quiet, seed: 1}, 60/runsDivisor, product))
+				s := summarize(runAll(scenario{replicas: size.replicas, rate: size.rate, bad: bad, trouble: quiet, seed: 1}, badRuns[bad]/runsDivisor, product))
 				t.Logf("met %.2f%%, worst run %.2f%%, %d runs above the target, caught after %s", s.met*100, s.worst*100, s.over, s.catch)
 				assert.Equal(t, s.takenBack, s.runs)
 				assert.Assert(t, s.met <= mostMet, "%.3f of the requests met the bad version", s.met)
+				assert.Assert(t, s.over*100 <= s.runs, "%d of %d runs above the target, worst %.3f", s.over, s.runs, s.worst)
 			})
 		}
 	}
