Collect garbage less often in gateways and agents

Cause: the live heap of a gateway is a few MiB to some tens of MiB, while requests allocate more than 100 MB/s, so that at the Go default of GOGC=100 the collector runs tens of times a second.

Change: gateways and agents set the collector to 300 when they start, unless GOGC is set. Control replicas keep the default.

--- a/gateway/bench_child_test.go
+++ b/gateway/bench_child_test.go
@@ -25,6 +25,7 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/program"
 )
 
 // The benchmarks run the gateway in this process, so that its processor time and memory
@@ -109,6 +110,7 @@
 }
 
 func runAgents() {
+	program.TuneCollector()
 	var order agentsOrder
 	in := json.NewDecoder(os.Stdin)
 	must(in.Decode(&order))
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -14,6 +14,7 @@
 	"toucantiller.dev/gateway"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/program"
 )
 
 // benchPath is a gateway in this process and agents in a child process.
@@ -24,6 +25,7 @@
 }
 
 func newBenchPath(b *testing.B, agents int) *benchPath {
+	program.TuneCollector()
 	p := &benchPath{b: b}
 	c := startChild(b, "agents", agentsOrder{Agents: agents})
 	b.Cleanup(c.end)
--- a/program/agent.go
+++ b/program/agent.go
@@ -72,6 +72,7 @@
 
 // Start listens, announces the endpoint and serves.
 func (a *Agent) Start(context.Context) error {
+	TuneCollector()
 	if err := a.listen(); err != nil {
 		return err
 	}
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -69,6 +69,7 @@
 
 // Start listens and serves; it returns when a configuration has arrived or ctx ends.
 func (g *Gateway) Start(ctx context.Context) error {
+	TuneCollector()
 	if err := g.listen(); err != nil {
 		return err
 	}
