Read the states of candidates from their array in the failing filter

Cause: after the merge of the array of states the filter still read them through the candidates, one more cache line of each. Change: it uses the array, as the other plugins do. Conclusion: consistency of the plugins.

--- a/schedule/failing.go
+++ b/schedule/failing.go
@@ -84,7 +84,7 @@
 	}
 	count := 0
 	for _, i := range x.live {
-		if x.candidates[i].state.failing(x.nanos) {
+		if x.states[i].failing(x.nanos) {
 			count++
 		}
 	}
@@ -93,7 +93,7 @@
 	}
 	live := x.live[:0]
 	for _, i := range x.live {
-		if !x.candidates[i].state.failing(x.nanos) {
+		if !x.states[i].failing(x.nanos) {
 			live = append(live, i)
 		}
 	}
