Accept calls for a while after a gateway stops being ready

Connections that are not accepted yet are reset when a listener closes, and an idle connection may carry a new call when it is closed. Conclusion: holds for callers behind a balancer that follows /readyz within the delay. A caller that goes on dialling the address itself can still meet the closing listener.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -43,6 +43,8 @@
 	gateways = 2
 	// applyTimeout bounds the wait for a leader and the first bundle.
 	applyTimeout = 10 * time.Second
+	// gatewayStopDelay is short, as no balancer has to notice that a gateway stops.
+	gatewayStopDelay = 200 * time.Millisecond
 )
 
 // Deployment is a running deployment.
@@ -137,6 +139,7 @@
 			Listen:     net.JoinHostPort(host, fmt.Sprint(port+i)),
 			LinkListen: "127.0.0.1:0",
 			Control:    d.ControlAddresses(),
+			StopDelay:  gatewayStopDelay,
 		}
 		g, err := program.NewGateway(s, link.TCP{}, kitlog.With(d.logger, "process", id))
 		if err != nil {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -81,7 +81,7 @@
 	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		newProblem(http.StatusMethodNotAllowed, "method_not_allowed", NotRun, "%s is not allowed here", r.Method).write(w)
 	})
-	return r
+	return g.closeWhenLeaving(r)
 }
 
 // begin checks what all calls have in common: configuration, identity and account.
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -202,6 +202,28 @@
 	})
 }
 
+// Guards against calls that are cut because a stopping gateway closes its listener or an idle
+// connection while the balancer still sends: a reset in place of an answer.
+func TestStoppingGatewayAcceptsCalls(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.addAgent("e1", "desk", slow(10*time.Millisecond))
+		w.stopDelay = 2 * time.Second
+		w.startGateway()
+		w.client = &http.Client{Transport: &http.Transport{DialContext: dialer(w.network)}}
+		w.post("/services/desk/a", "{}").expect(t, 200)
+		stopped := make(chan error, 1)
+		go func() { stopped <- w.gateway.Stop(context.Background()) }()
+		synctest.Wait()
+		for start := time.Now(); time.Since(start) < 1900*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+			a := w.post("/services/desk/a", "{}")
+			a.expect(t, 200)
+			assert.Assert(t, a.closes, "the answer did not end its connection")
+		}
+		assert.NilError(t, <-stopped)
+		assert.Assert(t, w.post("/services/desk/a", "{}").err != nil)
+	})
+}
+
 // Guards against a gateway that keeps and probes a connection to every agent it has used,
 // and against one that closes a connection which carries a request.
 func TestIdleConnectionsAreClosed(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,10 @@
 	Logger   log.Logger
 	Timeline *timeline.Recorder
 	Meter    metric.Meter
+	// StopDelay is how long Stop goes on accepting calls. A balancer that has seen /readyz
+	// fail sends no more by then; a listener that is closed earlier resets the connections
+	// that it has not accepted yet, and an idle connection may just carry a new call.
+	StopDelay time.Duration
 }
 
 // Gateway serves callers.
@@ -118,11 +122,13 @@
 	return nil
 }
 
-// Stop closes the listener and waits until ctx ends for open requests, and then for the
+// Stop accepts calls for Options.StopDelay, with answers that close their connections. It
+// then closes the listener and waits until ctx ends for open requests, and for the
 // outcomes of claims to be stored. It cuts no request before ctx ends.
 func (g *Gateway) Stop(ctx context.Context) error {
 	if !g.leaving.Swap(true) {
 		_ = g.opt.Logger.Log("msg", "stopping", "gateway", g.opt.Instance.ID)
+		g.waitStopDelay(ctx)
 	}
 	err := g.server.Shutdown(ctx)
 	g.endTasks()
@@ -134,6 +140,26 @@
 	return err
 }
 
+func (g *Gateway) waitStopDelay(ctx context.Context) {
+	delay := time.NewTimer(g.opt.StopDelay)
+	defer delay.Stop()
+	select {
+	case <-delay.C:
+	case <-ctx.Done():
+	}
+}
+
+// closeWhenLeaving makes answers of a stopping gateway end their connections, so that
+// callers open the next one elsewhere.
+func (g *Gateway) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // background runs a task beside the request path. It drops the task when too many run:
 // what tasks do is a repair that another process can make too.
 func (g *Gateway) background(task func(ctx context.Context)) {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -109,7 +109,9 @@
 	gateway *gateway.Gateway
 	agents  map[endpoint.ID]*agent.Agent
 	events  *timeline.Recorder
-	client  *http.Client
+	// stopDelay is that of gateways started later.
+	stopDelay time.Duration
+	client    *http.Client
 	evidence
 }
 
@@ -186,6 +188,7 @@
 	g, err := gateway.New(gateway.Options{
 		Instance: instance.Instance{ID: "g1", Incarnation: 7, Domain: "a"},
 		View:     w.view, Claims: w.claims, Evidence: w, Network: w.links, Timeline: w.events,
+		StopDelay: w.stopDelay,
 	})
 	assert.NilError(w.t, err)
 	w.gateway = g
@@ -204,6 +207,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes is set when the answer ends its connection.
+	closes bool
 	err    error
 }
 
@@ -221,7 +226,7 @@
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), closes: resp.Close, err: err}
 }
 
 func (w *world) post(path, body string, headers ...string) answer {
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net"
+	"time"
 
 	kitlog "github.com/go-kit/log"
 
@@ -21,6 +23,8 @@
 	LinkListen    string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7300"`
 	LinkAdvertise string   `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
 	Control       []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
+	// StopDelay covers two health checks a second apart.
+	StopDelay time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
 }
 
 // Check checks the settings.
@@ -31,9 +35,17 @@
 		CheckAddress("link-listen", s.LinkListen),
 		CheckAdvertised("link-advertise", s.LinkAdvertise),
 		CheckAddresses("control", s.Control),
+		checkStopDelay(s.StopDelay),
 	)
 }
 
+func checkStopDelay(d time.Duration) error {
+	if d < 0 || d >= StopTimeout {
+		return &SettingError{Flag: "stop-delay", Err: fmt.Errorf("%s is not between 0s and %s", d, StopTimeout)}
+	}
+	return nil
+}
+
 // Gateway is a running gateway process.
 type Gateway struct {
 	settings *GatewaySettings
@@ -85,6 +97,8 @@
 		Logger:   g.logger,
 		Timeline: g.admin.Timeline,
 		Meter:    g.admin.Telemetry.Meter("toucantiller.dev/gateway"),
+
+		StopDelay: g.settings.StopDelay,
 	})
 	if err != nil {
 		return err
@@ -128,7 +142,7 @@
 // Address returns where callers connect.
 func (g *Gateway) Address() string { return g.callers.Addr().String() }
 
-// Stop finishes open requests and leaves.
+// Stop fails /readyz, accepts calls for the stop delay, finishes open requests and leaves.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.admin.Telemetry.SetReady(false)
 	err := g.gateway.Stop(ctx)
--- a/systemtest/settings_test.go
+++ b/systemtest/settings_test.go
@@ -23,6 +23,7 @@
 	}{
 		{"unknown flag", []string{"toucan-gateway", "--frobnicate"}, "--frobnicate"},
 		{"missing flag", []string{"toucan-gateway", "--id=g", "--domain=d"}, "--control"},
+		{"stop delay", []string{"toucan-gateway", "--id=g", "--domain=d", "--control=127.0.0.1:1", "--stop-delay=1h"}, "--stop-delay"},
 		{"host name", []string{"toucan-gateway", "--id=g", "--domain=d", "--control=127.0.0.1:1", "--listen=localhost:80"}, "--listen"},
 		{"bad control address", []string{"toucan-gateway", "--id=g", "--domain=d", "--control=nowhere"}, "--control"},
 		{"advertised without port", append(controlArgs, "--data=.", "--advertise=127.0.0.1:0"), "--advertise"},
