--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -74,6 +75,7 @@
 	peers     sync.Map // address -> *peer
 	idle      *idleLinks
 	sequence  atomic.Uint64
+	idPrefix  string // of request IDs made here
 	metrics   *metrics
 	routing   atomic.Pointer[routing]
 	rebuild   sync.Mutex
@@ -108,6 +110,7 @@
 	}
 	g := &Gateway{opt: opt, metrics: m, taskSlots: make(chan struct{}, maxTasks)}
 	g.idle = newIdleLinks(&g.peers)
+	g.idPrefix = fmt.Sprintf("%s-%x-", opt.Instance.ID, uint64(opt.Instance.Incarnation))
 	g.taskCtx, g.endTasks = context.WithCancel(context.Background())
 	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: callerReadHeader, IdleTimeout: callerIdle}
 	g.server.ErrorLog = stdlog.New(log.NewStdlibAdapter(opt.Logger), "", 0)
