Commit claims that wait in one command

Cause: each claim took two commands of its own. The log already syncs many commands at once, but each still cost its encoding, entry, messages, waiter and result on every replica.

A caller alone goes at once. Each gets its own reply only after the commit, so P8 holds as before. A command too large for the log goes again step by step, so that only the large step is refused. Commands Claim and CompleteClaim of earlier logs are still applied; replicas of earlier builds do not know the new command, so all replicas must have this change.

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -258,7 +258,7 @@
 			Self: instance.Instance{ID: instance.ID(addr), Role: instance.RoleControl, LinkAddress: addr},
 			OpenLog: func(sm control.StateMachine, server *link.Server) (control.Log, error) {
 				l, err := open(sm, server)
-				return countingLog{l, &commands, &bytes}, err
+				return countingLog{Log: l, commands: &commands, bytes: &bytes}, err
 			},
 		})
 	}
@@ -305,15 +305,3 @@
 	b.ReportMetric(float64(commands.Load()-count)/float64(b.N), "commands/claim")
 	b.ReportMetric(float64(bytes.Load()-size)/float64(b.N), "B/claim")
 }
-
-// countingLog counts the commands that were proposed and their bytes.
-type countingLog struct {
-	control.Log
-	commands, bytes *atomic.Int64
-}
-
-func (l countingLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	l.commands.Add(1)
-	l.bytes.Add(int64(len(command)))
-	return l.Log.Propose(ctx, command)
-}
--- a/control/control.go
+++ b/control/control.go
@@ -70,6 +70,7 @@
 	rpc     *link.Server
 	log     Log
 	counts  *counters
+	claims  *claimQueue
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -114,6 +115,7 @@
 		machine:  newMachine(),
 		holder:   distribution.NewHolder(nil),
 		rpc:      link.NewServer(),
+		claims:   newClaimQueue(),
 		counts:   counts,
 		leases:   lease.NewTable(lease.TTL),
 		evidence: newCollector(),
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -293,3 +295,78 @@
 		assert.Assert(t, reply.OwnerAlive)
 	})
 }
+
+// Guards against claims that share a command being answered before it is committed, with
+// each other's replies, granted twice for one key (P8), or refused because of another
+// one that is too large for the log.
+func TestClaimsShareCommands(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const keys, callers = 50, 3
+		var commands, bytes atomic.Int64
+		gate := make(chan struct{}, 1)
+		network := link.NewMemory()
+		newControl(t, network, control.Options{OpenLog: func(sm control.StateMachine, server *link.Server) (control.Log, error) {
+			l, err := control.MemoryLog("control-0")(sm, server)
+			return countingLog{l, &commands, &bytes, gate}, err
+		}})
+		c := control.NewClient(network, []string{"control-0"})
+		defer c.Close()
+		time.Sleep(time.Second)
+		gate <- struct{}{}
+		commands.Store(0)
+		type outcome struct {
+			claim *api.Claim
+			reply *api.ClaimReply
+		}
+		outcomes := make(chan outcome, keys*callers)
+		for i := range keys * callers {
+			key := fmt.Sprint(i % keys)
+			claim := &api.Claim{Account: "mill", Key: key, TTL: time.Hour, Dispatch: dispatch.ID{Request: key, Attempt: i}}
+			go func() {
+				reply, err := c.Claim(t.Context(), claim)
+				assert.Check(t, err)
+				outcomes <- outcome{claim, reply}
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, len(outcomes), 0, "a claim was answered before its commit")
+		<-gate
+		granted := map[string]dispatch.ID{}
+		var all []outcome
+		for range keys * callers {
+			o := <-outcomes
+			all = append(all, o)
+			if o.reply.State == api.ClaimGranted {
+				assert.Equal(t, o.reply.Dispatch, o.claim.Dispatch)
+				_, twice := granted[o.claim.Key]
+				assert.Assert(t, !twice, "key %s was granted twice", o.claim.Key)
+				granted[o.claim.Key] = o.claim.Dispatch
+			}
+		}
+		assert.Equal(t, len(granted), keys)
+		for _, o := range all {
+			assert.Equal(t, o.reply.Dispatch, granted[o.claim.Key])
+		}
+		assert.Assert(t, commands.Load() < 20, "%d commands", commands.Load())
+
+		gate <- struct{}{}
+		results := make(chan error, 20)
+		for i := range cap(results) {
+			time.Sleep(time.Millisecond) // the large one comes last, when all slots are taken
+			go func() {
+				step := &api.CompleteClaim{Answer: &dispatch.StoredAnswer{Body: make([]byte, i/19*5<<20)}}
+				results <- c.CompleteClaim(t.Context(), step)
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		<-gate
+		refused := 0
+		for range cap(results) {
+			if err := <-results; err != nil {
+				assert.ErrorContains(t, err, control.ErrTooLarge.Error())
+				refused++
+			}
+		}
+		assert.Equal(t, refused, 1)
+	})
+}
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"toucantiller.dev/account"
+	"toucantiller.dev/consensus/replica"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
@@ -228,3 +229,24 @@
 		return l, err
 	}
 }
+
+// countingLog counts the commands that were proposed and their bytes. With a gate, which
+// holds one value, a command waits while somebody else has put one there.
+type countingLog struct {
+	control.Log
+	commands, bytes *atomic.Int64
+	gate            chan struct{}
+}
+
+func (l countingLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	l.commands.Add(1)
+	l.bytes.Add(int64(len(command)))
+	if l.gate != nil {
+		l.gate <- struct{}{}
+		<-l.gate
+	}
+	if len(command) > replica.MaxCommandBytes {
+		return nil, control.ErrTooLarge
+	}
+	return l.Log.Propose(ctx, command)
+}
--- a/control/service.go
+++ b/control/service.go
@@ -242,21 +242,18 @@
 
 // Claim claims an idempotency key.
 func (v *service) Claim(in *api.Claim, out *api.ClaimReply) error {
-	result, err := v.s.propose(&state.Command{Claim: in})
+	reply, err := v.s.proposeClaim(state.ClaimStep{Claim: in})
 	if err != nil {
 		out.Leader, err = redirect(err)
 		return err
 	}
-	if result.Claim == nil {
-		return errors.New(result.Refused)
-	}
-	*out = *result.Claim
+	*out = *reply
 	return nil
 }
 
 // CompleteClaim stores the outcome of a claim.
 func (v *service) CompleteClaim(in *api.CompleteClaim, out *api.CompleteReply) error {
-	_, err := v.s.propose(&state.Command{CompleteClaim: in})
+	_, err := v.s.proposeClaim(state.ClaimStep{Complete: in})
 	out.Leader, err = redirect(err)
 	return err
 }
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -18,14 +18,16 @@
 	// At is the leader's wall time when it proposed the command.
 	At time.Time
 
-	ApplyBundle   *api.ApplyBundle   `msgpack:",omitempty"`
-	SetDomain     *api.SetDomain     `msgpack:",omitempty"`
-	AbortMove     *api.AbortMove     `msgpack:",omitempty"`
-	StageMove     *StageMove         `msgpack:",omitempty"`
-	Register      *api.Register      `msgpack:",omitempty"`
-	EndLeases     *EndLeases         `msgpack:",omitempty"`
+	ApplyBundle *api.ApplyBundle `msgpack:",omitempty"`
+	SetDomain   *api.SetDomain   `msgpack:",omitempty"`
+	AbortMove   *api.AbortMove   `msgpack:",omitempty"`
+	StageMove   *StageMove       `msgpack:",omitempty"`
+	Register    *api.Register    `msgpack:",omitempty"`
+	EndLeases   *EndLeases       `msgpack:",omitempty"`
+	// Claim and CompleteClaim are in logs of builds before Claims, which joins many.
 	Claim         *api.Claim         `msgpack:",omitempty"`
 	CompleteClaim *api.CompleteClaim `msgpack:",omitempty"`
+	Claims        []ClaimStep        `msgpack:",omitempty"`
 	Maintain      *Maintain          `msgpack:",omitempty"`
 	Lead          *Lead              `msgpack:",omitempty"`
 	NextToken     *NextToken         `msgpack:",omitempty"`
@@ -34,6 +36,12 @@
 	EndReplicas    *EndReplicas        `msgpack:",omitempty"`
 }
 
+// ClaimStep is a claim or a completion; exactly one is not nil.
+type ClaimStep struct {
+	Claim    *api.Claim         `msgpack:",omitempty"`
+	Complete *api.CompleteClaim `msgpack:",omitempty"`
+}
+
 // StageMove changes the stage of a move. It is refused unless the move is at
 // Expected, so that no stage is taken twice or skipped.
 type StageMove struct {
@@ -75,8 +83,10 @@
 
 // Result is the outcome of a command.
 type Result struct {
-	Change   *api.ChangeReply
-	Claim    *api.ClaimReply
+	Change *api.ChangeReply
+	Claim  *api.ClaimReply
+	// Claims answers each ClaimStep; the reply to a completion is nil.
+	Claims   []*api.ClaimReply
 	Register *Registration
 	Token    uint64
 	// Refused says why a command other than an operator's change had no effect.
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -129,6 +129,8 @@
 	case c.CompleteClaim != nil:
 		s.data.Claims.Complete(s.data.Now, c.CompleteClaim)
 		return &Result{}
+	case len(c.Claims) > 0:
+		return s.claims(c.Claims)
 	case c.Maintain != nil:
 		return s.maintain()
 	case c.Lead != nil:
@@ -140,6 +142,20 @@
 	return &Result{Refused: "command is empty"}
 }
 
+func (s *State) claims(steps []ClaimStep) *Result {
+	r := &Result{Claims: make([]*api.ClaimReply, len(steps))}
+	for i, step := range steps {
+		switch {
+		case step.Claim != nil:
+			reply := s.data.Claims.Claim(s.data.Now, step.Claim, s.holdsLease)
+			r.Claims[i] = &reply
+		case step.Complete != nil:
+			s.data.Claims.Complete(s.data.Now, step.Complete)
+		}
+	}
+	return r
+}
+
 func (s *State) lead(c *Lead) *Result {
 	if c.Term > s.data.Term {
 		s.data.Term = c.Term
