Refuse calls that cannot finish at the pace of a full engine

Cause: an agent judged a deadline by half of the expected answer at the speed of an idle engine. On a full engine, which decodes at about half of that speed, it committed calls with 2 to 8 s left that needed more; their prefill and their place were wasted.

Change: Limiter.LeastTime takes half of the expected answer on an idle engine and 1.25 times the expected answer at the recent pace on a full one, in between by the share of the limit in use. A gateway of the scenarios gives up when all agents refused for the deadline, as cmd/toucan-gateway does. The scenario benchmark reports wasted prefill by cause.

TestWastedPrefill (gateway killed) and TestLeastTimeFollowsTheLoad fail without the change.

--- a/agent/gate.go
+++ b/agent/gate.go
@@ -16,9 +16,6 @@
 	queueLength = 256
 	// gateInterval is the time between checks for overdue calls and expired waiters.
 	gateInterval = 50 * time.Millisecond
-	// deadlineShare is the share of the expected decoding time that must fit before the
-	// deadline: the expected size of an answer is uncertain.
-	deadlineShare = 0.5
 )
 
 // waiter is one dispatch at the gate. Exactly one value arrives on turn: the empty
@@ -100,7 +97,7 @@
 		w.turn <- refusal{code: dispatch.CodeDraining}
 		return w
 	}
-	w.item.LeastTime = g.leastTime(h)
+	w.item.LeastTime = g.limiter.LeastTime(h.PromptTokens, h.AnswerTokens, g.queue.Len())
 	evicted, refused := g.queue.Push(&w.item, now)
 	g.refuse(evicted)
 	if refused != nil {
@@ -111,19 +108,6 @@
 	return w
 }
 
-// leastTime is the time the engine needs for the dispatch at the learned speeds.
-func (g *gate) leastTime(h *dispatch.Header) time.Duration {
-	prefill, decode := g.limiter.Rates()
-	seconds := 0.0
-	if prefill > 0 {
-		seconds += float64(h.PromptTokens) / prefill
-	}
-	if decode > 0 {
-		seconds += deadlineShare * float64(h.AnswerTokens) / decode
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
 // leave withdraws a waiter; it returns false when its turn has already come.
 func (g *gate) leave(w *waiter) bool {
 	g.mu.Lock()
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -92,6 +92,10 @@
 	// alone would raise it far beyond need, and a burst would then fill the endpoint
 	// with calls that slow each other down.
 	usedShare = 0.75
+	// leastAnswer and fullAnswer are the shares of the expected answer that must fit
+	// before the deadline on an idle and on a full endpoint. Sizes are uncertain.
+	leastAnswer = 0.5
+	fullAnswer  = 1.25
 	// warmingRatio is the fall of the fast ratio against the slow one that shows an
 	// endpoint still getting faster; its limit does not rise meanwhile.
 	warmingRatio = 0.85
@@ -172,6 +176,29 @@
 	return l.first.rate(), l.decode.rate()
 }
 
+// LeastTime is the time that must be left before the deadline of a call that starts
+// behind waiting others; 0 without learned speeds. On an idle endpoint half of the
+// expected answer must fit: a call that may finish in time takes the place of no other.
+// On a full one, where a late call costs the prefill and the place of another, more than
+// the expected answer must fit at the pace of the recent calls. An idle endpoint is always
+// taken at its full speed, since one that refuses every call would never show that it is
+// fast again.
+func (l *Limiter) LeastTime(promptTokens, answerTokens, waiting int) time.Duration {
+	prefill, decode := l.Rates()
+	used := math.Min(1, float64(l.calls.open+waiting)/l.limit)
+	seconds := 0.0
+	if prefill > 0 {
+		seconds += float64(promptTokens) / prefill
+	}
+	if decode > 0 {
+		share := leastAnswer + (fullAnswer-leastAnswer)*used
+		// Above fullRatio the limit falls, and with it the slowdown.
+		slowdown := 1 + used*(math.Min(math.Max(1, l.slow), fullRatio)-1)
+		seconds += share * slowdown * float64(answerTokens) / decode
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // Outstanding returns the calls started and not finished and their prompt tokens.
 func (l *Limiter) Outstanding() (requests, promptTokens int) {
 	return l.calls.open, l.calls.tokens
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -287,6 +287,22 @@
 	})
 }
 
+// TestLeastTimeFollowsTheLoad guards against prefill spent on calls that cannot finish in
+// time at the pace of a full endpoint, and against an idle endpoint that keeps refusing
+// calls because it was slow when it was full.
+func TestLeastTimeFollowsTheLoad(t *testing.T) {
+	b := newBench(time.Second, 4)
+	assert.Equal(t, b.l.LeastTime(100, 100, 0), time.Duration(0))
+	b.finishN(500)
+	full := b.l.LeastTime(100, 100, b.l.Limit())
+	assert.Check(t, full > 1600*time.Millisecond, "%v for 1 s of decoding at full load", full)
+	for _, r := range b.open {
+		b.l.Cancel(r.ticket, Sample{}, b.now)
+	}
+	idle := b.l.LeastTime(100, 100, 0)
+	assert.Check(t, idle < 700*time.Millisecond, "%v for 1 s of decoding without load", idle)
+}
+
 // TestTicketCountsOnce guards against work that is released twice, which would let
 // more calls run than the limit allows.
 func TestTicketCountsOnce(t *testing.T) {
--- a/scenario/agent.go
+++ b/scenario/agent.go
@@ -94,7 +94,7 @@
 	c := d.call
 	d.item = &admission.Item{
 		Tier: c.tier, Account: c.account, Cost: c.prompt, Deadline: c.deadline,
-		LeastTime: a.leastTime(d), Value: d,
+		LeastTime: a.limiter.LeastTime(c.prompt-c.prefixTokens, d.entry.expected, a.queue.Len()), Value: d,
 	}
 	evicted, refusal := a.queue.Push(d.item, a.now())
 	a.drop(evicted)
@@ -109,18 +109,6 @@
 	a.pump()
 }
 
-// leastTime is the time of a call with half of the expected answer on an idle
-// engine.
-func (a *agent) leastTime(d *dispatch) time.Duration {
-	prefill, decode := a.limiter.Rates()
-	if prefill == 0 || decode == 0 {
-		return 0
-	}
-	c := d.call
-	s := float64(c.prompt-c.prefixTokens)/prefill + float64(d.entry.expected/2)/decode
-	return time.Duration(s * 1e9)
-}
-
 // drop hands evicted and expired dispatches back as not run.
 func (a *agent) drop(list []admission.Dropped) {
 	for _, x := range list {
--- a/scenario/gateway.go
+++ b/scenario/gateway.go
@@ -34,6 +34,8 @@
 	call     *call
 	item     *admission.Item
 	excluded []endpoint.ID
+	// late counts the agents that could not meet the deadline.
+	late     int
 	expected int
 	sent     *dispatch
 	target   *schedule.Candidate
@@ -238,19 +240,26 @@
 		g.w.refuse(d.call, true)
 		return
 	}
+	if reason == admission.ReasonDeadline {
+		e.late++
+	}
+	if e.late == len(g.p.agents) {
+		g.w.refuse(d.call, false)
+		return
+	}
 	e.excluded = append(slices.Clone(e.excluded), d.agent.self.ID)
 	g.push(e)
 }
 
 func (g *gateway) lostByAgent(d *dispatch) {
-	g.w.lose(d.call)
+	g.w.lose(d.call, lostToEngine)
 	g.pump()
 }
 
 // connectionLost settles a dispatch whose agent died: it may have run.
 func (g *gateway) connectionLost(d *dispatch) {
 	if !d.settled {
-		g.w.lose(d.call)
+		g.w.lose(d.call, lostToAgent)
 		g.pump()
 	}
 }
@@ -268,7 +277,7 @@
 			return
 		}
 		if d.agent.down || d.agent.incarnation != d.incarnation || d.agent.seal(d) != dispatchSealed {
-			g.w.lose(d.call)
+			g.w.lose(d.call, lostToSilence)
 			return
 		}
 		g.refusedByAgent(d, "sealed")
@@ -286,7 +295,7 @@
 		g.w.refuse(c, false)
 		return
 	}
-	g.w.lose(c)
+	g.w.lose(c, lostToDeadline)
 	g.w.clock.after(netDelay, func() { d.agent.cancel(d) })
 }
 
--- a/scenario/naive.go
+++ b/scenario/naive.go
@@ -45,7 +45,7 @@
 		gateway = (gateway + 1) % len(n.down)
 	}
 	n.try(c, gateway, 1)
-	n.w.clock.after(c.deadline.Sub(n.w.clock.now), func() { n.w.lose(c) })
+	n.w.clock.after(c.deadline.Sub(n.w.clock.now), func() { n.w.lose(c, lostToDeadline) })
 }
 
 func (n *naive) try(c *call, gateway, number int) {
@@ -108,7 +108,7 @@
 func (n *naive) failed(a *attempt) {
 	n.drop(a)
 	if a.number >= naiveAttempts {
-		n.w.lose(a.call)
+		n.w.lose(a.call, lostToErrors)
 		return
 	}
 	n.try(a.call, a.gateway, a.number+1)
--- a/scenario/result.go
+++ b/scenario/result.go
@@ -1,11 +1,27 @@
 package scenario
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
+// lossCause is why a call that may have run has no complete answer.
+type lossCause string
+
+// Causes of losses.
+const (
+	// lostToRetry is the cause of prefill spent on earlier runs of good calls.
+	lostToRetry    lossCause = "retry"
+	lostToDeadline lossCause = "deadline"
+	lostToEngine   lossCause = "engine"
+	lostToAgent    lossCause = "agent"
+	lostToGateway  lossCause = "gateway"
+	lostToSilence  lossCause = "silence"
+	lostToErrors   lossCause = "errors"
+)
+
 // Result is what one run measured. Only calls that arrived in the measured time
 // count, except for the promises, which cover all calls.
 type Result struct {
@@ -24,12 +40,14 @@
 	EarlyShed int
 
 	prefillDone, prefillWasted float64
-	first                      *hdrhistogram.Histogram
-	from, until                time.Time
+	// wastedBy is the wasted prefill by the cause of the loss.
+	wastedBy    map[lossCause]float64
+	first       *hdrhistogram.Histogram
+	from, until time.Time
 }
 
 func newResult() *Result {
-	return &Result{first: hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)}
+	return &Result{wastedBy: map[lossCause]float64{}, first: hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)}
 }
 
 func (r *Result) offered(c *call) {
@@ -77,10 +95,12 @@
 		if c.refused && c.runs > 0 {
 			r.FalseNotRun++
 		}
-		r.prefillWasted += c.prefilled
+		wasted := c.prefilled
 		if c.good {
-			r.prefillWasted -= c.lastWork
+			wasted -= c.lastWork
 		}
+		r.prefillWasted += wasted
+		r.wastedBy[cmp.Or(c.lostTo, lostToRetry)] += wasted
 	}
 }
 
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -78,14 +78,15 @@
 	}
 	c.onSettle = nil
 	if c.answer == 1 {
-		w.lose(c)
+		w.lose(c, lostToGateway)
 		return
 	}
 	c.settled = true
+	c.lostTo = lostToGateway
 	w.clock.after(retryDelay, func() {
 		anew := *c
 		anew.id = len(w.calls)
-		anew.runs, anew.prefilled, anew.settled = 0, 0, false
+		anew.runs, anew.prefilled, anew.settled, anew.lostTo = 0, 0, false, ""
 		w.calls = append(w.calls, &anew)
 		if w.clock.now.Before(c.deadline) {
 			w.system.arrive(&anew, (gateway+1)%w.gates)
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -66,6 +66,23 @@
 	}
 }
 
+// TestWastedPrefill guards against prefill spent on calls that end without an answer, in
+// the scenarios in which the naive version wastes more than what dies with a process.
+func TestWastedPrefill(t *testing.T) {
+	for _, name := range []string{"burst4x", "speeds1to4", "prefixes", "slow10x", "gatewaykilled"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sc := byName(name)
+			wasted, naive := 0.0, 0.0
+			for _, seed := range seeds {
+				wasted += sc.run(seed, false).prefillWasted
+				naive += sc.run(seed, true).prefillWasted
+			}
+			assert.Check(t, wasted <= wasteQuotient*naive, "wasted %.0f, naive %.0f", wasted, naive)
+		})
+	}
+}
+
 // TestSameSeedSameRun guards against a run that depends on map order or the real
 // clock, which would make a failing seed useless.
 func TestSameSeedSameRun(t *testing.T) {
@@ -107,6 +124,9 @@
 		}
 		sum["goodput/capacity"] += sc.goodput(r)
 		sum["wasted-prefill-tokens"] += r.prefillWasted
+		for cause, tokens := range r.wastedBy {
+			sum["wasted-"+string(cause)] += tokens
+		}
 		sum["double-runs"] += float64(r.DoubleRuns)
 		sum["false-not-run"] += float64(r.FalseNotRun)
 		sum["inversions"] += float64(r.TierInversions)
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -50,6 +50,8 @@
 	good      bool
 	firstAt   time.Time
 	onSettle  func()
+	// lostTo is why the outcome is unknown or failed.
+	lostTo lossCause
 }
 
 // system is a scheduler under test.
@@ -183,8 +185,9 @@
 }
 
 // lose tells the caller that the outcome is unknown or failed.
-func (w *world) lose(c *call) {
+func (w *world) lose(c *call, cause lossCause) {
 	if w.settle(c) {
+		c.lostTo = cause
 		w.result.lost(c)
 	}
 }
