Keep the picker from panicking on costs below 0

Cause: with a best score below 0, the bound of the near-best set may lie below the best, the set is empty and the picker indexes into nothing. A random comparison of picks found it with prefixes that count more tokens than their prompt. The gateway makes no such request.

Change: the bound is at least the best score. Picks with costs from 0 up do not change.

TestPrefixLongerThanPromptIsPicked panics without the change.

--- a/schedule/picker.go
+++ b/schedule/picker.go
@@ -24,7 +24,8 @@
 			best = x.score[i]
 		}
 	}
-	bound := best*(1+p.share) + p.slack
+	// A cost below 0 puts best*(1+share) below best; the best itself always counts as near.
+	bound := max(best, best*(1+p.share)+p.slack)
 	for _, i := range x.live {
 		// The write without a condition avoids a branch that is hard to predict.
 		x.live[near] = i
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -293,6 +293,15 @@
 	assert.Equal(t, load.Limit, 16)
 }
 
+// TestPrefixLongerThanPromptIsPicked guards against a panic of the picker when a prefix
+// counts more tokens than its prompt and the cost falls below 0.
+func TestPrefixLongerThanPromptIsPicked(t *testing.T) {
+	s := NewSnapshot(fleet(1, 1))
+	idle(s, 8, start)
+	r := &Request{Service: "model-0", PromptTokens: 10, Prefixes: []Prefix{{1, 100_000}}}
+	assert.Assert(t, s.Pick(r, start, rand.New(rand.NewPCG(1, 1))).Candidate != nil)
+}
+
 // TestSubset guards against a subset that loses a failure domain or version, that is
 // larger than the bound, or that changes with the fleet.
 func TestSubset(t *testing.T) {
