Examine the other endpoints beside one that stands out

Cause: of three new endpoints one was clearly slower and the other two were by chance fast. The evidence without the first then stays low for the whole move, so that it excused a version twice as slow, and the stages of 25% and 50% were taken while this was open.

Change: an endpoint that stands out does not excuse the version where the others are slower by 35% over 100 answers. While the new version is 16% slower whichever endpoint is left out, it stays at 3% for nearly all of the slack and takes the later stages at their shortest.

The test asserts it for each of 400 runs.

--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -34,6 +34,9 @@
 	if robust >= 1/falseAlarmRate {
 		return j.takeBack(j.badCause(robust))
 	}
+	if all >= 1/falseAlarmRate && j.peersSlower(group) {
+		return j.takeBack(fmt.Sprintf("%s; %s differs most, and the others are slower too", j.badCause(all), group))
+	}
 	if move.Watching {
 		return j.watching(now)
 	}
@@ -91,13 +94,16 @@
 }
 
 // obstacle says what stands against the next stage, or returns the share it may have.
-func (j *Judge) obstacle(now time.Time, s schedule, next int, all, robust float64, group string) (float64, string) {
+func (j *Judge) obstacle(now time.Time, s schedule, next int, all, robust float64, group groupName) (float64, string) {
 	if robust >= suspicion {
 		return 0, "a difference is suspected and being examined: " + j.strongest()
 	}
 	if all >= 1/falseAlarmRate && now.Before(j.patience(s, next)) {
 		return 0, fmt.Sprintf("%s differs and the others are being examined", group)
 	}
+	if j.move.Share <= smallShare && plan[next].share > smallShare && now.Before(doubtUntil(s, next)) && j.doubtful() {
+		return 0, "the answers so far are slower than those of the old version, and more are needed to tell: " + j.strongest()
+	}
 	if need, have := j.needed(); have < need {
 		return 0, fmt.Sprintf("%d of %d needed answers of %s were judged, %.0f came in this stage", have, need, j.move.To, j.loadN)
 	}
@@ -154,6 +160,11 @@
 	return due.Add(time.Duration(patienceShare * float64(max(0, latest.Sub(due)))))
 }
 
+// doubtUntil is until when a doubtful version stays at smallShare. It takes nearly all of the
+// slack: with the shortest later stages a slow version that is not caught before meets 4.2%
+// of the requests up to full share, and 15% with the planned ones.
+func doubtUntil(s schedule, next int) time.Time { return s.latest(next).Add(-s.leastDwell()) }
+
 // hopeless reports whether the move can no longer be at full share by its deadline: its
 // next stage is past its latest start, or at three times the rate of answers in this
 // stage those it needs would come too late.
@@ -172,7 +183,7 @@
 }
 
 // holdCause adds an endpoint or domain that alone stands out to the cause of a hold.
-func (j *Judge) holdCause(cause string, all, robust float64, group string) string {
+func (j *Judge) holdCause(cause string, all, robust float64, group groupName) string {
 	if all >= 1/falseAlarmRate && robust < suspicion {
 		return fmt.Sprintf("%s; so far only %s differs", cause, group)
 	}
@@ -220,6 +231,13 @@
 			endpoints++
 		}
 	}
-	return fmt.Sprintf("%s is worse than %s: %s; chance of a false alarm below 1 in %.0f; %d endpoints in %d failure domains compared, none alone explains it",
-		j.move.To, j.move.From, j.strongest(), min(robust, 1e9), endpoints, domains)
+	return fmt.Sprintf("%s is worse than %s: %s; chance of a false alarm below 1 in %.0f; %s in %s compared, none alone explains it",
+		j.move.To, j.move.From, j.strongest(), min(robust, 1e9), count(endpoints, "endpoint"), count(domains, "failure domain"))
+}
+
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
 }
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -17,11 +17,13 @@
 	isDomain []bool
 	// answered counts the new version's answers by group.
 	answered []int
-	lines    []*line // lines[0] is all routes
-	routes   map[string]int
-	models   map[string]*routeModel
-	random   *rand.Rand
-	staked   int
+	// slowed is the mean residual of the new version's times by group.
+	slowed [][len(timeMeasures)]effect
+	lines  []*line // lines[0] is all routes
+	routes map[string]int
+	models map[string]*routeModel
+	random *rand.Rand
+	staked int
 
 	stageJudged int
 	load        float64
@@ -179,6 +181,7 @@
 		a.raw[i] = d.Seconds()
 		if v, ok := model.times[i].residual(o, a.raw[i]); ok {
 			a.times[i] = v
+			j.slow(&a, i, v)
 		}
 		if !a.isNew {
 			model.times[i].learn(o, a.raw[i])
@@ -187,6 +190,14 @@
 	return a
 }
 
+// slow notes how much slower than the old version the groups of a new answer are.
+func (j *Judge) slow(a *answer, measure int, residual float64) {
+	if a.isNew {
+		j.slowed[a.endpoint][measure].learn(residual)
+		j.slowed[a.domain][measure].learn(residual)
+	}
+}
+
 func (j *Judge) seenNew(o *Observation) {
 	j.newSeen++
 	j.loadN++
@@ -215,6 +226,7 @@
 		j.groups[name] = g
 		j.isDomain = append(j.isDomain, name.isDomain)
 		j.answered = append(j.answered, 0)
+		j.slowed = append(j.slowed, [len(timeMeasures)]effect{})
 	}
 	return g
 }
@@ -251,7 +263,7 @@
 // odds returns the wealth of the whole test: with everything, and with the endpoint or
 // failure domain of the new version left out whose absence lowers it most. The group is
 // left out only where others of its kind have answered.
-func (j *Judge) odds() (all, robust float64, group string) {
+func (j *Judge) odds() (all, robust float64, group groupName) {
 	for _, l := range j.lines {
 		for _, c := range l.components() {
 			all += c.wealth()
@@ -268,8 +280,8 @@
 				without += c.wealthWithout(g)
 			}
 		}
-		if without < robust || without == robust && group != "" && name.String() < group {
-			robust, group = without, name.String()
+		if without < robust || without == robust && group.name != "" && name.String() < group.String() {
+			robust, group = without, name
 		}
 	}
 	return all, robust, group
--- a/rollout/scenario_test.go
+++ b/rollout/scenario_test.go
@@ -138,12 +138,22 @@
 				t.Logf("met %.2f%%, worst run %.2f%%, %d runs above the target, caught after %s", s.met*100, s.worst*100, s.over, s.catch)
 				assert.Equal(t, s.takenBack, s.runs)
 				assert.Assert(t, s.met <= mostMet, "%.3f of the requests met the bad version", s.met)
-				assert.Assert(t, s.over*100 <= s.runs, "%d of %d runs above the target, worst %.3f", s.over, s.runs, s.worst)
+				assert.Equal(t, s.over, 0, "worst run %.3f", s.worst)
 			})
 		}
 	}
 }
 
+// Guards against a slow version that one endpoint which stands out excuses, while the others
+// are slower too: of 3,000 seeds, these were not taken back.
+func TestOneSlowEndpointExcusesNoSlowVersion(t *testing.T) {
+	for _, seed := range []uint64{1420, 1484, 2862} {
+		s := scenario{replicas: 3, rate: 6, bad: badSlow, trouble: quiet, seed: seed}
+		o := newWorld(s).run(product(seed))
+		assert.Equal(t, o.action, rollout.TakeBack, "seed %d: %s", seed, o.cause)
+	}
+}
+
 // goodRuns adds up to 1,000 runs over troubles and sizes.
 var goodRuns = map[int]int{20: 40, 3: 160}
 
