Record operator sessions of moves under the real decision

Cause: the sessions of moves showed a script of states written by hand, so no golden file held evidence that the decision gives.

Change: one table-driven test follows a move that control/decider drives with seeded answers, a second at a time: bad at once, later, only under load, on a route with 4% of the traffic, slow, a drain and return of a failure domain in mid-move, and an abort.

--- a/operator/session_test.go
+++ b/operator/session_test.go
@@ -37,6 +37,8 @@
 	status  api.Status
 	// script holds the moves that following calls of Status show.
 	script []api.Move
+	// live is a move that goes on as time passes.
+	live *liveMove
 	// lose makes so many answers to changes get lost after they were carried out.
 	lose  int
 	calls []string
@@ -114,7 +116,15 @@
 }
 
 func (f *fakeControl) AbortMove(_ context.Context, c *api.AbortMove) (*api.ChangeReply, error) {
-	return f.change(c, func() string { return fmt.Sprintf("service %s has no move in progress", c.Service) })
+	return f.change(c, func() string {
+		if f.live == nil {
+			return fmt.Sprintf("service %s has no move in progress", c.Service)
+		}
+		f.live.advance(f.now(), f.status.Domains)
+		f.live.State, f.live.Share, f.live.Ended = api.MoveTakenBack, 0, f.now()
+		f.live.Cause = fmt.Sprintf("aborted by %s: %s", c.Operation.Operator, c.Reason)
+		return ""
+	})
 }
 
 func (f *fakeControl) ChangeReplicas(_ context.Context, c *api.ChangeReplicas) (*api.ChangeReply, error) {
@@ -135,6 +145,10 @@
 }
 
 func (f *fakeControl) Status(context.Context) (*api.Status, error) {
+	if f.live != nil {
+		f.live.advance(f.now(), f.status.Domains)
+		f.status.Moves = []api.Move{f.live.Move}
+	}
 	if len(f.script) > 0 {
 		f.status.Moves = f.script[:1]
 		f.script = f.script[1:]
