Word the evidence of a move for an operator on call

Cause: watch printed raw numbers without units ("errors: new 0.312 ... evidence e^14.2"), chances such as 1 in, a line for each new count while a difference is examined, "no difference that counts was found" before the first answer, and an endpoint that differs twice in one line.

--- a/operator/progress.go
+++ b/operator/progress.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"regexp"
 	"strings"
 
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/rollout"
 )
 
 const barWidth = 30
@@ -48,11 +51,14 @@
 	return ended
 }
 
-// changeKey is the part of a move whose change is worth a line; the time left is not.
+// changeKey is the part of a move whose change is worth a line. The time left is not, nor
+// are the counts in a cause, which change with every answer.
 func changeKey(m api.Move) string {
-	return fmt.Sprintf("%s %d %g %s %s", m.State, m.Stage, m.Share, m.Started, m.Cause)
+	return fmt.Sprintf("%s %d %g %s %s", m.State, m.Stage, m.Share, m.Started, numbers.ReplaceAllString(m.Cause, "0"))
 }
 
+var numbers = regexp.MustCompile(`\b[0-9]+(\.[0-9]+)?\b`)
+
 func bar(share float64) string {
 	full := min(barWidth, max(0, int(share*barWidth+0.5)))
 	return "[" + strings.Repeat("#", full) + strings.Repeat(".", barWidth-full) + "]"
@@ -67,10 +73,30 @@
 // EvidenceLine says in one line what one comparison showed.
 func EvidenceLine(e api.MoveEvidence) string {
 	where := e.Route
+	if where != rollout.AllRoutes {
+		where = "route " + where
+	}
 	if e.Domain != "" {
 		where += " in " + string(e.Domain)
 	}
-	return fmt.Sprintf("%s, %s: new %.4g over %d answers, old %.4g over %d, evidence e^%.1f", where, e.Measure, e.New, e.NewN, e.Old, e.OldN, e.LogEvidence)
+	what, value := e.Measure, func(v float64) string { return fmt.Sprintf("%.0f ms", v*1000) }
+	if e.Measure == string(rollout.MeasureErrors) {
+		what, value = "failed answers", func(v float64) string { return fmt.Sprintf("%.1f%%", v*100) }
+	}
+	return fmt.Sprintf("%s, %s: new %s over %d answers, old %s over %d; %s", where, what, value(e.New), e.NewN, value(e.Old), e.OldN, confidence(e.LogEvidence))
+}
+
+// leastEvidence is the evidence, as a factor, under which a comparison shows nothing.
+const leastEvidence = 20
+
+// confidence words a test martingale: by Ville's inequality it exceeds x by chance with a
+// probability below 1/x.
+func confidence(logEvidence float64) string {
+	x := math.Exp(logEvidence)
+	if x < leastEvidence {
+		return "no difference shown"
+	}
+	return "by chance less often than 1 in " + rollout.Odds(x)
 }
 
 // fault reports a failed look once until the next good one.
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -54,8 +57,14 @@
 	}
 	if obstacle != "" {
 		cause := fmt.Sprintf("%s; the next stage must begin by %s or the move is taken back", obstacle, clock(s.latest(next)))
+		if strings.HasPrefix(obstacle, group.String()) {
+			return j.decision(Hold, move.Share, cause)
+		}
 		return j.decision(Hold, move.Share, j.holdCause(cause, all, robust, group))
 	}
+	if move.Share <= 0 {
+		return j.decision(Raise, share, "the first share is given")
+	}
 	if share >= 1 {
 		return j.decision(StartWatch, 1, "no difference that counts was found; the old version stays warm")
 	}
@@ -231,8 +240,22 @@
 			endpoints++
 		}
 	}
-	return fmt.Sprintf("%s is worse than %s: %s; chance of a false alarm below 1 in %.0f; %s in %s compared, none alone explains it",
-		j.move.To, j.move.From, j.strongest(), min(robust, 1e9), count(endpoints, "endpoint"), count(domains, "failure domain"))
+	return fmt.Sprintf("%s is worse than %s: %s; chance of a false alarm below 1 in %s; %s in %s compared, none alone explains it",
+		j.move.To, j.move.From, j.strongest(), Odds(robust), count(endpoints, "endpoint"), count(domains, "failure domain"))
+}
+
+// mostOdds is the largest x that is worded; more would claim what no model bears.
+const mostOdds = 1e9
+
+// Odds words the x of a chance of 1 in x, rounded down to two digits.
+func Odds(x float64) string {
+	x = math.Floor(math.Min(x, mostOdds))
+	unit := math.Pow(10, math.Max(0, math.Floor(math.Log10(x))-1))
+	digits := strconv.FormatFloat(math.Floor(x/unit)*unit, 'f', 0, 64)
+	for i := len(digits) - 3; i > 0; i -= 3 {
+		digits = digits[:i] + "," + digits[i:]
+	}
+	return digits
 }
 
 func count(n int, noun string) string {
