State no chance of a false alarm for a verdict on the other endpoints

Cause: where an endpoint stands out and the others are slower too, the line gave the chance of the evidence with that endpoint, "below 1 in 1,000,000,000".

Change: this line names the endpoint and how much slower the others are over how many answers, and no chance.

--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -37,8 +37,10 @@
 	if robust >= 1/falseAlarmRate {
 		return j.takeBack(j.badCause(robust))
 	}
-	if all >= 1/falseAlarmRate && j.peersSlower(group) {
-		return j.takeBack(fmt.Sprintf("%s; %s differs most, and the others are slower too", j.badCause(all), group))
+	if all >= 1/falseAlarmRate {
+		if mean, n, slower := j.peersSlower(group); slower {
+			return j.takeBack(j.peersCause(group, mean, n))
+		}
 	}
 	if move.Watching {
 		return j.watching(now)
--- a/rollout/peers.go
+++ b/rollout/peers.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"math"
 	"slices"
 )
@@ -34,19 +35,27 @@
 }
 
 // peersSlower reports whether the groups of the same kind beside one that stands out are
-// slower too, on the measure with the strongest evidence.
-func (j *Judge) peersSlower(group groupName) bool {
+// slower too, on the measure with the strongest evidence, and by how much over how many
+// answers.
+func (j *Judge) peersSlower(group groupName) (mean, n float64, slower bool) {
 	own, known := j.groups[group]
 	strongest := j.evidence(1)
 	if !known || len(strongest) == 0 {
-		return false
+		return 0, 0, false
 	}
 	m := slices.Index(timeMeasures[:], strongest[0].Measure)
 	if m < 0 {
-		return false
+		return 0, 0, false
 	}
-	mean, n := j.slowedWithout(own, m, group.isDomain)
-	return n >= peerAnswers && mean >= peerMargin
+	mean, n = j.slowedWithout(own, m, group.isDomain)
+	return mean, n, n >= peerAnswers && mean >= peerMargin
+}
+
+// peersCause states no chance of a false alarm: it would be that of the group that stands
+// out, which may be bad beside a good version.
+func (j *Judge) peersCause(group groupName, mean, n float64) string {
+	return fmt.Sprintf("%s is worse than %s: %s; %s differs most, and the others are %.0f%% slower too, over %.0f answers",
+		j.move.To, j.move.From, j.strongest(), group, (math.Exp(mean)-1)*100, n)
 }
 
 // doubtful reports whether the new version is slower on some measure whichever endpoint
--- a/rollout/scenario_test.go
+++ b/rollout/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -151,6 +152,7 @@
 		s := scenario{replicas: 3, rate: 6, bad: badSlow, trouble: quiet, seed: seed}
 		o := newWorld(s).run(product(seed))
 		assert.Equal(t, o.action, rollout.TakeBack, "seed %d: %s", seed, o.cause)
+		assert.Assert(t, strings.Contains(o.cause, "slower too") && !strings.Contains(o.cause, "false alarm"), o.cause)
 	}
 }
 
