Rerun systemtest when a program has changed

Cause: the go command reuses an earlier pass while the test binary and the files the tests looked at are unchanged. systemtest builds the programs itself, so they are no part of its binary: after a change of package consensus/replica or gateway it printed "(cached)".

Change: the first use of a program looks at every file of the module, which the go command then includes in its comparison.

Measured: after touching gateway/budget.go, a repeated run printed "(cached)" before and ran in 11.7 s after; without a change it still prints "(cached)".

Conclusion: a pass of systemtest belongs to the programs in the tree.

--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -6,12 +6,14 @@
 	"context"
 	"fmt"
 	"io"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -53,6 +55,22 @@
 	return m.Run()
 }
 
+// binary returns the path of a program.
+func binary(name string) string {
+	readSources()
+	return filepath.Join(binaries, name)
+}
+
+// readSources looks at every source file of the programs. The go command takes an earlier
+// pass for valid as long as the test binary and the files that the tests looked at are the
+// same, and the programs are no part of that binary.
+var readSources = sync.OnceFunc(func() {
+	_ = filepath.WalkDir("..", func(path string, _ fs.DirEntry, _ error) error {
+		_, _ = os.Stat(path) // a missing file is for the build to report
+		return nil
+	})
+})
+
 // process is one running program.
 type process struct {
 	t    testing.TB
@@ -69,7 +87,7 @@
 	out, err := os.OpenFile(filepath.Join(p.t.TempDir(), p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600)
 	assert.NilError(p.t, err)
 	p.out = out
-	p.cmd = exec.Command(filepath.Join(binaries, p.args[0]), p.args[1:]...)
+	p.cmd = exec.Command(binary(p.args[0]), p.args[1:]...)
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
 	assert.NilError(p.t, p.cmd.Start())
--- a/systemtest/replica_test.go
+++ b/systemtest/replica_test.go
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*waitLimit)
 	defer cancel()
 	args = append(args, "--control", strings.Join(d.control, ","), "--timeout", waitLimit.String())
-	out, err := exec.CommandContext(ctx, filepath.Join(binaries, "toucanctl"), args...).CombinedOutput()
+	out, err := exec.CommandContext(ctx, binary("toucanctl"), args...).CombinedOutput()
 	d.t.Logf("toucanctl %s\n%s", strings.Join(args, " "), out)
 	return string(out), err
 }
--- a/systemtest/settings_test.go
+++ b/systemtest/settings_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 
@@ -36,7 +35,7 @@
 		{"operator key missing", []string{"toucanctl", "--control=127.0.0.1:1", "domain", "drain", "lagos-a", "--operator=o", "--key=none.key"}, "none.key"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			out, err := exec.Command(filepath.Join(binaries, c.args[0]), c.args[1:]...).CombinedOutput()
+			out, err := exec.Command(binary(c.args[0]), c.args[1:]...).CombinedOutput()
 			var exit *exec.ExitError
 			assert.Assert(t, errors.As(err, &exit), "%v %s", err, out)
 			assert.Equal(t, exit.ExitCode(), 2, "%s", out)
@@ -61,7 +60,7 @@
 		{[]string{"toucan-gateway", "--id=g", "--domain=d", "--control=127.0.0.1:1", "--admin-listen=" + address}, "--admin-listen"},
 		{[]string{"toucan-control", "--id=c", "--domain=d", "--data=" + t.TempDir(), "--members=" + address, "--admin-listen=127.0.0.1:0", "--listen=" + address}, "listen " + address},
 	} {
-		out, err := exec.Command(filepath.Join(binaries, c.args[0]), c.args[1:]...).CombinedOutput()
+		out, err := exec.Command(binary(c.args[0]), c.args[1:]...).CombinedOutput()
 		var exit *exec.ExitError
 		assert.Assert(t, errors.As(err, &exit), "%v %s", err, out)
 		assert.Equal(t, exit.ExitCode(), 1, "%s", out)
