Leave out .git when systemtest looks at the module

Cause: the walk over the module read the objects of git as well, so every git command would have ended the validity of a pass.

Change: the walk skips the folder .git.

Conclusion: only files of the module count.

--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -61,11 +61,14 @@
 	return filepath.Join(binaries, name)
 }
 
-// readSources looks at every source file of the programs. The go command takes an earlier
+// readSources looks at every file of the module. The go command takes an earlier
 // pass for valid as long as the test binary and the files that the tests looked at are the
 // same, and the programs are no part of that binary.
 var readSources = sync.OnceFunc(func() {
-	_ = filepath.WalkDir("..", func(path string, _ fs.DirEntry, _ error) error {
+	_ = filepath.WalkDir("..", func(path string, e fs.DirEntry, _ error) error {
+		if e != nil && e.Name() == ".git" && e.IsDir() {
+			return filepath.SkipDir
+		}
 		_, _ = os.Stat(path) // a missing file is for the build to report
 		return nil
 	})
