Try systemtest against removed mechanisms

Cause: no mutation had been tried on systemtest, as design.md said. Two passed that the promises rest on: a leader that commits without a quorum (TestKilledLeadersLoseNothing) and one that goes on without a quorum (TestFrozenLeaderStepsDown).

Change: before a leader is killed, TestKilledLeadersLoseNothing freezes one follower, lets changes go on, freezes the other and leaves the leader alone for 300 ms; at the end it kills and restarts all replicas.

The two mutations fail now, and so do a log that is not written and votes for a replica whose log is behind.

--- a/systemtest/control_test.go
+++ b/systemtest/control_test.go
@@ -17,6 +17,7 @@
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/link"
 )
 
 // domainStream drains and restores a domain one change after the other and checks that
@@ -111,7 +112,9 @@
 }
 
 // Guards P11: against an accepted change that is lost, or a revision that reverts, when
-// leaders are killed one after the other under a stream of changes.
+// leaders are killed one after the other under a stream of changes, and then all replicas.
+// Before a leader is killed, one follower falls behind, then the leader is alone: what it
+// accepts alone would be lost, and so would be what a follower that lags leads without.
 func TestKilledLeadersLoseNothing(t *testing.T) {
 	d := startControl(t)
 	d.apply(1)
@@ -119,17 +122,32 @@
 	for range 3 {
 		d.progress()
 		i := d.leader()
+		lagging, other := d.controls[(i+1)%replicas], d.controls[(i+2)%replicas]
+		lagging.signal(syscall.SIGSTOP)
+		d.progress()
+		other.signal(syscall.SIGSTOP)
+		time.Sleep(300 * time.Millisecond) // within the election timeout
 		d.controls[i].kill()
+		lagging.signal(syscall.SIGCONT)
+		other.signal(syscall.SIGCONT)
 		d.progress()
 		d.controls[i] = d.newControl(i)
 		d.controls[i].start()
 		d.progress()
 	}
+	for _, c := range d.controls {
+		c.kill()
+	}
+	for i := range d.controls {
+		d.controls[i] = d.newControl(i)
+		d.controls[i].start()
+	}
+	d.progress()
 	stream.stop(t)
 }
 
 // Guards P11: against a leader that is frozen, and so cut off silently, going on as
-// leader when it wakes.
+// leader when it wakes, and against one whose followers are frozen going on as leader.
 func TestFrozenLeaderStepsDown(t *testing.T) {
 	d := startControl(t)
 	d.apply(1)
@@ -140,6 +158,20 @@
 	d.progress()
 	d.controls[i].signal(syscall.SIGCONT)
 	d.progress()
+	i = d.leader()
+	alone := link.NewClient(link.TCP{}, d.control[i])
+	defer alone.Close()
+	for n := 1; n < replicas; n++ {
+		d.controls[(i+n)%replicas].signal(syscall.SIGSTOP)
+	}
+	waitFor(t, "the leader to step down", func() bool {
+		var s api.Status
+		return alone.Call(context.Background(), "Control.Status", &api.Empty{}, &s) == nil && s.Leader == ""
+	})
+	for n := 1; n < replicas; n++ {
+		d.controls[(i+n)%replicas].signal(syscall.SIGCONT)
+	}
+	d.progress()
 	stream.stop(t)
 }
 
