Apply single claims of earlier logs as one step

Cause: after claims began to share commands, the state machine applied a claim and a completion in two places, and Result.Claim was read by a test only. Change: commands of earlier logs are applied as a list of one step; Result.Claim is gone, and the test that covers such a command reads the reply from Claims. Before and after: the same states and replies; go test -race ./control/... passes. Conclusion: one place applies claims.

--- a/control/state/command.go
+++ b/control/state/command.go
@@ -84,7 +84,6 @@
 // Result is the outcome of a command.
 type Result struct {
 	Change *api.ChangeReply
-	Claim  *api.ClaimReply
 	// Claims answers each ClaimStep; the reply to a completion is nil.
 	Claims   []*api.ClaimReply
 	Register *Registration
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -123,12 +123,8 @@
 		return s.register(c.Register)
 	case c.EndLeases != nil:
 		return s.endLeases(c.EndLeases)
-	case c.Claim != nil:
-		reply := s.data.Claims.Claim(s.data.Now, c.Claim, s.holdsLease)
-		return &Result{Claim: &reply}
-	case c.CompleteClaim != nil:
-		s.data.Claims.Complete(s.data.Now, c.CompleteClaim)
-		return &Result{}
+	case c.Claim != nil || c.CompleteClaim != nil:
+		return s.claims([]ClaimStep{{Claim: c.Claim, Complete: c.CompleteClaim}})
 	case len(c.Claims) > 0:
 		return s.claims(c.Claims)
 	case c.Maintain != nil:
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -393,7 +393,7 @@
 	s := booted(t, "")
 	run(t, s, &Command{At: epoch, Register: &api.Register{Instance: instance.Instance{ID: "g", Incarnation: 1}}})
 	claim := func(d dispatch.ID) *api.ClaimReply {
-		return run(t, s, &Command{At: epoch, Claim: &api.Claim{Account: "mill", Key: "k", TTL: time.Hour, Owner: "g", Dispatch: d}}).Claim
+		return run(t, s, &Command{At: epoch, Claim: &api.Claim{Account: "mill", Key: "k", TTL: time.Hour, Owner: "g", Dispatch: d}}).Claims[0]
 	}
 	assert.Equal(t, claim(dispatch.ID{Request: "r1", Gateway: 1}).State, api.ClaimGranted)
 	assert.Assert(t, claim(dispatch.ID{Request: "r2", Gateway: 1}).OwnerAlive)
