Keep calls of an earlier search out of the next one

Such a call could even have answered in the next search. Change: a call keeps the channel of its own search.

--- a/distribution/contact.go
+++ b/distribution/contact.go
@@ -73,10 +73,12 @@
 	f.called = append(f.called, c)
 	f.tried = append(f.tried, c.address)
 	call := f.s.newCall(c, 0)
+	// A call that outlives this search must not answer in the next one.
+	answers := f.answers
 	go func() {
 		leader, err := call(ctx)
 		select {
-		case f.answers <- answer{from: c, leader: leader, err: err}:
+		case answers <- answer{from: c, leader: leader, err: err}:
 		case <-ctx.Done():
 		}
 	}()
