--- a/account/account.go
+++ b/account/account.go
@@ -23,6 +23,16 @@
 	Burst             int     `msgpack:"burst" json:"burst"`
 	// MaxConcurrent bounds open requests per gateway; 0 means no bound.
 	MaxConcurrent int `msgpack:"max_concurrent" json:"max_concurrent"`
+	// TokensPerSecond and TokenBurst bound the account's tokens over all gateways; 0 means
+	// no bound.
+	TokensPerSecond float64 `msgpack:"tokens_per_second" json:"tokens_per_second"`
+	TokenBurst      float64 `msgpack:"token_burst" json:"token_burst"`
+	// PlainTokens is what a request that states no tokens counts.
+	PlainTokens int `msgpack:"plain_tokens" json:"plain_tokens"`
+	// CountRequests is set where every request counts as one token, whatever its size.
+	CountRequests bool `msgpack:"count_requests" json:"count_requests"`
+	// OwnTier is set where Tier goes before that of a route.
+	OwnTier bool `msgpack:"own_tier" json:"own_tier"`
 	// Services lists what the account may call; empty means all.
 	Services []string `msgpack:"services" json:"services"`
 }
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -31,7 +31,7 @@
 		// answer can be given to the caller's repeat.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.header.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, d.left())
 	defer cancel()
 	a.opt.Timeline.Record(timeline.Event{Kind: "dispatch.committed", Request: d.header.ID.Request, Endpoint: string(a.opt.Endpoint.ID)})
 	answer, err := a.opt.Engine.Submit(ctx, d.request())
@@ -48,9 +48,20 @@
 }
 
 func (d *dispatched) request() *endpoint.Request {
-	return &endpoint.Request{ID: d.header.ID.String(), Method: d.header.Method, Path: d.header.Path, Header: d.header.Pass, Body: d.body}
+	h := d.header
+	r := &endpoint.Request{
+		ID: h.ID.String(), Method: h.Method, Path: h.Path, Header: h.Pass, Body: d.body,
+		Host: h.Host, Account: h.Account, Timeout: d.left(),
+	}
+	if h.Engine != nil {
+		r.Endpoint = h.Engine.ID
+	}
+	return r
 }
 
+// left is the time until the caller's deadline.
+func (d *dispatched) left() time.Duration { return d.header.Timeout - d.agent.now().Sub(d.arrived) }
+
 // submitFailed asks the engine whether it has the request, where it can tell.
 func (d *dispatched) submitFailed(ctx context.Context, cause error) (*endpoint.Answer, error) {
 	if errors.Is(cause, endpoint.ErrNotSent) || ctx.Err() != nil {
@@ -68,8 +79,15 @@
 	a := d.agent
 	if errors.Is(err, endpoint.ErrNotSent) {
 		a.ledger.Unsent(d.header.ID, a.now())
-		d.place.ended(outcome{cancelled: ctx.Err() != nil, failed: ctx.Err() == nil, gone: ctx.Err() == nil})
-		d.stream.refuse(refusal{code: dispatch.CodeEngineRefused, detail: err.Error()})
+		var refused *endpoint.RefusedError
+		full := errors.As(err, &refused)
+		gone := ctx.Err() == nil && !full
+		d.place.ended(outcome{cancelled: !gone, failed: gone, gone: gone})
+		code := dispatch.CodeEngineRefused
+		if full && !refused.Misdirected {
+			code = dispatch.CodeEngineFull
+		}
+		d.stream.refuse(refusal{code: code, detail: err.Error()})
 		return
 	}
 	a.ledger.Finish(d.header.ID, nil, a.now())
@@ -131,9 +149,18 @@
 		answer = next
 	}
 	a.ledger.Finish(d.header.ID, k.answer(), a.now())
-	d.place.ended(outcome{answerTokens: count.tokens(), failed: answer.Status >= 500})
+	d.place.ended(outcome{answerTokens: d.answerTokens(&count), failed: answer.Status >= 500})
 	d.record("dispatch.done", "")
-	d.stream.end(count.prompt, count.tokens())
+	d.stream.end(count.prompt, d.answerTokens(&count))
+}
+
+// answerTokens returns the tokens of an answer. Engines that announce themselves say how
+// many each event of a stream holds.
+func (d *dispatched) answerTokens(count *tokenCounter) int {
+	if e := d.header.Engine; e != nil {
+		return count.events * max(e.EventTokens, 1)
+	}
+	return count.tokens()
 }
 
 // copy returns io.EOF once the engine ended the answer.
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -56,6 +56,29 @@
 	closed   bool
 	timer    *time.Timer
 	timerSet bool
+	// engine is what gateways say of the endpoint, the zero value where the agent serves
+	// one that does not announce itself.
+	engine dispatch.Engine
+	pace   pace
+}
+
+// declare takes over what a gateway says of the endpoint and reports whether another
+// endpoint is meant than before.
+func (g *gate) declare(e dispatch.Engine, now time.Time) (changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.engine == e {
+		return false
+	}
+	changed = g.engine.ID != e.ID
+	if changed {
+		g.limiter.Restart()
+		g.pace = pace{}
+	}
+	g.engine = e
+	g.limiter.Declare(e.Slots)
+	g.pace.limit(e.ColdRate, now)
+	return changed
 }
 
 func newGate() *gate {
@@ -129,7 +152,7 @@
 			break
 		}
 		w := head.Value.(*waiter)
-		if !g.limiter.Allows(w.prompt) {
+		if !g.allows(w, now) {
 			break
 		}
 		_, _ = g.queue.Pop(now)
@@ -138,7 +161,24 @@
 	g.arm()
 }
 
+// allows reports whether the engine bears another dispatch now.
+func (g *gate) allows(w *waiter, now time.Time) bool {
+	if g.engine.Slots > 0 && g.running >= g.engine.Slots {
+		return false
+	}
+	if g.engine.Slots == 0 && !g.limiter.Allows(w.prompt) {
+		return false
+	}
+	if wait := g.pace.wait(now); wait > 0 {
+		g.timerSet = true
+		g.timer.Reset(wait)
+		return false
+	}
+	return true
+}
+
 func (g *gate) place(w *waiter, now time.Time) {
+	g.pace.take(now)
 	w.ticket = g.limiter.Start(now, w.prompt)
 	w.placed = true
 	w.granted = now
--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -36,16 +37,34 @@
 type Engine struct {
 	base   string
 	client *http.Client
+	opt    Options
+}
+
+// Options adapt an Engine to servers that need more than plain HTTP. Zero fields leave it
+// as it is.
+type Options struct {
+	// MaxConnections bounds the open connections; requests wait for one.
+	MaxConnections int
+	// Prepare completes a request before it is sent, in place of setting HeaderRequestID.
+	Prepare func(req *http.Request, r *endpoint.Request)
+	// Check examines the head of an answer. An error that wraps endpoint.ErrNotSent says
+	// that the request did not run. After any other error the connection is closed, since
+	// what follows on it cannot be told apart.
+	Check func(resp *http.Response, r *endpoint.Request) error
 }
 
 // New returns an engine at a base URL such as "http://127.0.0.1:9000". network may be
 // nil for TCP.
-func New(network link.Network, base string) *Engine {
+func New(network link.Network, base string) *Engine { return NewWithOptions(network, base, Options{}) }
+
+// NewWithOptions returns an engine that is adapted to its server.
+func NewWithOptions(network link.Network, base string, opt Options) *Engine {
 	if network == nil {
 		network = link.TCP{}
 	}
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdle,
+		MaxConnsPerHost:     opt.MaxConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
@@ -56,7 +75,7 @@
 			return &trackedConn{Conn: c}, nil
 		},
 	}
-	return &Engine{base: base, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}}
+	return &Engine{base: base, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, opt: opt}
 }
 
 // keepRedirect hands redirects to the caller: following one would send the request twice.
@@ -93,11 +112,18 @@
 		return nil, false, fmt.Errorf("building request to %s: %w: %w", e.base, endpoint.ErrNotSent, err)
 	}
 	resp, err := e.client.Do(req) //nolint:bodyclose // the caller closes Answer.Body
-	if err == nil {
-		return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, false, nil
-	}
 	mu.Lock()
 	defer mu.Unlock()
+	if err == nil {
+		if err = e.check(resp, r); err == nil {
+			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, false, nil
+		}
+		if !errors.Is(err, endpoint.ErrNotSent) && s.conn != nil {
+			_ = s.conn.Close() // the error of the answer says more
+		}
+		_ = resp.Body.Close() // nothing of it is used
+		return nil, false, fmt.Errorf("answer of engine %s: %w", e.base, err)
+	}
 	if s.unsent(got) {
 		return nil, got && s.reused, fmt.Errorf("connecting to engine %s: %w: %w", e.base, endpoint.ErrNotSent, err)
 	}
@@ -113,10 +139,30 @@
 		req.Header[name] = values
 	}
 	setBody(req, r.Body)
+	if r.Host != "" {
+		req.Host = r.Host
+	}
+	if e.opt.Prepare != nil {
+		e.opt.Prepare(req, r)
+		return req, nil
+	}
 	req.Header.Set(HeaderRequestID, r.ID)
 	return req, nil
 }
 
+func (e *Engine) check(resp *http.Response, r *endpoint.Request) error {
+	if e.opt.Check == nil {
+		return nil
+	}
+	return e.opt.Check(resp, r)
+}
+
+// Close closes idle connections.
+func (e *Engine) Close() error {
+	e.client.CloseIdleConnections()
+	return nil
+}
+
 // setBody makes sure that net/http does not repeat the request on its own.
 func setBody(req *http.Request, body []byte) {
 	switch req.Method {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"toucantiller.dev/dispatch"
+	"toucantiller.dev/timeline"
 )
 
 // refusal says why a dispatch is not run.
@@ -24,6 +25,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	arrived := a.now()
 	body, err := a.readBody(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -33,13 +35,18 @@
 	defer a.open.Add(-1)
 	a.gate.configure(a.opt.View.Config())
 	a.opt.View.Saw(h.Revision, h.Link)
+	if h.Engine != nil && a.gate.declare(*h.Engine, a.now()) {
+		a.opt.Timeline.Record(timeline.Event{Kind: "endpoint.declared", Endpoint: string(h.Engine.ID)})
+		_ = a.opt.Logger.Log("msg", "serving endpoint", "endpoint", h.Engine.ID, "slots", h.Engine.Slots, "cold_rate", h.Engine.ColdRate)
+	}
 	s := newStream(w, a, h.ID)
+	s.passAll = h.PassAll
 	defer s.close()
 	if code := a.admit(h); code != "" {
 		s.refuse(refusal{code: code})
 		return
 	}
-	d := &dispatched{agent: a, header: h, body: body, stream: s}
+	d := &dispatched{agent: a, header: h, body: body, stream: s, arrived: arrived}
 	d.run(r.Context())
 }
 
@@ -66,7 +73,7 @@
 	switch {
 	case h.Agent != a.opt.Endpoint.Incarnation:
 		return dispatch.CodeWrongIncarnation
-	case h.Version != a.opt.Endpoint.Version || h.Service != a.opt.Endpoint.Service:
+	case h.Engine == nil && (h.Version != a.opt.Endpoint.Version || h.Service != a.opt.Endpoint.Service):
 		return dispatch.CodeWrongVersion
 	case a.leaving.Load():
 		return dispatch.CodeDraining
@@ -94,6 +101,8 @@
 	body   []byte
 	stream *stream
 	place  *waiter
+	// arrived is when the dispatch was read; its timeout counts from then.
+	arrived time.Time
 }
 
 func (d *dispatched) run(ctx context.Context) {
@@ -172,7 +181,7 @@
 }
 
 func (a *Agent) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	_ = msgpack.NewEncoder(w).Encode(&dispatch.Heartbeat{Revision: a.revision(), Load: a.Load()})
+	_ = msgpack.NewEncoder(w).Encode(&dispatch.Heartbeat{Revision: a.revision(), Load: a.Load(), Incarnation: a.opt.Endpoint.Incarnation})
 }
 
 // decodeRequest answers a malformed request itself and returns false.
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -14,6 +14,8 @@
 type stream struct {
 	agent *Agent
 	flush http.Flusher
+	// passAll sends all headers of the engine to the gateway.
+	passAll bool
 
 	mu     sync.Mutex
 	frames *dispatch.Writer
@@ -78,7 +80,11 @@
 }
 
 func (s *stream) start(answer *endpoint.Answer) {
-	s.write(dispatch.FrameStarted, &dispatch.Started{Status: answer.Status, Header: dispatch.SelectHeaders(answer.Header, dispatch.AnswerHeaders)}, false)
+	header := answer.Header
+	if !s.passAll {
+		header = dispatch.SelectHeaders(answer.Header, dispatch.AnswerHeaders)
+	}
+	s.write(dispatch.FrameStarted, &dispatch.Started{Status: answer.Status, Header: header}, false)
 }
 
 func (s *stream) data(p []byte, sendNow bool) {
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -122,6 +122,15 @@
 		p.match+c.cfg.CatchUpLag >= c.log.last()
 }
 
+// SilentTicks returns the ticks since the leader last heard from a member; 0 for itself
+// and for one that is not known.
+func (c *Core) SilentTicks(id ID) int {
+	if p := c.peers[id]; p != nil {
+		return p.idle
+	}
+	return 0
+}
+
 // Match returns the last index that is known to be on a member's disk, on the leader.
 func (c *Core) Match(id ID) uint64 {
 	if id == c.id {
--- a/contract/config.go
+++ b/contract/config.go
@@ -23,6 +23,8 @@
 	Services []*Service                                `msgpack:"services" json:"services"`
 	// ServeStale is how long a process cut off from control keeps taking work.
 	ServeStale time.Duration `msgpack:"serve_stale" json:"serve_stale"`
+	// Ingress routes requests by host and path; nil where a bundle is in force.
+	Ingress *Ingress `msgpack:"ingress" json:"ingress,omitempty"`
 
 	byKey map[string]*account.Account
 }
@@ -67,6 +69,14 @@
 	QueueLength int `msgpack:"queue_length" json:"queue_length"`
 	// Timeout is the default time for a whole request.
 	Timeout time.Duration `msgpack:"timeout" json:"timeout"`
+	// ColdRate is the requests a second that a cold endpoint bears; 0 means no bound.
+	ColdRate float64 `msgpack:"cold_rate" json:"cold_rate"`
+	// MaxConnections is what one endpoint accepts from all callers; 0 means no bound.
+	MaxConnections int `msgpack:"max_connections" json:"max_connections"`
+	// Slots is the number of requests that one engine runs at once; 0 means not known.
+	Slots int `msgpack:"slots" json:"slots"`
+	// EventTokens is the number of tokens in one event of a stream; 0 means not known.
+	EventTokens int `msgpack:"event_tokens" json:"event_tokens"`
 }
 
 // Route states how calls that match it may be treated.
@@ -98,6 +108,9 @@
 			c.byKey[h] = a
 		}
 	}
+	if c.Ingress != nil {
+		c.Ingress.index()
+	}
 	return c
 }
 
--- /dev/null
+++ b/contract/document.go
@@ -0,0 +1,271 @@
+package contract
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"toucantiller.dev/account"
+	"toucantiller.dev/failuredomain"
+)
+
+// Document is a complete configuration that an operator gives by number; the highest
+// number takes effect. It stands in for a bundle where the deployment has its own
+// operator's API, without signatures.
+type Document struct {
+	// Version is the document's number.
+	Version uint64
+	// Content is the document exactly as it was received.
+	Content  []byte
+	Routes   []IngressRoute
+	Services []*Service
+	Accounts []*account.Account
+}
+
+// RouteKind says what may be repeated.
+type RouteKind string
+
+// Kinds of ingress routes.
+const (
+	// RouteSafe: a request may run more than once.
+	RouteSafe RouteKind = "safe"
+	// RouteUnsafe: a request runs at most once.
+	RouteUnsafe RouteKind = "unsafe"
+	// RouteStream: the answer is a series of events; it runs at most once unless the
+	// route is resumable.
+	RouteStream RouteKind = "stream"
+)
+
+// IngressRoute sends the requests for a host and path prefix to services.
+type IngressRoute struct {
+	Name string `msgpack:"name" json:"name"`
+	Host string `msgpack:"host" json:"host"`
+	// Prefix begins and ends with a slash.
+	Prefix string    `msgpack:"prefix" json:"prefix"`
+	Kind   RouteKind `msgpack:"kind" json:"kind"`
+	// Timeout bounds a whole request.
+	Timeout time.Duration `msgpack:"timeout" json:"timeout"`
+	// Objective is the time to the answer, or to the first event of a stream, that earns
+	// full credit.
+	Objective time.Duration `msgpack:"objective" json:"objective"`
+	// MaxPause is the longest pause between events of a stream that is still on time.
+	MaxPause time.Duration `msgpack:"max_pause" json:"max_pause"`
+	Tier     account.Tier  `msgpack:"tier" json:"tier"`
+	// Split lists the services of the route with their weights.
+	Split []WeightedService `msgpack:"split" json:"split"`
+	// MaxAttempts bounds the endpoints that may run one request.
+	MaxAttempts int `msgpack:"max_attempts" json:"max_attempts"`
+	// Public routes need no key.
+	Public bool `msgpack:"public" json:"public"`
+	// Resumable streams may be continued at another endpoint after their last event.
+	Resumable bool `msgpack:"resumable" json:"resumable"`
+}
+
+// WeightedService is one target of a route.
+type WeightedService struct {
+	Service string `msgpack:"service" json:"service"`
+	Weight  int    `msgpack:"weight" json:"weight"`
+}
+
+// Ingress is the part of a Config that routes requests by host and path.
+type Ingress struct {
+	// Version is the number of the document in force.
+	Version uint64         `msgpack:"version" json:"version"`
+	Routes  []IngressRoute `msgpack:"routes" json:"routes"`
+
+	byHost map[string][]*IngressRoute
+}
+
+// Route returns the route with the longest prefix of path among those of the host.
+func (i *Ingress) Route(host, path string) (*IngressRoute, bool) {
+	for _, r := range i.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// index prepares Route: the routes of each host from the longest prefix down.
+func (i *Ingress) index() {
+	i.byHost = make(map[string][]*IngressRoute)
+	for n := range i.Routes {
+		r := &i.Routes[n]
+		i.byHost[r.Host] = append(i.byHost[r.Host], r)
+	}
+	for _, list := range i.byHost {
+		slices.SortStableFunc(list, func(a, b *IngressRoute) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+}
+
+// Pick returns the service for a number that is uniform over its range.
+func (r *IngressRoute) Pick(hash uint64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	at := int(hash % uint64(total)) //nolint:gosec // below total
+	for _, s := range r.Split {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return ""
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *IngressRoute) Repeatable() bool { return r.Kind == RouteSafe }
+
+// Bounds on documents.
+const (
+	maxWeight  = 1 << 20
+	maxTimeout = 24 * time.Hour
+)
+
+// Validate returns why the document cannot take effect, or nil.
+func (d *Document) Validate() error {
+	if d.Version == 0 {
+		return errors.New("the document has no version")
+	}
+	services := make(map[string]bool, len(d.Services))
+	for _, s := range d.Services {
+		if s.Name == "" || services[s.Name] {
+			return fmt.Errorf("service %q has no name of its own", s.Name)
+		}
+		services[s.Name] = true
+	}
+	places := make(map[[2]string]string, len(d.Routes))
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if err := r.validate(services); err != nil {
+			return fmt.Errorf("route %q: %w", r.Name, err)
+		}
+		place := [2]string{r.Host, r.Prefix}
+		if other, taken := places[place]; taken {
+			return fmt.Errorf("routes %q and %q have the same host and prefix", other, r.Name)
+		}
+		places[place] = r.Name
+	}
+	return validateKeys(d.Accounts)
+}
+
+func (r *IngressRoute) validate(services map[string]bool) error {
+	switch r.Kind {
+	case RouteSafe, RouteUnsafe, RouteStream:
+	default:
+		return fmt.Errorf("there is no kind %q", r.Kind)
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return fmt.Errorf("prefix %q does not begin and end with a slash", r.Prefix)
+	}
+	if r.Timeout <= 0 || r.Timeout > maxTimeout {
+		return fmt.Errorf("timeout %s is not between 0 and %s", r.Timeout, maxTimeout)
+	}
+	total := 0
+	for _, s := range r.Split {
+		if !services[s.Service] {
+			return fmt.Errorf("there is no service %q", s.Service)
+		}
+		if s.Weight < 0 || s.Weight > maxWeight {
+			return fmt.Errorf("weight %d of service %q is not between 0 and %d", s.Weight, s.Service, maxWeight)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return errors.New("the weights add up to 0")
+	}
+	return nil
+}
+
+func validateKeys(accounts []*account.Account) error {
+	names := make(map[string]bool, len(accounts))
+	owners := make(map[string]string)
+	for _, a := range accounts {
+		if a.Name == "" || names[a.Name] {
+			return fmt.Errorf("account %q has no name of its own", a.Name)
+		}
+		names[a.Name] = true
+		for _, h := range a.KeyHashes {
+			if other, shared := owners[h]; shared && other != a.Name {
+				return fmt.Errorf("accounts %q and %q share a key", other, a.Name)
+			}
+			owners[h] = a.Name
+		}
+	}
+	return nil
+}
+
+// DocumentServeStale is how long a process that is cut off from control takes work on a
+// document. A key that was taken away must be dead everywhere within 5 s; the rest is for
+// requests that are under way.
+const DocumentServeStale = 3500 * time.Millisecond
+
+// AnyVersion is the version of a share that every version of a service may serve.
+const AnyVersion = "*"
+
+// DocumentInput is everything that decides the configuration of a document.
+type DocumentInput struct {
+	Revision uint64
+	Document *Document
+	Domains  map[failuredomain.ID]failuredomain.Domain
+	Moves    []MoveShare
+	// Versions holds the only version that may serve, of services that had a move.
+	Versions map[string]string
+}
+
+// CompileDocument builds the configuration. The document must be valid.
+func CompileDocument(in DocumentInput) *Config {
+	d := in.Document
+	c := &Config{
+		Revision:   in.Revision,
+		Bundle:     BundleRef{Name: "document", Version: d.Version, Digest: Digest(d.Content)},
+		Domains:    in.Domains,
+		Accounts:   d.Accounts,
+		ServeStale: DocumentServeStale,
+		Ingress:    &Ingress{Version: d.Version, Routes: d.Routes},
+	}
+	for rank := range tierCount(d) {
+		// Waiting requests are bounded by their deadlines.
+		c.Tiers = append(c.Tiers, Tier{Name: fmt.Sprintf("tier-%d", rank)})
+	}
+	for _, s := range d.Services {
+		service := *s
+		service.Versions = documentVersions(s.Name, in)
+		c.Services = append(c.Services, &service)
+	}
+	return c.Index()
+}
+
+// tierCount is one more than the lowest tier that the document names.
+func tierCount(d *Document) int {
+	lowest := account.Tier(0)
+	for i := range d.Routes {
+		lowest = max(lowest, d.Routes[i].Tier)
+	}
+	for _, a := range d.Accounts {
+		lowest = max(lowest, a.Tier)
+	}
+	return int(lowest) + 1
+}
+
+func documentVersions(service string, in DocumentInput) []VersionShare {
+	for _, m := range in.Moves {
+		if m.Service == service {
+			return []VersionShare{
+				{Version: m.From, Share: 1 - m.Share},
+				{Version: m.To, Share: m.Share, Unproven: m.Unproven},
+			}
+		}
+	}
+	if v, ok := in.Versions[service]; ok {
+		return []VersionShare{{Version: v, Share: 1}}
+	}
+	return []VersionShare{{Version: AnyVersion, Share: 1}}
+}
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -101,8 +101,19 @@
 	ID uint64
 	// Voter is false for a learner, which receives the log and does not vote.
 	Voter bool
+	// Silent is the time since the leader last heard from the replica; 0 on other replicas.
+	Silent time.Duration
 }
 
+// JoinReplica is "Control.JoinReplica": a replica without a log asks to be added.
+type JoinReplica struct {
+	// Address is the link address of the replica.
+	Address string
+}
+
+// JoinReply answers a JoinReplica.
+type JoinReply struct{ Leader string }
+
 // MoveState is the state of a move.
 type MoveState string
 
@@ -218,6 +229,8 @@
 	// SameBundle and SameTiers say that these parts are those of From.
 	SameBundle bool
 	SameTiers  bool
+	// SameIngress says that the routes by host and path are those of From.
+	SameIngress bool
 	// SameServices says that the services of From remain, but for those in Services, which
 	// replace those at their index.
 	SameServices bool
@@ -238,6 +251,8 @@
 	RemovedEndpoints []endpoint.ID
 	Processes        []instance.Instance
 	RemovedProcesses []instance.ID
+	// Control replaces the list of control replicas.
+	Control []string
 }
 
 // Beacon proves freshness: a leader with a quorum issued it Age ago.
@@ -254,6 +269,9 @@
 	Endpoints []endpoint.Endpoint
 	// Processes lists the processes without an endpoint, such as gateways.
 	Processes []instance.Instance
+	// Control lists the link addresses of the control replicas, in order; it is empty
+	// until a leader has recorded them.
+	Control []string
 }
 
 // ClaimState is the state of an idempotency claim.
--- a/control/client.go
+++ b/control/client.go
@@ -47,6 +47,19 @@
 	return &Client{network: network, addrs: slices.Clone(addrs), clients: make(map[string]*link.Client)}
 }
 
+// SetAddresses replaces the replicas that the client calls.
+func (c *Client) SetAddresses(addrs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addrs = slices.Clone(addrs)
+}
+
+func (c *Client) addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.addrs)
+}
+
 // Close closes the connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -162,7 +175,7 @@
 			}
 		}
 		if err := pause(ctx); err != nil {
-			return nil, &link.Error{Step: "call Control." + method, Peer: strings.Join(c.addrs, ","), Err: errors.Join(err, last)}
+			return nil, &link.Error{Step: "call Control." + method, Peer: strings.Join(c.addresses(), ","), Err: errors.Join(err, last)}
 		}
 	}
 }
--- a/control/control.go
+++ b/control/control.go
@@ -17,6 +17,7 @@
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
 	"toucantiller.dev/distribution"
+	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/lease"
 	"toucantiller.dev/link"
@@ -86,6 +87,8 @@
 	leases    *lease.Table
 	admission *lease.Admission
 	evidence  *collector
+	// heard holds the last heartbeat of each endpoint that announces itself.
+	heard map[endpoint.ID]heardFrom
 
 	// changingReplicas is held while the leader changes the control group.
 	changingReplicas sync.Mutex
@@ -124,6 +127,7 @@
 		counts:   counts,
 		leases:   lease.NewTable(lease.TTL),
 		evidence: newCollector(),
+		heard:    make(map[endpoint.ID]heardFrom),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s, nil
--- a/control/leader.go
+++ b/control/leader.go
@@ -58,6 +58,7 @@
 	lastTick     time.Time
 	lastBeacon   time.Time
 	lastMaintain time.Time
+	lastRepair   time.Time
 }
 
 func (s *Server) perform(d *duties, now time.Time) {
@@ -70,6 +71,10 @@
 		s.beacon(now, d.seq)
 		s.endExpired(time.Now())
 	}
+	if now.Sub(d.lastRepair) >= repairInterval {
+		d.lastRepair = now
+		s.repairGroup()
+	}
 	if now.Sub(d.lastMaintain) >= maintainInterval {
 		d.lastMaintain = now
 		s.adoptLeases(now)
@@ -110,6 +115,7 @@
 	s.leases = lease.NewTable(lease.TTL)
 	s.admission = lease.NewAdmission(s.opts.RegistrationsPerSecond, s.opts.RegistrationBurst)
 	s.evidence = newCollector()
+	clear(s.heard)
 	s.mu.Unlock()
 	s.extendLeases(now)
 	s.machine.signal()
--- a/control/log.go
+++ b/control/log.go
@@ -22,6 +22,8 @@
 	Status() LogStatus
 	// Members lists the replicas that hold the log, as this replica knows them.
 	Members() []api.Replica
+	// Size is the number of voters with which the group was founded.
+	Size() int
 	// AddReplica adds the replica at an address and returns once it votes; it may be
 	// repeated, and continues then. RemoveReplica removes every replica at an address; an
 	// address without one is no error. Both fail with *NotLeader on a replica that does not
@@ -43,6 +45,8 @@
 	// Leader is the link address of the leader, empty when none is known.
 	Leader string
 	Term   uint64
+	// Joined is false while the replica belongs to no group.
+	Joined bool
 }
 
 // NotLeader is the error of calls on a replica that does not lead.
@@ -109,9 +113,11 @@
 func (l *memoryLog) ReadBarrier(context.Context) error { return nil }
 
 func (l *memoryLog) Status() LogStatus {
-	return LogStatus{Leading: true, Leader: l.address, Term: 1}
+	return LogStatus{Leading: true, Leader: l.address, Term: 1, Joined: true}
 }
 
+func (l *memoryLog) Size() int { return 1 }
+
 func (l *memoryLog) Members() []api.Replica {
 	return []api.Replica{{Address: l.address, ID: 1, Voter: true}}
 }
--- /dev/null
+++ b/control/repair.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/control/state"
+)
+
+const (
+	// repairInterval is the time between looks at the control group.
+	repairInterval = 500 * time.Millisecond
+	// silentVoter is the silence after which a voter gives way to a replica that asks to
+	// join. A frozen or cut-off voter costs its place only when another one is at hand.
+	silentVoter = 1500 * time.Millisecond
+	// surplusVoter is the silence after which a voter beyond the group's size is removed.
+	surplusVoter = 3 * time.Second
+	// joinInterval is the time between two requests to join.
+	joinInterval = 300 * time.Millisecond
+	// joinTimeout bounds one request to join; it covers the catch-up of a small log.
+	joinTimeout = replicasTimeout + time.Second
+)
+
+// JoinReplica adds a replica that lost its disk, or that is new, to the control group. The
+// replica asks for itself. A voter that has been silent gives way, so that the group keeps
+// its size and a second loss right after the repair leaves a quorum.
+func (v *service) JoinReplica(in *api.JoinReplica, out *api.JoinReply) error {
+	if err := v.s.notLeading(); err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	if !v.s.changingReplicas.TryLock() {
+		_, err := redirect(errReplicasBusy)
+		return err
+	}
+	defer v.s.changingReplicas.Unlock()
+	ctx, cancel := context.WithTimeout(v.s.ctx, replicasTimeout)
+	defer cancel()
+	err := v.s.makeRoom(ctx, in.Address)
+	if err == nil {
+		err = v.s.log.AddReplica(ctx, in.Address)
+	}
+	_ = v.s.opts.Logger.Log("msg", "replica asked to join", "address", in.Address, "err", err)
+	out.Leader, err = redirect(err)
+	return err
+}
+
+// makeRoom removes the voter that has been silent longest if the group has its full size
+// without the replica that joins.
+func (s *Server) makeRoom(ctx context.Context, joining string) error {
+	members := s.log.Members()
+	if slices.ContainsFunc(members, func(m api.Replica) bool { return m.Address == joining }) {
+		return nil // it takes the place of its former identity
+	}
+	if countVoters(members) < s.log.Size() {
+		return nil
+	}
+	silent, ok := longestSilent(members, silentVoter)
+	if !ok {
+		return nil
+	}
+	_ = s.opts.Logger.Log("msg", "removing a silent replica", "address", silent.Address, "silent", silent.Silent)
+	return s.log.RemoveReplica(ctx, silent.Address)
+}
+
+// repairGroup removes a voter beyond the group's size that is gone, and records the
+// members for processes that look for control.
+func (s *Server) repairGroup() {
+	members := s.log.Members()
+	s.recordControl(members)
+	if countVoters(members) <= s.log.Size() {
+		return
+	}
+	silent, ok := longestSilent(members, surplusVoter)
+	if !ok || !s.changingReplicas.TryLock() {
+		return
+	}
+	defer s.changingReplicas.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, replicasTimeout)
+	defer cancel()
+	err := s.log.RemoveReplica(ctx, silent.Address)
+	_ = s.opts.Logger.Log("msg", "removed a silent replica", "address", silent.Address, "silent", silent.Silent, "err", err)
+}
+
+func (s *Server) recordControl(members []api.Replica) {
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.Address)
+	}
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	var recorded []string
+	s.machine.read(func(st *state.State) { recorded = st.Control() })
+	if slices.Equal(addresses, recorded) {
+		return
+	}
+	_, err := s.propose(&state.Command{SetControl: &state.SetControl{Addresses: addresses}})
+	s.report("record control replicas", err)
+}
+
+func countVoters(members []api.Replica) int {
+	n := 0
+	for _, m := range members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// longestSilent returns the voter that has been silent longest, for at least a time.
+func longestSilent(members []api.Replica, least time.Duration) (api.Replica, bool) {
+	var worst api.Replica
+	for _, m := range members {
+		if m.Voter && m.Silent >= least && m.Silent > worst.Silent {
+			worst = m
+		}
+	}
+	return worst, worst.Address != ""
+}
+
+// Join asks the control replicas to add this one until it belongs to a group. seeds are
+// the link addresses to ask.
+func (s *Server) Join(ctx context.Context, seeds []string) {
+	client := NewClient(s.opts.Network, seeds)
+	defer client.Close()
+	for ctx.Err() == nil && !s.log.Status().Joined {
+		attempt, cancel := context.WithTimeout(ctx, joinTimeout)
+		_, err := call(attempt, client, "JoinReplica", &api.JoinReplica{Address: s.opts.Self.LinkAddress}, func(r *api.JoinReply) (string, bool) { return r.Leader, true })
+		cancel()
+		_ = s.opts.Logger.Log("msg", "asked to join the control group", "seeds", len(seeds), "err", err)
+		sleepFor(ctx, joinInterval)
+	}
+}
+
+func sleepFor(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -71,13 +71,14 @@
 
 func (l *replicaLog) Status() LogStatus {
 	s := l.replica.Status()
-	return LogStatus{Leading: s.IsLeader, Leader: s.Leader, Term: s.Term}
+	return LogStatus{Leading: s.IsLeader, Leader: s.Leader, Term: s.Term, Joined: s.Joined}
 }
 
 func (l *replicaLog) Members() []api.Replica {
 	var out []api.Replica
-	for _, m := range l.replica.Status().Members {
-		out = append(out, api.Replica{Address: m.Address, ID: uint64(m.ID), Voter: !m.Learner})
+	status := l.replica.Status()
+	for _, m := range status.Members {
+		out = append(out, api.Replica{Address: m.Address, ID: uint64(m.ID), Voter: !m.Learner, Silent: status.Silent[m.ID]})
 	}
 	slices.SortFunc(out, func(a, b api.Replica) int {
 		return cmp.Or(strings.Compare(a.Address, b.Address), cmp.Compare(a.ID, b.ID))
@@ -85,6 +86,8 @@
 	return out
 }
 
+func (l *replicaLog) Size() int { return l.replica.Status().Founders }
+
 func (l *replicaLog) AddReplica(ctx context.Context, address string) error {
 	return logError(l.replica.AddReplica(ctx, replica.Member{Address: address}))
 }
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -7,8 +7,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/instance"
 )
 
@@ -34,8 +36,40 @@
 
 	ChangeReplicas *api.ChangeReplicas `msgpack:",omitempty"`
 	EndReplicas    *EndReplicas        `msgpack:",omitempty"`
+
+	ApplyDocument *contract.Document `msgpack:",omitempty"`
+	SetEvacuated  *SetEvacuated      `msgpack:",omitempty"`
+	StartMove     *StartMove         `msgpack:",omitempty"`
+	EndEndpoint   *EndEndpoint       `msgpack:",omitempty"`
+	SetControl    *SetControl        `msgpack:",omitempty"`
+}
+
+// SetEvacuated takes a failure domain out of service, or back into it.
+type SetEvacuated struct {
+	Domain    failuredomain.ID
+	Evacuated bool
+}
+
+// StartMove asks that a service under a document moves to a version.
+type StartMove struct {
+	Service string
+	To      string
+	// Within is the time until the deadline; Watch is how long the old version stays warm
+	// after the full share.
+	Within time.Duration
+	Watch  time.Duration
+}
+
+// EndEndpoint ends an endpoint that announced itself. Late announcements of this and of
+// earlier incarnations are refused.
+type EndEndpoint struct {
+	ID          endpoint.ID
+	Incarnation instance.Incarnation
 }
 
+// SetControl records the link addresses of the control replicas.
+type SetControl struct{ Addresses []string }
+
 // ClaimStep is a claim or a completion; exactly one is not nil.
 type ClaimStep struct {
 	Claim    *api.Claim         `msgpack:",omitempty"`
--- /dev/null
+++ b/control/state/document.go
@@ -0,0 +1,167 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/failuredomain"
+	"toucantiller.dev/instance"
+)
+
+// applyDocument puts a document in force if its number is higher than the one held. Any
+// other document is acknowledged and changes nothing, so that a resend is never refused.
+func (s *State) applyDocument(d *contract.Document) *Result {
+	if err := d.Validate(); err != nil {
+		return &Result{Refused: err.Error()}
+	}
+	if s.data.Document != nil && d.Version <= s.data.Document.Version {
+		return &Result{}
+	}
+	s.data.Document = d
+	s.raiseRevision()
+	s.compile()
+	return &Result{}
+}
+
+// Document returns the document in force, nil before the first. It is immutable.
+func (s *State) Document() *contract.Document { return s.data.Document }
+
+// setEvacuated takes a domain out or back. A repeated order changes nothing. Domains need
+// not be known: endpoints may appear there later.
+func (s *State) setEvacuated(c *SetEvacuated) *Result {
+	next := failuredomain.StateActive
+	if c.Evacuated {
+		next = failuredomain.StateDrained
+	}
+	d, known := s.data.Domains[c.Domain]
+	if !known {
+		d = failuredomain.Domain{ID: c.Domain, State: failuredomain.StateActive}
+	}
+	if d.State == next {
+		return &Result{}
+	}
+	d.State = next
+	d.ChangedAt = s.data.Now
+	s.data.Domains[c.Domain] = d
+	s.raiseRevision()
+	s.compile()
+	return &Result{}
+}
+
+// startDocumentMove opens a move of a service under a document. The last move to the same
+// version stands: an operator sends an order again until it is acknowledged.
+func (s *State) startDocumentMove(c *StartMove) *Result {
+	if s.data.Document == nil || !slices.ContainsFunc(s.data.Document.Services, func(x *contract.Service) bool { return x.Name == c.Service }) {
+		return &Result{Refused: fmt.Sprintf("there is no service %q", c.Service)}
+	}
+	if m := s.data.Moves[c.Service]; m != nil && (m.To == c.To || inProgress(m)) {
+		if m.To == c.To {
+			return &Result{}
+		}
+		return &Result{Refused: fmt.Sprintf("service %s has a move to %s in progress", c.Service, m.To)}
+	}
+	from := s.versionInForce(c.Service, c.To)
+	s.raiseRevision()
+	if from == "" {
+		// Nothing else serves, so there is nothing to move from.
+		s.data.Moves[c.Service] = &api.Move{
+			ID: s.data.Revision, Service: c.Service, To: c.To, State: api.MoveDone, Share: 1,
+			Started: s.data.Now, Ended: s.data.Now, Cause: "no other version serves",
+		}
+		s.compile()
+		return &Result{}
+	}
+	s.data.Versions[c.Service] = from
+	s.startMove(&contract.MoveSpec{Service: c.Service, From: from, To: c.To, Within: c.Within, Watch: c.Watch})
+	s.compile()
+	return &Result{}
+}
+
+// versionInForce returns the version that a move to another one starts from: the one that
+// the last move left, else the one that most endpoints serve.
+func (s *State) versionInForce(service, to string) string {
+	if v, ok := s.data.Versions[service]; ok && v != to {
+		return v
+	}
+	count := make(map[string]int)
+	for _, r := range s.data.Registrations {
+		if r.Endpoint != nil && r.Endpoint.Service == service && r.Endpoint.Version != to {
+			count[r.Endpoint.Version]++
+		}
+	}
+	best := ""
+	for v, n := range count {
+		if n > count[best] || (n == count[best] && strings.Compare(v, best) < 0) {
+			best = v
+		}
+	}
+	return best
+}
+
+// outdated says why an announcement is late, or "".
+func (s *State) outdated(e *endpoint.Endpoint) string {
+	if ended, ok := s.data.Ended[e.ID]; ok && e.Incarnation <= ended.Incarnation {
+		return fmt.Sprintf("endpoint %s has ended", e.ID)
+	}
+	if r, ok := s.data.Registrations[e.ID]; ok && r.Instance.Incarnation > e.Incarnation {
+		return fmt.Sprintf("endpoint %s has a later incarnation", e.ID)
+	}
+	for _, r := range s.data.Registrations {
+		if r.Endpoint != nil && r.Endpoint.Target == e.Target && r.Endpoint.ID != e.ID && r.Endpoint.Incarnation > e.Incarnation {
+			return fmt.Sprintf("endpoint %s has the address since", r.Endpoint.ID)
+		}
+	}
+	return ""
+}
+
+// replaceAtTarget ends the registration of an earlier endpoint at the same address.
+func (s *State) replaceAtTarget(e *endpoint.Endpoint) {
+	for id, r := range s.data.Registrations {
+		if r.Endpoint != nil && r.Endpoint.Target == e.Target && id != e.ID {
+			delete(s.leases, r.Lease)
+			delete(s.data.Registrations, id)
+		}
+	}
+}
+
+// endEndpoint ends an endpoint that said it leaves. Incarnation 0 stands for the one that
+// is registered.
+func (s *State) endEndpoint(c *EndEndpoint) *Result {
+	r, ok := s.data.Registrations[c.ID]
+	incarnation := c.Incarnation
+	if incarnation == 0 && ok {
+		incarnation = r.Instance.Incarnation
+	}
+	if e := s.data.Ended[c.ID]; e.Incarnation < incarnation {
+		s.data.Ended[c.ID] = Ended{Incarnation: incarnation, At: s.data.Now}
+	}
+	if ok && r.Instance.Incarnation <= incarnation {
+		delete(s.leases, r.Lease)
+		delete(s.data.Registrations, c.ID)
+		s.raiseDirectory()
+	}
+	return &Result{}
+}
+
+// Registration returns the registration of a process, nil without one. It is immutable.
+func (s *State) Registration(id instance.ID) *Registration { return s.data.Registrations[id] }
+
+// EndedIncarnation returns the incarnation at which an endpoint ended, 0 if it did not.
+func (s *State) EndedIncarnation(id endpoint.ID) instance.Incarnation {
+	return s.data.Ended[id].Incarnation
+}
+
+func (s *State) setControl(c *SetControl) *Result {
+	if !slices.Equal(s.data.Control, c.Addresses) {
+		s.data.Control = slices.Clone(c.Addresses)
+		s.raiseDirectory()
+	}
+	return &Result{}
+}
+
+// Control returns the recorded link addresses of the control replicas, in order.
+func (s *State) Control() []string { return slices.Clone(s.data.Control) }
--- a/control/state/move.go
+++ b/control/state/move.go
@@ -172,6 +172,16 @@
 
 // compile builds the configuration of the present revision.
 func (s *State) compile() {
+	if s.data.Document != nil {
+		s.config = contract.CompileDocument(contract.DocumentInput{
+			Revision: s.data.Revision,
+			Document: s.data.Document,
+			Domains:  s.copyDomains(),
+			Moves:    s.moveShares(),
+			Versions: s.copyVersions(),
+		})
+		return
+	}
 	if s.bundle == nil {
 		return
 	}
--- a/control/state/registration.go
+++ b/control/state/registration.go
@@ -19,6 +19,12 @@
 	if c.Endpoint != nil && c.Endpoint.ID != id {
 		return &Result{Refused: fmt.Sprintf("endpoint %s is announced by instance %s", c.Endpoint.ID, id)}
 	}
+	if c.Endpoint != nil && c.Endpoint.Target != "" {
+		if reason := s.outdated(c.Endpoint); reason != "" {
+			return &Result{Refused: reason}
+		}
+		s.replaceAtTarget(c.Endpoint)
+	}
 	r, ok := s.data.Registrations[id]
 	if ok && r.Instance == c.Instance && sameEndpoint(r.Endpoint, c.Endpoint) {
 		return &Result{Register: r}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -7,6 +7,7 @@
 
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/idempotency"
 	"toucantiller.dev/instance"
@@ -19,6 +20,8 @@
 	OperationRetention = 24 * time.Hour
 	// RestorePeriod is how long a restored domain counts as restoring.
 	RestorePeriod = time.Minute
+	// EndedRetention is how long a late announcement of an endpoint that ended is refused.
+	EndedRetention = 10 * time.Minute
 	// BundlesKept is the number of past bundles whose content is kept.
 	BundlesKept = 16
 )
@@ -47,6 +50,19 @@
 	Registrations map[instance.ID]*Registration
 	Lost          map[instance.ID]*Lost
 	Claims        idempotency.Table
+	// Document is the document in force, nil where bundles are used.
+	Document *contract.Document
+	// Ended holds the endpoints that announced their end.
+	Ended map[endpoint.ID]Ended
+	// Control lists the link addresses of the control replicas.
+	Control []string
+}
+
+// Ended is an endpoint that ended; announcements of Incarnation and of earlier ones are
+// late.
+type Ended struct {
+	Incarnation instance.Incarnation
+	At          time.Time
 }
 
 // Bundle is an applied bundle.
@@ -131,6 +147,16 @@
 		return s.maintain()
 	case c.Lead != nil:
 		return s.lead(c.Lead)
+	case c.ApplyDocument != nil:
+		return s.applyDocument(c.ApplyDocument)
+	case c.SetEvacuated != nil:
+		return s.setEvacuated(c.SetEvacuated)
+	case c.StartMove != nil:
+		return s.startDocumentMove(c.StartMove)
+	case c.EndEndpoint != nil:
+		return s.endEndpoint(c.EndEndpoint)
+	case c.SetControl != nil:
+		return s.setControl(c.SetControl)
 	case c.NextToken != nil:
 		s.data.Token++
 		return &Result{Token: s.data.Token}
@@ -172,6 +198,11 @@
 			delete(s.data.Lost, id)
 		}
 	}
+	for id, e := range s.data.Ended {
+		if s.data.Now.Sub(e.At) > EndedRetention {
+			delete(s.data.Ended, id)
+		}
+	}
 	s.activateDomains()
 	return &Result{}
 }
@@ -197,6 +228,7 @@
 	initMap(&d.Moves)
 	initMap(&d.Registrations)
 	initMap(&d.Lost)
+	initMap(&d.Ended)
 	next := State{data: d, leases: make(map[uint64]instance.ID, len(d.Registrations))}
 	for id, r := range d.Registrations {
 		next.leases[r.Lease] = id
--- a/control/state/view.go
+++ b/control/state/view.go
@@ -34,7 +34,7 @@
 	if s.directory != nil {
 		return s.directory
 	}
-	d := &api.Directory{Revision: s.data.DirectoryRevision}
+	d := &api.Directory{Revision: s.data.DirectoryRevision, Control: slices.Clone(s.data.Control)}
 	for _, r := range s.data.Registrations {
 		if r.Endpoint != nil {
 			d.Endpoints = append(d.Endpoints, *r.Endpoint)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -77,8 +77,28 @@
 	// Link is where the gateway serves net/rpc, as "ip:port"; an agent with an older
 	// configuration fetches the newer one there.
 	Link string
-	// Pass holds the caller's headers for the engine; only those of PassedHeaders travel.
+	// Pass holds the caller's headers for the engine; only those of PassedHeaders travel
+	// unless PassAll is set.
 	Pass http.Header
+	// PassAll asks that all headers of Pass reach the engine, and all of the engine's
+	// headers the caller.
+	PassAll bool
+	// Host is the caller's Host header, empty where the engine does not look at it.
+	Host string
+	// Engine describes the endpoint behind the agent; nil where the agent knows it.
+	Engine *Engine
+}
+
+// Engine is what a gateway knows of an endpoint that announced itself to control.
+type Engine struct {
+	// ID is the endpoint that is meant; another one at the address must refuse.
+	ID endpoint.ID
+	// Slots is the number of requests that it runs at once; 0 means not known.
+	Slots int
+	// ColdRate is the requests a second that it bears while cold; 0 means no bound.
+	ColdRate float64
+	// EventTokens is the number of tokens in one event of its streams; 0 means one.
+	EventTokens int
 }
 
 // PassedHeaders names the caller's headers that reach the engine, in canonical form.
@@ -126,10 +146,13 @@
 	headerPath     = "toucan-path"
 	headerClaim    = "toucan-claim"
 	headerLink     = "toucan-link"
+	headerHost     = "toucan-host"
+	headerEngine   = "toucan-engine"
+	headerPassAll  = "toucan-pass-all"
 )
 
 // HeaderCount is the number of HTTP headers that carry a Header.
-const HeaderCount = 16
+const HeaderCount = 24
 
 // Write sets the HTTP headers, with names in lower case.
 func (h *Header) Write(to http.Header) {
@@ -144,6 +167,19 @@
 	if h.Link != "" {
 		to[headerLink] = []string{h.Link}
 	}
+	if h.Host != "" {
+		to[headerHost] = []string{h.Host}
+	}
+	if e := h.Engine; e != nil {
+		to[headerEngine] = []string{strconv.Itoa(e.Slots) + ";" + strconv.Itoa(e.EventTokens) + ";" + strconv.FormatFloat(e.ColdRate, 'g', -1, 64) + ";" + string(e.ID)}
+	}
+	if h.PassAll {
+		to[headerPassAll] = []string{"1"}
+		for name, v := range h.Pass {
+			to[passPrefix+strings.ToLower(name)] = v
+		}
+		return
+	}
 	for i, name := range PassedHeaders {
 		if v := h.Pass[name]; len(v) > 0 {
 			to[passedNames[i]] = v
@@ -183,11 +219,27 @@
 		Path:    from.Get(headerPath),
 		Claim:   from.Get(headerClaim),
 		Link:    from.Get(headerLink),
+		Host:    from.Get(headerHost),
 		Pass:    make(http.Header),
 	}
 	if err := h.parseIdentity(from.Get(headerDispatch)); err != nil {
 		return nil, fmt.Errorf("dispatch header %s: %w", headerDispatch, err)
 	}
+	if v := from.Get(headerEngine); v != "" {
+		e, err := parseEngine(v)
+		if err != nil {
+			return nil, fmt.Errorf("dispatch header %s: %w", headerEngine, err)
+		}
+		h.Engine = e
+	}
+	if h.PassAll = from.Get(headerPassAll) != ""; h.PassAll {
+		for name, v := range from {
+			if passed, ok := strings.CutPrefix(name, passPrefixCanonical); ok && name != headerPassAllCanonical {
+				h.Pass[passed] = v
+			}
+		}
+		return h, nil
+	}
 	for i, name := range PassedHeaders {
 		if v := from.Values(passedNames[i]); len(v) > 0 {
 			h.Pass[name] = v
@@ -196,6 +248,33 @@
 	return h, nil
 }
 
+// Canonical forms of names on the link, as net/http gives them to a server.
+var (
+	passPrefixCanonical    = http.CanonicalHeaderKey(passPrefix + "x")[:len(passPrefix)]
+	headerPassAllCanonical = http.CanonicalHeaderKey(headerPassAll)
+)
+
+func parseEngine(s string) (*Engine, error) {
+	slots, rest, _ := strings.Cut(s, ";")
+	event, rest, _ := strings.Cut(rest, ";")
+	rate, id, more := strings.Cut(rest, ";")
+	if !more || id == "" {
+		return nil, errors.New("slots, rate and ID expected")
+	}
+	e := &Engine{ID: endpoint.ID(id)}
+	var err error
+	if e.Slots, err = strconv.Atoi(slots); err != nil || e.Slots < 0 {
+		return nil, fmt.Errorf("slots %q", slots)
+	}
+	if e.EventTokens, err = strconv.Atoi(event); err != nil || e.EventTokens < 0 {
+		return nil, fmt.Errorf("tokens of an event %q", event)
+	}
+	if e.ColdRate, err = strconv.ParseFloat(rate, 64); err != nil || !(e.ColdRate >= 0) {
+		return nil, fmt.Errorf("rate %q", rate)
+	}
+	return e, nil
+}
+
 // maxNumber bounds every field that is held in an int or a time.Duration.
 const maxNumber = 1 << 50
 
@@ -243,6 +322,8 @@
 type Heartbeat struct {
 	Revision uint64        `msgpack:"revision"`
 	Load     endpoint.Load `msgpack:"load"`
+	// Incarnation is the agent's; it is set in replies to PathLoad.
+	Incarnation instance.Incarnation `msgpack:"incarnation,omitempty"`
 }
 
 // Started carries the engine's status and headers; the dispatch is committed.
@@ -294,7 +375,11 @@
 	CodeCancelled        Code = "cancelled"
 	CodeEngineRefused    Code = "engine_refused"
 	CodeEngineLost       Code = "engine_lost"
-	CodeStaleConfig      Code = "stale_config"
+	// CodeUnreachable: no connection to the agent could be opened.
+	CodeUnreachable Code = "unreachable"
+	// CodeEngineFull: the engine itself refused the request before it ran.
+	CodeEngineFull  Code = "engine_full"
+	CodeStaleConfig Code = "stale_config"
 	// CodeQueueTime: the request waited as long as its tier allows.
 	CodeQueueTime Code = "queue_time"
 )
--- a/distribution/contact.go
+++ b/distribution/contact.go
@@ -101,3 +101,16 @@
 	f.waiting = append(f.waiting, f.called...)
 	f.called = nil
 }
+
+// WithSeeds returns the recorded control replicas, followed by the seeds that are not
+// among them: a process must find control both after the seeds were replaced and after
+// the record became old.
+func WithSeeds(recorded, seeds []string) []string {
+	out := slices.Clone(recorded)
+	for _, s := range seeds {
+		if !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/distribution/delta.go
+++ b/distribution/delta.go
@@ -64,6 +64,9 @@
 		d.Header.Services = nil
 		d.Services = changedServices(old.Services, next.Services)
 	}
+	if d.SameIngress = sameIngress(old.Ingress, next.Ingress); d.SameIngress {
+		d.Header.Ingress = nil
+	}
 	d.Header.Domains = nil
 	d.Domains, d.RemovedDomains = diffDomains(old.Domains, next.Domains)
 	before := accountsByName(old.Accounts)
@@ -77,6 +80,13 @@
 	return d
 }
 
+func sameIngress(a, b *contract.Ingress) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Version == b.Version
+}
+
 // changedServices returns what differs in two lists of the same length.
 func changedServices(old, next []*contract.Service) map[int]*contract.Service {
 	changed := make(map[int]*contract.Service)
@@ -112,6 +122,9 @@
 	if d.SameTiers {
 		next.Tiers = old.Tiers
 	}
+	if d.SameIngress {
+		next.Ingress = old.Ingress
+	}
 	if d.SameServices {
 		next.Services = slices.Clone(old.Services)
 		for i, s := range d.Services {
@@ -158,6 +171,7 @@
 		Domains:    c.Domains,
 		Services:   c.Services,
 		ServeStale: c.ServeStale,
+		Ingress:    c.Ingress,
 	}
 }
 
@@ -173,6 +187,7 @@
 	d := &api.DirectoryDelta{From: old.Revision, To: next.Revision}
 	d.Endpoints, d.RemovedEndpoints = diffSorted(old.Endpoints, next.Endpoints, endpointID)
 	d.Processes, d.RemovedProcesses = diffSorted(old.Processes, next.Processes, instanceID)
+	d.Control = next.Control
 	return d
 }
 
@@ -181,6 +196,7 @@
 		Revision:  d.To,
 		Endpoints: mergeSorted(old.Endpoints, d.Endpoints, d.RemovedEndpoints, endpointID),
 		Processes: mergeSorted(old.Processes, d.Processes, d.RemovedProcesses, instanceID),
+		Control:   d.Control,
 	}
 }
 
--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -50,6 +50,8 @@
 	opts    SubscriberOptions
 	clients map[string]*link.Client
 	leader  string
+	// seeds are the control replicas known from the settings.
+	seeds []string
 	// failed holds when addresses failed.
 	failed map[string]time.Time
 	parent atomic.Pointer[string]
@@ -68,7 +70,7 @@
 
 // NewSubscriber returns a subscriber; call Run.
 func NewSubscriber(opts SubscriberOptions) *Subscriber {
-	return &Subscriber{opts: opts, clients: make(map[string]*link.Client), failed: make(map[string]time.Time)}
+	return &Subscriber{opts: opts, seeds: opts.Control, clients: make(map[string]*link.Client), failed: make(map[string]time.Time)}
 }
 
 // Parent returns the address that the subscriber follows at present.
@@ -184,6 +186,9 @@
 		return
 	}
 	s.directory = d
+	if d != nil && len(d.Control) > 0 {
+		s.opts.Control = WithSeeds(d.Control, s.seeds)
+	}
 	s.relays = Parents(d, s.opts.Self)
 	s.peers = Peers(d, s.opts.Self)
 }
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -19,7 +19,8 @@
 	Service     string               `msgpack:"service" json:"service"`
 	Version     string               `msgpack:"version" json:"version"`
 	Domain      failuredomain.ID     `msgpack:"domain" json:"domain"`
-	// Address is where the agent takes dispatches, as "ip:port".
+	// Address is where the agent takes dispatches, as "ip:port"; empty for an endpoint
+	// without an agent, which gateways call at Target.
 	Address string `msgpack:"address" json:"address"`
 	// LinkAddress is where the agent serves net/rpc, as "ip:port".
 	LinkAddress string `msgpack:"link_address" json:"link_address"`
@@ -27,6 +28,12 @@
 	AdminAddress string `msgpack:"admin_address" json:"admin_address"`
 	// Leaving is set once the agent has begun to drain.
 	Leaving bool `msgpack:"leaving" json:"leaving"`
+	// Target is the address of the endpoint itself, as "ip:port". It is set for endpoints
+	// that announce themselves; ID and Incarnation are then the endpoint's and not those of
+	// its agent.
+	Target string `msgpack:"target" json:"target,omitempty"`
+	// Slots is the number of requests that the endpoint runs at once; 0 means not known.
+	Slots int `msgpack:"slots" json:"slots,omitempty"`
 }
 
 // Load is an agent's report on its endpoint. It travels on dispatch frames.
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -24,8 +25,32 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Host is the caller's Host header; empty means that of the engine.
+	Host string
+	// Endpoint is the ID of the endpoint that is meant; another one at its address must
+	// refuse the request. Empty where endpoints have no ID of their own.
+	Endpoint ID
+	// Account is the client account, for engines that are told.
+	Account string
+	// Timeout is the time left until the caller's deadline.
+	Timeout time.Duration
 }
 
+// RefusedError is returned by Engine.Submit for a request that the engine refused before
+// it ran. It wraps ErrNotSent: the request did not run.
+type RefusedError struct {
+	// Status is the engine's HTTP status.
+	Status int
+	// Misdirected is set when another endpoint has the address.
+	Misdirected bool
+}
+
+// Error names the status.
+func (e *RefusedError) Error() string { return fmt.Sprintf("the engine refused with status %d", e.Status) }
+
+// Unwrap returns ErrNotSent.
+func (e *RefusedError) Unwrap() error { return ErrNotSent }
+
 // Answer is a started answer. Body must be closed; closing early cancels.
 type Answer struct {
 	Status int
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -45,6 +45,10 @@
 	o.status = status
 	o.header = header
 	o.live = !o.call.claimed() && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+	if o.call.verbatim() {
+		o.w.Header().Del(headerEndpoint)
+		o.w.Header().Del(headerVersion)
+	}
 }
 
 func (o *answerWriter) data(p []byte) {
@@ -111,7 +115,7 @@
 	if a.TooLarge {
 		return newProblem(http.StatusBadGateway, "answer_too_large", Failed, "the answer exceeds the %d bytes that are stored for an Idempotency-Key", dispatch.MaxStoredAnswer)
 	}
-	if a.Status >= http.StatusInternalServerError && o.call.service.Kind == contract.KindModel {
+	if a.Status >= http.StatusInternalServerError && o.call.service.Kind == contract.KindModel && !o.call.verbatim() {
 		return newProblem(http.StatusBadGateway, "engine_failed", Failed, "the engine answered %d", a.Status)
 	}
 	copyHeader(o.w.Header(), a.Header)
@@ -143,10 +147,10 @@
 // error event; another answer is broken off, so that it cannot look complete.
 func (o *answerWriter) fail(p *Problem) {
 	if !o.begun {
-		p.write(o.w)
+		o.call.writeProblem(o.w, p)
 		return
 	}
-	if o.live && !o.failedWrite {
+	if o.live && !o.failedWrite && !o.call.verbatim() {
 		// The blank line ends an event that was cut, so that the error is one of its own.
 		o.write([]byte("\n\nevent: error\ndata: " + string(p.document()) + "\n\n"))
 		o.flush()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 	"toucantiller.dev/schedule"
 	"toucantiller.dev/timeline"
@@ -36,6 +37,8 @@
 	client    *http.Client
 	out       *answerWriter
 	id        dispatch.ID
+	// agent is the incarnation that the dispatch is meant for.
+	agent instance.Incarnation
 
 	began time.Time
 	first time.Time
@@ -63,7 +66,10 @@
 
 func (g *Gateway) newAttempt(c *call, out *answerWriter, d schedule.Decision) *attempt {
 	e := &d.Candidate.Endpoint
-	a := &attempt{gateway: g, call: c, decision: d, candidate: d.Candidate, endpoint: e, peer: g.peer(e.Address), out: out}
+	a := &attempt{gateway: g, call: c, decision: d, candidate: d.Candidate, endpoint: e, out: out, agent: e.Incarnation}
+	if e.Address != "" {
+		a.peer = g.peer(e.Address)
+	}
 	a.id = g.newID(c)
 	if load, _, ok := d.Candidate.Load(); ok && load.Limit > 0 {
 		a.load = float64(load.Running) / float64(load.Limit)
@@ -81,8 +87,18 @@
 // is unknown, or it provably did not run.
 func (a *attempt) run(ctx context.Context) result {
 	a.began = time.Now()
+	if a.peer == nil {
+		return a.runDirect(ctx)
+	}
 	a.peer.use.begin()
 	defer a.peer.use.end()
+	if a.endpoint.Target != "" {
+		var err error
+		if a.agent, err = a.peer.agentIncarnation(ctx); err != nil {
+			a.candidate.Suspend(time.Now().Add(suspendTime))
+			return a.notRun(dispatch.CodeUnreachable, &link.Error{Step: "asking the agent", Peer: a.endpoint.Address, Err: err})
+		}
+	}
 	a.client = a.peer.client.Load()
 	ctx, cancel := context.WithDeadline(ctx, a.call.deadline.Add(deadlineGrace))
 	defer cancel()
@@ -122,7 +138,7 @@
 func (a *attempt) request(ctx context.Context) *http.Request {
 	c := a.call
 	h := dispatch.Header{
-		ID: a.id, Agent: a.endpoint.Incarnation, Service: c.service.Name, Version: a.endpoint.Version,
+		ID: a.id, Agent: a.agent, Service: c.service.Name, Version: a.endpoint.Version,
 		Route: c.route.Name, Account: c.account.Name, Method: c.method, Path: c.path, Tier: c.tier,
 		Revision: c.config.Revision, Timeout: max(time.Until(c.deadline), time.Microsecond),
 		PromptTokens: c.promptTokens, AnswerTokens: c.answerTokens, Pass: c.pass,
@@ -131,6 +147,11 @@
 	if c.claimed() {
 		h.Claim = c.account.Name + "/" + c.key
 	}
+	if a.endpoint.Target != "" {
+		h.PassAll = true
+		h.Host = c.host
+		h.Engine = &dispatch.Engine{ID: a.endpoint.ID, Slots: a.endpoint.Slots, ColdRate: c.service.ColdRate, EventTokens: c.service.EventTokens}
+	}
 	a.trace.GotConn = func(httptrace.GotConnInfo) { a.connected.Store(true) }
 	req := a.peer.dispatch.WithContext(httptrace.WithClientTrace(ctx, &a.trace))
 	req.Header = make(http.Header, dispatch.HeaderCount)
@@ -240,7 +261,14 @@
 }
 
 func (a *attempt) refused(m *dispatch.Refused) result {
-	if m.Code == dispatch.CodeWrongIncarnation || m.Code == dispatch.CodeWrongVersion {
+	switch {
+	case m.Code == dispatch.CodeWrongIncarnation && a.endpoint.Target != "":
+		// The agent has restarted; the next attempt asks for its incarnation.
+		a.peer.forget(a.agent)
+	case m.Code == dispatch.CodeEngineRefused && a.endpoint.Target != "":
+		// Its address is silent or another endpoint's; the directory follows.
+		a.candidate.Suspend(time.Now().Add(suspendTime))
+	case m.Code == dispatch.CodeWrongIncarnation, m.Code == dispatch.CodeWrongVersion:
 		a.candidate.Suspend(time.Now().Add(suspendTime))
 	}
 	status := http.StatusServiceUnavailable
@@ -286,7 +314,10 @@
 	wait := time.Until(a.call.deadline) + settleTimeout
 	settling, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(wait, settleTimeout))
 	defer cancel()
-	stands, answer, _ := a.peer.settle(settling, a.id, a.endpoint.Incarnation, a.call.claimed())
+	stands, answer, _ := a.peer.settle(settling, a.id, a.agent, a.call.claimed())
+	if stands == standsGone {
+		a.peer.forget(a.agent)
+	}
 	switch stands {
 	case standsSealed:
 		return a.notRun(dispatch.CodeSealed, cause)
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -5,11 +5,12 @@
 // Bounds of the retry budget, in thousandths of a retry.
 const (
 	retryCost = 1000
-	// retryShare allows one retry for five requests, so that an overload in which every
-	// attempt is refused raises the load on agents by at most a fifth.
-	retryShare = 200
-	// retryReserve lets a gateway with little traffic retry.
-	retryReserve = 20 * retryCost
+	// retryShare allows one retry for seven requests, so that an overload in which every
+	// attempt is refused raises the load on endpoints by less than a fifth.
+	retryShare = 150
+	// retryReserve lets a gateway with little traffic retry. All gateways together may use
+	// theirs in the same seconds.
+	retryReserve = 4 * retryCost
 )
 
 // retryBudget bounds retries to a share of recent requests.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -60,12 +60,27 @@
 	// hash draws the version and stays the same over attempts.
 	hash     uint64
 	prefixes []schedule.Prefix
+	// host is the caller's Host header for the engine.
+	host string
+	// ingress is the route of a call that came by host and path; nil for the product's own
+	// interface.
+	ingress *contract.IngressRoute
+	// problem writes a problem as the caller's interface has it.
+	problem func(w http.ResponseWriter, p *Problem)
+	// cost is what the call counts against the account's token budget.
+	cost int
+	// ran lists the endpoints that may have run the call.
+	ran []endpoint.ID
 	// excluded lists endpoints that cannot take the call.
 	excluded []endpoint.ID
 }
 
+// verbatim reports whether status, headers and body of the endpoint reach the caller
+// unchanged.
+func (c *call) verbatim() bool { return c.ingress != nil }
+
 // claimed reports whether the call needs an idempotency claim.
-func (c *call) claimed() bool { return c.key != "" && !c.route.Idempotent }
+func (c *call) claimed() bool { return c.key != "" && !c.route.Idempotent && c.ingress == nil }
 
 // Handler returns the caller interface.
 func (g *Gateway) Handler() http.Handler {
--- /dev/null
+++ b/gateway/direct.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/timeline"
+)
+
+// directBuffer is the size of the reads of an answer, in bytes.
+const directBuffer = 8 << 10
+
+// directShare is the part of an endpoint's connections that one gateway may open. All
+// gateways together must stay below what the endpoint accepts.
+const directShare = 1.0 / 16
+
+// directConnections returns the bound on this gateway's connections to one endpoint.
+func directConnections(accepted int) int {
+	if accepted <= 0 {
+		return 0
+	}
+	return max(2, int(directShare*float64(accepted)))
+}
+
+// engine returns the client of an endpoint without an agent.
+func (g *Gateway) engine(target string, accepted int) endpoint.Engine {
+	if e, ok := g.engines.Load(target); ok {
+		return e.(endpoint.Engine)
+	}
+	e, _ := g.engines.LoadOrStore(target, g.opt.NewEngine(target, directConnections(accepted)))
+	return e.(endpoint.Engine)
+}
+
+// dropEngines forgets the clients of endpoints that are no longer registered.
+func (g *Gateway) dropEngines(endpoints []endpoint.Endpoint) {
+	known := make(map[string]bool, len(endpoints))
+	for i := range endpoints {
+		known[endpoints[i].Target] = true
+	}
+	g.engines.Range(func(target, e any) bool {
+		if !known[target.(string)] {
+			g.engines.Delete(target)
+			if c, ok := e.(io.Closer); ok {
+				_ = c.Close() // only idle connections are closed, which cannot fail
+			}
+		}
+		return true
+	})
+}
+
+// runDirect sends the call to an endpoint without an agent, at most once.
+func (a *attempt) runDirect(ctx context.Context) result {
+	c := a.call
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	engine := a.gateway.engine(a.endpoint.Target, c.service.MaxConnections)
+	answer, err := engine.Submit(ctx, &endpoint.Request{
+		ID: a.id.String(), Method: c.method, Path: c.path, Header: c.pass, Body: c.body, Host: c.host,
+		Endpoint: a.endpoint.ID, Account: c.account.Name, Timeout: time.Until(c.deadline),
+	})
+	if err != nil {
+		return a.submitFailed(ctx, err)
+	}
+	defer answer.Body.Close()
+	a.out.start(a.endpoint, answer.Status, answer.Header)
+	buffer := make([]byte, directBuffer)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			a.data(buffer[:n])
+			a.out.flush()
+		}
+		if errors.Is(err, io.EOF) {
+			a.succeeded(&dispatch.End{})
+			return result{}
+		}
+		if err != nil {
+			return a.brokenOff(ctx, err)
+		}
+	}
+}
+
+// submitFailed settles a direct call that got no answer.
+func (a *attempt) submitFailed(ctx context.Context, err error) result {
+	var refused *endpoint.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		code := dispatch.CodeEngineFull
+		if refused.Misdirected {
+			code = dispatch.CodeEngineRefused
+			a.candidate.Suspend(time.Now().Add(suspendTime))
+		}
+		return a.notRun(code, err)
+	case errors.Is(err, endpoint.ErrNotSent):
+		if ctx.Err() == nil {
+			a.candidate.Suspend(time.Now().Add(suspendTime))
+		}
+		return a.notRun(dispatch.CodeUnreachable, err)
+	}
+	return a.brokenOff(ctx, err)
+}
+
+// brokenOff reports a direct call whose outcome is unknown.
+func (a *attempt) brokenOff(ctx context.Context, err error) result {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return result{problem: newProblem(statusClientClosed, "caller_left", Unknown, "the caller closed the connection")}
+	}
+	a.failed(ctx.Err() == nil)
+	a.gateway.opt.Timeline.Record(timeline.Event{Kind: "dispatch.lost", Request: a.call.id, Endpoint: string(a.endpoint.ID), Detail: err.Error()})
+	if ctx.Err() != nil {
+		return result{problem: newProblem(http.StatusGatewayTimeout, "deadline", Unknown, "%v", err)}
+	}
+	return result{problem: newProblem(http.StatusBadGateway, "endpoint_lost", Unknown, "%v", err)}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"toucantiller.dev/admission"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 	"toucantiller.dev/schedule"
@@ -61,6 +62,12 @@
 	Logger   log.Logger
 	Timeline *timeline.Recorder
 	Meter    metric.Meter
+	// NewEngine returns the client of an endpoint without an agent, at "ip:port".
+	// maxConnections bounds its open connections; 0 means no bound. It may be nil where all
+	// endpoints have agents.
+	NewEngine func(target string, maxConnections int) endpoint.Engine
+	// Handler returns the interface for callers; nil means the product's own.
+	Handler func(*Gateway) http.Handler
 	// StopDelay is how long Stop goes on accepting calls. A balancer that has seen /readyz
 	// fail sends no more by then; a listener that is closed earlier resets the connections
 	// that it has not accepted yet, and an idle connection may just carry a new call.
@@ -81,7 +88,7 @@
 	rebuild   sync.Mutex
 	accounts  admission.AccountLimits
 	estimator schedule.AnswerEstimator
-	budget    retryBudget
+	engines   sync.Map // target -> endpoint.Engine
 	claims    sync.Map // account and key -> runningClaim, of calls in progress
 
 	tasks     sync.WaitGroup
@@ -112,7 +119,11 @@
 	g.idle = newIdleLinks(&g.peers)
 	g.idPrefix = fmt.Sprintf("%s-%x-", opt.Instance.ID, uint64(opt.Instance.Incarnation))
 	g.taskCtx, g.endTasks = context.WithCancel(context.Background())
-	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: callerReadHeader, IdleTimeout: callerIdle}
+	handler := g.Handler()
+	if opt.Handler != nil {
+		handler = opt.Handler(g)
+	}
+	g.server = &http.Server{Handler: handler, ReadHeaderTimeout: callerReadHeader, IdleTimeout: callerIdle}
 	g.server.ErrorLog = stdlog.New(log.NewStdlibAdapter(opt.Logger), "", 0)
 	return g, nil
 }
--- /dev/null
+++ b/gateway/ingress.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"toucantiller.dev/account"
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/schedule"
+)
+
+// Arrival is a caller's request as an adapter of another interface decoded it. Its route
+// follows from host and path.
+type Arrival struct {
+	// ID names the caller's attempt; it is unique.
+	ID     string
+	Host   string
+	Method string
+	// Path is the path alone; Target is path and query as the caller sent them.
+	Path   string
+	Target string
+	// Key is the caller's key, empty without one.
+	Key string
+	// Timeout is the time that the caller waits; 0 if it did not say.
+	Timeout time.Duration
+	// Sized is set where the caller stated PromptTokens and MaxAnswerTokens.
+	Sized           bool
+	PromptTokens    int
+	MaxAnswerTokens int
+	// ExpectedAnswer is the caller's estimate of the answer in tokens, 0 without one.
+	ExpectedAnswer int
+	// Prefixes lists hashed prefixes of the prompt, from the shortest to the longest.
+	Prefixes []schedule.Prefix
+	// Header holds the caller's headers for the endpoint.
+	Header http.Header
+	Body   []byte
+}
+
+// anonymous is the account of calls on public routes without a key.
+var anonymous = &account.Account{Weight: 1}
+
+// retrySoon is the time after which a caller may come back to a gateway that cannot serve
+// yet, for example because it has no configuration.
+const retrySoon = 300 * time.Millisecond
+
+// ServeArrival runs a request that came by host and path. writeProblem answers refusals
+// and failures in the adapter's form.
+func (g *Gateway) ServeArrival(w http.ResponseWriter, r *http.Request, in *Arrival, writeProblem func(http.ResponseWriter, *Problem)) {
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c, p := g.beginArrival(in)
+	if p != nil {
+		g.metrics.problem(p)
+		writeProblem(w, p)
+		return
+	}
+	c.problem = writeProblem
+	g.serve(w, r, c)
+}
+
+func (g *Gateway) beginArrival(in *Arrival) (*call, *Problem) {
+	now := time.Now()
+	config := g.opt.View.Config()
+	if config == nil || config.Ingress == nil || !g.opt.View.MayServe(now) {
+		return nil, retryProblem("no_configuration", "no current configuration at this gateway")
+	}
+	route, ok := config.Ingress.Route(in.Host, in.Path)
+	if !ok {
+		return nil, newProblem(http.StatusNotFound, "unknown_route", NotRun, "no route for %s%s", in.Host, in.Path)
+	}
+	c := &call{
+		config: config, ingress: route, id: in.ID, method: in.Method, host: in.Host, path: in.Target, body: in.Body,
+		pass: in.Header, hash: rand.Uint64(), prefixes: in.Prefixes, //nolint:gosec // load balancing needs no secrecy
+		route: contract.Route{Name: route.Name, Idempotent: route.Repeatable()},
+	}
+	if p := c.findAccount(in.Key); p != nil {
+		return nil, p
+	}
+	if c.service, ok = config.ServiceByName(route.Pick(c.hash)); !ok {
+		return nil, newProblem(http.StatusNotFound, "unknown_service", NotRun, "route %s has no service", route.Name)
+	}
+	c.stream = route.Kind == contract.RouteStream
+	c.size(in)
+	timeout := route.Timeout
+	if in.Timeout > 0 {
+		timeout = min(timeout, in.Timeout)
+	}
+	c.deadline = now.Add(timeout)
+	return c, nil
+}
+
+// findAccount finds the account of the key, which public routes do not need.
+func (c *call) findAccount(key string) *Problem {
+	c.account = anonymous
+	if a, ok := c.config.AccountByKey(key); ok {
+		c.account = a
+	} else if !c.ingress.Public && len(c.config.Accounts) > 0 {
+		return newProblem(http.StatusUnauthorized, "unknown_key", NotRun, "the key belongs to no client account")
+	}
+	c.tier = c.ingress.Tier
+	if c.account.OwnTier {
+		c.tier = c.account.Tier
+	}
+	return nil
+}
+
+// size takes the sizes that the caller stated. The expected answer decides placement; the
+// stated maximum counts against the account's budget.
+func (c *call) size(in *Arrival) {
+	c.promptTokens = in.PromptTokens
+	c.answerTokens = in.MaxAnswerTokens
+	if in.ExpectedAnswer > 0 {
+		c.answerTokens = in.ExpectedAnswer
+	}
+	c.cost = c.account.PlainTokens
+	if in.Sized && !c.account.CountRequests {
+		c.cost = in.PromptTokens + in.MaxAnswerTokens
+	}
+}
+
+// writeProblem answers with a problem in the form of the caller's interface.
+func (c *call) writeProblem(w http.ResponseWriter, p *Problem) {
+	if c.problem == nil {
+		p.write(w)
+		return
+	}
+	c.problem(w, p)
+}
+
+func retryProblem(code, detail string) *Problem {
+	p := newProblem(http.StatusServiceUnavailable, code, NotRun, "%s", detail)
+	p.RetryAfter = retrySoon
+	return p
+}
+
+// mayRepeat reports whether a call that ran may run once more: its route allows it, no part
+// of the answer was given, and the endpoint failed or its answer was lost.
+func (o *answerWriter) mayRepeat(r *result) bool {
+	c := o.call
+	if c.ingress == nil || !c.ingress.Repeatable() || o.begun || len(c.ran) == 0 || len(c.ran) >= c.ingress.MaxAttempts {
+		return false
+	}
+	if r.problem != nil {
+		return !r.notRun && r.problem.Status == http.StatusBadGateway
+	}
+	return o.status >= http.StatusInternalServerError
+}
+
+// setAside keeps the answer of an endpoint that failed and makes room for another one.
+func (o *answerWriter) setAside(r result) result {
+	if r.problem == nil {
+		r.stored = o.stored()
+	}
+	o.status, o.header, o.buffer, o.live = 0, nil, nil, false
+	return r
+}
+
+// tokenShare is this gateway's part of the accounts' token limits.
+func tokenShare(d *api.Directory) float64 {
+	gateways := 0
+	if d != nil {
+		for _, p := range d.Processes {
+			if p.Role == instance.RoleGateway {
+				gateways++
+			}
+		}
+	}
+	return 1 / float64(max(gateways, 1))
+}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -33,8 +33,30 @@
 	dispatch *http.Request
 	client   atomic.Pointer[http.Client]
 	use      use
+	// incarnation is the agent's, 0 while it is not known. It is used for endpoints that
+	// announce themselves, whose agents do not register.
+	incarnation atomic.Uint64
 }
 
+// agentIncarnation returns the incarnation of the agent, asking for it when it is not
+// known. A dispatch must name it, so that a restarted agent refuses the dispatch.
+func (p *peer) agentIncarnation(ctx context.Context) (instance.Incarnation, error) {
+	if known := p.incarnation.Load(); known != 0 {
+		return instance.Incarnation(known), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var m dispatch.Heartbeat
+	if err := p.call(ctx, http.MethodGet, dispatch.PathLoad, nil, &m); err != nil {
+		return 0, err
+	}
+	p.incarnation.Store(uint64(m.Incarnation))
+	return m.Incarnation, nil
+}
+
+// forget drops an incarnation that turned out to be gone.
+func (p *peer) forget(i instance.Incarnation) { p.incarnation.CompareAndSwap(uint64(i), 0) }
+
 func newPeer(network link.Network, address string, links *idleLinks) *peer {
 	p := &peer{network: network, address: address, use: use{links: links}}
 	p.dispatch = &http.Request{
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -27,6 +27,7 @@
 type serviceQueue struct {
 	gateway *Gateway
 	service string
+	budget  retryBudget
 	// waiting mirrors the length of queue.
 	waiting atomic.Int64
 
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -64,8 +64,8 @@
 		next.queues = old.queues
 	}
 	next.snapshot = schedule.NewSnapshot(in)
+	g.accounts.Update(config.Accounts, tokenShare(directory), now)
 	if old == nil || old.config != config {
-		g.accounts.Update(config.Accounts, now)
 		next.queues = g.buildQueues(next.queues, config)
 	}
 	g.dropPeers(in.Endpoints)
@@ -91,6 +91,7 @@
 	for i := range endpoints {
 		known[endpoints[i].Address] = true
 	}
+	g.dropEngines(endpoints)
 	g.peers.Range(func(address, p any) bool {
 		if !known[address.(string)] {
 			g.peers.Delete(address)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -18,14 +18,16 @@
 	began := time.Now()
 	// A new configuration brings new account limits.
 	g.route()
-	pass, refused := g.accounts.Enter(c.account.Name, c.tier, began)
+	pass, refused := g.accounts.Enter(c.account.Name, c.tier, c.cost, began)
 	if refused != nil {
 		g.metrics.shed(refused)
-		refusalProblem(refused).write(w)
+		c.writeProblem(w, refusalProblem(refused))
 		return
 	}
 	defer pass.Leave()
-	g.budget.request()
+	if q := g.route().queues[c.service.Name]; q != nil {
+		q.budget.request()
+	}
 	g.opt.Timeline.Record(timeline.Event{Kind: "request.received", Request: c.id, Revision: c.config.Revision})
 	out := newAnswerWriter(w, c)
 	defer func() { g.metrics.duration.record(time.Since(began)) }()
@@ -35,6 +37,9 @@
 		g.opt.Timeline.Record(timeline.Event{Kind: "request.done", Request: c.id})
 		return
 	}
+	if p.Execution == NotRun {
+		pass.Refund()
+	}
 	g.metrics.problem(p)
 	g.opt.Timeline.Record(timeline.Event{Kind: "request.problem", Request: c.id, Detail: p.Code + " " + string(p.Execution)})
 	out.fail(p)
@@ -48,6 +53,9 @@
 	if r.problem != nil {
 		return r.problem
 	}
+	if r.stored != nil {
+		return out.deliver(r.stored)
+	}
 	return out.finish()
 }
 
@@ -57,9 +65,17 @@
 	var last result
 	for attempts := 0; attempts < maxAttempts; attempts++ {
 		r, again := g.tryOnce(ctx, c, out, claim)
+		if out.mayRepeat(&r) && g.repeat(c) {
+			last = out.setAside(r)
+			continue
+		}
 		if r.problem == nil || !r.notRun {
 			return r
 		}
+		if last.stored != nil {
+			// The repeat found no endpoint, so the first endpoint's answer stands.
+			return last
+		}
 		if again && refusedForLoad(r.code) {
 			// The queue decides what is shed, by tier and over all endpoints. A bound on
 			// attempts here would shed this request before lower tiers.
@@ -72,7 +88,7 @@
 			return last
 		}
 		last = r
-		if !again || !g.mayRetry(r) {
+		if !again || !g.mayRetry(c, r) {
 			return last
 		}
 	}
@@ -103,6 +119,9 @@
 	r = a.run(ctx)
 	if r.notRun {
 		c.exclude(a, r.code)
+	} else {
+		c.ran = append(c.ran, a.endpoint.ID)
+		c.excluded = append(c.excluded, a.endpoint.ID)
 	}
 	return r, true
 }
@@ -110,7 +129,7 @@
 // mayRetry allows another attempt after a proven not-run. Work handed back by an
 // endpoint that leaves has cost nothing, so it is not charged to the budget. An agent
 // that cannot meet the deadline does not speak for faster ones.
-func (g *Gateway) mayRetry(r result) bool {
+func (g *Gateway) mayRetry(c *call, r result) bool {
 	if r.code == dispatch.CodeCancelled || r.code == "" {
 		return false
 	}
@@ -118,7 +137,13 @@
 		g.metrics.replaced.one()
 		return true
 	}
-	if !g.budget.retry() {
+	return g.repeat(c)
+}
+
+// repeat takes one repeat from the retry budget of the call's service.
+func (g *Gateway) repeat(c *call) bool {
+	q := g.route().queues[c.service.Name]
+	if q == nil || !q.budget.retry() {
 		g.metrics.budgetEmpty.one()
 		return false
 	}
@@ -133,7 +158,7 @@
 
 func handedBack(code dispatch.Code) bool {
 	switch code {
-	case dispatch.CodeDraining, dispatch.CodeDomainDrained, dispatch.CodeWrongIncarnation, dispatch.CodeWrongVersion:
+	case dispatch.CodeDraining, dispatch.CodeDomainDrained, dispatch.CodeWrongIncarnation, dispatch.CodeWrongVersion, dispatch.CodeUnreachable:
 		return true
 	}
 	return false
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -104,10 +104,12 @@
 // Limiter adapts the concurrency limit of one endpoint. It is not safe for
 // concurrent use.
 type Limiter struct {
-	opt    Options
-	limit  float64
-	tokens float64
-	cold   bool
+	opt Options
+	// declared is the limit that the endpoint is known to have, 0 if it is not known.
+	declared int
+	limit    float64
+	tokens   float64
+	cold     bool
 
 	calls  calls
 	first  line
@@ -160,13 +162,18 @@
 }
 
 // Limit is the number of requests the endpoint can bear; at least 1.
-func (l *Limiter) Limit() int { return int(l.limit) }
+func (l *Limiter) Limit() int {
+	if l.declared > 0 {
+		return l.declared
+	}
+	return int(l.limit)
+}
 
 // TokenLimit is the number of outstanding prompt tokens the endpoint can bear.
 func (l *Limiter) TokenLimit() int { return int(l.tokens) }
 
 // Cold reports whether the limit is still ramping up from 1.
-func (l *Limiter) Cold() bool { return l.cold }
+func (l *Limiter) Cold() bool { return l.cold && l.declared == 0 }
 
 // Rates returns the learned speeds in tokens per second; 0 means not known. They
 // are those of the endpoint with few calls. A rate measured under load would keep
@@ -185,7 +192,7 @@
 // fast again.
 func (l *Limiter) LeastTime(promptTokens, answerTokens, waiting int) time.Duration {
 	prefill, decode := l.Rates()
-	used := math.Min(1, float64(l.calls.open+waiting)/l.limit)
+	used := math.Min(1, float64(l.calls.open+waiting)/float64(l.Limit()))
 	seconds := 0.0
 	if prefill > 0 {
 		seconds += float64(promptTokens) / prefill
@@ -320,12 +327,21 @@
 	}
 }
 
+// Declare sets the limit in requests to what the endpoint is known to run at once. 0
+// leaves the limit to adapt. Baseline and rates are still learned.
+func (l *Limiter) Declare(slots int) {
+	l.declared = slots
+	if slots > 0 {
+		l.cold = false
+	}
+}
+
 // Restart forgets the endpoint: limit 1, cold, no rates. Use it when the engine
 // is known to have restarted.
 func (l *Limiter) Restart() {
-	open := l.calls
+	open, declared := l.calls, l.declared
 	*l = *New(l.opt)
-	l.calls = open
+	l.calls, l.declared = open, declared
 }
 
 // Waiting examines calls that have not finished. It returns true when calls that
--- a/program/agent.go
+++ b/program/agent.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/url"
+	"strings"
 
 	kitlog "github.com/go-kit/log"
 
@@ -14,19 +15,21 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/platform"
 )
 
 // AgentSettings are the settings of an agent.
 type AgentSettings struct {
 	Common            `embed:""`
-	Service           string   `help:"Service that the endpoint belongs to." env:"TOUCAN_SERVICE" required:""`
-	ServiceVersion    string   `help:"Version that the endpoint serves." env:"TOUCAN_SERVICE_VERSION" required:""`
+	Service           string   `help:"Service that the endpoint belongs to." env:"TOUCAN_SERVICE"`
+	ServiceVersion    string   `help:"Version that the endpoint serves." env:"TOUCAN_SERVICE_VERSION"`
+	SelfAnnounced     bool     `help:"The endpoint announces itself to control on the users' platform; the agent needs neither service nor control." env:"TOUCAN_SELF_ANNOUNCED"`
 	Engine            string   `help:"Base URL of the engine or plain service." env:"TOUCAN_ENGINE" required:""`
 	DispatchListen    string   `help:"Address for dispatches of gateways, ip:port." env:"TOUCAN_DISPATCH_LISTEN" default:"127.0.0.1:7400"`
 	DispatchAdvertise string   `help:"Address at which gateways reach --dispatch-listen, ip:port, if not that address." env:"TOUCAN_DISPATCH_ADVERTISE"`
 	LinkListen        string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7401"`
 	LinkAdvertise     string   `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
-	Control           []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
+	Control           []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL"`
 }
 
 // Check checks the settings.
@@ -37,11 +40,27 @@
 		CheckAdvertised("dispatch-advertise", s.DispatchAdvertise),
 		CheckAddress("link-listen", s.LinkListen),
 		CheckAdvertised("link-advertise", s.LinkAdvertise),
-		CheckAddresses("control", s.Control),
+		s.checkAnnounced(),
 		checkEngine(s.Engine),
 	)
 }
 
+// checkAnnounced checks what the agent needs to announce its endpoint.
+func (s *AgentSettings) checkAnnounced() error {
+	if s.SelfAnnounced {
+		return nil
+	}
+	if s.Service == "" {
+		return &SettingError{Flag: "service", Err: errMissing}
+	}
+	if s.ServiceVersion == "" {
+		return &SettingError{Flag: "service-version", Err: errMissing}
+	}
+	return CheckAddresses("control", s.Control)
+}
+
+var errMissing = errors.New("a value is needed")
+
 func checkEngine(base string) error {
 	u, err := url.Parse(base)
 	if err != nil {
@@ -84,7 +103,7 @@
 	var err error
 	a.agent, err = agent.New(agent.Options{
 		Endpoint: e,
-		Engine:   httpengine.New(nil, a.settings.Engine),
+		Engine:   a.engine(),
 		View:     a.member,
 		Network:  a.member.network,
 		Logger:   a.logger,
@@ -96,9 +115,11 @@
 	}
 	run, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
-	a.member.start(&e)
 	a.member.running.Go(func() { _ = a.agent.Serve(a.dispatch) })
-	a.member.running.Go(func() { a.member.logChanges(run, a.logger) })
+	if !a.settings.SelfAnnounced {
+		a.member.start(&e)
+		a.member.running.Go(func() { a.member.logChanges(run, a.logger) })
+	}
 	a.admin.Telemetry.SetReady(true)
 	_ = a.logger.Log("msg", "agent started", "endpoint", e.ID, "service", e.Service, "version", e.Version)
 	return nil
@@ -109,8 +130,10 @@
 		return err
 	}
 	a.member.self.AdminAddress = a.admin.Address()
-	if err := a.member.listen(a.settings.LinkListen, a.settings.LinkAdvertise); err != nil {
-		return err
+	if !a.settings.SelfAnnounced {
+		if err := a.member.listen(a.settings.LinkListen, a.settings.LinkAdvertise); err != nil {
+			return err
+		}
 	}
 	l, err := a.member.network.Listen(a.settings.DispatchListen)
 	if err != nil {
@@ -120,6 +143,14 @@
 	return nil
 }
 
+// engine returns the client of the endpoint.
+func (a *Agent) engine() endpoint.Engine {
+	if a.settings.SelfAnnounced {
+		return platform.NewEngine(nil, strings.TrimPrefix(a.settings.Engine, "http://"), 0)
+	}
+	return httpengine.New(nil, a.settings.Engine)
+}
+
 func (a *Agent) endpoint() endpoint.Endpoint {
 	self := a.member.self
 	return endpoint.Endpoint{
@@ -138,10 +169,16 @@
 func (a *Agent) Stop(ctx context.Context) error {
 	a.admin.Telemetry.SetReady(false)
 	a.agent.Drain()
-	_ = a.member.leave(ctx) // the lease ends by itself where control cannot be told
+	if !a.settings.SelfAnnounced {
+		_ = a.member.leave(ctx) // the lease ends by itself where control cannot be told
+	}
 	err := a.agent.Stop(ctx)
 	a.cancel()
-	a.member.stop()
+	if a.settings.SelfAnnounced {
+		a.member.running.Wait()
+	} else {
+		a.member.stop()
+	}
 	_ = a.logger.Log("msg", "agent stopped")
 	return cmp.Or(err, a.admin.Stop(ctx))
 }
--- a/program/app.go
+++ b/program/app.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	kitlog "github.com/go-kit/log"
 	"go.uber.org/fx"
@@ -30,11 +32,14 @@
 func Module[S any, P Process](settings S, common *Common, build func(S, link.Network, kitlog.Logger) (P, error)) fx.Option {
 	return fx.Options(
 		fx.Supply(settings),
+		fx.StopTimeout(common.StopTimeout),
 		fx.Provide(
 			common.Link.Network,
-			func() kitlog.Logger { return NewLogger(os.Stderr, common.ID) },
+			func() *LogWriter { return NewLogWriter(os.Stdout) },
+			func(w *LogWriter) kitlog.Logger { return NewLogger(w, common.ID) },
 			build,
 		),
+		fx.Invoke(flushAtEnd, logReloads),
 		fx.Invoke(func(lc fx.Lifecycle, shutdown fx.Shutdowner, p P) {
 			lc.Append(fx.Hook{OnStart: p.Start, OnStop: p.Stop})
 			if f, ok := any(p).(failing); ok {
@@ -43,3 +48,25 @@
 		}),
 	)
 }
+
+// flushAtEnd writes the last lines of the log before the program ends. It is invoked
+// first, so that its hook stops last.
+func flushAtEnd(lc fx.Lifecycle, w *LogWriter) {
+	lc.Append(fx.StopHook(w.Flush))
+}
+
+// logReloads keeps SIGHUP from ending the process. Flags and environment are read at the
+// start only, so there is nothing to take over while serving.
+func logReloads(lc fx.Lifecycle, logger kitlog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			_ = logger.Log("msg", "reload requested", "outcome", "settings take effect at the next start")
+		}
+	}()
+	lc.Append(fx.StopHook(func() {
+		signal.Stop(hangups)
+		close(hangups)
+	}))
+}
--- a/program/control.go
+++ b/program/control.go
@@ -3,6 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
 
 	kitlog "github.com/go-kit/log"
 
@@ -11,6 +17,7 @@
 	"toucantiller.dev/control/decider"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/platform"
 )
 
 // ControlSettings are the settings of a control replica.
@@ -20,6 +27,11 @@
 	Advertise string   `help:"Address at which other processes reach this one, ip:port, if not --listen." env:"TOUCAN_ADVERTISE"`
 	Data      string   `help:"Folder for the replica's state; it must exist." env:"TOUCAN_DATA" required:"" type:"path"`
 	Members   []string `help:"Addresses of all replicas including this one, ip:port, comma separated." env:"TOUCAN_MEMBERS" required:""`
+	// MemberPort serves where the members are known by another of their ports.
+	MemberPort int    `help:"Port of the replicas, in place of those in --members; 0 for none." env:"TOUCAN_MEMBER_PORT"`
+	Bootstrap  bool   `help:"Form a new group with --members while the data folder is empty; otherwise ask them to be added to theirs." env:"TOUCAN_BOOTSTRAP" default:"true" negatable:""`
+	CallListen string `help:"Address for operators and endpoints of the users' platform, ip:port; empty for none." env:"TOUCAN_CALL_LISTEN"`
+	AgentPort  int    `help:"Port of the agents beside model endpoints on the users' platform." env:"TOUCAN_AGENT_PORT"`
 }
 
 // Check checks the settings.
@@ -30,6 +42,9 @@
 		CheckAdvertised("advertise", s.Advertise),
 		CheckFolder("data", s.Data),
 		CheckAddresses("members", s.Members),
+		CheckPort("member-port", s.MemberPort),
+		CheckPort("agent-port", s.AgentPort),
+		CheckAdvertised("call-listen", s.CallListen),
 	)
 }
 
@@ -43,6 +58,8 @@
 	admin    *Admin
 	network  link.Network
 	server   *control.Server
+	calls    *http.Server
+	joining  context.CancelFunc
 	failed   chan struct{}
 }
 
@@ -80,6 +97,10 @@
 		return err
 	}
 	c.server = server
+	if err := c.serveCalls(); err != nil {
+		return err
+	}
+	c.join()
 	c.admin.Telemetry.SetReady(true)
 	go c.watch()
 	_ = c.logger.Log("msg", "control replica started", "listen", c.settings.Listen)
@@ -90,12 +111,62 @@
 	return control.ReplicaOptions{
 		DataFolder: c.settings.Data,
 		Address:    c.settings.address(),
-		Members:    c.settings.Members,
+		Members:    c.founders(),
 		Network:    c.network,
 		Logger:     c.logger,
 	}
 }
 
+// members returns the link addresses of the replicas that the settings name.
+func (c *Control) members() []string { return WithPort(c.settings.Members, c.settings.MemberPort) }
+
+// founders returns the replicas with which this one may form a group; none where it has
+// to be added to a group.
+func (c *Control) founders() []string {
+	if c.settings.Bootstrap && slices.Contains(c.members(), c.settings.address()) {
+		return c.members()
+	}
+	return nil
+}
+
+// join asks the members to be added to their group where this replica forms none.
+func (c *Control) join() {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.joining = cancel
+	if len(c.founders()) == 0 {
+		go c.server.Join(ctx, c.members())
+	}
+}
+
+// serveCalls serves the operators and endpoints of the users' platform.
+func (c *Control) serveCalls() error {
+	if c.settings.CallListen == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", c.settings.CallListen)
+	if err != nil {
+		return &SettingError{Flag: "call-listen", Err: err}
+	}
+	_, port, err := net.SplitHostPort(l.Addr().String())
+	if err != nil {
+		return &SettingError{Flag: "call-listen", Err: err}
+	}
+	calls := &platform.Control{Server: c.server, AgentPort: strconv.Itoa(c.settings.AgentPort), Port: port, Logger: c.logger}
+	c.calls = &http.Server{Handler: calls.Handler(), ReadHeaderTimeout: callReadHeader, IdleTimeout: callIdle}
+	go func() {
+		if err := c.calls.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			_ = c.logger.Log("msg", "calls no longer served", "err", err)
+		}
+	}()
+	return nil
+}
+
+// Bounds on connections of operators and endpoints.
+const (
+	callReadHeader = 5 * time.Second
+	callIdle       = time.Minute
+)
+
 // Failed is closed when the replica has stopped by itself, for example because its disk
 // failed.
 func (c *Control) Failed() <-chan struct{} { return c.failed }
@@ -113,7 +184,11 @@
 // Stop ends the replica.
 func (c *Control) Stop(ctx context.Context) error {
 	c.admin.Telemetry.SetReady(false)
+	c.joining()
 	err := c.server.Stop(ctx)
+	if c.calls != nil {
+		err = cmp.Or(err, c.calls.Close())
+	}
 	_ = c.logger.Log("msg", "control replica stopped")
 	return cmp.Or(err, c.admin.Stop(ctx))
 }
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -5,15 +5,18 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
 	kitlog "github.com/go-kit/log"
 
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
 	"toucantiller.dev/gateway"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/platform"
 )
 
 // GatewaySettings are the settings of a gateway.
@@ -23,6 +26,8 @@
 	LinkListen    string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7300"`
 	LinkAdvertise string   `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
 	Control       []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
+	ControlPort   int      `help:"Port of the control replicas, in place of those in --control; 0 for none." env:"TOUCAN_CONTROL_PORT"`
+	Interface     string   `help:"Interface for callers: openai, or that of the users' platform." env:"TOUCAN_INTERFACE" enum:"openai,platform" default:"openai"`
 	// StopDelay covers two health checks a second apart.
 	StopDelay time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
 }
@@ -35,13 +40,14 @@
 		CheckAddress("link-listen", s.LinkListen),
 		CheckAdvertised("link-advertise", s.LinkAdvertise),
 		CheckAddresses("control", s.Control),
-		checkStopDelay(s.StopDelay),
+		CheckPort("control-port", s.ControlPort),
+		checkStopDelay(s.StopDelay, s.StopTimeout),
 	)
 }
 
-func checkStopDelay(d time.Duration) error {
-	if d < 0 || d >= StopTimeout {
-		return &SettingError{Flag: "stop-delay", Err: fmt.Errorf("%s is not between 0s and %s", d, StopTimeout)}
+func checkStopDelay(d, stop time.Duration) error {
+	if d < 0 || d >= stop {
+		return &SettingError{Flag: "stop-delay", Err: fmt.Errorf("%s is not between 0s and %s", d, stop)}
 	}
 	return nil
 }
@@ -64,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := newMember(s.Instance(instance.RoleGateway), network, s.Control, admin.Timeline)
+	m := newMember(s.Instance(instance.RoleGateway), network, WithPort(s.Control, s.ControlPort), admin.Timeline)
 	g := &Gateway{settings: s, logger: logger, admin: admin, member: m}
 	g.evidence = &evidenceReporter{gateway: m.self.ID, moving: g.moving, report: m.control.ReportEvidence}
 	return g, nil
@@ -99,6 +105,10 @@
 		Meter:    g.admin.Telemetry.Meter("toucantiller.dev/gateway"),
 
 		StopDelay: g.settings.StopDelay,
+		Handler:   g.callersInterface(),
+		NewEngine: func(target string, maxConnections int) endpoint.Engine {
+			return platform.NewEngine(nil, target, maxConnections)
+		},
 	})
 	if err != nil {
 		return err
@@ -114,6 +124,15 @@
 	return nil
 }
 
+// callersInterface returns the interface for callers that the settings name, nil for the
+// product's own.
+func (g *Gateway) callersInterface() func(*gateway.Gateway) http.Handler {
+	if g.settings.Interface == "platform" {
+		return platform.Ingress
+	}
+	return nil
+}
+
 func (g *Gateway) becomeReady(ctx context.Context) {
 	if g.member.waitReady(ctx) == nil {
 		g.admin.Telemetry.SetReady(true)
--- a/program/member.go
+++ b/program/member.go
@@ -85,6 +85,24 @@
 	m.running.Go(func() { _ = m.rpc.Serve(m.listener) })
 	m.running.Go(func() { m.subscriber.Run(ctx) })
 	m.running.Go(func() { m.announcer.Run(ctx) })
+	m.running.Go(func() { m.followControl(ctx) })
+}
+
+// followControl calls the control replicas that the directory names, so that the process
+// finds control after its seeds were replaced.
+func (m *member) followControl(ctx context.Context) {
+	changes, unwatch := m.holder.Watch()
+	defer unwatch()
+	for {
+		if d := m.holder.Directory(); d != nil && len(d.Control) > 0 {
+			m.control.SetAddresses(distribution.WithSeeds(d.Control, m.addresses))
+		}
+		select {
+		case <-changes:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // leave ends the registration, so that no new work is sent here.
--- a/program/program.go
+++ b/program/program.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -65,11 +67,11 @@
 // Run runs an fx application until it is interrupted. Start errors end the process with
 // one line and status 1.
 func Run(name string, options ...fx.Option) {
-	options = append(options,
+	defaults := []fx.Option{
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(StopTimeout),
-	)
-	app := fx.New(options...)
+	}
+	app := fx.New(append(defaults, options...)...)
 	if err := runApp(app); err != nil {
 		_, _ = fmt.Fprintf(os.Stderr, "%s: %v\n", name, dig.RootCause(err))
 		os.Exit(ExitFailure)
@@ -164,8 +166,10 @@
 
 // Common holds the settings of every daemon.
 type Common struct {
-	ID          string           `help:"Name of this process, unique in the deployment." env:"TOUCAN_ID" required:""`
-	Domain      string           `help:"Failure domain of this process." env:"TOUCAN_DOMAIN" required:""`
+	ID     string `help:"Name of this process, unique in the deployment." env:"TOUCAN_ID" required:""`
+	Domain string `help:"Failure domain of this process." env:"TOUCAN_DOMAIN" required:""`
+	// StopTimeout bounds a graceful stop; what is still open then is cut.
+	StopTimeout time.Duration    `help:"How long a stop waits for open requests." env:"TOUCAN_STOP_TIMEOUT" default:"2m"`
 	AdminListen string           `help:"Address of the admin listener, ip:port." env:"TOUCAN_ADMIN_LISTEN" default:"127.0.0.1:9090"`
 	Link        TLSSettings      `embed:"" prefix:"link-"`
 	Version     kong.VersionFlag `help:"Print the version and exit."`
@@ -176,6 +180,9 @@
 	if err := CheckAddress("admin-listen", c.AdminListen); err != nil {
 		return err
 	}
+	if c.StopTimeout <= 0 {
+		return &SettingError{Flag: "stop-timeout", Err: fmt.Errorf("%s is not above 0s", c.StopTimeout)}
+	}
 	return c.Link.Check()
 }
 
@@ -195,3 +202,26 @@
 	l := kitlog.NewLogfmtLogger(kitlog.NewSyncWriter(w))
 	return kitlog.With(l, "ts", kitlog.DefaultTimestampUTC, "process", process)
 }
+
+// CheckPort reports a flag whose value is neither 0 nor a port.
+func CheckPort(flag string, port int) error {
+	if port < 0 || port > math.MaxUint16 {
+		return &SettingError{Flag: flag, Err: fmt.Errorf("%d is no port", port)}
+	}
+	return nil
+}
+
+// WithPort replaces the port of each address, "ip:port"; port 0 leaves them.
+func WithPort(addresses []string, port int) []string {
+	if port == 0 {
+		return addresses
+	}
+	out := make([]string, 0, len(addresses))
+	for _, a := range addresses {
+		if host, _, err := net.SplitHostPort(a); err == nil {
+			a = net.JoinHostPort(host, strconv.Itoa(port))
+		}
+		out = append(out, a)
+	}
+	return out
+}
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -192,7 +192,7 @@
 }
 
 func (svc *service) rangeOf(version string) (from, to int) {
-	if version == "" {
+	if version == "" || version == contract.AnyVersion {
 		return 0, len(svc.candidates)
 	}
 	for _, v := range svc.versions {
