--- a/admission/accounts.go
+++ b/admission/accounts.go
@@ -17,15 +17,14 @@
 }
 
 type gate struct {
-	rate   *rate.Limiter
-	tokens tokenBudget
-	max    atomic.Int64
-	open   atomic.Int64
+	rate *rate.Limiter
+	max  atomic.Int64
+	open atomic.Int64
 }
 
 // Update takes in the configured accounts. Accounts that stay keep their tokens
-// and open requests. share is this gateway's part of the token limits.
-func (l *AccountLimits) Update(accounts []*account.Account, share float64, now time.Time) {
+// and open requests.
+func (l *AccountLimits) Update(accounts []*account.Account, now time.Time) {
 	next := make(map[string]*gate, len(accounts))
 	var current map[string]*gate
 	if p := l.gates.Load(); p != nil {
@@ -37,7 +36,6 @@
 			g = &gate{rate: rate.NewLimiter(bounds(a))}
 		}
 		g.configure(a, now)
-		g.tokens.configure(share*a.TokensPerSecond, share*a.TokenBurst, now)
 		next[a.Name] = g
 	}
 	l.gates.Store(&next)
@@ -59,10 +57,9 @@
 	return rate.Limit(a.RequestsPerSecond), max(a.Burst, 1)
 }
 
-// Enter admits one request of an account, or refuses it. cost is what it counts against
-// the account's token limit. An admitted request ends with Pass.Leave. Unknown accounts
-// have no limits.
-func (l *AccountLimits) Enter(name string, tier account.Tier, cost int, now time.Time) (Pass, *Refusal) {
+// Enter admits one request of an account, or refuses it. An admitted request
+// ends with Pass.Leave. Unknown accounts have no limits.
+func (l *AccountLimits) Enter(name string, tier account.Tier, now time.Time) (Pass, *Refusal) {
 	p := l.gates.Load()
 	if p == nil {
 		return Pass{}, nil
@@ -82,25 +79,11 @@
 		g.open.Add(-1)
 		return Pass{}, &Refusal{ReasonAccountRate, tier, clampRetry(wait)}
 	}
-	if wait, ok := g.tokens.take(float64(cost), now); !ok {
-		g.open.Add(-1)
-		return Pass{}, &Refusal{ReasonAccountRate, tier, clampRetry(wait)}
-	}
-	return Pass{gate: g, cost: cost}, nil
+	return Pass{gate: g}, nil
 }
 
 // Pass is the admission of one request by its account's limits.
-type Pass struct {
-	gate *gate
-	cost int
-}
-
-// Refund returns the request's cost to the account's token limit; it did not run.
-func (p Pass) Refund() {
-	if p.gate != nil {
-		p.gate.tokens.refund(float64(p.cost))
-	}
-}
+type Pass struct{ gate *gate }
 
 // Leave ends the request. It must be called once.
 func (p Pass) Leave() {
--- a/admission/example_test.go
+++ b/admission/example_test.go
@@ -52,10 +52,10 @@
 func ExampleAccountLimits() {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	var limits admission.AccountLimits
-	limits.Update([]*account.Account{{Name: "dues", RequestsPerSecond: 2, Burst: 1}}, 1, now)
-	pass, _ := limits.Enter("dues", 0, 1, now)
+	limits.Update([]*account.Account{{Name: "dues", RequestsPerSecond: 2, Burst: 1}}, now)
+	pass, _ := limits.Enter("dues", 0, now)
 	pass.Leave()
-	_, refusal := limits.Enter("dues", 0, 1, now)
+	_, refusal := limits.Enter("dues", 0, now)
 	fmt.Println(refusal.Reason, refusal.RetryAfter)
 	// Output: account_rate 500ms
 }
--- a/admission/floor_test.go
+++ b/admission/floor_test.go
@@ -142,7 +142,7 @@
 			MaxConcurrent:     rapid.IntRange(1, 5).Draw(t, "concurrent"),
 		}
 		var limits AccountLimits
-		limits.Update([]*account.Account{a}, 1, start)
+		limits.Update([]*account.Account{a}, start)
 		var open []Pass
 		tokens, now := float64(a.Burst), start
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
@@ -157,9 +157,9 @@
 				}
 				continue
 			case 1:
-				limits.Update([]*account.Account{a}, 1, now)
+				limits.Update([]*account.Account{a}, now)
 			}
-			pass, refusal := limits.Enter("dues", 0, 1, now)
+			pass, refusal := limits.Enter("dues", 0, now)
 			switch {
 			case len(open) >= a.MaxConcurrent:
 				assert.Equal(t, refusal.Reason, ReasonAccountConcurrency)
@@ -176,6 +176,6 @@
 		}
 	})
 	var limits AccountLimits
-	_, refusal := limits.Enter("unknown", 0, 1, start)
+	_, refusal := limits.Enter("unknown", 0, start)
 	assert.Assert(t, refusal == nil)
 }
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -60,11 +60,13 @@
 	// one that does not announce itself.
 	engine dispatch.Engine
 	pace   pace
+	// started is when the agent started.
+	started time.Time
 }
 
 // declare takes over what a gateway says of the endpoint and reports whether another
 // endpoint is meant than before.
-func (g *gate) declare(e dispatch.Engine, now time.Time) (changed bool) {
+func (g *gate) declare(e dispatch.Engine) (changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.engine == e {
@@ -77,12 +79,12 @@
 	}
 	g.engine = e
 	g.limiter.Declare(e.Slots)
-	g.pace.limit(e.ColdRate, now)
+	g.pace.limit(e.ColdRate, g.started)
 	return changed
 }
 
 func newGate() *gate {
-	g := &gate{queue: admission.NewQueue(admission.QueueOptions{Capacity: queueLength}), limiter: limit.New(limit.Options{})}
+	g := &gate{queue: admission.NewQueue(admission.QueueOptions{Capacity: queueLength}), limiter: limit.New(limit.Options{}), started: time.Now()}
 	g.timer = time.AfterFunc(gateInterval, g.check)
 	g.timer.Stop()
 	return g
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -25,8 +25,9 @@
 }
 
 // limit sets the rate in requests a second; 0 means no bound. A new bound counts as used
-// up for one second, since an earlier agent of the endpoint may have made those starts.
-func (p *pace) limit(rate float64, now time.Time) {
+// up at a time: when the agent started, since an earlier agent of the endpoint may have
+// made those starts.
+func (p *pace) limit(rate float64, used time.Time) {
 	n := 0
 	if rate > 0 {
 		n = int(math.Max(1, rate*paceShare+paceSlack))
@@ -36,7 +37,7 @@
 	}
 	p.starts = make([]time.Time, n)
 	for i := range p.starts {
-		p.starts[i] = now
+		p.starts[i] = used
 	}
 	p.next = 0
 }
--- /dev/null
+++ b/budget/pool.go
@@ -0,0 +1,68 @@
+// Package budget keeps the token limits of client accounts over all gateways. The control
+// leader holds one Pool; each gateway draws from it into a Wallet. Both are pure state
+// machines: times are arguments.
+package budget
+
+import (
+	"sync"
+	"time"
+)
+
+// Limit is a token limit of an account: tokens a second after a burst. A Rate of 0 means
+// no limit.
+type Limit struct{ Rate, Burst float64 }
+
+const (
+	// poolShare is the share of an account's rate that the pool refills. It is above 1
+	// because wallets hold tokens that they do not spend at once.
+	poolShare = 1.05
+	// firstShare is the share of the burst with which a pool begins. What an earlier leader
+	// granted a moment ago is not known.
+	firstShare = 0.3
+)
+
+// Pool is the budget of all accounts. It is safe for concurrent use.
+type Pool struct {
+	mu       sync.Mutex
+	accounts map[string]*bucket
+}
+
+// bucket is one account's tokens. The balance may not exceed the limit's burst.
+type bucket struct {
+	limit   Limit
+	balance float64
+	at      time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{accounts: make(map[string]*bucket)} }
+
+// Draw asks for tokens of an account whose limit is the one given. It grants what is there
+// of want if that is at least least, and nothing otherwise; wait is then the time until
+// there are that many.
+func (p *Pool) Draw(account string, limit Limit, want, least float64, now time.Time) (granted float64, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.accounts[account]
+	if b == nil {
+		b = &bucket{limit: limit, balance: firstShare * limit.Burst, at: now}
+		p.accounts[account] = b
+	}
+	b.advance(limit, now)
+	// A request larger than the burst is granted when the bucket is full.
+	least = min(least, limit.Burst)
+	if b.balance < least {
+		return 0, time.Duration((least - b.balance) / (poolShare * limit.Rate) * float64(time.Second))
+	}
+	granted = min(max(want, least), b.balance)
+	b.balance -= granted
+	return granted, 0
+}
+
+// advance refills the bucket and takes over a changed limit.
+func (b *bucket) advance(limit Limit, now time.Time) {
+	elapsed := max(0, now.Sub(b.at).Seconds())
+	b.limit = limit
+	b.balance = min(b.balance+poolShare*limit.Rate*elapsed, limit.Burst)
+	b.at = now
+}
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -105,6 +105,22 @@
 	Silent time.Duration
 }
 
+// DrawBudget is "Control.DrawBudget": a gateway draws tokens of an account.
+type DrawBudget struct {
+	Gateway instance.ID
+	Account string
+	// Want is the tokens asked for; a grant below Least is of no use.
+	Want, Least float64
+}
+
+// BudgetGrant answers a DrawBudget.
+type BudgetGrant struct {
+	Leader string
+	Tokens float64
+	// Wait is the time until Least tokens may be there, when they are not.
+	Wait time.Duration
+}
+
 // JoinReplica is "Control.JoinReplica": a replica without a log asks to be added.
 type JoinReplica struct {
 	// Address is the link address of the replica.
--- /dev/null
+++ b/control/budgets.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"errors"
+	"time"
+
+	"toucantiller.dev/budget"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/control/state"
+)
+
+var errNoAccount = errors.New("the account has no token limit")
+
+// DrawBudget grants tokens of an account to a gateway. A leader that has not confirmed its
+// quorum lately grants nothing: another one may have taken its place.
+func (v *service) DrawBudget(in *api.DrawBudget, out *api.BudgetGrant) error {
+	err := v.s.notLeading()
+	if err == nil && v.s.holder.Freshness(time.Now()) > servedAge {
+		err = errors.New("the quorum is not confirmed")
+	}
+	if err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	limit, ok := v.s.tokenLimit(in.Account)
+	if !ok {
+		return errNoAccount
+	}
+	v.s.mu.Lock()
+	pool := v.s.budgets
+	v.s.mu.Unlock()
+	out.Tokens, out.Wait = pool.Draw(in.Account, limit, in.Want, in.Least, time.Now())
+	return nil
+}
+
+func (s *Server) tokenLimit(account string) (budget.Limit, bool) {
+	var limit budget.Limit
+	s.machine.read(func(st *state.State) {
+		c := st.Config()
+		if c == nil {
+			return
+		}
+		for _, a := range c.Accounts {
+			if a.Name == account {
+				limit = budget.Limit{Rate: a.TokensPerSecond, Burst: a.TokenBurst}
+			}
+		}
+	})
+	return limit, limit.Rate > 0
+}
--- a/control/client.go
+++ b/control/client.go
@@ -123,6 +123,11 @@
 	return err
 }
 
+// DrawBudget draws tokens of an account for a gateway.
+func (c *Client) DrawBudget(ctx context.Context, in *api.DrawBudget) (*api.BudgetGrant, error) {
+	return call(ctx, c, "DrawBudget", in, func(r *api.BudgetGrant) (string, bool) { return r.Leader, true })
+}
+
 // NextToken issues a fencing token.
 func (c *Client) NextToken(ctx context.Context) (uint64, error) {
 	r, err := call(ctx, c, "NextToken", &api.Empty{}, func(r *api.TokenReply) (string, bool) { return r.Leader, true })
--- a/control/control.go
+++ b/control/control.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 
+	"toucantiller.dev/budget"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
 	"toucantiller.dev/distribution"
@@ -87,6 +88,8 @@
 	leases    *lease.Table
 	admission *lease.Admission
 	evidence  *collector
+	// budgets holds the token limits that gateways draw from.
+	budgets *budget.Pool
 	// heard holds the last heartbeat of each endpoint that announces itself.
 	heard map[endpoint.ID]heardFrom
 
@@ -127,6 +130,7 @@
 		counts:   counts,
 		leases:   lease.NewTable(lease.TTL),
 		evidence: newCollector(),
+		budgets:  budget.NewPool(),
 		heard:    make(map[endpoint.ID]heardFrom),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/control/leader.go
+++ b/control/leader.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"toucantiller.dev/budget"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
 	"toucantiller.dev/distribution"
@@ -115,6 +116,7 @@
 	s.leases = lease.NewTable(lease.TTL)
 	s.admission = lease.NewAdmission(s.opts.RegistrationsPerSecond, s.opts.RegistrationBurst)
 	s.evidence = newCollector()
+	s.budgets = budget.NewPool()
 	clear(s.heard)
 	s.mu.Unlock()
 	s.extendLeases(now)
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -46,7 +46,9 @@
 }
 
 // Error names the status.
-func (e *RefusedError) Error() string { return fmt.Sprintf("the engine refused with status %d", e.Status) }
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("the engine refused with status %d", e.Status)
+}
 
 // Unwrap returns ErrNotSent.
 func (e *RefusedError) Unwrap() error { return ErrNotSent }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,9 @@
 	Logger   log.Logger
 	Timeline *timeline.Recorder
 	Meter    metric.Meter
+	// Budgets is where the token limits of accounts are drawn from; nil where accounts have
+	// none.
+	Budgets Budgets
 	// NewEngine returns the client of an endpoint without an agent, at "ip:port".
 	// maxConnections bounds its open connections; 0 means no bound. It may be nil where all
 	// endpoints have agents.
@@ -87,6 +90,7 @@
 	routing   atomic.Pointer[routing]
 	rebuild   sync.Mutex
 	accounts  admission.AccountLimits
+	wallets   wallets
 	estimator schedule.AnswerEstimator
 	engines   sync.Map // target -> endpoint.Engine
 	claims    sync.Map // account and key -> runningClaim, of calls in progress
@@ -143,6 +147,7 @@
 	if !g.leaving.Swap(true) {
 		_ = g.opt.Logger.Log("msg", "stopping", "gateway", g.opt.Instance.ID)
 		g.waitStopDelay(ctx)
+		g.handBack()
 	}
 	err := g.server.Shutdown(ctx)
 	g.endTasks()
@@ -154,6 +159,16 @@
 	return err
 }
 
+// handBack refuses what still waits for an endpoint. It would begin so late that the stop
+// could cut it, and another gateway can take it.
+func (g *Gateway) handBack() {
+	if r := g.routing.Load(); r != nil {
+		for _, q := range r.queues {
+			q.close()
+		}
+	}
+}
+
 func (g *Gateway) waitStopDelay(ctx context.Context) {
 	delay := time.NewTimer(g.opt.StopDelay)
 	defer delay.Stop()
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -36,6 +36,8 @@
 	timer *time.Timer
 	looks int
 	next  int
+	// closed is set once the gateway stops: nothing waits any more.
+	closed bool
 }
 
 // ticket is a waiting request. Exactly one value arrives on turn.
@@ -114,6 +116,9 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.closed {
+		return nil, retryProblem(string(admission.ReasonHandedBack), "the gateway is stopping")
+	}
 	evicted, refused := q.queue.Push(&t.item, now)
 	q.refuse(evicted)
 	if refused == nil {
@@ -135,6 +140,15 @@
 	return left
 }
 
+// close hands all waiting requests back and lets no further one wait.
+func (q *serviceQueue) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	q.refuse(q.queue.HandBack())
+	q.settle()
+}
+
 // wake places waiting requests after an endpoint got room.
 func (q *serviceQueue) wake() {
 	if q.waiting.Load() == 0 {
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -64,8 +64,9 @@
 		next.queues = old.queues
 	}
 	next.snapshot = schedule.NewSnapshot(in)
-	g.accounts.Update(config.Accounts, tokenShare(directory), now)
+	g.wallets.update(config.Accounts, tokenShare(directory), now)
 	if old == nil || old.config != config {
+		g.accounts.Update(config.Accounts, now)
 		next.queues = g.buildQueues(next.queues, config)
 	}
 	g.dropPeers(in.Endpoints)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -18,13 +18,18 @@
 	began := time.Now()
 	// A new configuration brings new account limits.
 	g.route()
-	pass, refused := g.accounts.Enter(c.account.Name, c.tier, c.cost, began)
+	pass, refused := g.accounts.Enter(c.account.Name, c.tier, began)
 	if refused != nil {
 		g.metrics.shed(refused)
 		c.writeProblem(w, refusalProblem(refused))
 		return
 	}
 	defer pass.Leave()
+	if refused = g.spend(r.Context(), c); refused != nil {
+		g.metrics.shed(refused)
+		c.writeProblem(w, refusalProblem(refused))
+		return
+	}
 	if q := g.route().queues[c.service.Name]; q != nil {
 		q.budget.request()
 	}
@@ -38,7 +43,7 @@
 		return
 	}
 	if p.Execution == NotRun {
-		pass.Refund()
+		g.wallets.refund(c)
 	}
 	g.metrics.problem(p)
 	g.opt.Timeline.Record(timeline.Event{Kind: "request.problem", Request: c.id, Detail: p.Code + " " + string(p.Execution)})
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -98,6 +98,7 @@
 		Instance: g.member.self,
 		View:     g.member,
 		Claims:   claims{g.member.control},
+		Budgets:  g.member.control,
 		Evidence: g.evidence,
 		Network:  g.member.network,
 		Logger:   g.logger,
