--- a/control/control.go
+++ b/control/control.go
@@ -58,6 +58,9 @@
 	OpenLog OpenLog
 	// NewDecider returns the decider of a move; without it moves stay where they are.
 	NewDecider func(move api.Move) Decider
+	// SelfRepair lets the leader change the control group: it adds replicas that ask to
+	// join and removes silent ones in their favour. Without it operators do so.
+	SelfRepair bool
 	Recorder   *timeline.Recorder
 	Meter      metric.Meter
 	Logger     log.Logger
--- a/control/repair.go
+++ b/control/repair.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -23,6 +24,8 @@
 	joinTimeout = replicasTimeout + time.Second
 )
 
+var errOperatorsRepair = errors.New("operators change the control replicas of this deployment")
+
 // JoinReplica adds a replica that lost its disk, or that is new, to the control group. The
 // replica asks for itself. A voter that has been silent gives way, so that the group keeps
 // its size and a second loss right after the repair leaves a quorum.
@@ -31,6 +34,9 @@
 		out.Leader, err = redirect(err)
 		return err
 	}
+	if !v.s.opts.SelfRepair {
+		return errOperatorsRepair
+	}
 	if !v.s.changingReplicas.TryLock() {
 		_, err := redirect(errReplicasBusy)
 		return err
@@ -70,6 +76,9 @@
 func (s *Server) repairGroup() {
 	members := s.log.Members()
 	s.recordControl(members)
+	if !s.opts.SelfRepair {
+		return
+	}
 	if countVoters(members) <= s.log.Size() {
 		return
 	}
--- a/program/control.go
+++ b/program/control.go
@@ -30,6 +30,7 @@
 	// MemberPort serves where the members are known by another of their ports.
 	MemberPort int    `help:"Port of the replicas, in place of those in --members; 0 for none." env:"TOUCAN_MEMBER_PORT"`
 	Bootstrap  bool   `help:"Form a new group with --members while the data folder is empty; otherwise ask them to be added to theirs." env:"TOUCAN_BOOTSTRAP" default:"true" negatable:""`
+	SelfRepair bool   `help:"The leader adds replicas that ask to join and removes silent ones in their favour, without an operator." env:"TOUCAN_SELF_REPAIR"`
 	CallListen string `help:"Address for operators and endpoints of the users' platform, ip:port; empty for none." env:"TOUCAN_CALL_LISTEN"`
 	AgentPort  int    `help:"Port of the agents beside model endpoints on the users' platform." env:"TOUCAN_AGENT_PORT"`
 }
@@ -86,6 +87,7 @@
 		Network:    c.network,
 		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
 		OpenLog:    control.ReplicaLog(c.logOptions()),
+		SelfRepair: c.settings.SelfRepair,
 		Recorder:   c.admin.Timeline,
 		Meter:      c.admin.Telemetry.Meter("toucantiller.dev/control"),
 		Logger:     c.logger,
