Take an endpoint's declared slots as its limit before it reports, and log each request

Cause: endpoints without an agent never report, so each gateway took them for cold ones with a limit of 1; plain requests waited up to 475 ms at low load. The model service's lateness is untouched.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -103,6 +103,10 @@
 	place  *waiter
 	// arrived is when the dispatch was read; its timeout counts from then.
 	arrived time.Time
+	// started is when the answer began; beside is the number of dispatches in the engine
+	// when this one was given to it.
+	started time.Time
+	beside  int
 }
 
 func (d *dispatched) run(ctx context.Context) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -69,6 +69,10 @@
 	problem func(w http.ResponseWriter, p *Problem)
 	// cost is what the call counts against the account's token budget.
 	cost int
+	// waited is the time in the queue over all attempts.
+	waited time.Duration
+	// last describes the last attempt, for the log.
+	last attemptRecord
 	// ran lists the endpoints that may have run the call.
 	ran []endpoint.ID
 	// excluded lists endpoints that cannot take the call.
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -42,6 +42,10 @@
 // anonymous is the account of calls on public routes without a key.
 var anonymous = &account.Account{Weight: 1}
 
+// minAffinityTokens is the prefix from which a prompt may be placed where it is kept: the
+// prefill of a shorter one takes less time than the wait for a busy endpoint.
+const minAffinityTokens = 512
+
 // retrySoon is the time after which a caller may come back to a gateway that cannot serve
 // yet, for example because it has no configuration.
 const retrySoon = 300 * time.Millisecond
@@ -74,7 +78,7 @@
 	}
 	c := &call{
 		config: config, ingress: route, id: in.ID, method: in.Method, host: in.Host, path: in.Target, body: in.Body,
-		pass: in.Header, hash: rand.Uint64(), prefixes: in.Prefixes, //nolint:gosec // load balancing needs no secrecy
+		pass: in.Header, hash: rand.Uint64(), //nolint:gosec // load balancing needs no secrecy
 		route: contract.Route{Name: route.Name, Idempotent: route.Repeatable()},
 	}
 	if p := c.findAccount(in.Key); p != nil {
@@ -112,6 +116,11 @@
 // stated maximum counts against the account's budget.
 func (c *call) size(in *Arrival) {
 	c.promptTokens = in.PromptTokens
+	for _, p := range in.Prefixes {
+		if p.Tokens >= minAffinityTokens {
+			c.prefixes = append(c.prefixes, p)
+		}
+	}
 	c.answerTokens = in.MaxAnswerTokens
 	if in.ExpectedAnswer > 0 {
 		c.answerTokens = in.ExpectedAnswer
--- /dev/null
+++ b/gateway/requestlog.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"time"
+
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/schedule"
+)
+
+// attemptRecord is what the log says of an attempt.
+type attemptRecord struct {
+	endpoint endpoint.ID
+	target   string
+	// limit and others are what the gateway believed of the endpoint's load; age is how old
+	// that was.
+	limit, others int
+	age           time.Duration
+	// firstToken and total are the times from the dispatch to the first byte and to the end.
+	firstToken, total time.Duration
+	code              string
+}
+
+// recordAttempt keeps what decided an attempt and how it ended.
+func (c *call) recordAttempt(a *attempt, d schedule.Decision, r result) {
+	now := time.Now()
+	rec := attemptRecord{endpoint: a.endpoint.ID, target: a.endpoint.Target, total: now.Sub(a.began), code: string(r.code)}
+	if load, made, ok := d.Candidate.Load(); ok {
+		rec.limit, rec.others = load.Limit, load.Running+load.Queued
+		if !made.IsZero() {
+			rec.age = now.Sub(made)
+		}
+	}
+	if !a.first.IsZero() {
+		rec.firstToken = a.first.Sub(a.began)
+	}
+	c.last = rec
+}
+
+// logRequest writes the line of a request that has ended. p is nil for one whose answer was
+// passed on whole.
+func (g *Gateway) logRequest(c *call, out *answerWriter, began time.Time, p *Problem) {
+	if c.ingress == nil {
+		return // the product's own interface has the time line
+	}
+	outcome, status, execution := "answered", out.status, "ran"
+	if p != nil {
+		outcome, status, execution = p.Code, p.Status, string(p.Execution)
+	}
+	r := &c.last
+	_ = g.opt.Logger.Log("msg", "request", "request", c.id, "outcome", outcome, "status", status, "execution", execution,
+		"route", c.ingress.Name, "service", c.service.Name, "account", c.account.Name, "tier", int(c.tier),
+		"prompt", c.promptTokens, "answer", c.answerTokens, "document", c.config.Ingress.Version,
+		"total_ms", milliseconds(time.Since(began)), "waited_ms", milliseconds(c.waited), "ran_on", len(c.ran),
+		"endpoint", r.endpoint, "endpoint_load", r.others, "endpoint_limit", r.limit, "load_age_ms", milliseconds(r.age),
+		"first_ms", milliseconds(r.firstToken), "endpoint_ms", milliseconds(r.total), "last_refusal", r.code)
+}
+
+func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,6 +37,7 @@
 	out := newAnswerWriter(w, c)
 	defer func() { g.metrics.duration.record(time.Since(began)) }()
 	p := g.execute(r.Context(), c, out)
+	g.logRequest(c, out, began, p)
 	if p == nil {
 		g.metrics.completed.one()
 		g.opt.Timeline.Record(timeline.Event{Kind: "request.done", Request: c.id})
@@ -110,7 +111,9 @@
 	if q == nil {
 		return result{problem: noEndpoint(c, schedule.ReasonUnknownService), notRun: true}, false
 	}
+	began := time.Now()
 	d, p := q.acquire(ctx, c)
+	c.waited += time.Since(began)
 	if p != nil {
 		return result{problem: p, notRun: true}, false
 	}
@@ -122,6 +125,7 @@
 		}
 	}
 	r = a.run(ctx)
+	c.recordAttempt(a, d, r)
 	if r.notRun {
 		c.exclude(a, r.code)
 	} else {
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"toucantiller.dev/account"
+	"toucantiller.dev/admission"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/failuredomain"
@@ -147,6 +148,10 @@
 	}
 	if st == nil {
 		st = &state{base: s.base}
+		if e.Slots > 0 {
+			// The endpoint said how much it runs at once; its agent, if any, reports later.
+			st.report.Store(newReport(endpoint.Load{Limit: e.Slots, Floor: admission.NoFloor}))
+		}
 	}
 	s.states[key] = st
 	return st
