Place each request at a free slot: watched agents, offers, no queue behind known slots

The pace cut fast endpoints at 12 requests a second, and a refused connection of an engine was charged to the retry budget. Change: gateways watch the load of agents; an agent with known slots refuses at once when full, and keeps a free slot for one of the gateways that wait (agent/offers.go); requests under way are counted apart from those reported; the pace follows the deployment's bound, and the rate alone while an endpoint says that it is cold. What waits now waits at gateways, in the order of arrival.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 	"toucantiller.dev/contract"
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 	"toucantiller.dev/timeline"
 )
@@ -45,6 +46,9 @@
 	MaxBody int64
 	// DataFolder, when set, keeps the highest fencing token across restarts.
 	DataFolder string
+	// Pace bounds what an endpoint that announces itself is given in a second; DefaultPace
+	// when it is zero.
+	Pace Pace
 	// Token is the highest fencing token known from the registration.
 	Token uint64
 }
@@ -78,7 +82,10 @@
 	if opt.MaxBody == 0 {
 		opt.MaxBody = defaultMaxBody
 	}
-	a := &Agent{opt: opt, ledger: NewLedger(), gate: newGate()}
+	if opt.Pace == (Pace{}) {
+		opt.Pace = DefaultPace
+	}
+	a := &Agent{opt: opt, ledger: NewLedger(), gate: newGate(opt.Pace)}
 	var err error
 	if a.metrics, err = newMetrics(opt.Meter, a.Load); err != nil {
 		return nil, eris.Wrap(err, "creating agent metrics")
@@ -98,6 +105,8 @@
 	r.HandleFunc(dispatch.PathSeal, a.serveSeal).Methods(http.MethodPost)
 	r.HandleFunc(dispatch.PathFloor, a.serveFloor).Methods(http.MethodPost)
 	r.HandleFunc(dispatch.PathOrder, a.serveOrder).Methods(http.MethodPost)
+	r.HandleFunc(dispatch.PathWant, a.serveWant).Methods(http.MethodPost)
+	r.HandleFunc(dispatch.PathWatch, a.serveWatch).Methods(http.MethodGet)
 	r.HandleFunc(dispatch.PathLoad, a.serveLoad).Methods(http.MethodGet)
 	return r
 }
@@ -148,6 +157,13 @@
 	return l
 }
 
+// loadFor returns the load report for one gateway: what is kept for it is free to it alone.
+func (a *Agent) loadFor(gateway instance.Incarnation) endpoint.Load {
+	l := a.gate.loadFor(gateway, a.now())
+	l.Leaving = a.leaving.Load()
+	return l
+}
+
 func (a *Agent) revision() uint64 {
 	if c := a.opt.View.Config(); c != nil {
 		return c.Revision
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -86,8 +86,12 @@
 		gone := ctx.Err() == nil && !full
 		d.place.ended(outcome{cancelled: !gone, failed: gone, gone: gone})
 		code := dispatch.CodeEngineRefused
-		if full && !refused.Misdirected {
+		switch {
+		case full && !refused.Misdirected:
 			code = dispatch.CodeEngineFull
+		case !full && d.header.Engine != nil:
+			// No byte reached the engine, so another attempt is no repeat there.
+			code = dispatch.CodeUnreachable
 		}
 		d.stream.refuse(refusal{code: code, detail: err.Error()})
 		return
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -8,6 +8,7 @@
 	"toucantiller.dev/contract"
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
 	"toucantiller.dev/limit"
 )
 
@@ -60,8 +61,79 @@
 	// one that does not announce itself.
 	engine dispatch.Engine
 	pace   pace
+	paces  Pace
 	// started is when the agent started.
-	started time.Time
+	started  time.Time
+	watchers map[*watcher]struct{}
+	offers   offers
+	// offerTimer ends holds that were not used.
+	offerTimer *time.Timer
+}
+
+// watch adds a gateway that follows the load.
+func (g *gate) watch(gateway instance.Incarnation) (w *watcher, stop func()) {
+	w = &watcher{gateway: gateway, changed: make(chan struct{}, 1), offered: make(chan struct{}, 1)}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.watchers == nil {
+		g.watchers = make(map[*watcher]struct{})
+	}
+	g.watchers[w] = struct{}{}
+	return w, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.watchers, w)
+	}
+}
+
+// changed tells the watchers. It must be called with mu held.
+func (g *gate) changed() {
+	for w := range g.watchers {
+		signal(w.changed)
+	}
+}
+
+// want takes in how many requests wait at a gateway.
+func (g *gate) want(gateway instance.Incarnation, requests int, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.offers.want(gateway, requests, now)
+	g.offerSlots(now)
+}
+
+// offerSlots keeps free slots for gateways that wait. It must be called with mu held.
+func (g *gate) offerSlots(now time.Time) {
+	if g.engine.Slots == 0 || g.closed {
+		return
+	}
+	next := g.offers.expire(now)
+	for {
+		held, _ := g.offers.held(0, now)
+		if g.running+held >= g.engine.Slots || g.pace.wait(now) > 0 {
+			break
+		}
+		gateway, ok := g.offers.offer(now)
+		if !ok {
+			break
+		}
+		next = now.Add(holdTime)
+		for w := range g.watchers {
+			if w.gateway == gateway {
+				signal(w.offered)
+			}
+		}
+	}
+	if !next.IsZero() {
+		g.offerTimer.Reset(next.Sub(now) + time.Millisecond)
+	}
+}
+
+// endHolds offers slots anew after a hold was not used.
+func (g *gate) endHolds() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.offerSlots(time.Now())
+	g.changed()
 }
 
 // declare takes over what a gateway says of the endpoint and reports whether another
@@ -79,14 +151,16 @@
 	}
 	g.engine = e
 	g.limiter.Declare(e.Slots)
-	g.pace.limit(e.ColdRate, g.started)
+	g.pace.limit(g.paces.bound(e.ColdRate, e.Cold), g.started)
 	return changed
 }
 
-func newGate() *gate {
-	g := &gate{queue: admission.NewQueue(admission.QueueOptions{Capacity: queueLength}), limiter: limit.New(limit.Options{}), started: time.Now()}
+func newGate(paces Pace) *gate {
+	g := &gate{paces: paces, queue: admission.NewQueue(admission.QueueOptions{Capacity: queueLength}), limiter: limit.New(limit.Options{}), started: time.Now()}
 	g.timer = time.AfterFunc(gateInterval, g.check)
 	g.timer.Stop()
+	g.offerTimer = time.AfterFunc(holdTime, g.endHolds)
+	g.offerTimer.Stop()
 	return g
 }
 
@@ -122,6 +196,10 @@
 		w.turn <- refusal{code: dispatch.CodeDraining}
 		return w
 	}
+	if g.engine.Slots > 0 {
+		g.enterExact(w, h, now)
+		return w
+	}
 	w.item.LeastTime = g.limiter.LeastTime(h.PromptTokens, h.AnswerTokens, g.queue.Len())
 	evicted, refused := g.queue.Push(&w.item, now)
 	g.refuse(evicted)
@@ -133,6 +211,23 @@
 	return w
 }
 
+// enterExact places a waiter at once or refuses it, where the slots are known: gateways see
+// a free slot within milliseconds, and what waits here could not go to the endpoint that
+// has room first. It must be called with mu held.
+func (g *gate) enterExact(w *waiter, h *dispatch.Header, now time.Time) {
+	g.offers.want(h.ID.Gateway, h.Waiting, now)
+	offered := g.offers.take(h.ID.Gateway, now)
+	held, _ := g.offers.held(0, now)
+	if offered || g.running+held < g.engine.Slots {
+		if g.allows(w, now) {
+			g.place(w, now)
+			return
+		}
+	}
+	g.offers.want(h.ID.Gateway, h.Waiting+1, now)
+	w.turn <- refusal{code: dispatch.CodeQueueFull, retryAfter: admission.MinRetryAfter}
+}
+
 // leave withdraws a waiter; it returns false when its turn has already come.
 func (g *gate) leave(w *waiter) bool {
 	g.mu.Lock()
@@ -174,6 +269,7 @@
 	if wait := g.pace.wait(now); wait > 0 {
 		g.timerSet = true
 		g.timer.Reset(wait)
+		g.changed()
 		return false
 	}
 	return true
@@ -184,6 +280,7 @@
 	w.ticket = g.limiter.Start(now, w.prompt)
 	w.placed = true
 	w.granted = now
+	g.changed()
 	g.running++
 	g.tokens += w.tokens
 	w.turn <- refusal{}
@@ -221,6 +318,7 @@
 		return
 	}
 	w.placed = false
+	defer g.changed()
 	g.running--
 	g.tokens -= w.tokens
 	s := w.sample(o, now)
@@ -233,6 +331,7 @@
 		g.limiter.Restart()
 	}
 	g.grant(now)
+	g.offerSlots(now)
 }
 
 func (w *waiter) sample(o outcome, now time.Time) limit.Sample {
@@ -277,6 +376,21 @@
 	g.limiter.Waiting(now)
 	g.refuse(g.queue.Expire(now))
 	g.grant(now)
+	g.offerSlots(now)
+	g.changed()
+}
+
+// loadFor returns the load report for one gateway. Slots that are kept for others are taken.
+func (g *gate) loadFor(gateway instance.Incarnation, now time.Time) endpoint.Load {
+	l := g.load(now)
+	if !l.Exact {
+		return l
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all, own := g.offers.held(gateway, now)
+	l.Running += all - own
+	return l
 }
 
 // load returns the load report of the gate.
@@ -285,7 +399,7 @@
 	defer g.mu.Unlock()
 	prefill, decode := g.limiter.Rates()
 	return endpoint.Load{
-		Limit: g.limiter.Limit(), Cold: g.limiter.Cold(),
+		Limit: g.limiter.Limit(), Exact: g.engine.Slots > 0, Full: g.pace.wait(now) > 0, Cold: g.limiter.Cold(),
 		Running: g.running, RunningTokens: g.tokens,
 		Queued: g.queue.Len(), QueuedTokens: g.queue.Tokens(),
 		PrefillRate: prefill, DecodeRate: decode,
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -1,20 +1,38 @@
 package agent
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // paceWindow is the time in which a cold endpoint bears a number of requests.
 const paceWindow = time.Second
 
-const (
-	// paceShare and paceSlack are what an endpoint bears beyond its rate when it is cold.
-	// Endpoints turn cold unannounced, so the bound holds at any time; a warm endpoint
-	// seldom ends more requests in a second.
-	paceShare = 1.2
-	paceSlack = 2
-)
+// Pace is how many requests an endpoint is given in any one second, from the rate that it
+// bears while cold. Endpoints turn cold unannounced, so a bound holds at any time.
+type Pace struct {
+	// Overrun and Slack bound an endpoint that is not known to be cold: rate x Overrun + Slack
+	// is what a cold one may get at the most.
+	Overrun, Slack float64
+}
+
+// DefaultPace is the pace where the deployment states none.
+var DefaultPace = Pace{Overrun: 1.2, Slack: 2}
+
+// paceMargin is the requests by which the pace stays below the bound, since an endpoint may
+// see two requests closer together than they were sent.
+const paceMargin = 1
+
+// coldShare is the share of its rate that an endpoint gets that is known to be cold.
+const coldShare = 1.0
+
+// bound returns the requests in one second; 0 means no bound.
+func (p Pace) bound(rate float64, cold bool) int {
+	if rate <= 0 {
+		return 0
+	}
+	if cold {
+		return max(1, int(coldShare*rate))
+	}
+	return max(1, int(rate*p.Overrun+p.Slack)-paceMargin)
+}
 
 // pace bounds the requests given to an endpoint in any one second. The zero value has no
 // bound.
@@ -24,22 +42,22 @@
 	next   int
 }
 
-// limit sets the rate in requests a second; 0 means no bound. A new bound counts as used
-// up at a time: when the agent started, since an earlier agent of the endpoint may have
-// made those starts.
-func (p *pace) limit(rate float64, used time.Time) {
-	n := 0
-	if rate > 0 {
-		n = int(math.Max(1, rate*paceShare+paceSlack))
-	}
+// limit sets the requests in one second; 0 means no bound. Starts before the bound are kept
+// as far as it reaches. used stands for starts that are not known: when the agent started,
+// since an earlier agent of the endpoint may have made some.
+func (p *pace) limit(n int, used time.Time) {
 	if n == len(p.starts) {
 		return
 	}
+	old := append(append([]time.Time(nil), p.starts[p.next:]...), p.starts[:p.next]...)
 	p.starts = make([]time.Time, n)
+	p.next = 0
 	for i := range p.starts {
 		p.starts[i] = used
 	}
-	p.next = 0
+	for i := range min(n, len(old)) {
+		p.starts[n-1-i] = old[len(old)-1-i]
+	}
 }
 
 // wait returns the time until the next start is allowed, 0 when it is now.
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -7,6 +7,7 @@
 
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
 )
 
 // stream writes the frames of one answer and sends heartbeats while nothing else is
@@ -16,6 +17,8 @@
 	flush http.Flusher
 	// passAll sends all headers of the engine to the gateway.
 	passAll bool
+	// gateway is the incarnation of the gateway that reads the frames.
+	gateway instance.Incarnation
 
 	mu     sync.Mutex
 	frames *dispatch.Writer
@@ -28,7 +31,7 @@
 func newStream(w http.ResponseWriter, a *Agent, id dispatch.ID) *stream {
 	f, _ := w.(http.Flusher)
 	w.Header().Set("Content-Type", "application/octet-stream")
-	s := &stream{agent: a, frames: dispatch.NewWriter(w, id), flush: f, sent: a.now()}
+	s := &stream{agent: a, gateway: id.Gateway, frames: dispatch.NewWriter(w, id), flush: f, sent: a.now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(dispatch.HeartbeatInterval, s.heartbeat)
@@ -50,7 +53,7 @@
 		return
 	}
 	if s.agent.now().Sub(s.sent) >= dispatch.HeartbeatInterval {
-		_ = s.frames.WriteMessage(dispatch.FrameHeartbeat, &dispatch.Heartbeat{Revision: s.agent.revision(), Load: s.agent.Load()})
+		_ = s.frames.WriteMessage(dispatch.FrameHeartbeat, &dispatch.Heartbeat{Revision: s.agent.revision(), Load: s.agent.loadFor(s.gateway)})
 		s.send()
 	}
 	s.timer.Reset(dispatch.HeartbeatInterval)
@@ -76,7 +79,7 @@
 }
 
 func (s *stream) accept(sendNow bool) {
-	s.write(dispatch.FrameAccepted, &dispatch.Accepted{Revision: s.agent.revision(), Load: s.agent.Load()}, sendNow)
+	s.write(dispatch.FrameAccepted, &dispatch.Accepted{Revision: s.agent.revision(), Load: s.agent.loadFor(s.gateway)}, sendNow)
 }
 
 func (s *stream) start(answer *endpoint.Answer) {
@@ -102,7 +105,7 @@
 // each way.
 func (s *stream) end(promptTokens, answerTokens int) {
 	s.agent.metrics.completed.add(1)
-	m := &dispatch.End{Load: s.agent.Load(), PromptTokens: promptTokens, AnswerTokens: answerTokens}
+	m := &dispatch.End{Load: s.agent.loadFor(s.gateway), PromptTokens: promptTokens, AnswerTokens: answerTokens}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.Length = s.frames.Offset()
@@ -111,10 +114,10 @@
 
 func (s *stream) refuse(r refusal) {
 	s.agent.metrics.refused(r.code)
-	s.write(dispatch.FrameRefused, &dispatch.Refused{Code: r.code, Detail: r.detail, RetryAfter: r.retryAfter, Revision: s.agent.revision(), Load: s.agent.Load()}, true)
+	s.write(dispatch.FrameRefused, &dispatch.Refused{Code: r.code, Detail: r.detail, RetryAfter: r.retryAfter, Revision: s.agent.revision(), Load: s.agent.loadFor(s.gateway)}, true)
 }
 
 func (s *stream) lose(code dispatch.Code, detail string) {
 	s.agent.metrics.lost(code)
-	s.write(dispatch.FrameLost, &dispatch.Lost{Code: code, Detail: detail, Load: s.agent.Load()}, true)
+	s.write(dispatch.FrameLost, &dispatch.Lost{Code: code, Detail: detail, Load: s.agent.loadFor(s.gateway)}, true)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -25,11 +25,22 @@
 	PathFloor    = "/floor"
 	PathLoad     = "/load"
 	PathOrder    = "/order"
+	// PathWatch is answered with a series of Heartbeats, one soon after each change of the
+	// load and one at least every WatchInterval.
+	PathWatch = "/watch"
+	// PathWant tells an agent how many requests wait at a gateway for one of its slots.
+	PathWant = "/want"
 )
 
+// HeaderGateway is the HTTP header of a watch that names the incarnation of the gateway, in
+// hexadecimal.
+const HeaderGateway = "Toucan-Gateway"
+
 // Timing of the dispatch protocol.
 const (
 	HeartbeatInterval = 500 * time.Millisecond
+	// WatchInterval is the longest time between two Heartbeats of a watch.
+	WatchInterval = 500 * time.Millisecond
 	// SilenceTimeout is how long a gateway waits for the next frame.
 	SilenceTimeout = 1500 * time.Millisecond
 	// SealRetention is how long an agent remembers an identity. It exceeds the time for
@@ -87,6 +98,8 @@
 	Host string
 	// Engine describes the endpoint behind the agent; nil where the agent knows it.
 	Engine *Engine
+	// Waiting is the number of requests of the service that wait at the gateway.
+	Waiting int
 }
 
 // Engine is what a gateway knows of an endpoint that announced itself to control.
@@ -99,6 +112,8 @@
 	ColdRate float64
 	// EventTokens is the number of tokens in one event of its streams; 0 means one.
 	EventTokens int
+	// Cold is set while the endpoint says that it is cold.
+	Cold bool
 }
 
 // PassedHeaders names the caller's headers that reach the engine, in canonical form.
@@ -149,6 +164,7 @@
 	headerHost     = "toucan-host"
 	headerEngine   = "toucan-engine"
 	headerPassAll  = "toucan-pass-all"
+	headerWaiting  = "toucan-waiting"
 )
 
 // HeaderCount is the number of HTTP headers that carry a Header.
@@ -171,7 +187,8 @@
 		to[headerHost] = []string{h.Host}
 	}
 	if e := h.Engine; e != nil {
-		to[headerEngine] = []string{strconv.Itoa(e.Slots) + ";" + strconv.Itoa(e.EventTokens) + ";" + strconv.FormatFloat(e.ColdRate, 'g', -1, 64) + ";" + string(e.ID)}
+		to[headerWaiting] = []string{strconv.Itoa(h.Waiting)}
+		to[headerEngine] = []string{strconv.FormatBool(e.Cold) + ";" + strconv.Itoa(e.Slots) + ";" + strconv.Itoa(e.EventTokens) + ";" + strconv.FormatFloat(e.ColdRate, 'g', -1, 64) + ";" + string(e.ID)}
 	}
 	if h.PassAll {
 		to[headerPassAll] = []string{"1"}
@@ -231,6 +248,9 @@
 			return nil, fmt.Errorf("dispatch header %s: %w", headerEngine, err)
 		}
 		h.Engine = e
+		if h.Waiting, err = strconv.Atoi(from.Get(headerWaiting)); err != nil {
+			return nil, fmt.Errorf("dispatch header %s: %w", headerWaiting, err)
+		}
 	}
 	if h.PassAll = from.Get(headerPassAll) != ""; h.PassAll {
 		for name, v := range from {
@@ -255,7 +275,8 @@
 )
 
 func parseEngine(s string) (*Engine, error) {
-	slots, rest, _ := strings.Cut(s, ";")
+	cold, rest, _ := strings.Cut(s, ";")
+	slots, rest, _ := strings.Cut(rest, ";")
 	event, rest, _ := strings.Cut(rest, ";")
 	rate, id, more := strings.Cut(rest, ";")
 	if !more || id == "" {
@@ -266,6 +287,9 @@
 	if e.Slots, err = strconv.Atoi(slots); err != nil || e.Slots < 0 {
 		return nil, fmt.Errorf("slots %q", slots)
 	}
+	if e.Cold, err = strconv.ParseBool(cold); err != nil {
+		return nil, fmt.Errorf("cold %q", cold)
+	}
 	if e.EventTokens, err = strconv.Atoi(event); err != nil || e.EventTokens < 0 {
 		return nil, fmt.Errorf("tokens of an event %q", event)
 	}
@@ -412,6 +436,13 @@
 	Tier account.Tier `msgpack:"tier"`
 }
 
+// WantRequest says how many requests wait at a gateway. The agent offers it free slots in
+// the reports of its watch.
+type WantRequest struct {
+	Gateway  instance.Incarnation `msgpack:"gateway"`
+	Requests int                  `msgpack:"requests"`
+}
+
 // OrderRequest carries an order to the engine behind an agent.
 type OrderRequest struct {
 	Token   uint64 `msgpack:"token"`
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -32,6 +32,8 @@
 	// that announce themselves; ID and Incarnation are then the endpoint's and not those of
 	// its agent.
 	Target string `msgpack:"target" json:"target,omitempty"`
+	// Cold is set while the endpoint says that it is cold after its start.
+	Cold bool `msgpack:"cold" json:"cold,omitempty"`
 	// Slots is the number of requests that the endpoint runs at once; 0 means not known.
 	Slots int `msgpack:"slots" json:"slots,omitempty"`
 }
@@ -54,6 +56,11 @@
 	// Floor is the admission floor: tiers with a rank above it are refused.
 	// A negative value means no floor.
 	Floor int `msgpack:"floor" json:"floor"`
+	// Exact is set where Limit is what the endpoint is known to run at once. Requests beyond
+	// it wait better at gateways, which place each at the first endpoint with room.
+	Exact bool `msgpack:"exact,omitempty" json:"exact,omitempty"`
+	// Full is set while the endpoint can take nothing more for another reason than its limit.
+	Full bool `msgpack:"full,omitempty" json:"full,omitempty"`
 	// Cold is set while the agent ramps its limit.
 	Cold bool `msgpack:"cold" json:"cold"`
 	// Leaving is set once the agent has begun to drain.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,6 +44,10 @@
 	first time.Time
 	last  time.Time
 	load  float64
+	// arrived is set once the endpoint has taken or refused the request.
+	arrived bool
+	// left is set once the request is no longer counted at the candidate.
+	left bool
 	// connected is set when net/http has a connection for the dispatch.
 	connected atomic.Bool
 	// silent is set when no frame came in time.
@@ -150,7 +154,10 @@
 	if a.endpoint.Target != "" {
 		h.PassAll = true
 		h.Host = c.host
-		h.Engine = &dispatch.Engine{ID: a.endpoint.ID, Slots: a.endpoint.Slots, ColdRate: c.service.ColdRate, EventTokens: c.service.EventTokens}
+		if q := a.gateway.route().queues[c.service.Name]; q != nil {
+			h.Waiting = int(q.waiting.Load())
+		}
+		h.Engine = &dispatch.Engine{ID: a.endpoint.ID, Slots: a.endpoint.Slots, ColdRate: c.service.ColdRate, EventTokens: c.service.EventTokens, Cold: a.endpoint.Cold}
 	}
 	a.trace.GotConn = func(httptrace.GotConnInfo) { a.connected.Store(true) }
 	req := a.peer.dispatch.WithContext(httptrace.WithClientTrace(ctx, &a.trace))
@@ -183,7 +190,16 @@
 	}
 }
 
+// arrive records that the agent has replied.
+func (a *attempt) arrive() {
+	if !a.arrived {
+		a.arrived = true
+		a.candidate.Arrived()
+	}
+}
+
 func (a *attempt) frame(kind dispatch.FrameType, payload []byte, frames *dispatch.Reader) (finished bool, r result, err error) {
+	a.arrive()
 	switch kind {
 	case dispatch.FrameData:
 		a.data(payload)
@@ -265,7 +281,7 @@
 	case m.Code == dispatch.CodeWrongIncarnation && a.endpoint.Target != "":
 		// The agent has restarted; the next attempt asks for its incarnation.
 		a.peer.forget(a.agent)
-	case m.Code == dispatch.CodeEngineRefused && a.endpoint.Target != "":
+	case (m.Code == dispatch.CodeEngineRefused || m.Code == dispatch.CodeUnreachable) && a.endpoint.Target != "":
 		// Its address is silent or another endpoint's; the directory follows.
 		a.candidate.Suspend(time.Now().Add(suspendTime))
 	case m.Code == dispatch.CodeWrongIncarnation, m.Code == dispatch.CodeWrongVersion:
@@ -328,6 +344,20 @@
 	return result{problem: a.unknown(cause), open: stands == standsUnreachable || stands == standsRunning}
 }
 
+// leaveCandidate ends the count of the request at its candidate; later calls do nothing.
+func (a *attempt) leaveCandidate() {
+	if a.left {
+		return
+	}
+	a.left = true
+	a.arrive()
+	prompt := a.call.promptTokens
+	if !a.first.IsZero() {
+		prompt = 0
+	}
+	a.candidate.RemoveOutstanding(prompt, a.call.answerTokens)
+}
+
 // unsent reports whether the dispatch provably never left this process.
 func (a *attempt) unsent(err error) bool {
 	var l *link.Error
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,7 @@
 	rebuild   sync.Mutex
 	accounts  admission.AccountLimits
 	wallets   wallets
+	watches   watches
 	estimator schedule.AnswerEstimator
 	engines   sync.Map // target -> endpoint.Engine
 	claims    sync.Map // account and key -> runningClaim, of calls in progress
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -99,6 +99,7 @@
 	}
 	if !q.leave(t) {
 		if got := <-t.turn; got.decision.Candidate != nil {
+			got.decision.Candidate.Arrived()
 			got.decision.Candidate.RemoveOutstanding(c.promptTokens, c.answerTokens)
 			q.wake()
 		}
@@ -123,6 +124,7 @@
 	q.refuse(evicted)
 	if refused == nil {
 		q.serve(now)
+		q.ask(now)
 	}
 	q.announceFloor(now)
 	if refused != nil {
@@ -213,6 +215,7 @@
 	if q.queue.Len() == 0 {
 		return
 	}
+	q.ask(now)
 	q.timer.Reset(queueInterval)
 	q.looks++
 	if q.looks%probeEvery == 0 {
@@ -220,12 +223,22 @@
 	}
 }
 
+// ask tells agents that offer their slots how many requests wait.
+func (q *serviceQueue) ask(now time.Time) {
+	if n := q.queue.Len(); n > 0 {
+		q.gateway.want(q.service, n, now)
+	}
+}
+
 // probe asks the next few agents for their load.
 func (q *serviceQueue) probe() {
 	candidates := q.gateway.routing.Load().snapshot.Candidates(q.service)
 	for range min(probeCount, len(candidates)) {
 		q.next++
 		c := candidates[q.next%len(candidates)]
+		if c.Endpoint.Target != "" {
+			continue // its agent is watched, or it has none
+		}
 		q.gateway.background(func(ctx context.Context) { q.gateway.fetchLoad(ctx, c, http.MethodGet, dispatch.PathLoad, nil) })
 	}
 }
@@ -272,13 +285,9 @@
 }
 
 // release ends a request at an endpoint and lets the next one go there.
-func (g *Gateway) release(c *call, candidate *schedule.Candidate, prefillDone bool) {
-	prompt := c.promptTokens
-	if prefillDone {
-		prompt = 0
-	}
-	candidate.RemoveOutstanding(prompt, c.answerTokens)
-	if q := g.route().queues[c.service.Name]; q != nil {
+func (g *Gateway) release(a *attempt) {
+	a.leaveCandidate()
+	if q := g.route().queues[a.call.service.Name]; q != nil {
 		q.wake()
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -118,7 +118,7 @@
 		return result{problem: p, notRun: true}, false
 	}
 	a := g.newAttempt(c, out, d)
-	defer func() { g.release(c, d.Candidate, !a.first.IsZero()) }()
+	defer g.release(a)
 	if claim != nil {
 		if r, held := claim.hold(ctx, a); !held {
 			return r, false
--- /dev/null
+++ b/gateway/watch.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/link"
+)
+
+const (
+	// watchSilence is the time without a report after which a watch is opened anew.
+	watchSilence = 3 * dispatch.WatchInterval
+	// watchRetry is the pause before a watch is opened again.
+	watchRetry = 150 * time.Millisecond
+)
+
+// watches holds the open watches of agents, by the agent's address.
+type watches struct {
+	mu   sync.Mutex
+	stop map[string]context.CancelFunc
+}
+
+// watchAgents follows the load of the endpoints that announce themselves. Their agents
+// report only to those who ask.
+func (g *Gateway) watchAgents(endpoints []endpoint.Endpoint) {
+	g.watches.mu.Lock()
+	defer g.watches.mu.Unlock()
+	wanted := make(map[string]bool)
+	for i := range endpoints {
+		e := &endpoints[i]
+		if e.Target == "" || e.Address == "" {
+			continue
+		}
+		wanted[e.Address] = true
+		if g.watches.stop[e.Address] == nil {
+			g.startWatch(e.Address)
+		}
+	}
+	for address, stop := range g.watches.stop {
+		if !wanted[address] {
+			stop()
+			delete(g.watches.stop, address)
+		}
+	}
+}
+
+func (g *Gateway) startWatch(address string) {
+	ctx, cancel := context.WithCancel(g.taskCtx)
+	if g.watches.stop == nil {
+		g.watches.stop = make(map[string]context.CancelFunc)
+	}
+	g.watches.stop[address] = cancel
+	g.tasks.Go(func() { g.watchAgent(ctx, address) })
+}
+
+// watchAgent follows one agent until ctx ends.
+func (g *Gateway) watchAgent(ctx context.Context, address string) {
+	for ctx.Err() == nil {
+		err := g.watchOnce(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		p := g.peer(address)
+		p.incarnation.Store(0)
+		g.suspendAt(address, time.Now().Add(suspendTime))
+		_ = g.opt.Logger.Log("msg", "agent lost", "agent", address, "err", err)
+		pause(ctx, watchRetry)
+	}
+}
+
+// watchOnce reads reports from one connection until it breaks off or goes silent.
+func (g *Gateway) watchOnce(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(watchSilence, cancel)
+	defer watchdog.Stop()
+	p := g.peer(address)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+dispatch.PathWatch, nil)
+	if err != nil {
+		return &link.Error{Step: "building watch", Peer: address, Err: err}
+	}
+	req.Header.Set(dispatch.HeaderGateway, strconv.FormatUint(uint64(g.opt.Instance.Incarnation), 16))
+	p.use.begin()
+	defer p.use.end()
+	client := p.client.Load()
+	resp, err := client.Do(req)
+	if err != nil {
+		p.replace(client)
+		return &link.Error{Step: "watch", Peer: address, Err: err}
+	}
+	defer resp.Body.Close()
+	decoder := msgpack.NewDecoder(resp.Body)
+	first := true
+	for {
+		var m dispatch.Heartbeat
+		if err := decoder.Decode(&m); err != nil {
+			p.replace(client)
+			return &link.Error{Step: "reading watch", Peer: address, Err: err}
+		}
+		watchdog.Reset(watchSilence)
+		p.incarnation.Store(uint64(m.Incarnation))
+		if first {
+			first = false
+			g.suspendAt(address, time.Now())
+			_ = g.opt.Logger.Log("msg", "agent followed", "agent", address, "incarnation", uint64(m.Incarnation))
+		}
+		g.observeAgent(address, &m)
+	}
+}
+
+// suspendAt leaves the endpoints behind an agent out of picks until a time.
+func (g *Gateway) suspendAt(address string, until time.Time) {
+	if r := g.routing.Load(); r != nil {
+		for _, c := range r.snapshot.Behind(address) {
+			c.Suspend(until)
+		}
+	}
+}
+
+// observeAgent takes in a report and lets waiting requests go there.
+func (g *Gateway) observeAgent(address string, m *dispatch.Heartbeat) {
+	r := g.routing.Load()
+	if r == nil {
+		return
+	}
+	now := time.Now()
+	for _, c := range r.snapshot.Behind(address) {
+		c.Observe(m.Load, now)
+		if q := r.queues[c.Endpoint.Service]; q != nil {
+			q.wake()
+		}
+	}
+}
+
+// wantInterval is the time after which a gateway repeats at an agent how many requests
+// wait. It is below the time for which an agent remembers it.
+const wantInterval = 250 * time.Millisecond
+
+// want tells the agents of a service how many requests wait, so that they offer slots.
+func (g *Gateway) want(service string, waiting int, now time.Time) {
+	r := g.routing.Load()
+	in := &dispatch.WantRequest{Gateway: g.opt.Instance.Incarnation, Requests: waiting}
+	for _, c := range r.snapshot.Candidates(service) {
+		if c.Endpoint.Target == "" || c.Endpoint.Address == "" || !c.Asked(now, wantInterval) {
+			continue
+		}
+		g.background(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			var m dispatch.Heartbeat
+			if g.peer(c.Endpoint.Address).call(ctx, http.MethodPost, dispatch.PathWant, in, &m) == nil {
+				g.observeAgent(c.Endpoint.Address, &m)
+			}
+		})
+	}
+}
--- a/program/agent.go
+++ b/program/agent.go
@@ -29,6 +29,8 @@
 	DispatchAdvertise string   `help:"Address at which gateways reach --dispatch-listen, ip:port, if not that address." env:"TOUCAN_DISPATCH_ADVERTISE"`
 	LinkListen        string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7401"`
 	LinkAdvertise     string   `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
+	ColdOverrun       float64  `help:"Bound on the requests in one second to an endpoint that may be cold, as a multiple of the rate that it bears while cold." env:"TOUCAN_COLD_OVERRUN" default:"1.2"`
+	ColdSlack         float64  `help:"Requests in one second beyond --cold-overrun." env:"TOUCAN_COLD_SLACK" default:"2"`
 	Control           []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL"`
 }
 
@@ -104,6 +106,7 @@
 	a.agent, err = agent.New(agent.Options{
 		Endpoint: e,
 		Engine:   a.engine(),
+		Pace:     agent.Pace{Overrun: a.settings.ColdOverrun, Slack: a.settings.ColdSlack},
 		View:     a.member,
 		Network:  a.member.network,
 		Logger:   a.logger,
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -25,14 +25,18 @@
 	// while the last answers failed.
 	marks    atomic.Uint32
 	requests atomic.Int64
+	// underWay counts requests that the endpoint has not taken or refused yet.
+	underWay atomic.Int64
 	prompt   atomic.Int64
 	answer   atomic.Int64
 	// suspended is kept as a time.Time, whose monotonic part ignores clock steps.
 	suspended atomic.Pointer[time.Time]
-	failures  failures
-	cache     prefixCache
-	history   history
-	base      *timeBase
+	// asked is when the gateway last asked for a slot, as an offset from the time base.
+	asked    atomic.Int64
+	failures failures
+	cache    prefixCache
+	history  history
+	base     *timeBase
 }
 
 // report is an immutable load report with what was known when it arrived. It holds
@@ -53,6 +57,8 @@
 	// room is the number of requests up to which the endpoint is not saturated.
 	room  float32
 	marks mark
+	// exact is set where others counts all requests at the endpoint, this gateway's too.
+	exact bool
 	*detail
 }
 
@@ -74,9 +80,13 @@
 		room:         float32(limit),
 		detail:       &detail{load: load},
 	}
-	if !load.Cold {
+	if !load.Cold && !load.Exact {
 		r.room += float32(math.Ceil(aheadShare * limit))
 	}
+	r.exact = load.Exact
+	if load.Full {
+		r.room = 0
+	}
 	if load.PrefillRate <= 0 {
 		r.marks |= markNoPrefill
 	}
@@ -93,7 +103,12 @@
 }
 
 // holderRoom is room for requests whose prefix the endpoint holds.
-func (r *report) holderRoom() float32 { return r.limit * (1 + holderShare) }
+func (r *report) holderRoom() float32 {
+	if r.exact {
+		return r.room
+	}
+	return r.limit * (1 + holderShare)
+}
 
 // aheadShare is the share of its limit that a warm endpoint may hold in addition,
 // so that its agent always has the next request at hand.
@@ -127,6 +142,10 @@
 	r.made = c.state.base.nanos(made)
 	r.at = made
 	r.others = float32(math.Max(0, float64(load.Running+load.Queued)-own))
+	if load.Exact {
+		// Own requests that the endpoint refuses must not look like room there.
+		r.others = float32(load.Running + load.Queued)
+	}
 	r.usualOthers = r.others
 	if old != nil {
 		gain := float32(min(1, made.Sub(old.at).Seconds()/usualTime))
@@ -145,10 +164,16 @@
 // AddOutstanding counts a request given to the endpoint.
 func (c *Candidate) AddOutstanding(promptTokens, answerTokens int) {
 	c.state.requests.Add(1)
+	c.state.underWay.Add(1)
 	c.state.prompt.Add(int64(promptTokens))
 	c.state.answer.Add(int64(answerTokens))
 }
 
+// Arrived records that the endpoint has taken or refused a request counted by
+// AddOutstanding, or that it never arrived. Call it once, before the report that came with
+// the reply is observed.
+func (c *Candidate) Arrived() { c.state.underWay.Add(-1) }
+
 // PrefillDone records that the answer of a request has begun: its prompt no
 // longer waits. RemoveOutstanding is then called with promptTokens 0.
 func (c *Candidate) PrefillDone(promptTokens int) {
@@ -172,6 +197,17 @@
 	c.state.marks.Or(uint32(markSuspended))
 }
 
+// Asked reports whether the last time that this gateway asked for a slot is at least an
+// interval ago, and records now as the last time if so.
+func (c *Candidate) Asked(now time.Time, interval time.Duration) bool {
+	at := c.state.base.nanos(now)
+	last := c.state.asked.Load()
+	if last != 0 && at-last < interval.Nanoseconds() {
+		return false
+	}
+	return c.state.asked.CompareAndSwap(last, max(at, 1))
+}
+
 // Load returns the latest report and when it was made; ok is false before the
 // first.
 func (c *Candidate) Load() (load endpoint.Load, made time.Time, ok bool) {
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -114,6 +114,9 @@
 		weight := fade(x.nanos - r.made)
 		usual := float64(r.usualOthers)
 		requests := own + usual + weight*(float64(r.others)-usual)
+		if r.exact {
+			requests = float64(r.others) + float64(st.underWay.Load())
+		}
 		x.reports[i] = r
 		x.weight[i] = weight
 		x.own[i] = own
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -41,6 +41,9 @@
 	profile  *Profile
 	services map[string]*service
 	base     *timeBase
+	// behind holds the candidates of endpoints that announce themselves, by the address of
+	// their agent.
+	behind map[string][]*Candidate
 	// states holds the load of every known endpoint, for the next snapshot.
 	states map[stateKey]*state
 }
@@ -75,6 +78,7 @@
 		profile:  in.Profile,
 		services: make(map[string]*service, len(in.Config.Services)),
 		states:   make(map[stateKey]*state),
+		behind:   make(map[string][]*Candidate),
 		base:     &timeBase{},
 	}
 	if in.Previous != nil {
@@ -127,6 +131,11 @@
 			state:    s.stateOf(in.Previous, e),
 		})
 	}
+	for _, c := range svc.candidates {
+		if c.Endpoint.Target != "" && c.Endpoint.Address != "" {
+			s.behind[c.Endpoint.Address] = append(s.behind[c.Endpoint.Address], c)
+		}
+	}
 	sortByVersion(svc.candidates)
 	for i, c := range svc.candidates {
 		svc.states = append(svc.states, c.state)
@@ -150,7 +159,7 @@
 		st = &state{base: s.base}
 		if e.Slots > 0 {
 			// The endpoint said how much it runs at once; its agent, if any, reports later.
-			st.report.Store(newReport(endpoint.Load{Limit: e.Slots, Floor: admission.NoFloor}))
+			st.report.Store(newReport(endpoint.Load{Limit: e.Slots, Exact: e.Address != "", Floor: admission.NoFloor}))
 		}
 	}
 	s.states[key] = st
@@ -167,6 +176,9 @@
 	return svc.candidates
 }
 
+// Behind returns the candidates behind an agent, of endpoints that announce themselves.
+func (s *Snapshot) Behind(address string) []*Candidate { return s.behind[address] }
+
 // Candidate finds an endpoint of a service by ID, or nil. It searches the subset
 // and is meant for replies, not for routing.
 func (s *Snapshot) Candidate(serviceName string, id endpoint.ID) *Candidate {
