--- a/admission/drain.go
+++ b/admission/drain.go
@@ -33,6 +33,17 @@
 	d.from = now
 }
 
+// restart begins a new span of measurement.
+func (d *drain) restart(now time.Time) {
+	d.cost = 0
+	d.from = now
+}
+
+// wait estimates how long work takes at the measured rate, which must not be 0.
+func (d *drain) wait(work float64) time.Duration {
+	return time.Duration(min(work/d.rate, MaxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // time estimates how long work of this cost takes; without a measured rate it
 // returns 1 s.
 func (d *drain) time(cost float64) time.Duration {
--- a/admission/item.go
+++ b/admission/item.go
@@ -18,6 +18,13 @@
 	Deadline time.Time
 	// LeastTime is the time the request needs when it is placed at once.
 	LeastTime time.Duration
+	// Worth and Work decide the order where QueueOptions.ByWorth is set: what a timely answer
+	// is worth against others, and the seconds of an endpoint that it takes.
+	Worth, Work float64
+	// Objective is when the answer should begin, zero without an objective; StartTime is the
+	// time from placing the request to the beginning of its answer.
+	Objective time.Time
+	StartTime time.Duration
 	// Value is the caller's request.
 	Value any
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -24,6 +24,9 @@
 	// for its weight instead of the latest arrival of the tier. Without it, one account
 	// that fills the queue shuts the others out, since theirs are the latest arrivals.
 	FairEviction bool
+	// ByWorth lets the item go first that is worth most for its work, in place of turns of
+	// accounts. It is for deployments whose accounts have token limits.
+	ByWorth bool
 }
 
 // Queue is a bounded priority queue by tier with fair sharing among accounts
@@ -37,6 +40,8 @@
 	seq    uint64
 	floor  floor
 	drain  drain
+	// work is the pace of Item.Work.
+	work drain
 	// mayShed tells whether a tier may be shed for its queue time; nil allows all.
 	mayShed func(tier account.Tier, now time.Time) bool
 }
@@ -156,7 +161,7 @@
 func (q *Queue) Peek(now time.Time) (head *Item, dropped []Dropped) {
 	limit := q.Floor(now)
 	for i := range q.bands {
-		for it := q.bands[i].peek(); it != nil; it = q.bands[i].peek() {
+		for it := q.first(i, now); it != nil; it = q.first(i, now) {
 			r := q.expired(it, limit, now)
 			if r == nil {
 				return it, dropped
@@ -168,6 +173,14 @@
 	return nil, dropped
 }
 
+// first returns the item of a tier that goes first.
+func (q *Queue) first(rank int, now time.Time) *Item {
+	if q.opt.ByWorth {
+		return q.bands[rank].densest(now)
+	}
+	return q.bands[rank].peek()
+}
+
 // Pop removes the next item: highest tier first, accounts in turn by weight. Items
 // found on the way that can no longer be served come back in dropped.
 func (q *Queue) Pop(now time.Time) (head *Item, dropped []Dropped) {
@@ -178,6 +191,7 @@
 	head.flow.deficit -= head.cost()
 	q.unlink(head)
 	q.drain.add(head.cost(), now)
+	q.work.add(head.Work, now)
 	return head, dropped
 }
 
@@ -209,7 +223,11 @@
 	for _, d := range out {
 		q.unlink(d.Item)
 	}
-	return out
+	late := q.hopeless(now)
+	for _, d := range late {
+		q.unlink(d.Item)
+	}
+	return append(out, late...)
 }
 
 func (q *Queue) expired(it *Item, limit int, now time.Time) *Refusal {
@@ -264,6 +282,10 @@
 	for len(q.bands) <= int(it.Tier) {
 		q.bands = append(q.bands, band{})
 	}
+	if q.length == 0 {
+		// The pace is that of a busy queue; idle time does not count.
+		q.work.restart(now)
+	}
 	q.seq++
 	it.seq = q.seq
 	it.queued = now
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -69,6 +69,8 @@
 	problem func(w http.ResponseWriter, p *Problem)
 	// cost is what the call counts against the account's token budget.
 	cost int
+	// objective is when the answer should begin; zero without an objective.
+	objective time.Time
 	// waited is the time in the queue over all attempts.
 	waited time.Duration
 	// last describes the last attempt, for the log.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,7 @@
 	accounts  admission.AccountLimits
 	wallets   wallets
 	watches   watches
+	sizes     sizeMeans
 	estimator schedule.AnswerEstimator
 	engines   sync.Map // target -> endpoint.Engine
 	claims    sync.Map // account and key -> runningClaim, of calls in progress
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -94,6 +94,9 @@
 		timeout = min(timeout, in.Timeout)
 	}
 	c.deadline = now.Add(timeout)
+	if route.Objective > 0 {
+		c.objective = now.Add(route.Objective)
+	}
 	return c, nil
 }
 
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -68,7 +68,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.queue.SetOptions(admission.ServiceOptions{
-		QueueOptions: admission.QueueOptions{Capacity: s.QueueLength, MaxQueueTime: times, Tiers: len(c.Tiers), FairEviction: true},
+		QueueOptions: admission.QueueOptions{Capacity: s.QueueLength, MaxQueueTime: times, Tiers: len(c.Tiers), FairEviction: true, ByWorth: c.Ingress != nil},
 	})
 }
 
@@ -110,7 +110,9 @@
 func (q *serviceQueue) enter(c *call) (*ticket, *Problem) {
 	t := &ticket{call: c, turn: make(chan turn, 1)}
 	least := q.gateway.routing.Load().snapshot.LeastTime(q.service, c.promptTokens, c.answerTokens)
+	worth, work, start := q.gateway.value(c)
 	t.item = admission.Item{
+		Worth: worth, Work: work, StartTime: start, Objective: c.objective,
 		LeastTime: least, Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
 		Cost: c.promptTokens + c.answerTokens, Deadline: c.deadline, Value: t,
 	}
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -208,6 +208,26 @@
 	return seconds(least)
 }
 
+// Speeds returns the mean learned speeds of the candidates of a service in tokens a second,
+// for prompts and for answers; defaults where none has been learned.
+func (s *Snapshot) Speeds(serviceName string) (prefill, decode float64) {
+	prefills, decodes := 0.0, 0.0
+	for _, c := range s.Candidates(serviceName) {
+		r := c.state.report.Load()
+		if r == nil || r.load.PrefillRate <= 0 || r.load.DecodeRate <= 0 {
+			continue
+		}
+		prefill += r.load.PrefillRate
+		prefills++
+		decode += r.load.DecodeRate
+		decodes++
+	}
+	if prefills == 0 {
+		return defaultPrefillRate, defaultDecodeRate
+	}
+	return prefill / prefills, decode / decodes
+}
+
 func (svc *service) rangeOf(version string) (from, to int) {
 	if version == "" || version == contract.AnyVersion {
 		return 0, len(svc.candidates)
