Test offers, pace, budgets, the order by worth and documents

The pace forgot starts when its bound fell and rose within a second: found by TestPaceHoldsInAnySecond, which failed first; it keeps the starts of the last second now. A draw of the whole burst waited a moment too short.

--- /dev/null
+++ b/admission/worth_test.go
@@ -0,0 +1,106 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func worthQueue() *Queue {
+	return NewQueue(QueueOptions{Capacity: 4096, Tiers: 2, ByWorth: true})
+}
+
+// Guards against turns that leave what is worth most for its work behind, and against a
+// request past its objective that goes before one that can still be in time.
+func TestMostWorthForItsWorkGoesFirst(t *testing.T) {
+	q := worthQueue()
+	long := &Item{Worth: 1, Work: 1, Objective: start.Add(time.Second)}
+	short := &Item{Worth: 1, Work: 0.1, Objective: start.Add(time.Second)}
+	late := &Item{Worth: 1, Work: 0.1, Objective: start.Add(-time.Second)}
+	high := &Item{Worth: 0.1, Work: 1, Objective: start.Add(time.Second)}
+	long.Tier, short.Tier, late.Tier = 1, 1, 1
+	for _, it := range []*Item{long, late, short, high} {
+		_, refusal := q.Push(it, start)
+		assert.Assert(t, refusal == nil)
+	}
+	for _, want := range []*Item{high, short, late, long} {
+		got, _ := q.Pop(start)
+		assert.Assert(t, got == want)
+	}
+}
+
+// load is an overload of a kind: requests that arrive at a rate above what is served.
+type load struct {
+	every, objective, deadline time.Duration
+	worth, work                float64
+}
+
+// burst replays five seconds of a scale day at one gateway of eight: all three kinds of
+// generations at twice what its part of the engines serves.
+var burst = []load{
+	{every: 130 * time.Millisecond, objective: 800 * time.Millisecond, deadline: 5 * time.Second, worth: 1, work: 0.142},
+	{every: 120 * time.Millisecond, objective: 500 * time.Millisecond, deadline: 3 * time.Second, worth: 0.4, work: 0.079},
+	{every: 230 * time.Millisecond, objective: 400 * time.Millisecond, deadline: 15 * time.Second, worth: 0.16, work: 0.35},
+}
+
+type outcomeOf struct {
+	earned, owed float64
+	// heldInVain counts refusals after more than half of the time to the deadline.
+	heldInVain int
+}
+
+// replay serves the burst with one server that does one second of work a second.
+func replay(q *Queue, loads []load) outcomeOf {
+	var out outcomeOf
+	next := make([]time.Duration, len(loads))
+	free := start
+	for ms := range 10_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for i, l := range loads {
+			if now.Sub(start) >= next[i] && now.Sub(start) < 5*time.Second {
+				next[i] += l.every
+				out.owed += l.worth
+				it := &Item{Tier: 1, Account: "a", Worth: l.worth, Work: l.work, Cost: int(1000 * l.work), Objective: now.Add(l.objective), Deadline: now.Add(l.deadline), Value: l}
+				_, _ = q.Push(it, now)
+			}
+		}
+		if ms%20 == 0 {
+			for _, d := range q.Expire(now) {
+				if now.Sub(d.Item.Queued()) > d.Item.Value.(load).deadline/2 {
+					out.heldInVain++
+				}
+			}
+		}
+		for !free.After(now) {
+			it, _ := q.Pop(now)
+			if it == nil {
+				break
+			}
+			free = now.Add(time.Duration(it.Work * float64(time.Second)))
+			l := it.Value.(load)
+			if now.After(it.Objective) {
+				l.worth *= lateShare
+			}
+			out.earned += l.worth
+		}
+	}
+	return out
+}
+
+// Guards against an order that serves every request after its objective when twice as much
+// arrives as can be served: the replayed load of the worst seconds of a scale day.
+func TestOverloadEarnsMoreByWorth(t *testing.T) {
+	byTurns := replay(NewQueue(QueueOptions{Capacity: 4096, Tiers: 2}), burst)
+	byWorth := replay(worthQueue(), burst)
+	t.Logf("by turns %.2f of %.2f, %d held in vain; by worth %.2f, %d held in vain", byTurns.earned, byTurns.owed, byTurns.heldInVain, byWorth.earned, byWorth.heldInVain)
+	assert.Assert(t, byWorth.earned > 1.3*byTurns.earned)
+	assert.Assert(t, byWorth.heldInVain <= byTurns.heldInVain)
+}
+
+// Guards against a refusal for lack of time while the queue is short.
+func TestNothingIsHopelessWithoutOverload(t *testing.T) {
+	light := []load{{every: 200 * time.Millisecond, objective: 800 * time.Millisecond, deadline: 5 * time.Second, worth: 1, work: 0.142}}
+	out := replay(worthQueue(), light)
+	assert.Assert(t, out.earned > 0.999*out.owed, "%.2f of %.2f", out.earned, out.owed)
+}
--- /dev/null
+++ b/agent/offers_test.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"toucantiller.dev/dispatch"
+	"toucantiller.dev/instance"
+)
+
+// Guards against a free slot that is offered to two gateways, one that stays kept for a
+// gateway that does not use it, and a gateway with few waiting requests that gets as many
+// slots as one with many.
+func TestOffers(t *testing.T) {
+	now := time.Unix(0, 0)
+	var o offers
+	_, ok := o.offer(now)
+	assert.Assert(t, !ok, "nobody waits")
+	o.want(1, 1, now)
+	g, ok := o.offer(now)
+	assert.Assert(t, ok && g == 1)
+	_, ok = o.offer(now)
+	assert.Assert(t, !ok, "the only request that waits has a slot")
+	assert.Assert(t, !o.take(2, now))
+	assert.Assert(t, o.take(1, now))
+	assert.Assert(t, !o.take(1, now), "a slot was used twice")
+
+	o.want(1, 1, now)
+	_, _ = o.offer(now)
+	later := now.Add(holdTime)
+	assert.Assert(t, !o.take(1, later), "the hold has ended")
+	assert.Assert(t, o.expire(later).IsZero())
+	_, ok = o.offer(later)
+	assert.Assert(t, !ok, "a gateway that did not use its offer waits no longer")
+
+	counts := make(map[instance.Incarnation]int)
+	for range 1000 {
+		o.want(1, 1, now)
+		o.want(2, 9, now)
+		g, _ := o.offer(now)
+		counts[g]++
+		assert.Assert(t, o.take(g, now))
+	}
+	assert.Assert(t, counts[1] > 40 && counts[1] < 200, "1 of 10 requests waits there: %d of 1000 offers", counts[1])
+}
+
+// Guards against a gateway that crashed while it waited and is offered slots for ever.
+func TestInterestEnds(t *testing.T) {
+	now := time.Unix(0, 0)
+	var o offers
+	o.want(1, 5, now)
+	_, ok := o.offer(now.Add(interestTime + time.Millisecond))
+	assert.Assert(t, !ok)
+}
+
+// Guards against more starts in any second than the bound, also across a change of it and
+// for an endpoint whose earlier agent made starts that are not known.
+func TestPaceHoldsInAnySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p pace
+		now := time.Unix(100, 0)
+		bound := rapid.IntRange(1, 20).Draw(t, "bound")
+		p.limit(bound, now)
+		var starts []time.Time
+		for range bound {
+			starts = append(starts, now) // the earlier agent's
+		}
+		highest := bound
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 40).Draw(t, "change") == 0 {
+				bound = rapid.IntRange(1, 20).Draw(t, "bound")
+				highest = max(highest, bound)
+				p.limit(bound, now.Add(-paceWindow))
+			}
+			if p.wait(now) == 0 {
+				p.take(now)
+				starts = append(starts, now)
+			}
+		}
+		for i, from := range starts {
+			n := 0
+			for _, at := range starts[i:] {
+				if at.Sub(from) < paceWindow {
+					n++
+				}
+			}
+			assert.Assert(t, n <= highest, "%d starts in a second", n)
+		}
+	})
+}
+
+// Guards against a pace that lets a cold endpoint get more than the deployment allows, or
+// one known to be cold more than its rate.
+func TestPaceBound(t *testing.T) {
+	p := Pace{Overrun: 1.5, Slack: 5}
+	assert.Equal(t, p.bound(9.1, false), 17)
+	assert.Equal(t, p.bound(9.1, true), 9)
+	assert.Equal(t, p.bound(0, true), 0)
+	assert.Equal(t, p.bound(0.1, true), 1)
+}
+
+func exactHeader(gateway instance.Incarnation, waiting int) *dispatch.Header {
+	return &dispatch.Header{ID: dispatch.ID{Request: "r", Gateway: gateway}, Timeout: time.Second, Waiting: waiting, Engine: &dispatch.Engine{ID: "e", Slots: 1}}
+}
+
+// Guards against dispatches that wait behind a full endpoint while another has room, and
+// against a kept slot that another gateway takes.
+func TestFullGateRefusesAndOffers(t *testing.T) {
+	g := newGate(DefaultPace)
+	g.declare(dispatch.Engine{ID: "e", Slots: 1})
+	now := time.Now()
+	first := g.enter(exactHeader(1, 0), now)
+	assert.Equal(t, (<-first.turn).code, dispatch.Code(""))
+	second := g.enter(exactHeader(2, 0), now)
+	assert.Equal(t, (<-second.turn).code, dispatch.CodeQueueFull)
+	follower, stop := g.watch(2)
+	defer stop()
+	first.ended(outcome{})
+	<-follower.offered
+	assert.Equal(t, g.loadFor(2, time.Now()).Running, 0)
+	assert.Equal(t, g.loadFor(1, time.Now()).Running, 1, "the slot is kept for another gateway")
+	third := g.enter(exactHeader(1, 0), time.Now())
+	assert.Equal(t, (<-third.turn).code, dispatch.CodeQueueFull)
+	fourth := g.enter(exactHeader(2, 0), time.Now())
+	assert.Equal(t, (<-fourth.turn).code, dispatch.Code(""))
+}
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -37,42 +37,38 @@
 // pace bounds the requests given to an endpoint in any one second. The zero value has no
 // bound.
 type pace struct {
-	// starts holds the times of the last starts; next is the oldest one.
+	bound int
+	// starts holds the times of the starts of the last second, the oldest first.
 	starts []time.Time
-	next   int
 }
 
-// limit sets the requests in one second; 0 means no bound. Starts before the bound are kept
-// as far as it reaches. used stands for starts that are not known: when the agent started,
-// since an earlier agent of the endpoint may have made some.
+// limit sets the requests in one second; 0 means no bound. Starts before the first bound are
+// not known; used stands for as many as it allows.
 func (p *pace) limit(n int, used time.Time) {
-	if n == len(p.starts) {
-		return
-	}
-	old := append(append([]time.Time(nil), p.starts[p.next:]...), p.starts[:p.next]...)
-	p.starts = make([]time.Time, n)
-	p.next = 0
-	for i := range p.starts {
-		p.starts[i] = used
-	}
-	for i := range min(n, len(old)) {
-		p.starts[n-1-i] = old[len(old)-1-i]
+	if p.bound == 0 {
+		for range n {
+			p.starts = append(p.starts, used)
+		}
 	}
+	p.bound = n
 }
 
 // wait returns the time until the next start is allowed, 0 when it is now.
 func (p *pace) wait(now time.Time) time.Duration {
-	if len(p.starts) == 0 {
+	if p.bound == 0 || len(p.starts) < p.bound {
 		return 0
 	}
-	return max(0, paceWindow-now.Sub(p.starts[p.next]))
+	return max(0, paceWindow-now.Sub(p.starts[len(p.starts)-p.bound]))
 }
 
 // take records a start.
 func (p *pace) take(now time.Time) {
-	if len(p.starts) == 0 {
+	if p.bound == 0 {
 		return
 	}
-	p.starts[p.next] = now
-	p.next = (p.next + 1) % len(p.starts)
+	old := 0
+	for old < len(p.starts) && now.Sub(p.starts[old]) >= paceWindow {
+		old++
+	}
+	p.starts = append(p.starts[old:], now)
 }
--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,122 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"toucantiller.dev/budget"
+)
+
+// gateways draw from one pool; some are cut off for a while and spend alone.
+type gateways struct {
+	pool    *budget.Pool
+	wallets []*budget.Wallet
+	cut     []bool
+	limit   budget.Limit
+}
+
+func (g *gateways) ask(i int, cost float64, now time.Time) bool {
+	w := g.wallets[i]
+	ok, draw, want, _ := w.Take(cost, now)
+	if !draw {
+		return ok
+	}
+	if g.cut[i] {
+		w.Failed(now)
+	} else if got, _ := g.pool.Draw("a", g.limit, want, cost, now); got > 0 {
+		w.Credit(got, now)
+	}
+	ok, _, _, _ = w.Take(cost, now)
+	return ok
+}
+
+// Guards against gateways that together admit more tokens in any 8 s than the limit, its
+// overrun and its slack allow, while traffic moves between them, up to three of eight are
+// cut off and a new leader begins with an empty memory.
+func TestLimitHoldsOverAllGateways(t *testing.T) {
+	const (
+		window  = 8 * time.Second
+		overrun = 0.1
+		slack   = 110_000
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		limit := budget.Limit{Rate: 100_000, Burst: 100_000}
+		now := time.Unix(0, 0)
+		g := &gateways{pool: budget.NewPool(), limit: limit, cut: make([]bool, 8)}
+		for range g.cut {
+			w := &budget.Wallet{}
+			w.Configure(limit, 1.0/8, now)
+			g.wallets = append(g.wallets, w)
+		}
+		type spent struct {
+			at   time.Time
+			cost float64
+		}
+		var all []spent
+		leaderLost := rapid.IntRange(0, 2000).Draw(t, "leader lost at step")
+		hot := 0
+		for step := range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			if step == leaderLost {
+				g.pool = budget.NewPool()
+			}
+			if step%200 == 0 {
+				hot = rapid.IntRange(0, 7).Draw(t, "hot")
+				for i := range 3 {
+					g.cut[i] = rapid.Bool().Draw(t, "cut")
+				}
+			}
+			for range 3 {
+				i := hot
+				if rapid.Bool().Draw(t, "elsewhere") {
+					i = rapid.IntRange(0, 7).Draw(t, "gateway")
+				}
+				cost := float64(rapid.IntRange(100, 6000).Draw(t, "cost"))
+				if g.ask(i, cost, now) {
+					all = append(all, spent{now, cost})
+				}
+			}
+		}
+		bound := (limit.Rate*window.Seconds()+limit.Burst)*(1+overrun) + slack
+		sum, from := 0.0, 0
+		for _, s := range all {
+			sum += s.cost
+			for s.at.Sub(all[from].at) >= window {
+				sum -= all[from].cost
+				from++
+			}
+			assert.Assert(t, sum <= bound, "%.0f tokens in %s, allowed are %.0f", sum, window, bound)
+		}
+	})
+}
+
+// Guards against a budget that refuses within the limit because traffic is at one gateway,
+// as a fixed split does.
+func TestLimitFollowsTheTraffic(t *testing.T) {
+	limit := budget.Limit{Rate: 100_000, Burst: 100_000}
+	now := time.Unix(0, 0)
+	g := &gateways{pool: budget.NewPool(), limit: limit, cut: make([]bool, 8)}
+	for range g.cut {
+		w := &budget.Wallet{}
+		w.Configure(limit, 1.0/8, now)
+		g.wallets = append(g.wallets, w)
+	}
+	for step := range 1000 {
+		now = now.Add(20 * time.Millisecond)
+		assert.Assert(t, g.ask(step/250, 1900, now), "step %d: 95,000 of 100,000 tokens a second were asked for", step)
+	}
+}
+
+// Guards against a request that is larger than the burst and could never be admitted.
+func TestLargeRequestIsAdmitted(t *testing.T) {
+	limit := budget.Limit{Rate: 1000, Burst: 1000}
+	p := budget.NewPool()
+	now := time.Unix(0, 0)
+	_, wait := p.Draw("a", limit, 5000, 5000, now)
+	assert.Assert(t, wait > 0)
+	granted, _ := p.Draw("a", limit, 5000, 5000, now.Add(wait))
+	assert.Assert(t, granted >= 999)
+}
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -21,6 +21,9 @@
 	firstShare = 0.3
 )
 
+// roundUp is added to waits, so that the tokens are there when one ends.
+const roundUp = time.Millisecond
+
 // Pool is the budget of all accounts. It is safe for concurrent use.
 type Pool struct {
 	mu       sync.Mutex
@@ -52,7 +55,8 @@
 	// A request larger than the burst is granted when the bucket is full.
 	least = min(least, limit.Burst)
 	if b.balance < least {
-		return 0, time.Duration((least - b.balance) / (poolShare * limit.Rate) * float64(time.Second))
+		missing := (least - b.balance) / (poolShare * limit.Rate)
+		return 0, time.Duration(missing*float64(time.Second)) + roundUp
 	}
 	granted = min(max(want, least), b.balance)
 	b.balance -= granted
