--- a/budget/pool.go
+++ b/budget/pool.go
@@ -13,9 +13,6 @@
 type Limit struct{ Rate, Burst float64 }
 
 const (
-	// poolShare is the share of an account's rate that the pool refills. It is above 1
-	// because wallets hold tokens that they do not spend at once.
-	poolShare = 1.05
 	// firstShare is the share of the burst with which a pool begins. What an earlier leader
 	// granted a moment ago is not known.
 	firstShare = 0.3
@@ -24,8 +21,32 @@
 // roundUp is added to waits, so that the tokens are there when one ends.
 const roundUp = time.Millisecond
 
+// Tolerance is what all gateways together may admit beyond a limit: a share of it, and
+// tokens in any window for which a deployment states them. What is refused within it is lost
+// to the account for nothing.
+type Tolerance struct {
+	Overrun float64
+	Slack   float64
+}
+
+const (
+	// usedOverrun and usedSlack are the parts of the tolerance that the pool grants. The rest
+	// covers tokens that wallets drew earlier than they spend them, and gateways that spend
+	// alone.
+	usedOverrun = 0.8
+	usedSlack   = 0.4
+)
+
+// widen returns the limit with the used part of the tolerance.
+func (t Tolerance) widen(limit Limit) Limit {
+	factor := 1 + usedOverrun*t.Overrun
+	return Limit{Rate: factor * limit.Rate, Burst: factor*limit.Burst + usedSlack*t.Slack}
+}
+
 // Pool is the budget of all accounts. It is safe for concurrent use.
 type Pool struct {
+	tolerance Tolerance
+
 	mu       sync.Mutex
 	accounts map[string]*bucket
 }
@@ -38,12 +59,13 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{accounts: make(map[string]*bucket)} }
+func NewPool(t Tolerance) *Pool { return &Pool{tolerance: t, accounts: make(map[string]*bucket)} }
 
 // Draw asks for tokens of an account whose limit is the one given. It grants what is there
 // of want if that is at least least, and nothing otherwise; wait is then the time until
 // there are that many.
 func (p *Pool) Draw(account string, limit Limit, want, least float64, now time.Time) (granted float64, wait time.Duration) {
+	limit = p.tolerance.widen(limit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.accounts[account]
@@ -55,7 +77,7 @@
 	// A request larger than the burst is granted when the bucket is full.
 	least = min(least, limit.Burst)
 	if b.balance < least {
-		missing := (least - b.balance) / (poolShare * limit.Rate)
+		missing := (least - b.balance) / limit.Rate
 		return 0, time.Duration(missing*float64(time.Second)) + roundUp
 	}
 	granted = min(max(want, least), b.balance)
@@ -67,6 +89,6 @@
 func (b *bucket) advance(limit Limit, now time.Time) {
 	elapsed := max(0, now.Sub(b.at).Seconds())
 	b.limit = limit
-	b.balance = min(b.balance+poolShare*limit.Rate*elapsed, limit.Burst)
+	b.balance = min(b.balance+limit.Rate*elapsed, limit.Burst)
 	b.at = now
 }
--- a/control/control.go
+++ b/control/control.go
@@ -58,6 +58,8 @@
 	OpenLog OpenLog
 	// NewDecider returns the decider of a move; without it moves stay where they are.
 	NewDecider func(move api.Move) Decider
+	// TokenTolerance is what gateways may admit beyond the token limits of accounts.
+	TokenTolerance budget.Tolerance
 	// SelfRepair lets the leader change the control group: it adds replicas that ask to
 	// join and removes silent ones in their favour. Without it operators do so.
 	SelfRepair bool
@@ -133,7 +135,7 @@
 		counts:   counts,
 		leases:   lease.NewTable(lease.TTL),
 		evidence: newCollector(),
-		budgets:  budget.NewPool(),
+		budgets:  budget.NewPool(opts.TokenTolerance),
 		heard:    make(map[endpoint.ID]heardFrom),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/control/leader.go
+++ b/control/leader.go
@@ -116,7 +116,7 @@
 	s.leases = lease.NewTable(lease.TTL)
 	s.admission = lease.NewAdmission(s.opts.RegistrationsPerSecond, s.opts.RegistrationBurst)
 	s.evidence = newCollector()
-	s.budgets = budget.NewPool()
+	s.budgets = budget.NewPool(s.opts.TokenTolerance)
 	clear(s.heard)
 	s.mu.Unlock()
 	s.extendLeases(now)
--- /dev/null
+++ b/control/repair_test.go
@@ -0,0 +1,194 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control"
+	"toucantiller.dev/control/api"
+	"toucantiller.dev/endpoint"
+	"toucantiller.dev/instance"
+	"toucantiller.dev/link"
+)
+
+func startSelfRepairing(t *testing.T) *group {
+	t.Helper()
+	g := &group{network: link.NewMemory(), servers: map[string]*control.Server{}, folders: map[string]string{}, founders: replicas, selfRepair: true}
+	for _, addr := range replicas {
+		g.folders[addr] = t.TempDir()
+		g.start(t, addr)
+	}
+	time.Sleep(3 * time.Second)
+	g.founders = nil
+	return g
+}
+
+// join starts a replica with an empty folder that asks for its place.
+func (g *group) join(t *testing.T, addr string) {
+	t.Helper()
+	g.folders[addr] = t.TempDir()
+	// The deployment names replicas that run at present.
+	seeds := slices.Sorted(maps.Keys(g.servers))
+	g.start(t, addr)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go g.servers[addr].Join(ctx, seeds)
+}
+
+// put sends a document to whichever replica leads.
+func (g *group) put(t *testing.T, version uint64) {
+	t.Helper()
+	d := &contract.Document{
+		Version: version, Content: fmt.Appendf(nil, "document %d", version), Services: []*contract.Service{{Name: "lm"}},
+	}
+	for range 100 {
+		for _, s := range g.servers {
+			if s.ApplyDocument(d) == nil {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatalf("document %d was not accepted", version)
+}
+
+// newest reads the document from whichever replica leads.
+func (g *group) newest(t *testing.T) uint64 {
+	t.Helper()
+	for range 100 {
+		for _, s := range g.servers {
+			if d, err := s.Document(t.Context()); err == nil && d != nil {
+				return d.Version
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal("no replica could read the document")
+	return 0
+}
+
+// Guards against a group that needs an operator after a disk was lost, one that loses an
+// acknowledged document when a second disk is lost right after the repair, and a replica
+// with an empty log that counts towards the quorum.
+func TestGroupRepairsLostDisks(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startSelfRepairing(t)
+		c := control.NewClient(g.network, replicas)
+		defer c.Close()
+		for version := range uint64(6) {
+			g.put(t, version+1)
+			lost := replicas[int(version)%len(replicas)]
+			g.stop(t, lost)
+			g.join(t, lost)
+			time.Sleep(4 * time.Second)
+			assert.Equal(t, g.newest(t), version+1)
+			list := members(t, c)
+			assert.Equal(t, len(list), 3)
+			for _, m := range list {
+				assert.Assert(t, m.Voter, "%s does not vote", m.Address)
+			}
+		}
+	})
+}
+
+// Guards against a group that keeps the vote of a replica that is gone for good, and a
+// process that cannot find control once all its seeds were replaced.
+func TestGroupReplacesAllMembers(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startSelfRepairing(t)
+		g.put(t, 1)
+		gateway := startProcess(t, g.network, instance.Instance{ID: "gateway-0", Role: instance.RoleGateway, Domain: "lagos-a", Incarnation: 1, LinkAddress: "gateway-0"}, replicas)
+		time.Sleep(2 * time.Second)
+		for i, old := range replicas {
+			next := fmt.Sprintf("control-%d", i+3)
+			if i%2 == 0 {
+				g.stop(t, old)
+				g.join(t, next)
+			} else { // the new one first
+				g.join(t, next)
+				time.Sleep(4 * time.Second)
+				g.stop(t, old)
+			}
+			time.Sleep(8 * time.Second)
+		}
+		g.put(t, 2)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, gateway.holder.Config().Bundle.Version, uint64(2))
+		c := control.NewClient(g.network, []string{"control-3", "control-4", "control-5"})
+		defer c.Close()
+		var addresses []string
+		for _, m := range members(t, c) {
+			addresses = append(addresses, m.Address)
+		}
+		slices.Sort(addresses)
+		assert.DeepEqual(t, addresses, []string{"control-3", "control-4", "control-5"})
+	})
+}
+
+// Guards against a heartbeat that is written to the log each time, a late one that brings an
+// endpoint back, and an endpoint that stays without heartbeats.
+func TestHeartbeats(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newControl(t, link.NewMemory(), control.Options{})
+		time.Sleep(time.Second)
+		beat := control.Heartbeat{Endpoint: endpoint.Endpoint{ID: "e", Incarnation: 5, Service: "lm", Version: "v1", Domain: "a", Target: "1.2.3.4:5"}, Seq: 1}
+		known := func() int {
+			time.Sleep(time.Second)
+			if d := s.Holder().Directory(); d != nil {
+				return len(d.Endpoints)
+			}
+			return 0
+		}
+		assert.NilError(t, s.Heartbeat(beat))
+		assert.Equal(t, known(), 1)
+		revision := s.Holder().Directory().Revision
+		for range 20 {
+			beat.Seq++
+			assert.NilError(t, s.Heartbeat(beat))
+			assert.Equal(t, known(), 1)
+		}
+		assert.Equal(t, s.Holder().Directory().Revision, revision, "a heartbeat without news changed the directory")
+
+		late := beat
+		late.Seq = 3
+		late.Endpoint.Leaving = true
+		assert.NilError(t, s.Heartbeat(late))
+		known()
+		assert.Assert(t, !s.Holder().Directory().Endpoints[0].Leaving, "a late heartbeat was taken")
+
+		assert.NilError(t, s.EndEndpoint("e", 5))
+		assert.Equal(t, known(), 0)
+		beat.Seq++
+		assert.NilError(t, s.Heartbeat(beat))
+		assert.Equal(t, known(), 0, "a late heartbeat brought the endpoint back")
+
+		beat.Endpoint.Incarnation, beat.Seq = 6, 1
+		assert.NilError(t, s.Heartbeat(beat))
+		assert.Equal(t, known(), 1)
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, known(), 0, "an endpoint without heartbeats stays")
+
+		var invalid *control.Invalid
+		assert.Assert(t, errors.As(s.Heartbeat(control.Heartbeat{}), &invalid))
+		assert.Assert(t, errors.As(s.ApplyDocument(&contract.Document{}), &invalid))
+	})
+}
+
+// Guards against tokens that a replica grants that does not lead or has lost its quorum.
+func TestBudgetsComeFromTheLeader(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startSelfRepairing(t)
+		c := control.NewClient(g.network, replicas)
+		defer c.Close()
+		_, err := c.DrawBudget(t.Context(), &api.DrawBudget{Account: "mills", Want: 1, Least: 1})
+		assert.ErrorContains(t, err, "no token limit")
+	})
+}
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -29,7 +29,10 @@
 	Address string
 	Members []string
 	Network link.Network
-	Logger  log.Logger
+	// Tick is the unit of elections: a follower starts one after 10 to 20 ticks of silence;
+	// replica.DefaultTickInterval when it is 0.
+	Tick   time.Duration
+	Logger log.Logger
 }
 
 // ReplicaLog returns an OpenLog for the replicated log.
@@ -45,6 +48,7 @@
 			InitialMembers: opts.Members,
 			Transport:      transport,
 			StateMachine:   sm,
+			TickInterval:   opts.Tick,
 			Logger:         opts.Logger,
 		})
 		if err != nil {
--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -31,6 +31,11 @@
 	// flood it, but are not slow after an election either.
 	retryDelay   = 200 * time.Millisecond
 	maxDoublings = 3
+	// firstDelay is the mean pause of a process that has no configuration yet, for the first
+	// firstTries failures: it can serve nobody, and control is often a moment from ready when
+	// everything starts at once.
+	firstDelay = 60 * time.Millisecond
+	firstTries = 30
 	// preferredRetry is how long a subscriber stays with a fallback.
 	preferredRetry = 10 * time.Second
 )
@@ -314,6 +319,9 @@
 
 func (s *Subscriber) pause(ctx context.Context, failures int) {
 	mean := retryDelay << min(failures/2, maxDoublings)
+	if s.opts.Holder.Config() == nil && failures < firstTries {
+		mean = firstDelay
+	}
 	t := time.NewTimer(mean/2 + rand.N(mean))
 	defer t.Stop()
 	select {
--- a/program/control.go
+++ b/program/control.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -12,6 +13,7 @@
 
 	kitlog "github.com/go-kit/log"
 
+	"toucantiller.dev/budget"
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/decider"
@@ -28,11 +30,14 @@
 	Data      string   `help:"Folder for the replica's state; it must exist." env:"TOUCAN_DATA" required:"" type:"path"`
 	Members   []string `help:"Addresses of all replicas including this one, ip:port, comma separated." env:"TOUCAN_MEMBERS" required:""`
 	// MemberPort serves where the members are known by another of their ports.
-	MemberPort int    `help:"Port of the replicas, in place of those in --members; 0 for none." env:"TOUCAN_MEMBER_PORT"`
-	Bootstrap  bool   `help:"Form a new group with --members while the data folder is empty; otherwise ask them to be added to theirs." env:"TOUCAN_BOOTSTRAP" default:"true" negatable:""`
-	SelfRepair bool   `help:"The leader adds replicas that ask to join and removes silent ones in their favour, without an operator." env:"TOUCAN_SELF_REPAIR"`
-	CallListen string `help:"Address for operators and endpoints of the users' platform, ip:port; empty for none." env:"TOUCAN_CALL_LISTEN"`
-	AgentPort  int    `help:"Port of the agents beside model endpoints on the users' platform." env:"TOUCAN_AGENT_PORT"`
+	MemberPort   int           `help:"Port of the replicas, in place of those in --members; 0 for none." env:"TOUCAN_MEMBER_PORT"`
+	Bootstrap    bool          `help:"Form a new group with --members while the data folder is empty; otherwise ask them to be added to theirs." env:"TOUCAN_BOOTSTRAP" default:"true" negatable:""`
+	Tick         time.Duration `help:"Unit of elections: a replica starts one after 10 to 20 ticks of silence." env:"TOUCAN_TICK" default:"50ms"`
+	TokenOverrun OptionalFloat `help:"Share of an account's token limit that may be admitted beyond it." env:"TOUCAN_TOKEN_OVERRUN"`
+	TokenSlack   OptionalFloat `help:"Tokens that may be admitted beyond an account's limit in a short time." env:"TOUCAN_TOKEN_SLACK"`
+	SelfRepair   bool          `help:"The leader adds replicas that ask to join and removes silent ones in their favour, without an operator." env:"TOUCAN_SELF_REPAIR"`
+	CallListen   string        `help:"Address for operators and endpoints of the users' platform, ip:port; empty for none." env:"TOUCAN_CALL_LISTEN"`
+	AgentPort    int           `help:"Port of the agents beside model endpoints on the users' platform." env:"TOUCAN_AGENT_PORT"`
 }
 
 // Check checks the settings.
@@ -43,12 +48,23 @@
 		CheckAdvertised("advertise", s.Advertise),
 		CheckFolder("data", s.Data),
 		CheckAddresses("members", s.Members),
+		checkTick(s.Tick),
 		CheckPort("member-port", s.MemberPort),
 		CheckPort("agent-port", s.AgentPort),
 		CheckAdvertised("call-listen", s.CallListen),
 	)
 }
 
+// leastTick keeps elections from following delays of a few milliseconds.
+const leastTick = 10 * time.Millisecond
+
+func checkTick(d time.Duration) error {
+	if d < leastTick {
+		return &SettingError{Flag: "tick", Err: fmt.Errorf("%s is below %s", d, leastTick)}
+	}
+	return nil
+}
+
 // address is the replica's address in the group.
 func (s *ControlSettings) address() string { return cmp.Or(s.Advertise, s.Listen) }
 
@@ -88,9 +104,12 @@
 		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
 		OpenLog:    control.ReplicaLog(c.logOptions()),
 		SelfRepair: c.settings.SelfRepair,
-		Recorder:   c.admin.Timeline,
-		Meter:      c.admin.Telemetry.Meter("toucantiller.dev/control"),
-		Logger:     c.logger,
+		TokenTolerance: budget.Tolerance{
+			Overrun: c.settings.TokenOverrun.Or(0), Slack: c.settings.TokenSlack.Or(0),
+		},
+		Recorder: c.admin.Timeline,
+		Meter:    c.admin.Telemetry.Meter("toucantiller.dev/control"),
+		Logger:   c.logger,
 	})
 	if err != nil {
 		return err
@@ -115,6 +134,7 @@
 		Address:    c.settings.address(),
 		Members:    c.founders(),
 		Network:    c.network,
+		Tick:       c.settings.Tick,
 		Logger:     c.logger,
 	}
 }
--- /dev/null
+++ b/program/program_test.go
@@ -0,0 +1,114 @@
+package program
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a setting whose placeholder is empty in a deployment that states no value
+// and that keeps the process from starting.
+func TestOptionalFloat(t *testing.T) {
+	for args, want := range map[string]float64{"": 7, "--value=": 7, "--value=0": 0, "--value=1.5": 1.5} {
+		var s struct{ Value OptionalFloat }
+		parser, err := kong.New(&s)
+		assert.NilError(t, err)
+		_, err = parser.Parse(strings.Fields(args))
+		assert.NilError(t, err, args)
+		assert.Equal(t, s.Value.Or(7), want, args)
+	}
+	for _, wrong := range []string{"--value=x", "--value=-1", "--value=NaN"} {
+		var s struct{ Value OptionalFloat }
+		parser, err := kong.New(&s)
+		assert.NilError(t, err)
+		_, err = parser.Parse([]string{wrong})
+		assert.Assert(t, err != nil, wrong)
+	}
+}
+
+// Guards against settings that are taken though the process cannot work with them.
+func TestSettingsAreChecked(t *testing.T) {
+	agent := func(args ...string) error {
+		var s AgentSettings
+		parser, err := kong.New(&s, kong.Vars{"version": "1"})
+		assert.NilError(t, err)
+		_, err = parser.Parse(append([]string{"--id=a", "--domain=d", "--engine=http://127.0.0.1:1"}, args...))
+		assert.NilError(t, err)
+		return s.Check()
+	}
+	assert.NilError(t, agent("--self-announced"))
+	assert.ErrorContains(t, agent(), "--service")
+	assert.ErrorContains(t, agent("--service=s"), "--service-version")
+	assert.ErrorContains(t, agent("--service=s", "--service-version=1"), "--control")
+	assert.ErrorContains(t, agent("--self-announced", "--stop-timeout=0s"), "--stop-timeout")
+
+	var s ControlSettings
+	parser, err := kong.New(&s, kong.Vars{"version": "1"})
+	assert.NilError(t, err)
+	_, err = parser.Parse([]string{"--id=c", "--domain=d", "--data=" + t.TempDir(), "--members=127.0.0.1:1,127.0.0.2:1", "--listen=127.0.0.1:2", "--member-port=2", "--bootstrap=false", "--token-slack="})
+	assert.NilError(t, err)
+	assert.NilError(t, s.Check())
+	c := &Control{settings: &s}
+	assert.DeepEqual(t, c.members(), []string{"127.0.0.1:2", "127.0.0.2:2"})
+	assert.Equal(t, len(c.founders()), 0, "a replica that is not to form a group forms one")
+	s.Bootstrap = true
+	assert.Equal(t, len(c.founders()), 2)
+	s.Listen = "127.0.0.3:2"
+	assert.Equal(t, len(c.founders()), 0, "a replica that the members do not list forms a group")
+	s.Tick = time.Millisecond
+	assert.ErrorContains(t, s.Check(), "--tick")
+}
+
+// blocked is a reader of the log that stops reading until it is let go.
+type blocked struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// Guards against a blocked reader of the log that holds the process up, and against lines
+// that are lost without a word.
+func TestLogNeverBlocks(t *testing.T) {
+	reader := &blocked{release: make(chan struct{})}
+	w := NewLogWriter(reader)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range logQueue + 100 {
+			_, _ = w.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the log blocked its writer")
+	}
+	close(reader.release)
+	w.Flush()
+	_, err := w.Write([]byte("last\n"))
+	assert.NilError(t, err)
+	w.Flush()
+	reader.mu.Lock()
+	defer reader.mu.Unlock()
+	text := reader.text.String()
+	assert.Assert(t, strings.Contains(text, "log lines dropped"), "dropped lines were not counted")
+	assert.Assert(t, strings.HasSuffix(text, "last\n"))
+}
+
+// Guards against an address list whose ports are replaced where none was asked for.
+func TestWithPort(t *testing.T) {
+	assert.DeepEqual(t, WithPort([]string{"1.2.3.4:5"}, 0), []string{"1.2.3.4:5"})
+	assert.DeepEqual(t, WithPort([]string{"1.2.3.4:5"}, 6), []string{"1.2.3.4:6"})
+}
