Let a stopping gateway refuse what it could have to cut

Change: while a gateway stops it takes only requests whose deadline comes before its stop timeout; others are refused with Retry-After.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,9 +79,11 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	opt       Options
-	server    *http.Server
-	leaving   atomic.Bool
+	opt     Options
+	server  *http.Server
+	leaving atomic.Bool
+	// stopBy is when a stopping gateway cuts what is still open; nil before it stops.
+	stopBy    atomic.Pointer[time.Time]
 	peers     sync.Map // address -> *peer
 	idle      *idleLinks
 	sequence  atomic.Uint64
@@ -146,6 +148,9 @@
 // then closes the listener and waits until ctx ends for open requests, and for the
 // outcomes of claims to be stored. It cuts no request before ctx ends.
 func (g *Gateway) Stop(ctx context.Context) error {
+	if by, ok := ctx.Deadline(); ok {
+		g.stopBy.Store(&by)
+	}
 	if !g.leaving.Swap(true) {
 		_ = g.opt.Logger.Log("msg", "stopping", "gateway", g.opt.Instance.ID)
 		g.waitStopDelay(ctx)
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"toucantiller.dev/account"
+	"toucantiller.dev/admission"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/instance"
@@ -94,6 +95,10 @@
 		timeout = min(timeout, in.Timeout)
 	}
 	c.deadline = now.Add(timeout)
+	if by := g.stopBy.Load(); by != nil && c.deadline.After(*by) {
+		// It could be cut halfway, and another gateway can take it.
+		return nil, retryProblem(string(admission.ReasonHandedBack), "the gateway stops before the request's deadline")
+	}
 	if route.Objective > 0 {
 		c.objective = now.Add(route.Objective)
 	}
