--- a/budget/pool.go
+++ b/budget/pool.go
@@ -51,7 +51,8 @@
 	accounts map[string]*bucket
 }
 
-// bucket is one account's tokens. The balance may not exceed the limit's burst.
+// bucket is one account's tokens. The balance may not exceed the limit's burst; it is below 0
+// after a large request.
 type bucket struct {
 	limit   Limit
 	balance float64
@@ -61,9 +62,10 @@
 // NewPool returns an empty pool.
 func NewPool(t Tolerance) *Pool { return &Pool{tolerance: t, accounts: make(map[string]*bucket)} }
 
-// Draw asks for tokens of an account whose limit is the one given. It grants what is there
-// of want if that is at least least, and nothing otherwise; wait is then the time until
-// there are that many.
+// Draw asks for tokens of an account whose limit is the one given. While the balance is
+// positive it grants at least least, even if that overdraws the balance: large requests would
+// otherwise be refused whenever small ones keep the balance low. It grants what is there of
+// want beyond that. Otherwise it grants nothing, and wait is the time until it will.
 func (p *Pool) Draw(account string, limit Limit, want, least float64, now time.Time) (granted float64, wait time.Duration) {
 	limit = p.tolerance.widen(limit)
 	p.mu.Lock()
@@ -74,13 +76,10 @@
 		p.accounts[account] = b
 	}
 	b.advance(limit, now)
-	// A request larger than the burst is granted when the bucket is full.
-	least = min(least, limit.Burst)
-	if b.balance < least {
-		missing := (least - b.balance) / limit.Rate
-		return 0, time.Duration(missing*float64(time.Second)) + roundUp
+	if b.balance <= 0 {
+		return 0, time.Duration(-b.balance/limit.Rate*float64(time.Second)) + roundUp
 	}
-	granted = min(max(want, least), b.balance)
+	granted = max(least, min(want, b.balance))
 	b.balance -= granted
 	return granted, 0
 }
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -54,14 +54,13 @@
 		return true, false, 0, 0
 	}
 	w.advance(now)
-	need := min(cost, w.limit.Burst)
-	if w.balance >= need || w.alone && w.balance > 0 {
+	if w.balance >= cost || w.alone && w.balance > 0 {
 		w.balance -= cost
 		w.spending += cost / spendingTime.Seconds()
 		return true, false, 0, 0
 	}
 	if !w.alone || now.Sub(w.triedAt) >= retryTime {
-		return false, true, need - w.balance + w.spending*aheadTime.Seconds(), 0
+		return false, true, cost - w.balance + w.spending*aheadTime.Seconds(), 0
 	}
 	return false, false, 0, time.Duration((1 - w.balance) / w.aloneRate() * float64(time.Second))
 }
