Refuse at once what would begin after its caller has left; take sizes of a route in turn

Change: routes carry the callers' patience, and admission refuses what would begin after it; worth grows with size as work does.

--- a/admission/item.go
+++ b/admission/item.go
@@ -25,6 +25,9 @@
 	// time from placing the request to the beginning of its answer.
 	Objective time.Time
 	StartTime time.Duration
+	// StartBy is when the caller leaves if its answer has not begun; zero if only Deadline
+	// counts.
+	StartBy time.Time
 	// Value is the caller's request.
 	Value any
 
@@ -43,7 +46,8 @@
 
 // late reports whether the deadline cannot be met even if the item is placed now.
 func (it *Item) late(now time.Time) bool {
-	return !it.Deadline.IsZero() && now.Add(it.LeastTime).After(it.Deadline)
+	return !it.Deadline.IsZero() && now.Add(it.LeastTime).After(it.Deadline) ||
+		!it.StartBy.IsZero() && now.Add(it.StartTime).After(it.StartBy)
 }
 
 // Dropped is an item that left a queue unserved.
--- a/admission/worth.go
+++ b/admission/worth.go
@@ -49,7 +49,7 @@
 	for rank := range q.bands {
 		for _, it := range q.bands[rank].byDensity(now) {
 			wait := q.work.wait(ahead)
-			if !it.Deadline.IsZero() && now.Add(wait+it.LeastTime).After(it.Deadline) {
+			if it.late(now.Add(wait)) {
 				out = append(out, Dropped{it, &Refusal{ReasonDeadline, it.Tier, clampRetry(wait)}})
 				continue
 			}
--- a/admission/worth_test.go
+++ b/admission/worth_test.go
@@ -104,3 +104,22 @@
 	out := replay(worthQueue(), light)
 	assert.Assert(t, out.earned > 0.999*out.owed, "%.2f of %.2f", out.earned, out.owed)
 }
+
+// Guards against a request that is held until its caller leaves: it is refused as soon as
+// those that go before it take longer than the caller waits for the first event.
+func TestWhatWouldStartTooLateIsRefusedEarly(t *testing.T) {
+	q := worthQueue()
+	now := start
+	for i := range 100 { // a pace of one second of work a second
+		now = start.Add(time.Duration(i) * 10 * time.Millisecond)
+		_, _ = q.Push(&Item{Worth: 1, Work: 0.01}, now)
+		_, _ = q.Push(&Item{Worth: 1, Work: 0.01}, now)
+		_, _ = q.Pop(now)
+	}
+	last := &Item{Worth: 0.01, Work: 0.01, StartBy: now.Add(500 * time.Millisecond), Deadline: now.Add(10 * time.Second)}
+	_, refusal := q.Push(last, now)
+	assert.Assert(t, refusal == nil)
+	dropped := q.Expire(now)
+	assert.Assert(t, len(dropped) == 1 && dropped[0].Item == last, "%d dropped", len(dropped))
+	assert.Assert(t, dropped[0].Refusal.RetryAfter >= 500*time.Millisecond)
+}
--- a/contract/document.go
+++ b/contract/document.go
@@ -51,6 +51,9 @@
 	// Objective is the time to the answer, or to the first event of a stream, that earns
 	// full credit.
 	Objective time.Duration `msgpack:"objective" json:"objective"`
+	// Patience is how long callers wait for the first event of a stream, or for the next one;
+	// 0 where they wait until the timeout.
+	Patience time.Duration `msgpack:"patience" json:"patience"`
 	// MaxPause is the longest pause between events of a stream that is still on time.
 	MaxPause time.Duration `msgpack:"max_pause" json:"max_pause"`
 	Tier     account.Tier  `msgpack:"tier" json:"tier"`
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -71,6 +71,8 @@
 	cost int
 	// objective is when the answer should begin; zero without an objective.
 	objective time.Time
+	// startBy is when the caller leaves if the answer has not begun; zero if it stays.
+	startBy time.Time
 	// waited is the time in the queue over all attempts.
 	waited time.Duration
 	// last describes the last attempt, for the log.
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -99,6 +99,9 @@
 		// It could be cut halfway, and another gateway can take it.
 		return nil, retryProblem(string(admission.ReasonHandedBack), "the gateway stops before the request's deadline")
 	}
+	if route.Patience > 0 {
+		c.startBy = now.Add(route.Patience)
+	}
 	if route.Objective > 0 {
 		c.objective = now.Add(route.Objective)
 	}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -112,7 +112,7 @@
 	least := q.gateway.routing.Load().snapshot.LeastTime(q.service, c.promptTokens, c.answerTokens)
 	worth, work, start := q.gateway.value(c)
 	t.item = admission.Item{
-		Worth: worth, Work: work, StartTime: start, Objective: c.objective,
+		Worth: worth, Work: work, StartTime: start, Objective: c.objective, StartBy: c.startBy,
 		LeastTime: least, Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
 		Cost: c.promptTokens + c.answerTokens, Deadline: c.deadline, Value: t,
 	}
--- a/gateway/value.go
+++ b/gateway/value.go
@@ -10,10 +10,10 @@
 	// rankWorth is the worth of a route against one of the next higher rank. Routes are ranked
 	// by the operator; what a rank is worth is not stated.
 	rankWorth = 0.4
-	// smallWorth is the worth of the smallest generation against a mean one of its route; the
-	// rest grows with the size, up to mostWorth.
-	smallWorth = 0.3
-	mostWorth  = 4.0
+	// mostWorth bounds the worth of a generation against a mean one of its route. Below it
+	// worth grows with the size as work does, so that large and small ones of a route take
+	// turns.
+	mostWorth = 4.0
 	// answerSize is the size of a token of the answer in tokens of the prompt.
 	answerSize = 10
 	// sizeGain is the weight of one request in the mean size of its route.
@@ -54,7 +54,7 @@
 	}
 	size := float64(c.promptTokens + answerSize*c.answerTokens)
 	mean := g.sizes.observe(c.ingress.Name, size)
-	worth *= min(smallWorth+(1-smallWorth)*size/max(mean, 1), mostWorth)
+	worth *= min(size/max(mean, 1), mostWorth)
 	prefill, decode := g.routing.Load().snapshot.Speeds(c.service.Name)
 	first := float64(c.promptTokens) / prefill
 	work = first + float64(c.answerTokens)/(decode*float64(max(c.service.Slots, 1)))
