Keep the silence of a replica out of its identity; count the time of a suspended machine

Change: Log.Silence beside Log.Members. Freshness counts the time in which a machine was suspended (CLOCK_BOOTTIME), so that a key taken away meanwhile is dead (TestSuspendedTimeCounts).

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -101,8 +101,6 @@
 	ID uint64
 	// Voter is false for a learner, which receives the log and does not vote.
 	Voter bool
-	// Silent is the time since the leader last heard from the replica; 0 on other replicas.
-	Silent time.Duration
 }
 
 // DrawBudget is "Control.DrawBudget": a gateway draws tokens of an account.
--- a/control/log.go
+++ b/control/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/link"
@@ -22,6 +23,9 @@
 	Status() LogStatus
 	// Members lists the replicas that hold the log, as this replica knows them.
 	Members() []api.Replica
+	// Silence returns, on the leader, how long it has not heard from each other member, by the
+	// ID of the replica.
+	Silence() map[uint64]time.Duration
 	// Size is the number of voters with which the group was founded.
 	Size() int
 	// AddReplica adds the replica at an address and returns once it votes; it may be
@@ -118,6 +122,8 @@
 
 func (l *memoryLog) Size() int { return 1 }
 
+func (l *memoryLog) Silence() map[uint64]time.Duration { return nil }
+
 func (l *memoryLog) Members() []api.Replica {
 	return []api.Replica{{Address: l.address, ID: 1, Voter: true}}
 }
--- a/control/repair.go
+++ b/control/repair.go
@@ -63,11 +63,11 @@
 	if countVoters(members) < s.log.Size() {
 		return nil
 	}
-	silent, ok := longestSilent(members, silentVoter)
-	if !ok {
+	silent, since := longestSilent(members, s.log.Silence())
+	if since < silentVoter {
 		return nil
 	}
-	_ = s.opts.Logger.Log("msg", "removing a silent replica", "address", silent.Address, "silent", silent.Silent)
+	_ = s.opts.Logger.Log("msg", "removing a silent replica", "address", silent.Address, "silent", since)
 	return s.log.RemoveReplica(ctx, silent.Address)
 }
 
@@ -82,15 +82,15 @@
 	if countVoters(members) <= s.log.Size() {
 		return
 	}
-	silent, ok := longestSilent(members, surplusVoter)
-	if !ok || !s.changingReplicas.TryLock() {
+	silent, since := longestSilent(members, s.log.Silence())
+	if since < surplusVoter || !s.changingReplicas.TryLock() {
 		return
 	}
 	defer s.changingReplicas.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, replicasTimeout)
 	defer cancel()
 	err := s.log.RemoveReplica(ctx, silent.Address)
-	_ = s.opts.Logger.Log("msg", "removed a silent replica", "address", silent.Address, "silent", silent.Silent, "err", err)
+	_ = s.opts.Logger.Log("msg", "removed a silent replica", "address", silent.Address, "silent", since, "err", err)
 }
 
 func (s *Server) recordControl(members []api.Replica) {
@@ -119,15 +119,14 @@
 	return n
 }
 
-// longestSilent returns the voter that has been silent longest, for at least a time.
-func longestSilent(members []api.Replica, least time.Duration) (api.Replica, bool) {
-	var worst api.Replica
+// longestSilent returns the voter that has been silent longest, and for how long.
+func longestSilent(members []api.Replica, silence map[uint64]time.Duration) (worst api.Replica, since time.Duration) {
 	for _, m := range members {
-		if m.Voter && m.Silent >= least && m.Silent > worst.Silent {
-			worst = m
+		if m.Voter && silence[m.ID] > since {
+			worst, since = m, silence[m.ID]
 		}
 	}
-	return worst, worst.Address != ""
+	return worst, since
 }
 
 // Join asks the control replicas to add this one until it belongs to a group. seeds are
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -80,9 +80,8 @@
 
 func (l *replicaLog) Members() []api.Replica {
 	var out []api.Replica
-	status := l.replica.Status()
-	for _, m := range status.Members {
-		out = append(out, api.Replica{Address: m.Address, ID: uint64(m.ID), Voter: !m.Learner, Silent: status.Silent[m.ID]})
+	for _, m := range l.replica.Status().Members {
+		out = append(out, api.Replica{Address: m.Address, ID: uint64(m.ID), Voter: !m.Learner})
 	}
 	slices.SortFunc(out, func(a, b api.Replica) int {
 		return cmp.Or(strings.Compare(a.Address, b.Address), cmp.Compare(a.ID, b.ID))
@@ -90,6 +89,14 @@
 	return out
 }
 
+func (l *replicaLog) Silence() map[uint64]time.Duration {
+	out := make(map[uint64]time.Duration)
+	for id, silent := range l.replica.Status().Silent {
+		out[uint64(id)] = silent
+	}
+	return out
+}
+
 func (l *replicaLog) Size() int { return l.replica.Status().Founders }
 
 func (l *replicaLog) AddReplica(ctx context.Context, address string) error {
--- /dev/null
+++ b/distribution/boottime_test.go
@@ -0,0 +1,28 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
+)
+
+// Guards against a process that serves a key that was taken away while its machine was
+// suspended: the clock of timeouts stands still then.
+func TestSuspendedTimeCounts(t *testing.T) {
+	h := NewHolder(nil)
+	booted := time.Hour
+	h.bootTime = func() (time.Duration, bool) { return booted, true }
+	config := &contract.Config{Revision: 1, ServeStale: contract.DocumentServeStale}
+	_, err := h.Accept(&api.View{Config: config, Beacon: api.Beacon{Revision: 1, Term: 1, Seq: 1}}, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, h.MayServe(time.Now()))
+	booted += contract.DocumentServeStale + time.Second
+	assert.Assert(t, !h.MayServe(time.Now()))
+	_, err = h.Accept(&api.View{Beacon: api.Beacon{Revision: 1, Term: 1, Seq: 2}}, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, h.MayServe(time.Now()))
+}
--- a/distribution/holder.go
+++ b/distribution/holder.go
@@ -40,6 +40,8 @@
 	directory atomic.Pointer[api.Directory]
 	beacon    atomic.Pointer[heldBeacon]
 	recorder  *timeline.Recorder
+	// bootTime returns the time since the machine started.
+	bootTime func() (since time.Duration, ok bool)
 
 	mu       sync.Mutex
 	progress chan struct{}
@@ -53,12 +55,26 @@
 type heldBeacon struct {
 	term, seq, revision uint64
 	issued              time.Time
+	// booted is the same moment as a time since the machine started, if it has that clock.
+	booted    time.Duration
+	hasBooted bool
+}
+
+// age returns how long ago the beacon was issued. Time in which the machine was suspended
+// counts: what was fresh before may have been replaced meanwhile.
+func (b *heldBeacon) age(now time.Time, booted time.Duration, hasBooted bool) time.Duration {
+	age := max(now.Sub(b.issued), 0)
+	if b.hasBooted && hasBooted {
+		age = max(age, booted-b.booted)
+	}
+	return age
 }
 
 // NewHolder returns an empty holder. recorder may be nil.
 func NewHolder(recorder *timeline.Recorder) *Holder {
 	return &Holder{
 		recorder: recorder,
+		bootTime: bootTime,
 		progress: make(chan struct{}),
 		watchers: make(map[chan struct{}]struct{}),
 	}
@@ -84,7 +100,8 @@
 	if b == nil {
 		return NeverFresh
 	}
-	return max(now.Sub(b.issued), 0)
+	booted, ok := h.bootTime()
+	return b.age(now, booted, ok)
 }
 
 // MayServe reports whether the process may take new work: it has a configuration that
@@ -198,13 +215,15 @@
 		return false
 	}
 	next := heldBeacon{term: b.Term, seq: b.Seq, revision: b.Revision, issued: received.Add(-b.Age)}
+	next.booted, next.hasBooted = h.bootTime()
+	next.booted -= time.Since(next.issued)
 	if last := h.beacon.Load(); last != nil {
 		progressed = newer(b.Term, b.Seq, last.term, last.seq)
 		if !progressed {
 			next.term, next.seq, next.revision = last.term, last.seq, last.revision
 		}
 		if last.issued.After(next.issued) {
-			next.issued = last.issued
+			next.issued, next.booted, next.hasBooted = last.issued, last.booted, last.hasBooted
 		}
 	} else {
 		progressed = true
