Let documents and bundles share the steps that were written twice

Cause: a second reading found the versions of a service, the state of a failure domain, a process's registration, the check that a leader may serve and a pause written a second time for documents, heartbeats and budgets. The length of a queue was decided in platform/, and a draw searched all accounts under the lock of the state. Change: one function each (versionShares, changeDomain, unregister, otherAt, mayServe, sleep); the length stands in contract, unchanged; accounts are indexed by name. Conclusion: no behaviour changes.

--- a/contract/compile.go
+++ b/contract/compile.go
@@ -101,22 +101,23 @@
 	for _, r := range s.Routes {
 		out.Routes = append(out.Routes, Route{Name: r.Name, Method: r.Method, Path: r.Path, Idempotent: r.Idempotent, ClaimTTL: cmp.Or(r.ClaimTTL, DefaultClaimTTL)})
 	}
-	out.Versions = compileVersions(s, in)
+	out.Versions = versionShares(s.Name, s.Version, in.Moves, in.Versions)
 	return out
 }
 
-func compileVersions(s ServiceSpec, in CompileInput) []VersionShare {
-	for _, m := range in.Moves {
-		if m.Service == s.Name {
+// versionShares returns the versions that serve a service: those of its move, else the one
+// that the last move left, else the one stated.
+func versionShares(service, stated string, moves []MoveShare, left map[string]string) []VersionShare {
+	for _, m := range moves {
+		if m.Service == service {
 			return []VersionShare{
 				{Version: m.From, Share: 1 - m.Share},
 				{Version: m.To, Share: m.Share, Unproven: m.Unproven},
 			}
 		}
 	}
-	version := s.Version
-	if v, ok := in.Versions[s.Name]; ok {
-		version = v
+	if v, ok := left[service]; ok {
+		stated = v
 	}
-	return []VersionShare{{Version: version, Share: 1}}
+	return []VersionShare{{Version: stated, Share: 1}}
 }
--- a/contract/config.go
+++ b/contract/config.go
@@ -26,7 +26,8 @@
 	// Ingress routes requests by host and path; nil where a bundle is in force.
 	Ingress *Ingress `msgpack:"ingress" json:"ingress,omitempty"`
 
-	byKey map[string]*account.Account
+	byKey  map[string]*account.Account
+	byName map[string]*account.Account
 }
 
 // BundleRef identifies a bundle by name, version and content digest (hex SHA-256).
@@ -103,7 +104,9 @@
 // Index prepares lookups. It must be called once before the value is shared.
 func (c *Config) Index() *Config {
 	c.byKey = make(map[string]*account.Account)
+	c.byName = make(map[string]*account.Account, len(c.Accounts))
 	for _, a := range c.Accounts {
+		c.byName[a.Name] = a
 		for _, h := range a.KeyHashes {
 			c.byKey[h] = a
 		}
@@ -120,6 +123,12 @@
 	return a, ok
 }
 
+// AccountByName finds an account.
+func (c *Config) AccountByName(name string) (*account.Account, bool) {
+	a, ok := c.byName[name]
+	return a, ok
+}
+
 // ServiceByName finds a service.
 func (c *Config) ServiceByName(name string) (*Service, bool) {
 	for _, s := range c.Services {
--- a/contract/document.go
+++ b/contract/document.go
@@ -210,6 +210,10 @@
 // requests that are under way.
 const DocumentServeStale = 3500 * time.Millisecond
 
+// DocumentQueueLength bounds the requests of one service that wait at a gateway. It holds
+// some hundred, the most that a burst leaves there, many times over.
+const DocumentQueueLength = 2048
+
 // AnyVersion is the version of a share that every version of a service may serve.
 const AnyVersion = "*"
 
@@ -240,7 +244,8 @@
 	}
 	for _, s := range d.Services {
 		service := *s
-		service.Versions = documentVersions(s.Name, in)
+		service.QueueLength = DocumentQueueLength
+		service.Versions = versionShares(s.Name, AnyVersion, in.Moves, in.Versions)
 		c.Services = append(c.Services, &service)
 	}
 	return c.Index()
@@ -257,18 +262,3 @@
 	}
 	return int(lowest) + 1
 }
-
-func documentVersions(service string, in DocumentInput) []VersionShare {
-	for _, m := range in.Moves {
-		if m.Service == service {
-			return []VersionShare{
-				{Version: m.From, Share: 1 - m.Share},
-				{Version: m.To, Share: m.Share, Unproven: m.Unproven},
-			}
-		}
-	}
-	if v, ok := in.Versions[service]; ok {
-		return []VersionShare{{Version: v, Share: 1}}
-	}
-	return []VersionShare{{Version: AnyVersion, Share: 1}}
-}
--- a/control/budgets.go
+++ b/control/budgets.go
@@ -11,14 +11,9 @@
 
 var errNoAccount = errors.New("the account has no token limit")
 
-// DrawBudget grants tokens of an account to a gateway. A leader that has not confirmed its
-// quorum lately grants nothing: another one may have taken its place.
+// DrawBudget grants tokens of an account to a gateway.
 func (v *service) DrawBudget(in *api.DrawBudget, out *api.BudgetGrant) error {
-	err := v.s.notLeading()
-	if err == nil && v.s.holder.Freshness(time.Now()) > servedAge {
-		err = errors.New("the quorum is not confirmed")
-	}
-	if err != nil {
+	if err := v.s.mayServe(); err != nil {
 		out.Leader, err = redirect(err)
 		return err
 	}
@@ -33,17 +28,15 @@
 	return nil
 }
 
-func (s *Server) tokenLimit(account string) (budget.Limit, bool) {
+func (s *Server) tokenLimit(name string) (budget.Limit, bool) {
 	var limit budget.Limit
 	s.machine.read(func(st *state.State) {
 		c := st.Config()
 		if c == nil {
 			return
 		}
-		for _, a := range c.Accounts {
-			if a.Name == account {
-				limit = budget.Limit{Rate: a.TokensPerSecond, Burst: a.TokenBurst}
-			}
+		if a, ok := c.AccountByName(name); ok {
+			limit = budget.Limit{Rate: a.TokensPerSecond, Burst: a.TokenBurst}
 		}
 	})
 	return limit, limit.Rate > 0
--- a/control/client.go
+++ b/control/client.go
@@ -260,7 +260,12 @@
 }
 
 func pause(ctx context.Context) error {
-	t := time.NewTimer(clientRetry/2 + rand.N(clientRetry))
+	return sleep(ctx, clientRetry/2+rand.N(clientRetry))
+}
+
+// sleep waits for d, or returns why ctx ended before.
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/control/repair.go
+++ b/control/repair.go
@@ -76,10 +76,7 @@
 func (s *Server) repairGroup() {
 	members := s.log.Members()
 	s.recordControl(members)
-	if !s.opts.SelfRepair {
-		return
-	}
-	if countVoters(members) <= s.log.Size() {
+	if !s.opts.SelfRepair || countVoters(members) <= s.log.Size() {
 		return
 	}
 	silent, since := longestSilent(members, s.log.Silence())
@@ -139,15 +136,6 @@
 		_, err := call(attempt, client, "JoinReplica", &api.JoinReplica{Address: s.opts.Self.LinkAddress}, func(r *api.JoinReply) (string, bool) { return r.Leader, true })
 		cancel()
 		_ = s.opts.Logger.Log("msg", "asked to join the control group", "seeds", len(seeds), "err", err)
-		sleepFor(ctx, joinInterval)
-	}
-}
-
-func sleepFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		_ = sleep(ctx, joinInterval) // the loop ends with ctx
 	}
 }
--- a/control/service.go
+++ b/control/service.go
@@ -225,14 +225,21 @@
 	return nil
 }
 
-// Subscribe serves what the leader has published. A leader that has not confirmed its
-// quorum lately serves nothing.
-func (v *service) Subscribe(in *api.Subscribe, out *api.View) error {
-	err := v.s.notLeading()
-	if err == nil && v.s.holder.Freshness(time.Now()) > servedAge {
-		err = errors.New("the quorum is not confirmed")
+// mayServe returns an error unless the replica leads and has confirmed its quorum lately:
+// another one may have taken its place otherwise.
+func (s *Server) mayServe() error {
+	if err := s.notLeading(); err != nil {
+		return err
 	}
-	if err != nil {
+	if s.holder.Freshness(time.Now()) > servedAge {
+		return errors.New("the quorum is not confirmed")
+	}
+	return nil
+}
+
+// Subscribe serves what the leader has published.
+func (v *service) Subscribe(in *api.Subscribe, out *api.View) error {
+	if err := v.s.mayServe(); err != nil {
 		out.Leader, err = redirect(err)
 		return err
 	}
--- a/control/state/document.go
+++ b/control/state/document.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
@@ -44,11 +43,7 @@
 	if d.State == next {
 		return &Result{}
 	}
-	d.State = next
-	d.ChangedAt = s.data.Now
-	s.data.Domains[c.Domain] = d
-	s.raiseRevision()
-	s.compile()
+	s.changeDomain(d, next)
 	return &Result{}
 }
 
@@ -58,10 +53,11 @@
 	if s.data.Document == nil || !slices.ContainsFunc(s.data.Document.Services, func(x *contract.Service) bool { return x.Name == c.Service }) {
 		return &Result{Refused: fmt.Sprintf("there is no service %q", c.Service)}
 	}
-	if m := s.data.Moves[c.Service]; m != nil && (m.To == c.To || inProgress(m)) {
-		if m.To == c.To {
-			return &Result{}
-		}
+	m := s.data.Moves[c.Service]
+	if m != nil && m.To == c.To {
+		return &Result{}
+	}
+	if m != nil && inProgress(m) {
 		return &Result{Refused: fmt.Sprintf("service %s has a move to %s in progress", c.Service, m.To)}
 	}
 	from := s.versionInForce(c.Service, c.To)
@@ -95,7 +91,7 @@
 	}
 	best := ""
 	for v, n := range count {
-		if n > count[best] || (n == count[best] && strings.Compare(v, best) < 0) {
+		if n > count[best] || (n == count[best] && v < best) {
 			best = v
 		}
 	}
@@ -110,22 +106,21 @@
 	if r, ok := s.data.Registrations[e.ID]; ok && r.Instance.Incarnation > e.Incarnation {
 		return fmt.Sprintf("endpoint %s has a later incarnation", e.ID)
 	}
-	for _, r := range s.data.Registrations {
-		if r.Endpoint != nil && r.Endpoint.Target == e.Target && r.Endpoint.ID != e.ID && r.Endpoint.Incarnation > e.Incarnation {
-			return fmt.Sprintf("endpoint %s has the address since", r.Endpoint.ID)
-		}
+	if r := s.otherAt(e); r != nil && r.Instance.Incarnation > e.Incarnation {
+		return fmt.Sprintf("endpoint %s has the address since", r.Instance.ID)
 	}
 	return ""
 }
 
-// replaceAtTarget ends the registration of an earlier endpoint at the same address.
-func (s *State) replaceAtTarget(e *endpoint.Endpoint) {
+// otherAt returns the registration of another endpoint at the same address, nil without one.
+// There is never more than one: a later one ends the earlier.
+func (s *State) otherAt(e *endpoint.Endpoint) *Registration {
 	for id, r := range s.data.Registrations {
 		if r.Endpoint != nil && r.Endpoint.Target == e.Target && id != e.ID {
-			delete(s.leases, r.Lease)
-			delete(s.data.Registrations, id)
+			return r
 		}
 	}
+	return nil
 }
 
 // endEndpoint ends an endpoint that said it leaves. Incarnation 0 stands for the one that
@@ -140,8 +135,7 @@
 		s.data.Ended[c.ID] = Ended{Incarnation: incarnation, At: s.data.Now}
 	}
 	if ok && r.Instance.Incarnation <= incarnation {
-		delete(s.leases, r.Lease)
-		delete(s.data.Registrations, c.ID)
+		s.unregister(r)
 		s.raiseDirectory()
 	}
 	return &Result{}
--- a/control/state/move.go
+++ b/control/state/move.go
@@ -144,12 +144,17 @@
 	if d.State == next || (next == failuredomain.StateRestoring && d.State == failuredomain.StateActive) {
 		return accepted()
 	}
+	s.changeDomain(d, next)
+	return accepted()
+}
+
+// changeDomain puts a state of a failure domain in force.
+func (s *State) changeDomain(d failuredomain.Domain, next failuredomain.State) {
 	d.State = next
 	d.ChangedAt = s.data.Now
-	s.data.Domains[c.Domain] = d
+	s.data.Domains[d.ID] = d
 	s.raiseRevision()
 	s.compile()
-	return accepted()
 }
 
 func (s *State) activateDomains() {
--- a/control/state/registration.go
+++ b/control/state/registration.go
@@ -23,7 +23,9 @@
 		if reason := s.outdated(c.Endpoint); reason != "" {
 			return &Result{Refused: reason}
 		}
-		s.replaceAtTarget(c.Endpoint)
+		if earlier := s.otherAt(c.Endpoint); earlier != nil {
+			s.unregister(earlier)
+		}
 	}
 	r, ok := s.data.Registrations[id]
 	if ok && r.Instance == c.Instance && sameEndpoint(r.Endpoint, c.Endpoint) {
@@ -59,8 +61,7 @@
 			continue
 		}
 		r := s.data.Registrations[id]
-		delete(s.leases, end.Lease)
-		delete(s.data.Registrations, id)
+		s.unregister(r)
 		if !end.Left {
 			s.data.Lost[id] = &Lost{Instance: r.Instance, Revision: end.Revision, At: s.data.Now}
 		}
@@ -69,6 +70,12 @@
 	return &Result{}
 }
 
+// unregister forgets a process and its lease.
+func (s *State) unregister(r *Registration) {
+	delete(s.leases, r.Lease)
+	delete(s.data.Registrations, r.Instance.ID)
+}
+
 func (s *State) raiseDirectory() {
 	s.data.DirectoryRevision++
 	s.directory = nil
