Say once what queues, reports and endpoints have in common

Cause: a second reading found three walks over a tier's items, two estimates of a wait, three builders of an agent's report, the condition for a watched endpoint in five places, a field of the budget that nothing read, and a whole load report made for each dispatch, under the gate's lock, to log how many run. Change: band.items, drain.time, Agent.heartbeat, gate.report (one lock where loadFor took two), Endpoint.SelfAnnounced and Watched; the count is kept when a dispatch is placed.

--- a/admission/drain.go
+++ b/admission/drain.go
@@ -39,11 +39,6 @@
 	d.from = now
 }
 
-// wait estimates how long work takes at the measured rate, which must not be 0.
-func (d *drain) wait(work float64) time.Duration {
-	return time.Duration(min(work/d.rate, MaxRetryAfter.Seconds()) * float64(time.Second))
-}
-
 // time estimates how long work of this cost takes; without a measured rate it
 // returns 1 s.
 func (d *drain) time(cost float64) time.Duration {
--- a/admission/flow.go
+++ b/admission/flow.go
@@ -130,6 +130,17 @@
 	return nil
 }
 
+// items visits the waiting items, account by account in the order of arrival.
+func (b *band) items(visit func(*Item) bool) {
+	for _, f := range b.ring {
+		for it := f.head; it != nil; it = it.next {
+			if !visit(it) {
+				return
+			}
+		}
+	}
+}
+
 // latest returns the latest arrival of the tier.
 func (b *band) latest() *Item {
 	var last *Item
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -212,22 +212,22 @@
 	var out []Dropped
 	limit := q.Floor(now)
 	for rank := range q.bands {
-		for _, f := range q.bands[rank].ring {
-			for it := f.head; it != nil; it = it.next {
-				if r := q.expired(it, limit, now); r != nil {
-					out = append(out, Dropped{it, r})
-				}
+		for it := range q.bands[rank].items {
+			if r := q.expired(it, limit, now); r != nil {
+				out = append(out, Dropped{it, r})
 			}
 		}
 	}
-	for _, d := range out {
-		q.unlink(d.Item)
-	}
+	q.unlinkAll(out)
 	late := q.hopeless(now)
-	for _, d := range late {
+	q.unlinkAll(late)
+	return append(out, late...)
+}
+
+func (q *Queue) unlinkAll(dropped []Dropped) {
+	for _, d := range dropped {
 		q.unlink(d.Item)
 	}
-	return append(out, late...)
 }
 
 func (q *Queue) expired(it *Item, limit int, now time.Time) *Refusal {
--- a/admission/worth.go
+++ b/admission/worth.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -26,18 +27,16 @@
 func (b *band) densest(now time.Time) *Item {
 	var best *Item
 	most := 0.0
-	for _, f := range b.ring {
-		for it := f.head; it != nil; it = it.next {
-			d := it.density(now)
-			if best == nil || d > most || d == most && it.seq < best.seq {
-				best, most = it, d
-			}
+	for it := range b.items {
+		d := it.density(now)
+		if best == nil || d > most || d == most && it.seq < best.seq {
+			best, most = it, d
 		}
 	}
 	return best
 }
 
-// hopeless removes the items that cannot be served before their deadline behind those that
+// hopeless returns the items that cannot be served before their deadline behind those that
 // go before them, at the present pace. A caller that is told so early can come back, and
 // its place in the queue delays nobody.
 func (q *Queue) hopeless(now time.Time) []Dropped {
@@ -48,7 +47,7 @@
 	ahead := 0.0
 	for rank := range q.bands {
 		for _, it := range q.bands[rank].byDensity(now) {
-			wait := q.work.wait(ahead)
+			wait := q.work.time(ahead)
 			if it.late(now.Add(wait)) {
 				out = append(out, Dropped{it, &Refusal{ReasonDeadline, it.Tier, clampRetry(wait)}})
 				continue
@@ -61,20 +60,7 @@
 
 // byDensity returns the items of a band in the order in which they would go now.
 func (b *band) byDensity(now time.Time) []*Item {
-	var out []*Item
-	for _, f := range b.ring {
-		for it := f.head; it != nil; it = it.next {
-			out = append(out, it)
-		}
-	}
-	slices.SortFunc(out, func(x, y *Item) int {
-		switch dx, dy := x.density(now), y.density(now); {
-		case dx > dy:
-			return -1
-		case dx < dy:
-			return 1
-		}
-		return int(x.seq) - int(y.seq) //nolint:gosec // far below the largest int
+	return slices.SortedFunc(b.items, func(x, y *Item) int {
+		return cmp.Or(cmp.Compare(y.density(now), x.density(now)), cmp.Compare(x.seq, y.seq))
 	})
-	return out
 }
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -164,6 +164,11 @@
 	return l
 }
 
+// heartbeat returns a report with the given load.
+func (a *Agent) heartbeat(l endpoint.Load) *dispatch.Heartbeat {
+	return &dispatch.Heartbeat{Revision: a.revision(), Load: l, Incarnation: a.opt.Endpoint.Incarnation}
+}
+
 func (a *Agent) revision() uint64 {
 	if c := a.opt.View.Config(); c != nil {
 		return c.Revision
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -33,7 +33,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.left())
 	defer cancel()
-	d.beside = a.gate.load(a.now()).Running
 	a.opt.Timeline.Record(timeline.Event{Kind: "dispatch.committed", Request: d.header.ID.Request, Endpoint: string(a.opt.Endpoint.ID)})
 	answer, err := a.opt.Engine.Submit(ctx, d.request())
 	if err != nil {
@@ -98,7 +97,7 @@
 	}
 	a.ledger.Finish(d.header.ID, nil, a.now())
 	a.metrics.wasted.add(int64(d.header.PromptTokens))
-	d.log("broken: "+err.Error(), 0, nil)
+	d.log("broken: "+err.Error(), 0, 0)
 	if ctx.Err() != nil {
 		d.cancelled(ctx)
 		return
@@ -156,29 +155,26 @@
 		answer = next
 	}
 	a.ledger.Finish(d.header.ID, k.answer(), a.now())
-	d.place.ended(outcome{answerTokens: d.answerTokens(&count), failed: answer.Status >= 500})
+	tokens := d.answerTokens(&count)
+	d.place.ended(outcome{answerTokens: tokens, failed: answer.Status >= 500})
 	d.record("dispatch.done", "")
-	d.stream.end(count.prompt, d.answerTokens(&count))
-	d.log("done", answer.Status, &count)
+	d.stream.end(count.prompt, tokens)
+	d.log("done", answer.Status, count.events)
 }
 
 // log writes the line of a dispatch that was given to the engine.
-func (d *dispatched) log(outcome string, status int, count *tokenCounter) {
+func (d *dispatched) log(outcome string, status, events int) {
 	if d.header.Engine == nil {
 		return // the product's own deployments have the time line
 	}
 	now := d.agent.now()
-	events := 0
-	if count != nil {
-		events = count.events
-	}
 	first := time.Duration(0)
 	if !d.started.IsZero() {
 		first = d.started.Sub(d.place.granted)
 	}
 	_ = d.agent.opt.Logger.Log("msg", "dispatch", "request", d.header.ID.Request, "attempt", d.header.ID.Attempt,
 		"outcome", outcome, "status", status, "endpoint", d.header.Engine.ID, "prompt", d.header.PromptTokens,
-		"events", events, "running", d.beside, "waited_ms", d.place.granted.Sub(d.arrived).Milliseconds(),
+		"events", events, "running", d.place.beside, "waited_ms", d.place.granted.Sub(d.arrived).Milliseconds(),
 		"first_ms", first.Milliseconds(), "total_ms", now.Sub(d.place.granted).Milliseconds())
 }
 
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -33,6 +33,9 @@
 	placed  bool
 	granted time.Time
 	first   time.Time
+	// beside is the number of dispatches in the engine when this one was placed, itself
+	// included.
+	beside int
 }
 
 // outcome is how a dispatch ended at the engine.
@@ -218,11 +221,9 @@
 	g.offers.want(h.ID.Gateway, h.Waiting, now)
 	offered := g.offers.take(h.ID.Gateway, now)
 	held, _ := g.offers.held(0, now)
-	if offered || g.running+held < g.engine.Slots {
-		if g.allows(w, now) {
-			g.place(w, now)
-			return
-		}
+	if (offered || g.running+held < g.engine.Slots) && g.allows(w, now) {
+		g.place(w, now)
+		return
 	}
 	g.offers.want(h.ID.Gateway, h.Waiting+1, now)
 	w.turn <- refusal{code: dispatch.CodeQueueFull, retryAfter: admission.MinRetryAfter}
@@ -282,6 +283,7 @@
 	w.granted = now
 	g.changed()
 	g.running++
+	w.beside = g.running
 	g.tokens += w.tokens
 	w.turn <- refusal{}
 }
@@ -382,21 +384,23 @@
 
 // loadFor returns the load report for one gateway. Slots that are kept for others are taken.
 func (g *gate) loadFor(gateway instance.Incarnation, now time.Time) endpoint.Load {
-	l := g.load(now)
-	if !l.Exact {
-		return l
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	l := g.report(now)
 	all, own := g.offers.held(gateway, now)
 	l.Running += all - own
 	return l
 }
 
-// load returns the load report of the gate.
+// load returns the load report of the gate, without what is kept for gateways.
 func (g *gate) load(now time.Time) endpoint.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.report(now)
+}
+
+// report returns the load. It must be called with mu held.
+func (g *gate) report(now time.Time) endpoint.Load {
 	prefill, decode := g.limiter.Rates()
 	return endpoint.Load{
 		Limit: g.limiter.Limit(), Exact: g.engine.Slots > 0, Full: g.pace.wait(now) > 0, Cold: g.limiter.Cold(),
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -103,10 +103,8 @@
 	place  *waiter
 	// arrived is when the dispatch was read; its timeout counts from then.
 	arrived time.Time
-	// started is when the answer began; beside is the number of dispatches in the engine
-	// when this one was given to it.
+	// started is when the answer began.
 	started time.Time
-	beside  int
 }
 
 func (d *dispatched) run(ctx context.Context) {
@@ -185,7 +183,7 @@
 }
 
 func (a *Agent) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	_ = msgpack.NewEncoder(w).Encode(&dispatch.Heartbeat{Revision: a.revision(), Load: a.Load(), Incarnation: a.opt.Endpoint.Incarnation})
+	_ = msgpack.NewEncoder(w).Encode(a.heartbeat(a.Load()))
 }
 
 // decodeRequest answers a malformed request itself and returns false.
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -46,8 +46,7 @@
 	timer := time.NewTimer(dispatch.WatchInterval)
 	defer timer.Stop()
 	for {
-		m := dispatch.Heartbeat{Revision: a.revision(), Load: a.loadFor(gateway), Incarnation: a.opt.Endpoint.Incarnation}
-		if encoder.Encode(&m) != nil {
+		if encoder.Encode(a.heartbeat(a.loadFor(gateway))) != nil {
 			return // the gateway has left
 		}
 		if flusher != nil {
@@ -76,5 +75,5 @@
 		return
 	}
 	a.gate.want(in.Gateway, in.Requests, a.now())
-	_ = msgpack.NewEncoder(w).Encode(&dispatch.Heartbeat{Revision: a.revision(), Load: a.loadFor(in.Gateway), Incarnation: a.opt.Endpoint.Incarnation})
+	_ = msgpack.NewEncoder(w).Encode(a.heartbeat(a.loadFor(in.Gateway)))
 }
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -12,11 +12,9 @@
 // no limit.
 type Limit struct{ Rate, Burst float64 }
 
-const (
-	// firstShare is the share of the burst with which a pool begins. What an earlier leader
-	// granted a moment ago is not known.
-	firstShare = 0.1
-)
+// firstShare is the share of the burst with which a pool begins. What an earlier leader
+// granted a moment ago is not known.
+const firstShare = 0.1
 
 // roundUp is added to waits, so that the tokens are there when one ends.
 const roundUp = time.Millisecond
@@ -54,7 +52,6 @@
 // bucket is one account's tokens. The balance may not exceed the limit's burst; it is below 0
 // after a large request.
 type bucket struct {
-	limit   Limit
 	balance float64
 	at      time.Time
 }
@@ -72,7 +69,7 @@
 	defer p.mu.Unlock()
 	b := p.accounts[account]
 	if b == nil {
-		b = &bucket{limit: limit, balance: firstShare * limit.Burst, at: now}
+		b = &bucket{balance: firstShare * limit.Burst, at: now}
 		p.accounts[account] = b
 	}
 	b.advance(limit, now)
@@ -84,10 +81,9 @@
 	return granted, 0
 }
 
-// advance refills the bucket and takes over a changed limit.
+// advance refills the bucket up to the limit, which may have changed.
 func (b *bucket) advance(limit Limit, now time.Time) {
 	elapsed := max(0, now.Sub(b.at).Seconds())
-	b.limit = limit
 	b.balance = min(b.balance+limit.Rate*elapsed, limit.Burst)
 	b.at = now
 }
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -38,6 +38,13 @@
 	Slots int `msgpack:"slots" json:"slots,omitempty"`
 }
 
+// SelfAnnounced reports whether the endpoint announces itself to control.
+func (e *Endpoint) SelfAnnounced() bool { return e.Target != "" }
+
+// Watched reports whether gateways follow the load of the endpoint's agent: it announces
+// itself, so its agent does not register, and it has an agent.
+func (e *Endpoint) Watched() bool { return e.SelfAnnounced() && e.Address != "" }
+
 // Load is an agent's report on its endpoint. It travels on dispatch frames.
 type Load struct {
 	// Limit is the number of requests the endpoint can bear at present.
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -124,16 +124,15 @@
 	for _, e := range list {
 		there := in.Config.Domains[e.Domain]
 		there.ID = e.Domain
-		svc.candidates = append(svc.candidates, &Candidate{
+		c := &Candidate{
 			Endpoint: e,
 			distance: distance(here, there).Seconds(),
 			hash:     hashString(string(e.ID)),
 			state:    s.stateOf(in.Previous, e),
-		})
-	}
-	for _, c := range svc.candidates {
-		if c.Endpoint.Target != "" && c.Endpoint.Address != "" {
-			s.behind[c.Endpoint.Address] = append(s.behind[c.Endpoint.Address], c)
+		}
+		svc.candidates = append(svc.candidates, c)
+		if e.Watched() {
+			s.behind[e.Address] = append(s.behind[e.Address], c)
 		}
 	}
 	sortByVersion(svc.candidates)
