Look up, suspend and send in one place; measure silence once a tick

Cause: a second reading found the queue of a call, the suspension of an endpoint and the first half of a request to an agent written several times in gateway; headers set and deleted again; a list of endpoints of which only the length was read; and, at the control leader, a map of silent members built with every message instead of when it is needed. Change: Gateway.queue, attempt.suspend, peer.send; call.runs; Replica.Silence, measured with each tick. The log line of a repeated request whose first answer stands names that answer's status, where it said 0. Conclusion: apart from that log line no behaviour changes.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -18,6 +18,20 @@
 	limit   budget.Limit
 }
 
+// tolerance is that of the users' platform.
+var tolerance = budget.Tolerance{Overrun: 0.1, Slack: 110_000}
+
+// newGateways returns eight gateways on one pool.
+func newGateways(limit budget.Limit, now time.Time) *gateways {
+	g := &gateways{pool: budget.NewPool(tolerance), limit: limit, cut: make([]bool, 8)}
+	for range g.cut {
+		w := &budget.Wallet{}
+		w.Configure(limit, 1.0/8, now)
+		g.wallets = append(g.wallets, w)
+	}
+	return g
+}
+
 func (g *gateways) ask(i int, cost float64, now time.Time) bool {
 	w := g.wallets[i]
 	ok, draw, want, _ := w.Take(cost, now)
@@ -45,12 +59,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := budget.Limit{Rate: 100_000, Burst: 100_000}
 		now := time.Unix(0, 0)
-		g := &gateways{pool: budget.NewPool(budget.Tolerance{Overrun: 0.1, Slack: 110_000}), limit: limit, cut: make([]bool, 8)}
-		for range g.cut {
-			w := &budget.Wallet{}
-			w.Configure(limit, 1.0/8, now)
-			g.wallets = append(g.wallets, w)
-		}
+		g := newGateways(limit, now)
 		type spent struct {
 			at   time.Time
 			cost float64
@@ -61,7 +70,7 @@
 		for step := range 2000 {
 			now = now.Add(10 * time.Millisecond)
 			if step == leaderLost {
-				g.pool = budget.NewPool(budget.Tolerance{Overrun: 0.1, Slack: 110_000})
+				g.pool = budget.NewPool(tolerance)
 			}
 			if step%200 == 0 {
 				hot = rapid.IntRange(0, 7).Draw(t, "hot")
@@ -98,12 +107,7 @@
 func TestLimitFollowsTheTraffic(t *testing.T) {
 	limit := budget.Limit{Rate: 100_000, Burst: 100_000}
 	now := time.Unix(0, 0)
-	g := &gateways{pool: budget.NewPool(budget.Tolerance{Overrun: 0.1, Slack: 110_000}), limit: limit, cut: make([]bool, 8)}
-	for range g.cut {
-		w := &budget.Wallet{}
-		w.Configure(limit, 1.0/8, now)
-		g.wallets = append(g.wallets, w)
-	}
+	g := newGateways(limit, now)
 	for step := range 1000 {
 		now = now.Add(20 * time.Millisecond)
 		assert.Assert(t, g.ask(step/250, 1900, now), "step %d: 95,000 of 100,000 tokens a second were asked for", step)
@@ -152,12 +156,7 @@
 	limit := budget.Limit{Rate: 100_000, Burst: 100_000}
 	for cut := range 4 {
 		now := time.Unix(0, 0)
-		g := &gateways{pool: budget.NewPool(budget.Tolerance{Overrun: 0.1, Slack: 110_000}), limit: limit, cut: make([]bool, 8)}
-		for range g.cut {
-			w := &budget.Wallet{}
-			w.Configure(limit, 1.0/8, now)
-			g.wallets = append(g.wallets, w)
-		}
+		g := newGateways(limit, now)
 		sum := 0.0
 		for step := range 1800 { // ten idle seconds fill the bucket, then eight count
 			now = now.Add(10 * time.Millisecond)
@@ -166,7 +165,7 @@
 				continue
 			}
 			if step == 1050 {
-				g.pool = budget.NewPool(budget.Tolerance{Overrun: 0.1, Slack: 110_000})
+				g.pool = budget.NewPool(tolerance)
 				for i := range cut {
 					g.cut[i] = true
 				}
--- a/consensus/membership.go
+++ b/consensus/membership.go
@@ -145,6 +145,14 @@
 // MembersIndex returns the index of the entry that holds the latest membership.
 func (c *Core) MembersIndex() uint64 { return c.memberships[len(c.memberships)-1].index }
 
+// Founders returns the number of members with which the group began, 0 without a group.
+func (c *Core) Founders() int {
+	if c.snapshot == nil {
+		return 0
+	}
+	return len(c.snapshot.Founding)
+}
+
 // Founding returns the membership with which the group began, nil without a group.
 func (c *Core) Founding() Membership {
 	if c.snapshot == nil {
--- a/consensus/replica/api.go
+++ b/consensus/replica/api.go
@@ -99,9 +99,6 @@
 	Joined bool
 	// SnapshotIndex is the index of the last snapshot.
 	SnapshotIndex uint64
-	// Silent is the time since this replica, as the leader, last heard from each other
-	// member; it is nil on followers.
-	Silent map[consensus.ID]time.Duration
 	// Founders is the number of members with which the group began.
 	Founders int
 }
--- a/consensus/replica/process.go
+++ b/consensus/replica/process.go
@@ -1,8 +1,6 @@
 package replica
 
 import (
-	"time"
-
 	"toucantiller.dev/consensus"
 	"toucantiller.dev/wal"
 )
@@ -156,7 +154,7 @@
 		ID: s.ID, Term: s.Term, Leader: r.addressOf(s.Leader),
 		IsLeader: s.Role == consensus.Leader, Commit: s.Commit, Applied: s.Applied,
 		Members: r.core.Members(), Joined: s.Group != 0, SnapshotIndex: s.Snapshot,
-		Silent: r.silent(), Founders: len(r.core.Founding()),
+		Founders: r.core.Founders(),
 	}
 	was := r.status.Swap(&now)
 	changed := was == nil || was.Term != now.Term || was.Leader != now.Leader ||
@@ -170,15 +168,3 @@
 		r.cfg.OnChange(now)
 	}
 }
-
-// silent returns how long the leader has not heard from each other member.
-func (r *Replica) silent() map[consensus.ID]time.Duration {
-	if r.core.Status().Role != consensus.Leader {
-		return nil
-	}
-	out := make(map[consensus.ID]time.Duration)
-	for _, m := range r.core.Members() {
-		out[m.ID] = time.Duration(r.core.SilentTicks(m.ID)) * r.cfg.TickInterval
-	}
-	return out
-}
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -55,6 +55,7 @@
 	done      chan struct{}
 	stopOnce  sync.Once
 	status    atomic.Pointer[Status]
+	silence   atomic.Pointer[map[consensus.ID]time.Duration]
 	err       error
 
 	// The following belong to the run goroutine.
@@ -237,6 +238,7 @@
 func (r *Replica) tick() {
 	if r.founder == nil {
 		r.core.Tick()
+		r.measureSilence()
 		if s := r.core.Status(); s.Commit == foundingIndex && s.Leader == 0 {
 			r.announce()
 		}
@@ -250,6 +252,27 @@
 	}
 }
 
+// measureSilence records how long the leader has not heard from each member.
+func (r *Replica) measureSilence() {
+	var silence map[consensus.ID]time.Duration
+	if r.core.Status().Role == consensus.Leader {
+		silence = make(map[consensus.ID]time.Duration)
+		for _, m := range r.core.Members() {
+			silence[m.ID] = time.Duration(r.core.SilentTicks(m.ID)) * r.cfg.TickInterval
+		}
+	}
+	r.silence.Store(&silence)
+}
+
+// Silence returns how long this replica, as the leader, has not heard from each other member,
+// as of the last tick; it is empty on followers. The result must not be changed.
+func (r *Replica) Silence() map[consensus.ID]time.Duration {
+	if s := r.silence.Load(); s != nil {
+		return *s
+	}
+	return nil
+}
+
 // announce sends the founding membership until the group has a leader.
 func (r *Replica) announce() {
 	for _, m := range r.core.Members() {
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -145,7 +145,14 @@
 
 func startGroup(t *testing.T, decider func(api.Move) control.Decider) *group {
 	t.Helper()
-	g := &group{network: link.NewMemory(), servers: map[string]*control.Server{}, folders: map[string]string{}, decider: decider, founders: replicas}
+	return startGroupOf(t, &group{decider: decider})
+}
+
+// startGroupOf starts the replicas of a group whose options are set.
+func startGroupOf(t *testing.T, g *group) *group {
+	t.Helper()
+	g.network = link.NewMemory()
+	g.servers, g.folders, g.founders = map[string]*control.Server{}, map[string]string{}, replicas
 	for _, addr := range replicas {
 		g.folders[addr] = t.TempDir()
 		g.start(t, addr)
--- a/control/repair_test.go
+++ b/control/repair_test.go
@@ -21,12 +21,7 @@
 
 func startSelfRepairing(t *testing.T) *group {
 	t.Helper()
-	g := &group{network: link.NewMemory(), servers: map[string]*control.Server{}, folders: map[string]string{}, founders: replicas, selfRepair: true}
-	for _, addr := range replicas {
-		g.folders[addr] = t.TempDir()
-		g.start(t, addr)
-	}
-	time.Sleep(3 * time.Second)
+	g := startGroupOf(t, &group{selfRepair: true})
 	g.founders = nil
 	return g
 }
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -91,7 +91,7 @@
 
 func (l *replicaLog) Silence() map[uint64]time.Duration {
 	out := make(map[uint64]time.Duration)
-	for id, silent := range l.replica.Status().Silent {
+	for id, silent := range l.replica.Silence() {
 		out[uint64(id)] = silent
 	}
 	return out
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -41,14 +41,12 @@
 
 // start takes in the engine's status and headers.
 func (o *answerWriter) start(e *endpoint.Endpoint, status int, header http.Header) {
-	setPair(o.w.Header(), headerEndpoint, string(e.ID), headerVersion, e.Version)
+	if !o.call.verbatim() {
+		setPair(o.w.Header(), headerEndpoint, string(e.ID), headerVersion, e.Version)
+	}
 	o.status = status
 	o.header = header
 	o.live = !o.call.claimed() && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
-	if o.call.verbatim() {
-		o.w.Header().Del(headerEndpoint)
-		o.w.Header().Del(headerVersion)
-	}
 }
 
 func (o *answerWriter) data(p []byte) {
@@ -123,6 +121,7 @@
 		o.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
 	o.begun = true
+	o.status = a.Status
 	o.w.WriteHeader(a.Status)
 	o.write(a.Body)
 	return nil
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -96,10 +96,10 @@
 	}
 	a.peer.use.begin()
 	defer a.peer.use.end()
-	if a.endpoint.Target != "" {
+	if a.endpoint.SelfAnnounced() {
 		var err error
 		if a.agent, err = a.peer.agentIncarnation(ctx); err != nil {
-			a.candidate.Suspend(time.Now().Add(suspendTime))
+			a.suspend()
 			return a.notRun(dispatch.CodeUnreachable, &link.Error{Step: "asking the agent", Peer: a.endpoint.Address, Err: err})
 		}
 	}
@@ -151,10 +151,10 @@
 	if c.claimed() {
 		h.Claim = c.account.Name + "/" + c.key
 	}
-	if a.endpoint.Target != "" {
+	if a.endpoint.SelfAnnounced() {
 		h.PassAll = true
 		h.Host = c.host
-		if q := a.gateway.route().queues[c.service.Name]; q != nil {
+		if q := a.gateway.queue(c); q != nil {
 			h.Waiting = int(q.waiting.Load())
 		}
 		h.Engine = &dispatch.Engine{ID: a.endpoint.ID, Slots: a.endpoint.Slots, ColdRate: c.service.ColdRate, EventTokens: c.service.EventTokens, Cold: a.endpoint.Cold}
@@ -277,15 +277,22 @@
 }
 
 func (a *attempt) refused(m *dispatch.Refused) result {
-	switch {
-	case m.Code == dispatch.CodeWrongIncarnation && a.endpoint.Target != "":
-		// The agent has restarted; the next attempt asks for its incarnation.
-		a.peer.forget(a.agent)
-	case (m.Code == dispatch.CodeEngineRefused || m.Code == dispatch.CodeUnreachable) && a.endpoint.Target != "":
-		// Its address is silent or another endpoint's; the directory follows.
-		a.candidate.Suspend(time.Now().Add(suspendTime))
-	case m.Code == dispatch.CodeWrongIncarnation, m.Code == dispatch.CodeWrongVersion:
-		a.candidate.Suspend(time.Now().Add(suspendTime))
+	announced := a.endpoint.SelfAnnounced()
+	switch m.Code {
+	case dispatch.CodeWrongIncarnation:
+		if announced {
+			// The agent has restarted; the next attempt asks for its incarnation.
+			a.peer.forget(a.agent)
+		} else {
+			a.suspend()
+		}
+	case dispatch.CodeWrongVersion:
+		a.suspend()
+	case dispatch.CodeEngineRefused, dispatch.CodeUnreachable:
+		if announced {
+			// Its address is silent or another endpoint's; the directory follows.
+			a.suspend()
+		}
 	}
 	status := http.StatusServiceUnavailable
 	if m.Code == dispatch.CodeDeadline {
@@ -318,7 +325,7 @@
 	a.gateway.opt.Timeline.Record(timeline.Event{Kind: "dispatch.settling", Request: a.call.id, Endpoint: string(a.endpoint.ID), Detail: cause.Step})
 	a.peer.replace(a.client)
 	if !errors.Is(err, context.DeadlineExceeded) {
-		a.candidate.Suspend(time.Now().Add(suspendTime))
+		a.suspend()
 	}
 	if a.unsent(err) {
 		return a.notRun(dispatch.CodeSealed, cause)
@@ -344,6 +351,9 @@
 	return result{problem: a.unknown(cause), open: stands == standsUnreachable || stands == standsRunning}
 }
 
+// suspend leaves the endpoint out of picks for a while.
+func (a *attempt) suspend() { a.candidate.Suspend(time.Now().Add(suspendTime)) }
+
 // leaveCandidate ends the count of the request at its candidate; later calls do nothing.
 func (a *attempt) leaveCandidate() {
 	if a.left {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -77,8 +77,8 @@
 	waited time.Duration
 	// last describes the last attempt, for the log.
 	last attemptRecord
-	// ran lists the endpoints that may have run the call.
-	ran []endpoint.ID
+	// runs counts the endpoints that may have run the call.
+	runs int
 	// excluded lists endpoints that cannot take the call.
 	excluded []endpoint.ID
 }
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -93,12 +93,12 @@
 		code := dispatch.CodeEngineFull
 		if refused.Misdirected {
 			code = dispatch.CodeEngineRefused
-			a.candidate.Suspend(time.Now().Add(suspendTime))
+			a.suspend()
 		}
 		return a.notRun(code, err)
 	case errors.Is(err, endpoint.ErrNotSent):
 		if ctx.Err() == nil {
-			a.candidate.Suspend(time.Now().Add(suspendTime))
+			a.suspend()
 		}
 		return a.notRun(dispatch.CodeUnreachable, err)
 	}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -88,7 +88,6 @@
 	if c.service, ok = config.ServiceByName(route.Pick(c.hash)); !ok {
 		return nil, newProblem(http.StatusNotFound, "unknown_service", NotRun, "route %s has no service", route.Name)
 	}
-	c.stream = route.Kind == contract.RouteStream
 	c.size(in)
 	timeout := route.Timeout
 	if in.Timeout > 0 {
@@ -161,7 +160,7 @@
 // of the answer was given, and the endpoint failed or its answer was lost.
 func (o *answerWriter) mayRepeat(r *result) bool {
 	c := o.call
-	if c.ingress == nil || !c.ingress.Repeatable() || o.begun || len(c.ran) == 0 || len(c.ran) >= c.ingress.MaxAttempts {
+	if c.ingress == nil || !c.ingress.Repeatable() || o.begun || c.runs == 0 || c.runs >= c.ingress.MaxAttempts {
 		return false
 	}
 	if r.problem != nil {
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -85,6 +85,18 @@
 
 func (p *peer) close() { p.client.Load().CloseIdleConnections() }
 
+// send sends a request over the present connection, which it replaces when that fails. It
+// returns the client too, for a caller whose answer breaks off.
+func (p *peer) send(req *http.Request, step string) (*http.Response, *http.Client, error) {
+	client := p.client.Load()
+	resp, err := client.Do(req)
+	if err != nil {
+		p.replace(client)
+		return nil, nil, &link.Error{Step: step, Peer: p.address, Err: err}
+	}
+	return resp, client, nil
+}
+
 // call sends one small request and decodes the reply.
 func (p *peer) call(ctx context.Context, method, path string, in, out any) error {
 	body, err := msgpack.Marshal(in)
@@ -97,11 +109,9 @@
 	}
 	p.use.begin()
 	defer p.use.end()
-	client := p.client.Load()
-	resp, err := client.Do(req)
+	resp, _, err := p.send(req, path)
 	if err != nil {
-		p.replace(client)
-		return &link.Error{Step: path, Peer: p.address, Err: err}
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -238,7 +238,7 @@
 	for range min(probeCount, len(candidates)) {
 		q.next++
 		c := candidates[q.next%len(candidates)]
-		if c.Endpoint.Target != "" {
+		if c.Endpoint.SelfAnnounced() {
 			continue // its agent is watched, or it has none
 		}
 		q.gateway.background(func(ctx context.Context) { q.gateway.fetchLoad(ctx, c, http.MethodGet, dispatch.PathLoad, nil) })
@@ -289,11 +289,14 @@
 // release ends a request at an endpoint and lets the next one go there.
 func (g *Gateway) release(a *attempt) {
 	a.leaveCandidate()
-	if q := g.route().queues[a.call.service.Name]; q != nil {
+	if q := g.queue(a.call); q != nil {
 		q.wake()
 	}
 }
 
+// queue returns the queue of the call's service, nil if the service is gone.
+func (g *Gateway) queue(c *call) *serviceQueue { return g.route().queues[c.service.Name] }
+
 func noEndpoint(c *call, reason schedule.Reason) *Problem {
 	p := newProblem(http.StatusServiceUnavailable, "no_endpoint", NotRun, "no endpoint of %s can take the request: %s", c.service.Name, reason)
 	p.RetryAfter = time.Second
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -10,7 +10,6 @@
 // attemptRecord is what the log says of an attempt.
 type attemptRecord struct {
 	endpoint endpoint.ID
-	target   string
 	// limit and others are what the gateway believed of the endpoint's load; age is how old
 	// that was.
 	limit, others int
@@ -23,7 +22,7 @@
 // recordAttempt keeps what decided an attempt and how it ended.
 func (c *call) recordAttempt(a *attempt, d schedule.Decision, r result) {
 	now := time.Now()
-	rec := attemptRecord{endpoint: a.endpoint.ID, target: a.endpoint.Target, total: now.Sub(a.began), code: string(r.code)}
+	rec := attemptRecord{endpoint: a.endpoint.ID, total: now.Sub(a.began), code: string(r.code)}
 	if load, made, ok := d.Candidate.Load(); ok {
 		rec.limit, rec.others = load.Limit, load.Running+load.Queued
 		if !made.IsZero() {
@@ -50,9 +49,7 @@
 	_ = g.opt.Logger.Log("msg", "request", "request", c.id, "outcome", outcome, "status", status, "execution", execution,
 		"route", c.ingress.Name, "service", c.service.Name, "account", c.account.Name, "tier", int(c.tier),
 		"prompt", c.promptTokens, "answer", c.answerTokens, "document", c.config.Ingress.Version,
-		"total_ms", milliseconds(time.Since(began)), "waited_ms", milliseconds(c.waited), "ran_on", len(c.ran),
-		"endpoint", r.endpoint, "endpoint_load", r.others, "endpoint_limit", r.limit, "load_age_ms", milliseconds(r.age),
-		"first_ms", milliseconds(r.firstToken), "endpoint_ms", milliseconds(r.total), "last_refusal", r.code)
+		"total_ms", time.Since(began).Milliseconds(), "waited_ms", c.waited.Milliseconds(), "ran_on", c.runs,
+		"endpoint", r.endpoint, "endpoint_load", r.others, "endpoint_limit", r.limit, "load_age_ms", r.age.Milliseconds(),
+		"first_ms", r.firstToken.Milliseconds(), "endpoint_ms", r.total.Milliseconds(), "last_refusal", r.code)
 }
-
-func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -30,7 +30,7 @@
 		c.writeProblem(w, refusalProblem(refused))
 		return
 	}
-	if q := g.route().queues[c.service.Name]; q != nil {
+	if q := g.queue(c); q != nil {
 		q.budget.request()
 	}
 	g.opt.Timeline.Record(timeline.Event{Kind: "request.received", Request: c.id, Revision: c.config.Revision})
@@ -107,7 +107,7 @@
 	if time.Until(c.deadline) <= 0 {
 		return result{problem: deadlineProblem(), notRun: true}, false
 	}
-	q := g.route().queues[c.service.Name]
+	q := g.queue(c)
 	if q == nil {
 		return result{problem: noEndpoint(c, schedule.ReasonUnknownService), notRun: true}, false
 	}
@@ -129,7 +129,7 @@
 	if r.notRun {
 		c.exclude(a, r.code)
 	} else {
-		c.ran = append(c.ran, a.endpoint.ID)
+		c.runs++
 		c.excluded = append(c.excluded, a.endpoint.ID)
 	}
 	return r, true
@@ -151,7 +151,7 @@
 
 // repeat takes one repeat from the retry budget of the call's service.
 func (g *Gateway) repeat(c *call) bool {
-	q := g.route().queues[c.service.Name]
+	q := g.queue(c)
 	if q == nil || !q.budget.retry() {
 		g.metrics.budgetEmpty.one()
 		return false
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -35,7 +35,7 @@
 	wanted := make(map[string]bool)
 	for i := range endpoints {
 		e := &endpoints[i]
-		if e.Target == "" || e.Address == "" {
+		if !e.Watched() {
 			continue
 		}
 		wanted[e.Address] = true
@@ -89,11 +89,9 @@
 	req.Header.Set(dispatch.HeaderGateway, strconv.FormatUint(uint64(g.opt.Instance.Incarnation), 16))
 	p.use.begin()
 	defer p.use.end()
-	client := p.client.Load()
-	resp, err := client.Do(req)
+	resp, client, err := p.send(req, dispatch.PathWatch)
 	if err != nil {
-		p.replace(client)
-		return &link.Error{Step: "watch", Peer: address, Err: err}
+		return err
 	}
 	defer resp.Body.Close()
 	decoder := msgpack.NewDecoder(resp.Body)
@@ -148,13 +146,14 @@
 	r := g.routing.Load()
 	in := &dispatch.WantRequest{Gateway: g.opt.Instance.Incarnation, Requests: waiting}
 	for _, c := range r.snapshot.Candidates(service) {
-		if c.Endpoint.Target == "" || c.Endpoint.Address == "" || !c.Asked(now, wantInterval) {
+		if !c.Endpoint.Watched() || !c.Asked(now, wantInterval) {
 			continue
 		}
 		g.background(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
 			var m dispatch.Heartbeat
+			// An agent that cannot be asked is lost to its watch too, which logs it.
 			if g.peer(c.Endpoint.Address).call(ctx, http.MethodPost, dispatch.PathWant, in, &m) == nil {
 				g.observeAgent(c.Endpoint.Address, &m)
 			}
