Try idle endpoints again whose learned speed is old

Change: load reports say how long ago an answer last taught the speeds. For an idle endpoint whose speeds are 3 s old the pick assumes the best speed of the version; one request there is enough to learn them anew.

--- a/agent/gate.go
+++ b/agent/gate.go
@@ -406,7 +406,7 @@
 		Limit: g.limiter.Limit(), Exact: g.engine.Slots > 0, Full: g.pace.wait(now) > 0, Cold: g.limiter.Cold(),
 		Running: g.running, RunningTokens: g.tokens,
 		Queued: g.queue.Len(), QueuedTokens: g.queue.Tokens(),
-		PrefillRate: prefill, DecodeRate: decode,
+		PrefillRate: prefill, DecodeRate: decode, SpeedAge: g.limiter.SpeedAge(now),
 		Floor: g.queue.Floor(now),
 	}
 }
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -60,6 +60,8 @@
 	// not known yet.
 	PrefillRate float64 `msgpack:"prefill_rate" json:"prefill_rate"`
 	DecodeRate  float64 `msgpack:"decode_rate" json:"decode_rate"`
+	// SpeedAge is the time from the last answer that began or ended to the report.
+	SpeedAge time.Duration `msgpack:"speed_age,omitempty" json:"speed_age,omitempty"`
 	// Floor is the admission floor: tiers with a rank above it are refused.
 	// A negative value means no floor.
 	Floor int `msgpack:"floor" json:"floor"`
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -183,6 +183,14 @@
 	return l.first.rate(), l.decode.rate()
 }
 
+// SpeedAge is the time since an answer last began or ended, 0 before the first.
+func (l *Limiter) SpeedAge(now time.Time) time.Duration {
+	if l.progressAt.IsZero() {
+		return 0
+	}
+	return now.Sub(l.progressAt)
+}
+
 // LeastTime is the time that must be left before the deadline of a call that starts
 // behind waiting others; 0 without learned speeds. On an idle endpoint half of the
 // expected answer must fit: a call that may finish in time takes the place of no other.
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -57,6 +57,8 @@
 	// room is the number of requests up to which the endpoint is not saturated.
 	room  float32
 	marks mark
+	// speedUntil is when the learned speeds have grown old, as an offset from the time base.
+	speedUntil int64
 	// exact is set where others counts all requests at the endpoint, this gateway's too.
 	exact bool
 	*detail
@@ -140,6 +142,7 @@
 	own := c.state.ownAt(c.state.base.nanos(made), c.state.base.nanos(now))
 	r := newReport(load)
 	r.made = c.state.base.nanos(made)
+	r.speedUntil = r.made + (speedLifetime - load.SpeedAge).Nanoseconds()
 	r.at = made
 	r.others = float32(math.Max(0, float64(load.Running+load.Queued)-own))
 	if load.Exact {
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -139,30 +140,48 @@
 	return all
 }()
 
-// assumeSpeeds gives endpoints without learned speeds the highest known of the version.
-// With a low standard instead, an endpoint that returns beside fast ones gets no work,
-// and so never shows its speed.
+// speedLifetime is the time after which the learned speed of an idle endpoint is in doubt:
+// it may have been learned in a cold or slow spell.
+const speedLifetime = 3 * time.Second
+
+// assumeSpeeds gives endpoints without learned speeds the highest known of the version, and
+// idle ones whose speeds are old as well. With a low standard instead, an endpoint that
+// returns beside fast ones gets no work, and so never shows its speed.
 func (x *scratch) assumeSpeeds() {
-	if x.marks&(markNoPrefill|markNoDecode) == 0 {
+	if x.marks&(markNoPrefill|markNoDecode) == 0 && !x.anyOldSpeed() {
 		return
 	}
 	prefill, decode := x.bestSpeeds()
 	for _, i := range x.live {
 		r := x.reports[i]
-		if r.marks&(markNoPrefill|markNoDecode) == 0 {
+		unknown := r.marks & (markNoPrefill | markNoDecode)
+		if x.oldSpeed(i) {
+			unknown = markNoPrefill | markNoDecode
+		}
+		if unknown == 0 {
 			continue
 		}
 		x.assumed[i] = *r
-		if r.marks&markNoPrefill != 0 && prefill > 0 {
+		if unknown&markNoPrefill != 0 && prefill > 0 {
 			x.assumed[i].perPrefill = prefill
 		}
-		if r.marks&markNoDecode != 0 && decode > 0 {
+		if unknown&markNoDecode != 0 && decode > 0 {
 			x.assumed[i].perDecode = decode
 		}
 		x.reports[i] = &x.assumed[i]
 	}
 }
 
+// oldSpeed reports whether the learned speeds of a candidate are old. One request there is
+// enough to learn them anew.
+func (x *scratch) oldSpeed(i uint8) bool {
+	return x.requests[i] < 1 && x.own[i] == 0 && x.nanos >= x.reports[i].speedUntil
+}
+
+func (x *scratch) anyOldSpeed() bool {
+	return slices.ContainsFunc(x.live, x.oldSpeed)
+}
+
 // bestSpeeds returns the inverses of the highest known speeds, 0 when none is known.
 func (x *scratch) bestSpeeds() (prefill, decode float64) {
 	for _, r := range x.reports[:x.n] {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -459,3 +459,36 @@
 	}
 	assert.Assert(t, tried > 20, "picked %d times of 200", tried)
 }
+
+// Guards against an endpoint that gets no work because of a low speed that it learned long
+// ago, and so never shows that it has become fast. TestDrainedDomainGetsNoNewWork of
+// systemtest met it: 7 answers after a cold start, then none.
+func TestOldSpeedIsTriedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		age     time.Duration
+		running int
+		tried   bool
+	}{
+		{"fresh", time.Second, 0, false},
+		{"old", speedLifetime, 0, true},
+		{"old, under trial", speedLifetime, 1, false},
+	} {
+		s := NewSnapshot(fleet(3, 1))
+		now := start.Add(time.Second)
+		list := s.Candidates("model-0")
+		for _, other := range list[1:] {
+			other.Observe(endpoint.Load{Limit: 16, PrefillRate: 50000, DecodeRate: 400, Running: 2, Floor: -1}, now)
+		}
+		list[0].Observe(endpoint.Load{Limit: 16, PrefillRate: 500, DecodeRate: 4, Running: c.running, SpeedAge: c.age, Floor: -1}, now)
+		rng := rand.New(rand.NewPCG(1, 2))
+		tried := 0
+		for range 200 {
+			d := s.Pick(&Request{Service: "model-0", PromptTokens: 100, AnswerTokens: 50}, now, rng)
+			if d.Candidate == list[0] {
+				tried++
+			}
+		}
+		assert.Equal(t, tried > 20, c.tried, "%s: picked %d times of 200", c.name, tried)
+	}
+}
