Let the control group grow to all disks at the first start; add relays

Cause: the settings name three control addresses, so the group had three voters however many instances with disks serve control. The grown sites must bear the loss of two disks, which needs five voters or more.

Tests: TestGroupGrowsAtFirstStart (fails where founding joins do not raise the size: a replica that was down for 5 s loses its vote for good), TestGrownGroupKeepsItsSize, TestRelaySendsCallersToTheLeader.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -123,11 +123,21 @@
 type JoinReplica struct {
 	// Address is the link address of the replica.
 	Address string
+	// Founding is set while the deployment starts for the first time: the group grows by the
+	// replica. Otherwise the replica takes the place of one that was lost.
+	Founding bool
 }
 
 // JoinReply answers a JoinReplica.
 type JoinReply struct{ Leader string }
 
+// LeaderReply answers "Control.Leader", which asks who leads.
+type LeaderReply struct {
+	Leader string
+	// Replicas are the link addresses of the control replicas.
+	Replicas []string
+}
+
 // MoveState is the state of a move.
 type MoveState string
 
--- a/control/repair.go
+++ b/control/repair.go
@@ -44,15 +44,34 @@
 	defer v.s.changingReplicas.Unlock()
 	ctx, cancel := context.WithTimeout(v.s.ctx, replicasTimeout)
 	defer cancel()
-	err := v.s.makeRoom(ctx, in.Address)
-	if err == nil {
-		err = v.s.log.AddReplica(ctx, in.Address)
-	}
-	_ = v.s.opts.Logger.Log("msg", "replica asked to join", "address", in.Address, "err", err)
+	err := v.s.add(ctx, in)
+	_ = v.s.opts.Logger.Log("msg", "replica asked to join", "address", in.Address, "founding", in.Founding, "err", err)
 	out.Leader, err = redirect(err)
 	return err
 }
 
+// add makes room for a replica and adds it; a founding one lets the group grow.
+func (s *Server) add(ctx context.Context, in *api.JoinReplica) error {
+	if !in.Founding {
+		if err := s.makeRoom(ctx, in.Address); err != nil {
+			return err
+		}
+		return s.log.AddReplica(ctx, in.Address)
+	}
+	if err := s.log.AddReplica(ctx, in.Address); err != nil {
+		return err
+	}
+	s.recordControl(s.log.Members(), countVoters(s.log.Members()))
+	return nil
+}
+
+// size is the number of voters that the group is to have.
+func (s *Server) size() int {
+	recorded := 0
+	s.machine.read(func(st *state.State) { recorded = st.ControlSize() })
+	return max(recorded, s.log.Size())
+}
+
 // makeRoom removes the voter that has been silent longest if the group has its full size
 // without the replica that joins.
 func (s *Server) makeRoom(ctx context.Context, joining string) error {
@@ -60,7 +79,7 @@
 	if slices.ContainsFunc(members, func(m api.Replica) bool { return m.Address == joining }) {
 		return nil // it takes the place of its former identity
 	}
-	if countVoters(members) < s.log.Size() {
+	if countVoters(members) < s.size() {
 		return nil
 	}
 	silent, since := longestSilent(members, s.log.Silence())
@@ -75,8 +94,8 @@
 // members for processes that look for control.
 func (s *Server) repairGroup() {
 	members := s.log.Members()
-	s.recordControl(members)
-	if !s.opts.SelfRepair || countVoters(members) <= s.log.Size() {
+	s.recordControl(members, 0)
+	if !s.opts.SelfRepair || countVoters(members) <= s.size() {
 		return
 	}
 	silent, since := longestSilent(members, s.log.Silence())
@@ -90,22 +109,28 @@
 	_ = s.opts.Logger.Log("msg", "removed a silent replica", "address", silent.Address, "silent", since, "err", err)
 }
 
-func (s *Server) recordControl(members []api.Replica) {
+// recordControl records the members, and the number of voters that the group is to have if
+// it has grown to size.
+func (s *Server) recordControl(members []api.Replica, size int) {
 	addresses := make([]string, 0, len(members))
 	for _, m := range members {
 		addresses = append(addresses, m.Address)
 	}
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
-	var recorded []string
-	s.machine.read(func(st *state.State) { recorded = st.Control() })
-	if slices.Equal(addresses, recorded) {
+	if slices.Equal(addresses, s.recordedControl()) && size <= s.size() {
 		return
 	}
-	_, err := s.propose(&state.Command{SetControl: &state.SetControl{Addresses: addresses}})
+	_, err := s.propose(&state.Command{SetControl: &state.SetControl{Addresses: addresses, Size: size}})
 	s.report("record control replicas", err)
 }
 
+// recordedControl returns the recorded link addresses of the control replicas.
+func (s *Server) recordedControl() (addresses []string) {
+	s.machine.read(func(st *state.State) { addresses = st.Control() })
+	return addresses
+}
+
 func countVoters(members []api.Replica) int {
 	n := 0
 	for _, m := range members {
@@ -127,13 +152,13 @@
 }
 
 // Join asks the control replicas to add this one until it belongs to a group. seeds are
-// the link addresses to ask.
-func (s *Server) Join(ctx context.Context, seeds []string) {
+// the link addresses to ask; founding is set while the deployment starts for the first time.
+func (s *Server) Join(ctx context.Context, seeds []string, founding bool) {
 	client := NewClient(s.opts.Network, seeds)
 	defer client.Close()
 	for ctx.Err() == nil && !s.log.Status().Joined {
 		attempt, cancel := context.WithTimeout(ctx, joinTimeout)
-		_, err := call(attempt, client, "JoinReplica", &api.JoinReplica{Address: s.opts.Self.LinkAddress}, func(r *api.JoinReply) (string, bool) { return r.Leader, true })
+		_, err := call(attempt, client, "JoinReplica", &api.JoinReplica{Address: s.opts.Self.LinkAddress, Founding: founding}, func(r *api.JoinReply) (string, bool) { return r.Leader, true })
 		cancel()
 		_ = s.opts.Logger.Log("msg", "asked to join the control group", "seeds", len(seeds), "err", err)
 		_ = sleep(ctx, joinInterval) // the loop ends with ctx
--- a/control/repair_test.go
+++ b/control/repair_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"toucantiller.dev/contract"
@@ -28,6 +29,11 @@
 
 // join starts a replica with an empty folder that asks for its place.
 func (g *group) join(t *testing.T, addr string) {
+	t.Helper()
+	g.joinAs(t, addr, false)
+}
+
+func (g *group) joinAs(t *testing.T, addr string, founding bool) {
 	t.Helper()
 	g.folders[addr] = t.TempDir()
 	// The deployment names replicas that run at present.
@@ -35,18 +41,21 @@
 	g.start(t, addr)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
-	go g.servers[addr].Join(ctx, seeds)
+	go g.servers[addr].Join(ctx, seeds, founding)
+}
+
+func document(version uint64) *contract.Document {
+	return &contract.Document{
+		Version: version, Content: fmt.Appendf(nil, "document %d", version), Services: []*contract.Service{{Name: "lm"}},
+	}
 }
 
 // put sends a document to whichever replica leads.
 func (g *group) put(t *testing.T, version uint64) {
 	t.Helper()
-	d := &contract.Document{
-		Version: version, Content: fmt.Appendf(nil, "document %d", version), Services: []*contract.Service{{Name: "lm"}},
-	}
 	for range 100 {
 		for _, s := range g.servers {
-			if s.ApplyDocument(d) == nil {
+			if s.ApplyDocument(document(version)) == nil {
 				return
 			}
 		}
@@ -187,3 +196,105 @@
 		assert.ErrorContains(t, err, "no token limit")
 	})
 }
+
+// startGrown returns a group of three founders and three replicas that started with them but
+// that the settings do not name.
+func startGrown(t *testing.T) (g *group, all []string) {
+	t.Helper()
+	g = startSelfRepairing(t)
+	all = slices.Concat(replicas, []string{"control-3", "control-4", "control-5"})
+	for _, addr := range all[3:] {
+		g.joinAs(t, addr, true)
+	}
+	time.Sleep(4 * time.Second)
+	return g, all
+}
+
+func (g *group) voters(t *testing.T) []string {
+	t.Helper()
+	c := control.NewClient(g.network, slices.Sorted(maps.Keys(g.servers)))
+	defer c.Close()
+	var out []string
+	for _, m := range members(t, c) {
+		if m.Voter {
+			out = append(out, m.Address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Guards against a group that stays at the three replicas that the settings name, and so
+// loses an acknowledged document with two disks, and against one that gives up voters of a
+// larger group while they are silent.
+func TestGroupGrowsAtFirstStart(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g, all := startGrown(t)
+		assert.DeepEqual(t, g.voters(t), all)
+		for version := range uint64(3) {
+			g.put(t, version+1)
+			lost := []string{all[2*version], all[2*version+1]}
+			for _, addr := range lost {
+				g.stop(t, addr)
+			}
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, g.newest(t), version+1)
+			g.start(t, lost[0]) // it was down for longer than a surplus voter may be silent
+			g.join(t, lost[1])
+			time.Sleep(6 * time.Second)
+			assert.Equal(t, g.newest(t), version+1)
+			assert.DeepEqual(t, g.voters(t), all)
+		}
+	})
+}
+
+// Guards against a group that grows by each planned replacement, whose dead voters then
+// count against its quorum.
+func TestGrownGroupKeepsItsSize(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g, all := startGrown(t)
+		for i := range 3 {
+			g.join(t, fmt.Sprintf("control-%d", i+6)) // the new one first
+			time.Sleep(4 * time.Second)
+			g.stop(t, all[i])
+			time.Sleep(8 * time.Second)
+		}
+		assert.DeepEqual(t, g.voters(t), []string{"control-3", "control-4", "control-5", "control-6", "control-7", "control-8"})
+	})
+}
+
+// Guards against a process without a disk that takes part in decisions, sends its callers to
+// a leader that is gone, or loses the leader when its seeds are replaced.
+func TestRelaySendsCallersToTheLeader(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startSelfRepairing(t)
+		relay := newControl(t, g.network, control.Options{
+			Self:    instance.Instance{ID: "relay-0", Role: instance.RoleControl, LinkAddress: "relay-0"},
+			OpenLog: control.RelayLog(control.RelayOptions{Seeds: replicas, Network: g.network, Logger: log.NewNopLogger()}),
+		})
+		time.Sleep(2 * time.Second)
+		c := control.NewClient(g.network, replicas)
+		defer c.Close()
+		for i, old := range replicas {
+			leader := g.leader(t, c)
+			var notLeader *control.NotLeader
+			assert.Assert(t, errors.As(relay.ApplyDocument(document(1)), &notLeader))
+			assert.Equal(t, notLeader.Leader, leader)
+			assert.Equal(t, relay.Leader(), leader)
+			g.join(t, fmt.Sprintf("control-%d", i+3))
+			time.Sleep(4 * time.Second)
+			g.stop(t, old)
+			time.Sleep(8 * time.Second)
+			c.SetAddresses(slices.Sorted(maps.Keys(g.servers)))
+		}
+		assert.Equal(t, len(g.voters(t)), 3)
+		// A process whose seeds are relays finds control.
+		through := control.NewClient(g.network, []string{"relay-0"})
+		defer through.Close()
+		assert.Equal(t, g.leader(t, through), g.leader(t, c))
+		gateway := startProcess(t, g.network, instance.Instance{ID: "gateway-0", Role: instance.RoleGateway, Domain: "lagos-a", Incarnation: 1, LinkAddress: "gateway-0"}, []string{"relay-0"})
+		g.put(t, 2)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, gateway.holder.Config().Bundle.Version, uint64(2))
+	})
+}
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -67,8 +67,13 @@
 	Incarnation instance.Incarnation
 }
 
-// SetControl records the link addresses of the control replicas.
-type SetControl struct{ Addresses []string }
+// SetControl records the control replicas.
+type SetControl struct {
+	// Addresses are their link addresses.
+	Addresses []string
+	// Size is the number of voters that the group is to have; it never falls.
+	Size int
+}
 
 // ClaimStep is a claim or a completion; exactly one is not nil.
 type ClaimStep struct {
--- a/control/state/document.go
+++ b/control/state/document.go
@@ -154,8 +154,13 @@
 		s.data.Control = slices.Clone(c.Addresses)
 		s.raiseDirectory()
 	}
+	s.data.ControlSize = max(s.data.ControlSize, c.Size)
 	return &Result{}
 }
 
+// ControlSize returns the number of voters that the control group is to have, 0 before the
+// first record.
+func (s *State) ControlSize() int { return s.data.ControlSize }
+
 // Control returns the recorded link addresses of the control replicas, in order.
 func (s *State) Control() []string { return slices.Clone(s.data.Control) }
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -56,6 +56,8 @@
 	Ended map[endpoint.ID]Ended
 	// Control lists the link addresses of the control replicas.
 	Control []string
+	// ControlSize is the number of voters that the control group is to have.
+	ControlSize int
 }
 
 // Ended is an endpoint that ended; announcements of Incarnation and of earlier ones are
--- a/program/control.go
+++ b/program/control.go
@@ -27,7 +27,8 @@
 	Common    `embed:""`
 	Listen    string   `help:"Address for other processes and operators, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:7100"`
 	Advertise string   `help:"Address at which other processes reach this one, ip:port, if not --listen." env:"TOUCAN_ADVERTISE"`
-	Data      string   `help:"Folder for the replica's state; it must exist." env:"TOUCAN_DATA" required:"" type:"path"`
+	Data      string   `help:"Folder for the replica's state; it must exist." env:"TOUCAN_DATA" required:"" xor:"storage" type:"path"`
+	Relay     bool     `help:"Hold no state and send callers to the leader, on instances without a disk." env:"TOUCAN_RELAY" required:"" xor:"storage"`
 	Members   []string `help:"Addresses of all replicas including this one, ip:port, comma separated." env:"TOUCAN_MEMBERS" required:""`
 	// MemberPort serves where the members are known by another of their ports.
 	MemberPort   int           `help:"Port of the replicas, in place of those in --members; 0 for none." env:"TOUCAN_MEMBER_PORT"`
@@ -46,7 +47,7 @@
 		s.Common.Check(),
 		CheckAddress("listen", s.Listen),
 		CheckAdvertised("advertise", s.Advertise),
-		CheckFolder("data", s.Data),
+		s.checkData(),
 		CheckAddresses("members", s.Members),
 		checkTick(s.Tick),
 		CheckPort("member-port", s.MemberPort),
@@ -55,6 +56,13 @@
 	)
 }
 
+func (s *ControlSettings) checkData() error {
+	if s.Relay {
+		return nil
+	}
+	return CheckFolder("data", s.Data)
+}
+
 // leastTick keeps elections from following delays of a few milliseconds.
 const leastTick = 10 * time.Millisecond
 
@@ -102,7 +110,7 @@
 		Listen:     c.settings.Listen,
 		Network:    c.network,
 		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
-		OpenLog:    control.ReplicaLog(c.logOptions()),
+		OpenLog:    c.openLog(),
 		SelfRepair: c.settings.SelfRepair,
 		TokenTolerance: budget.Tolerance{
 			Overrun: c.settings.TokenOverrun.Or(0), Slack: c.settings.TokenSlack.Or(0),
@@ -128,15 +136,18 @@
 	return nil
 }
 
-func (c *Control) logOptions() control.ReplicaOptions {
-	return control.ReplicaOptions{
+func (c *Control) openLog() control.OpenLog {
+	if c.settings.Relay {
+		return control.RelayLog(control.RelayOptions{Seeds: c.members(), Network: c.network, Logger: c.logger})
+	}
+	return control.ReplicaLog(control.ReplicaOptions{
 		DataFolder: c.settings.Data,
 		Address:    c.settings.address(),
 		Members:    c.founders(),
 		Network:    c.network,
 		Tick:       c.settings.Tick,
 		Logger:     c.logger,
-	}
+	})
 }
 
 // members returns the link addresses of the replicas that the settings name.
@@ -155,8 +166,8 @@
 func (c *Control) join() {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.joining = cancel
-	if len(c.founders()) == 0 {
-		go c.server.Join(ctx, c.members())
+	if !c.settings.Relay && len(c.founders()) == 0 {
+		go c.server.Join(ctx, c.members(), c.settings.Bootstrap)
 	}
 }
 
