Trial: order by slack, offers by what goes first, a reserve for dense work

An agent offered a free slot in proportion to what waits at each gateway, whatever waits there, and a queue served the densest request first even where it had time.

Change: agents hear of the request that goes first at each gateway and offer a slot to the one that goes before the others. A request that would become late goes before denser ones that can wait for it. Requests worth less than a quarter of the mean for their work leave a fifth of the slots of an endpoint free.

--- a/admission/item.go
+++ b/admission/item.go
@@ -25,6 +25,8 @@
 	// time from placing the request to the beginning of its answer.
 	Objective time.Time
 	StartTime time.Duration
+	// Reserve is the number of slots that the item must leave free at its endpoint.
+	Reserve int
 	// StartBy is when the caller leaves if its answer has not begun; zero if only Deadline
 	// counts.
 	StartBy time.Time
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -176,7 +176,7 @@
 // first returns the item of a tier that goes first.
 func (q *Queue) first(rank int, now time.Time) *Item {
 	if q.opt.ByWorth {
-		return q.bands[rank].densest(now)
+		return q.bands[rank].byWorth(&q.work, now)
 	}
 	return q.bands[rank].peek()
 }
@@ -188,10 +188,7 @@
 	if head == nil {
 		return nil, dropped
 	}
-	head.flow.deficit -= head.cost()
-	q.unlink(head)
-	q.drain.add(head.cost(), now)
-	q.work.add(head.Work, now)
+	q.Take(head, now)
 	return head, dropped
 }
 
--- a/admission/worth.go
+++ b/admission/worth.go
@@ -13,8 +13,8 @@
 // leastWork keeps the worth of an item's work finite, in seconds.
 const leastWork = 1e-3
 
-// density is the worth of an item for the work it takes, if it is placed now.
-func (it *Item) density(now time.Time) float64 {
+// Density is the worth of an item for the work it takes, if it is placed now.
+func (it *Item) Density(now time.Time) float64 {
 	worth := it.Worth
 	if !it.Objective.IsZero() && now.Add(it.StartTime).After(it.Objective) {
 		worth *= lateShare
@@ -22,13 +22,36 @@
 	return worth / max(it.Work, leastWork)
 }
 
+// latestStart is when an item must be placed to begin in time; ok is false for one without
+// an objective and for one that is late already.
+func (it *Item) latestStart(now time.Time) (at time.Time, ok bool) {
+	if it.Objective.IsZero() {
+		return time.Time{}, false
+	}
+	at = it.Objective.Add(-it.StartTime)
+	return at, !at.Before(now)
+}
+
+// byWorth returns the item of a band that goes first: the one with the most worth for its
+// work, unless another one would become late and those worth more can wait for it.
+func (b *band) byWorth(pace *drain, now time.Time) *Item {
+	best := b.densest(now)
+	if best == nil || b.length == 1 || pace.rate <= 0 {
+		return best
+	}
+	if urgent := b.mostUrgent(now); urgent != nil && urgent != best && b.canWaitFor(urgent, pace, now) {
+		return urgent
+	}
+	return best
+}
+
 // densest returns the item of a band with the most worth for its work, the earliest of
 // equals.
 func (b *band) densest(now time.Time) *Item {
 	var best *Item
 	most := 0.0
 	for it := range b.items {
-		d := it.density(now)
+		d := it.Density(now)
 		if best == nil || d > most || d == most && it.seq < best.seq {
 			best, most = it, d
 		}
@@ -36,6 +59,78 @@
 	return best
 }
 
+// mostUrgent returns the item that becomes late first, the earliest of equals; nil if no item
+// can be in time.
+func (b *band) mostUrgent(now time.Time) *Item {
+	var first *Item
+	var at time.Time
+	for it := range b.items {
+		latest, ok := it.latestStart(now)
+		if ok && (first == nil || latest.Before(at) || latest.Equal(at) && it.seq < first.seq) {
+			first, at = it, latest
+		}
+	}
+	return first
+}
+
+// canWaitFor reports whether all items with more worth for their work than urgent can still
+// be placed in time after it, in the order of their latest starts, at the present pace.
+func (b *band) canWaitFor(urgent *Item, pace *drain, now time.Time) bool {
+	least := urgent.Density(now)
+	var denser []*Item
+	for it := range b.items {
+		if _, ok := it.latestStart(now); ok && it != urgent && it.Density(now) > least {
+			denser = append(denser, it)
+		}
+	}
+	slices.SortFunc(denser, func(x, y *Item) int {
+		return x.Objective.Add(-x.StartTime).Compare(y.Objective.Add(-y.StartTime))
+	})
+	ahead := urgent.Work
+	for _, it := range denser {
+		if latest, _ := it.latestStart(now); now.Add(pace.time(ahead)).After(latest) {
+			return false
+		}
+		ahead += it.Work
+	}
+	return true
+}
+
+// First returns the item that goes first without removing anything, nil if none waits.
+func (q *Queue) First(now time.Time) *Item {
+	for i := range q.bands {
+		if it := q.first(i, now); it != nil {
+			return it
+		}
+	}
+	return nil
+}
+
+// FirstWithoutReserve returns the item that goes first of those that may use the last free
+// slot of an endpoint, nil if there is none.
+func (q *Queue) FirstWithoutReserve(now time.Time) *Item {
+	for rank := range q.bands {
+		var best *Item
+		for it := range q.bands[rank].items {
+			if it.Reserve == 0 && !it.late(now) && (best == nil || it.Density(now) > best.Density(now)) {
+				best = it
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// Take removes an item that is given to an endpoint.
+func (q *Queue) Take(it *Item, now time.Time) {
+	it.flow.deficit -= it.cost()
+	q.unlink(it)
+	q.drain.add(it.cost(), now)
+	q.work.add(it.Work, now)
+}
+
 // hopeless returns the items that cannot be served before their deadline behind those that
 // go before them, at the present pace. A caller that is told so early can come back, and
 // its place in the queue delays nobody.
@@ -61,6 +156,6 @@
 // byDensity returns the items of a band in the order in which they would go now.
 func (b *band) byDensity(now time.Time) []*Item {
 	return slices.SortedFunc(b.items, func(x, y *Item) int {
-		return cmp.Or(cmp.Compare(y.density(now), x.density(now)), cmp.Compare(x.seq, y.seq))
+		return cmp.Or(cmp.Compare(y.Density(now), x.Density(now)), cmp.Compare(x.seq, y.seq))
 	})
 }
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -96,11 +96,11 @@
 	}
 }
 
-// want takes in how many requests wait at a gateway.
-func (g *gate) want(gateway instance.Incarnation, requests int, now time.Time) {
+// want takes in what waits at a gateway.
+func (g *gate) want(gateway instance.Incarnation, waiting dispatch.Waiting, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.offers.want(gateway, requests, now)
+	g.offers.want(gateway, waiting, now)
 	g.offerSlots(now)
 }
 
@@ -112,10 +112,11 @@
 	next := g.offers.expire(now)
 	for {
 		held, _ := g.offers.held(0, now)
-		if g.running+held >= g.engine.Slots || g.pace.wait(now) > 0 {
+		free := g.engine.Slots - g.running - held
+		if free <= 0 || g.pace.wait(now) > 0 {
 			break
 		}
-		gateway, ok := g.offers.offer(now)
+		gateway, ok := g.offers.offer(free, now)
 		if !ok {
 			break
 		}
@@ -221,11 +222,14 @@
 	g.offers.want(h.ID.Gateway, h.Waiting, now)
 	offered := g.offers.take(h.ID.Gateway, now)
 	held, _ := g.offers.held(0, now)
-	if (offered || g.running+held < g.engine.Slots) && g.allows(w, now) {
+	if (offered || g.running+held+h.Reserve < g.engine.Slots) && g.allows(w, now) {
 		g.place(w, now)
 		return
 	}
-	g.offers.want(h.ID.Gateway, h.Waiting+1, now)
+	// The request goes back to its gateway's queue.
+	waiting := h.Waiting
+	waiting.Requests++
+	g.offers.want(h.ID.Gateway, waiting, now)
 	w.turn <- refusal{code: dispatch.CodeQueueFull, retryAfter: admission.MinRetryAfter}
 }
 
--- a/agent/offers.go
+++ b/agent/offers.go
@@ -1,9 +1,10 @@
 package agent
 
 import (
-	"math/rand/v2"
+	"cmp"
 	"time"
 
+	"toucantiller.dev/dispatch"
 	"toucantiller.dev/instance"
 )
 
@@ -23,10 +24,10 @@
 	holds   []hold
 }
 
-// interest is what a gateway said last: how many requests wait there.
+// interest is what a gateway said last of the requests that wait there.
 type interest struct {
-	requests int
-	at       time.Time
+	dispatch.Waiting
+	at time.Time
 }
 
 // hold is a slot that is kept for a gateway.
@@ -35,16 +36,16 @@
 	until   time.Time
 }
 
-// want records how many requests wait at a gateway.
-func (o *offers) want(gateway instance.Incarnation, requests int, now time.Time) {
-	if requests <= 0 {
+// want records what waits at a gateway.
+func (o *offers) want(gateway instance.Incarnation, waiting dispatch.Waiting, now time.Time) {
+	if waiting.Requests <= 0 {
 		delete(o.waiting, gateway)
 		return
 	}
 	if o.waiting == nil {
 		o.waiting = make(map[instance.Incarnation]interest)
 	}
-	o.waiting[gateway] = interest{requests, now}
+	o.waiting[gateway] = interest{waiting, now}
 }
 
 // held counts the slots that are kept at present, and those kept for one gateway.
@@ -89,31 +90,48 @@
 	return next
 }
 
-// offer keeps a slot for one of the waiting gateways, chosen in proportion to the requests
-// that wait there beyond the slots already kept for it.
-func (o *offers) offer(now time.Time) (instance.Incarnation, bool) {
-	total := 0
+// offer keeps one of the free slots for the waiting gateway whose first request goes before
+// those of the others. What waits behind a gateway's first request is not known, so each
+// slot that is kept for it already lowers its rank.
+func (o *offers) offer(free int, now time.Time) (instance.Incarnation, bool) {
+	var best *bid
 	for g, w := range o.waiting {
 		if now.Sub(w.at) > interestTime {
 			delete(o.waiting, g)
 			continue
 		}
-		total += o.unserved(g, w, now)
+		_, own := o.held(g, now)
+		if w.Requests <= own || w.Reserve >= free {
+			continue
+		}
+		b := &bid{gateway: g, own: own, waiting: w.Waiting}
+		if best == nil || b.compare(best) < 0 {
+			best = b
+		}
 	}
-	if total == 0 {
+	if best == nil {
 		return 0, false
 	}
-	at := rand.IntN(total)
-	for g, w := range o.waiting {
-		if at -= o.unserved(g, w, now); at < 0 {
-			o.holds = append(o.holds, hold{g, now.Add(holdTime)})
-			return g, true
-		}
-	}
-	return 0, false
+	o.holds = append(o.holds, hold{best.gateway, now.Add(holdTime)})
+	return best.gateway, true
 }
 
-func (o *offers) unserved(g instance.Incarnation, w interest, now time.Time) int {
-	_, own := o.held(g, now)
-	return max(0, w.requests-own)
+// bid is a gateway that may be offered a slot.
+type bid struct {
+	gateway instance.Incarnation
+	own     int
+	waiting dispatch.Waiting
+}
+
+// density is the worth for the work of the request that would use the slot.
+func (b *bid) density() float64 { return b.waiting.Density / float64(1+b.own) }
+
+// compare returns a negative number if b goes before other.
+func (b *bid) compare(other *bid) int {
+	return cmp.Or(
+		cmp.Compare(b.waiting.Tier, other.waiting.Tier),
+		cmp.Compare(other.density(), b.density()),
+		cmp.Compare(other.waiting.Requests, b.waiting.Requests),
+		cmp.Compare(b.gateway, other.gateway),
+	)
 }
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -68,12 +68,12 @@
 	}
 }
 
-// serveWant takes in how many requests wait at a gateway.
+// serveWant takes in what waits at a gateway.
 func (a *Agent) serveWant(w http.ResponseWriter, r *http.Request) {
 	var in dispatch.WantRequest
 	if !decodeRequest(w, r, &in) {
 		return
 	}
-	a.gate.want(in.Gateway, in.Requests, a.now())
+	a.gate.want(in.Gateway, in.Waiting, a.now())
 	_ = msgpack.NewEncoder(w).Encode(a.heartbeat(a.loadFor(in.Gateway)))
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -98,8 +98,21 @@
 	Host string
 	// Engine describes the endpoint behind the agent; nil where the agent knows it.
 	Engine *Engine
-	// Waiting is the number of requests of the service that wait at the gateway.
-	Waiting int
+	// Waiting describes the requests of the service that wait at the gateway, where Engine is
+	// set.
+	Waiting Waiting
+	// Reserve is the number of slots that must stay free beside this request.
+	Reserve int
+}
+
+// Waiting describes the requests of a service that wait at a gateway.
+type Waiting struct {
+	Requests int `msgpack:"requests"`
+	// Tier, Density and Reserve are those of the request that goes first: its tier, the worth
+	// of its answer for the work, and the slots that it must leave free.
+	Tier    account.Tier `msgpack:"tier"`
+	Density float64      `msgpack:"density"`
+	Reserve int          `msgpack:"reserve,omitempty"`
 }
 
 // Engine is what a gateway knows of an endpoint that announced itself to control.
@@ -187,7 +200,7 @@
 		to[headerHost] = []string{h.Host}
 	}
 	if e := h.Engine; e != nil {
-		to[headerWaiting] = []string{strconv.Itoa(h.Waiting)}
+		to[headerWaiting] = []string{h.waiting()}
 		to[headerEngine] = []string{strconv.FormatBool(e.Cold) + ";" + strconv.Itoa(e.Slots) + ";" + strconv.Itoa(e.EventTokens) + ";" + strconv.FormatFloat(e.ColdRate, 'g', -1, 64) + ";" + string(e.ID)}
 	}
 	if h.PassAll {
@@ -225,6 +238,40 @@
 	return string(append(out, h.ID.Request...))
 }
 
+// waiting writes Waiting and Reserve as numbers separated by ";".
+func (h *Header) waiting() string {
+	w := &h.Waiting
+	out := strconv.AppendInt(make([]byte, 0, 48), int64(w.Requests), 10)
+	for _, n := range [...]int{int(w.Tier), w.Reserve, h.Reserve} {
+		out = strconv.AppendInt(append(out, ';'), int64(n), 10)
+	}
+	return string(strconv.AppendFloat(append(out, ';'), w.Density, 'g', 4, 64))
+}
+
+const waitingFields = 5
+
+func (h *Header) parseWaiting(s string) error {
+	fields := strings.Split(s, ";")
+	if len(fields) != waitingFields {
+		return fmt.Errorf("%q has not %d fields", s, waitingFields)
+	}
+	var numbers [waitingFields - 1]int
+	for i := range numbers {
+		n, err := strconv.ParseUint(fields[i], 10, 16)
+		if err != nil {
+			return err
+		}
+		numbers[i] = int(n)
+	}
+	density, err := strconv.ParseFloat(fields[waitingFields-1], 64)
+	if err != nil {
+		return err
+	}
+	h.Waiting = Waiting{Requests: numbers[0], Tier: account.Tier(numbers[1]), Reserve: numbers[2], Density: density}
+	h.Reserve = numbers[3]
+	return nil
+}
+
 // ReadHeader parses the HTTP headers of a dispatch, with names in canonical form.
 func ReadHeader(from http.Header) (*Header, error) {
 	h := &Header{
@@ -248,7 +295,7 @@
 			return nil, fmt.Errorf("dispatch header %s: %w", headerEngine, err)
 		}
 		h.Engine = e
-		if h.Waiting, err = strconv.Atoi(from.Get(headerWaiting)); err != nil {
+		if err = h.parseWaiting(from.Get(headerWaiting)); err != nil {
 			return nil, fmt.Errorf("dispatch header %s: %w", headerWaiting, err)
 		}
 	}
@@ -436,11 +483,11 @@
 	Tier account.Tier `msgpack:"tier"`
 }
 
-// WantRequest says how many requests wait at a gateway. The agent offers it free slots in
+// WantRequest says what waits at a gateway. The agent offers it free slots in
 // the reports of its watch.
 type WantRequest struct {
-	Gateway  instance.Incarnation `msgpack:"gateway"`
-	Requests int                  `msgpack:"requests"`
+	Gateway instance.Incarnation `msgpack:"gateway"`
+	Waiting Waiting              `msgpack:"waiting"`
 }
 
 // OrderRequest carries an order to the engine behind an agent.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -153,9 +153,10 @@
 	}
 	if a.endpoint.SelfAnnounced() {
 		h.PassAll = true
+		h.Reserve = c.rating.reserve
 		h.Host = c.host
 		if q := a.gateway.queue(c); q != nil {
-			h.Waiting = int(q.waiting.Load())
+			h.Waiting = q.waits()
 		}
 		h.Engine = &dispatch.Engine{ID: a.endpoint.ID, Slots: a.endpoint.Slots, ColdRate: c.service.ColdRate, EventTokens: c.service.EventTokens, Cold: a.endpoint.Cold}
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -73,6 +73,9 @@
 	objective time.Time
 	// startBy is when the caller leaves if the answer has not begun; zero if it stays.
 	startBy time.Time
+	// rating is set once the call is placed for the first time.
+	rating rating
+	rated  bool
 	// waited is the time in the queue over all attempts.
 	waited time.Duration
 	// last describes the last attempt, for the log.
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -28,8 +28,10 @@
 	gateway *Gateway
 	service string
 	budget  retryBudget
-	// waiting mirrors the length of queue.
+	// waiting mirrors the length of queue, ahead what goes first there.
 	waiting atomic.Int64
+	ahead   atomic.Pointer[dispatch.Waiting]
+	density densityMean
 
 	mu    sync.Mutex
 	queue *admission.ServiceQueue
@@ -74,8 +76,12 @@
 
 // acquire returns a place at an endpoint, waiting in the queue while all are saturated.
 func (q *serviceQueue) acquire(ctx context.Context, c *call) (schedule.Decision, *Problem) {
+	route := q.gateway.route()
+	if !c.rated {
+		c.rating, c.rated = q.rate(c), true
+	}
 	if q.waiting.Load() == 0 {
-		d := q.gateway.pick(q.gateway.route(), c)
+		d := q.gateway.pick(route, c)
 		if d.Candidate != nil {
 			return d, nil
 		}
@@ -110,9 +116,9 @@
 func (q *serviceQueue) enter(c *call) (*ticket, *Problem) {
 	t := &ticket{call: c, turn: make(chan turn, 1)}
 	least := q.gateway.routing.Load().snapshot.LeastTime(q.service, c.promptTokens, c.answerTokens)
-	worth, work, start := q.gateway.value(c)
+	r := &c.rating
 	t.item = admission.Item{
-		Worth: worth, Work: work, StartTime: start, Objective: c.objective, StartBy: c.startBy,
+		Worth: r.worth, Work: r.work, StartTime: r.start, Reserve: r.reserve, Objective: c.objective, StartBy: c.startBy,
 		LeastTime: least, Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
 		Cost: c.promptTokens + c.answerTokens, Deadline: c.deadline, Value: t,
 	}
@@ -173,29 +179,65 @@
 		if head == nil {
 			break
 		}
-		t := head.Value.(*ticket)
-		d := q.gateway.pick(q.gateway.routing.Load(), t.call)
-		if d.Candidate == nil && d.Reason == schedule.ReasonSaturated {
+		if !q.placeItem(head, now) && !q.placeBehind(head, now) {
 			break
 		}
-		_, _ = q.queue.Pop(now)
-		if d.Candidate == nil {
-			t.turn <- turn{problem: noEndpoint(t.call, d.Reason)}
-			continue
-		}
-		t.turn <- turn{decision: d}
 	}
 	q.settle()
 }
 
+// placeItem gives an item its turn; it returns false if all endpoints are saturated for it.
+func (q *serviceQueue) placeItem(it *admission.Item, now time.Time) bool {
+	t := it.Value.(*ticket)
+	d := q.gateway.pick(q.gateway.routing.Load(), t.call)
+	if d.Candidate == nil && d.Reason == schedule.ReasonSaturated {
+		return false
+	}
+	q.queue.Take(it, now)
+	if d.Candidate == nil {
+		t.turn <- turn{problem: noEndpoint(t.call, d.Reason)}
+		return true
+	}
+	t.turn <- turn{decision: d}
+	return true
+}
+
+// placeBehind places an item that may use the last free slot of an endpoint where the first
+// one may not.
+func (q *serviceQueue) placeBehind(head *admission.Item, now time.Time) bool {
+	if head.Reserve == 0 {
+		return false
+	}
+	next := q.queue.FirstWithoutReserve(now)
+	return next != nil && q.placeItem(next, now)
+}
+
 func (q *serviceQueue) settle() {
 	n := q.queue.Len()
+	q.ahead.Store(q.describe(n, time.Now()))
 	before := q.waiting.Swap(int64(n))
 	if n > 0 && before == 0 {
 		q.timer.Reset(queueInterval)
 	}
 }
 
+// describe says what waits, nil if nothing does.
+func (q *serviceQueue) describe(n int, now time.Time) *dispatch.Waiting {
+	if n == 0 {
+		return nil
+	}
+	first := q.queue.First(now)
+	return &dispatch.Waiting{Requests: n, Tier: first.Tier, Density: first.Density(now), Reserve: first.Reserve}
+}
+
+// waits returns what waits at present.
+func (q *serviceQueue) waits() dispatch.Waiting {
+	if w := q.ahead.Load(); w != nil {
+		return *w
+	}
+	return dispatch.Waiting{}
+}
+
 func (q *serviceQueue) refuse(dropped []admission.Dropped) {
 	for _, d := range dropped {
 		q.gateway.metrics.shed(d.Refusal)
@@ -225,10 +267,10 @@
 	}
 }
 
-// ask tells agents that offer their slots how many requests wait.
+// ask tells agents that offer their slots what waits.
 func (q *serviceQueue) ask(now time.Time) {
-	if n := q.queue.Len(); n > 0 {
-		q.gateway.want(q.service, n, now)
+	if w := q.describe(q.queue.Len(), now); w != nil {
+		q.gateway.want(q.service, *w, now)
 	}
 }
 
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -112,7 +112,7 @@
 		Service: c.service.Name, Shares: c.service.Versions,
 		UnprovenAllowed: g.opt.View.UnprovenAllowed(now),
 		Hash:            c.hash, Tier: c.tier, PromptTokens: c.promptTokens, AnswerTokens: c.answerTokens,
-		Prefixes: c.prefixes, Excluded: c.excluded,
+		Prefixes: c.prefixes, Excluded: c.excluded, Reserve: c.rating.reserve,
 	}
 	rng := randoms.Get().(*rand.Rand)
 	defer randoms.Put(rng)
--- a/gateway/value.go
+++ b/gateway/value.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,21 +43,65 @@
 	return mean
 }
 
-// value estimates what a timely answer to a call is worth against others of its tier, the
-// seconds of an endpoint that it takes, and the time to the beginning of its answer.
-func (g *Gateway) value(c *call) (worth, work float64, start time.Duration) {
+// rating is what decides the order and the place of a call.
+type rating struct {
+	// worth is what a timely answer is worth against others of its tier, work the seconds of
+	// an endpoint that it takes, and start the time to the beginning of its answer.
+	worth, work float64
+	start       time.Duration
+	// reserve is the number of slots that the call must leave free at its endpoint.
+	reserve int
+}
+
+const (
+	// lowDensity is the worth for its work, as a share of the mean of the service, below which
+	// a request leaves slots free: it would hold one for long while others come that are
+	// worth far more.
+	lowDensity = 0.25
+	// reservedSlots is the share of an endpoint's slots that such requests leave free.
+	reservedSlots = 0.2
+	// leastReserved is the number of slots from which some are left free.
+	leastReserved = 3
+	// densityGain is the weight of one request in the mean of its service.
+	densityGain = 0.02
+)
+
+// densityMean learns the mean worth for the work of the requests of a service. The zero
+// value has learned nothing. It is safe for concurrent use.
+type densityMean struct{ bits atomic.Uint64 }
+
+// observe adds a density and returns the mean. Of two calls at the same moment one may be
+// lost, which the mean does not notice.
+func (m *densityMean) observe(density float64) float64 {
+	old := m.bits.Load()
+	mean := density
+	if old != 0 {
+		mean = math.Float64frombits(old)
+		mean += densityGain * (density - mean)
+	}
+	m.bits.CompareAndSwap(old, math.Float64bits(mean))
+	return mean
+}
+
+// rate estimates the rating of a call.
+func (q *serviceQueue) rate(c *call) rating {
 	if c.ingress == nil {
-		return 1, 1, 0
+		return rating{worth: 1, work: 1}
 	}
-	worth = math.Pow(rankWorth, float64(c.ingress.Tier))
+	worth := math.Pow(rankWorth, float64(c.ingress.Tier))
 	if c.promptTokens+c.answerTokens == 0 {
-		return worth, 1, 0
+		return rating{worth: worth, work: 1}
 	}
 	size := float64(c.promptTokens + answerSize*c.answerTokens)
-	mean := g.sizes.observe(c.ingress.Name, size)
+	mean := q.gateway.sizes.observe(c.ingress.Name, size)
 	worth *= min(size/max(mean, 1), mostWorth)
-	prefill, decode := g.routing.Load().snapshot.Speeds(c.service.Name)
+	prefill, decode := q.gateway.routing.Load().snapshot.Speeds(q.service)
 	first := float64(c.promptTokens) / prefill
-	work = first + float64(c.answerTokens)/(decode*float64(max(c.service.Slots, 1)))
-	return worth, work, time.Duration(first * float64(time.Second))
+	slots := max(c.service.Slots, 1)
+	r := rating{worth: worth, work: first + float64(c.answerTokens)/(decode*float64(slots)), start: time.Duration(first * float64(time.Second))}
+	density := worth / r.work
+	if mean := q.density.observe(density); density < lowDensity*mean && slots >= leastReserved {
+		r.reserve = int(math.Ceil(reservedSlots * float64(slots)))
+	}
+	return r
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -141,10 +141,10 @@
 // wait. It is below the time for which an agent remembers it.
 const wantInterval = 250 * time.Millisecond
 
-// want tells the agents of a service how many requests wait, so that they offer slots.
-func (g *Gateway) want(service string, waiting int, now time.Time) {
+// want tells the agents of a service what waits, so that they offer slots.
+func (g *Gateway) want(service string, waiting dispatch.Waiting, now time.Time) {
 	r := g.routing.Load()
-	in := &dispatch.WantRequest{Gateway: g.opt.Instance.Incarnation, Requests: waiting}
+	in := &dispatch.WantRequest{Gateway: g.opt.Instance.Incarnation, Waiting: waiting}
 	for _, c := range r.snapshot.Candidates(service) {
 		if !c.Endpoint.Watched() || !c.Asked(now, wantInterval) {
 			continue
--- a/schedule/filter.go
+++ b/schedule/filter.go
@@ -105,17 +105,18 @@
 func (saturatedFilter) Reason() Reason { return ReasonSaturated }
 
 func (saturatedFilter) Apply(x *scratch, r *Request) {
-	if !x.anySaturated {
+	if !x.anySaturated && r.Reserve == 0 {
 		return
 	}
 	if len(r.Prefixes) > 0 {
 		x.holderSpare(r)
 	}
+	reserve := float64(r.Reserve)
 	n := uint8(0)
 	for _, i := range x.live {
 		// The sum without a condition avoids a branch that is hard to predict.
 		x.liveBuf[n] = i
-		n += notNegative(x.spare[i])
+		n += notNegative(x.spare[i] - reserve)
 	}
 	x.live = x.live[:n]
 }
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -281,4 +281,6 @@
 	Prefixes []Prefix
 	// Excluded lists endpoints already tried.
 	Excluded []endpoint.ID
+	// Reserve is the number of slots that must stay free beside the request.
+	Reserve int
 }
