Prefer endpoints of the own failure domain among equals; send load reports as arrays

About half of them are load reports, which each agent sends to each gateway after each change: names of fields were most of their bytes. Of the bodies two in three crossed a border, since a pick draws among all endpoints near the best score.

Change: reports are encoded as arrays. Among the candidates near the best score a gateway takes those of its own domain that have no more requests than the least loaded of them, where reports are fresh.

Test: TestNearbyEndpointIsPreferred.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -391,6 +391,7 @@
 
 // Heartbeat is sent while nothing else is.
 type Heartbeat struct {
+	_msgpack struct{}      `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Revision uint64        `msgpack:"revision"`
 	Load     endpoint.Load `msgpack:"load"`
 	// Incarnation is the agent's; it is set in replies to PathLoad.
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -47,6 +47,9 @@
 
 // Load is an agent's report on its endpoint. It travels on dispatch frames.
 type Load struct {
+	// Each agent reports to each gateway, so names of fields would be most of the bytes.
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
 	// Limit is the number of requests the endpoint can bear at present.
 	Limit int `msgpack:"limit" json:"limit"`
 	// Running and Queued count requests in the engine and in the agent's queue.
--- a/schedule/picker.go
+++ b/schedule/picker.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "math/rand/v2"
+import (
+	"math"
+	"math/rand/v2"
+)
 
 // Picker chooses among the candidates that are live and scored.
 type Picker interface {
@@ -33,6 +36,7 @@
 			near++
 		}
 	}
+	near = x.nearby(near)
 	live := x.live[:near]
 	x.live = live
 	draw := rng.Uint64()
@@ -43,3 +47,25 @@
 	}
 	return a, near
 }
+
+// nearby keeps the candidates of the gateway's own failure domain, the first n of which are
+// near the best score, as long as they have no more requests than the least loaded of
+// those: bodies and answers then cross no border. It returns how many are left, all n where
+// there is none. Where reports are stale, gateways would herd to the same endpoint.
+func (x *scratch) nearby(n int) int {
+	least := math.Inf(1)
+	for _, i := range x.live[:n] {
+		least = min(least, x.requests[i])
+	}
+	kept := 0
+	for at, i := range x.live[:n] {
+		if x.reports[i].exact && x.candidates[i].distance == 0 && x.requests[i] <= least {
+			x.live[at], x.live[kept] = x.live[kept], i
+			kept++
+		}
+	}
+	if kept == 0 {
+		return n
+	}
+	return kept
+}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -492,3 +492,37 @@
 		assert.Equal(t, tried > 20, c.tried, "%s: picked %d times of 200", c.name, tried)
 	}
 }
+
+// Guards against bodies that cross failure domains for nothing, and against a gateway that
+// loads its own domain's endpoints further while others are idle.
+func TestNearbyEndpointIsPreferred(t *testing.T) {
+	in := fleet(6, 1)
+	in.Domain = in.Endpoints[0].Domain
+	s := NewSnapshot(in)
+	now := start.Add(time.Second)
+	report := func(running int) endpoint.Load {
+		return endpoint.Load{Limit: 4, Exact: true, Running: running, PrefillRate: 4000, DecodeRate: 100, Floor: -1}
+	}
+	here := func(c *Candidate) bool { return c.Endpoint.Domain == in.Domain }
+	for _, c := range s.Candidates("model-0") {
+		c.Observe(report(1), now)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	r := &Request{Service: "model-0", PromptTokens: 1000, AnswerTokens: 50}
+	for range 50 {
+		assert.Assert(t, here(s.Pick(r, now, rng).Candidate))
+	}
+	now = now.Add(time.Millisecond)
+	for _, c := range s.Candidates("model-0") {
+		if !here(c) {
+			c.Observe(report(0), now)
+		}
+	}
+	local := 0
+	for range 200 {
+		if here(s.Pick(r, now, rng).Candidate) {
+			local++
+		}
+	}
+	assert.Assert(t, local < 50, "%d of 200 picks of a busier endpoint", local)
+}
