Announce the leader to seeds that hold no log

Change: while it leads, a replica tells the seeds of its settings that are no replicas who leads, every half second.

Test: TestRelaysFindTheLeaderAfterARestartOfAll fails without it.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -131,6 +131,13 @@
 // JoinReply answers a JoinReplica.
 type JoinReply struct{ Leader string }
 
+// Announce is "Control.Announce": the leader tells a process without a log that its settings
+// name as control who leads.
+type Announce struct {
+	Leader   string
+	Replicas []string
+}
+
 // LeaderReply answers "Control.Leader", which asks who leads.
 type LeaderReply struct {
 	Leader string
--- a/control/control.go
+++ b/control/control.go
@@ -63,6 +63,9 @@
 	// SelfRepair lets the leader change the control group: it adds replicas that ask to
 	// join and removes silent ones in their favour. Without it operators do so.
 	SelfRepair bool
+	// Seeds are the control addresses that the settings name. The leader announces itself to
+	// those that are no replicas, since a process may know of nothing else.
+	Seeds []string
 	Recorder   *timeline.Recorder
 	Meter      metric.Meter
 	Logger     log.Logger
@@ -162,6 +165,9 @@
 	s.run(s.lead)
 	s.run(s.publishChanges)
 	s.run(s.decideMoves)
+	if s.opts.SelfRepair && len(s.opts.Seeds) > 0 {
+		s.run(s.announceLeader)
+	}
 	return nil
 }
 
--- a/control/relay.go
+++ b/control/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -72,17 +73,20 @@
 func (l *relayLog) ask(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
-	before := l.status.Load()
-	next := &relayStatus{replicas: before.replicas}
 	reply, err := call(ctx, l.client, "Leader", &api.Empty{}, func(r *api.LeaderReply) (string, bool) { return r.Leader, r.Leader != "" })
-	if err == nil {
-		next = &relayStatus{leader: reply.Leader, replicas: reply.Replicas}
-		l.client.SetAddresses(distribution.WithSeeds(reply.Replicas, l.opts.Seeds))
+	if err != nil {
+		l.learn(&relayStatus{replicas: l.status.Load().replicas}, err)
+		return
 	}
-	if next.leader != before.leader {
+	l.learn(&relayStatus{leader: reply.Leader, replicas: reply.Replicas}, nil)
+}
+
+// learn takes over what the relay was told; err is why it knows no leader.
+func (l *relayLog) learn(next *relayStatus, err error) {
+	l.client.SetAddresses(distribution.WithSeeds(next.replicas, l.opts.Seeds))
+	if before := l.status.Swap(next); next.leader != before.leader {
 		_ = l.opts.Logger.Log("msg", "control leader changed", "leader", next.leader, "before", before.leader, "err", err)
 	}
-	l.status.Store(next)
 }
 
 func (l *relayLog) notLeader() error { return &NotLeader{Leader: l.status.Load().leader} }
@@ -137,3 +141,46 @@
 	out.Replicas = v.s.recordedControl()
 	return nil
 }
+
+// Announce tells a relay who leads. Replicas know that from their log.
+func (v *service) Announce(in *api.Announce, _ *api.Empty) error {
+	if l, ok := v.s.log.(*relayLog); ok {
+		l.learn(&relayStatus{leader: in.Leader, replicas: in.Replicas}, nil)
+	}
+	return nil
+}
+
+const (
+	// announceInterval is the time between two announcements.
+	announceInterval = 500 * time.Millisecond
+	// announceTimeout bounds one announcement.
+	announceTimeout = 300 * time.Millisecond
+)
+
+// announceLeader tells the seeds that are no replicas who leads, while this replica does.
+// After a restart of all processes nothing else leads from such a seed to the leader.
+func (s *Server) announceLeader() {
+	for sleep(s.ctx, announceInterval) == nil {
+		if s.notLeading() == nil {
+			s.announce()
+		}
+	}
+}
+
+func (s *Server) announce() {
+	replicas := s.recordedControl()
+	in := &api.Announce{Leader: s.opts.Self.LinkAddress, Replicas: replicas}
+	for _, seed := range s.opts.Seeds {
+		if slices.Contains(replicas, seed) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(s.ctx, announceTimeout)
+		client := link.NewClient(s.opts.Network, seed)
+		err := client.Call(ctx, ServiceName+".Announce", in, &api.Empty{})
+		client.Close()
+		cancel()
+		if err != nil {
+			_ = s.opts.Logger.Log("msg", "leader not announced", "seed", seed, "err", err)
+		}
+	}
+}
--- a/control/repair_test.go
+++ b/control/repair_test.go
@@ -298,3 +298,35 @@
 		assert.Equal(t, gateway.holder.Config().Bundle.Version, uint64(2))
 	})
 }
+
+// Guards against processes that find no leader after all of them were killed, where the
+// settings name only relays since the last exchange of seeds. It ended a played day of
+// high load without service.
+func TestRelaysFindTheLeaderAfterARestartOfAll(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := startSelfRepairing(t)
+		g.put(t, 1)
+		for _, addr := range replicas {
+			g.stop(t, addr)
+		}
+		g.seeds = []string{"relay-0", "relay-1"}
+		var relays []*control.Server
+		for _, addr := range g.seeds {
+			relays = append(relays, newControl(t, g.network, control.Options{
+				Self:    instance.Instance{ID: instance.ID(addr), Role: instance.RoleControl, LinkAddress: addr},
+				OpenLog: control.RelayLog(control.RelayOptions{Seeds: g.seeds, Network: g.network, Logger: log.NewNopLogger()}),
+			}))
+		}
+		time.Sleep(2 * time.Second)
+		for _, addr := range replicas {
+			g.start(t, addr)
+		}
+		time.Sleep(4 * time.Second)
+		c := control.NewClient(g.network, g.seeds)
+		defer c.Close()
+		leader := g.leader(t, c)
+		for _, r := range relays {
+			assert.Equal(t, r.Leader(), leader)
+		}
+	})
+}
--- a/program/control.go
+++ b/program/control.go
@@ -112,6 +112,7 @@
 		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
 		OpenLog:    c.openLog(),
 		SelfRepair: c.settings.SelfRepair,
+		Seeds:      c.members(),
 		TokenTolerance: budget.Tolerance{
 			Overrun: c.settings.TokenOverrun.Or(0), Slack: c.settings.TokenSlack.Or(0),
 		},
