Serve the densest request first again; keep the offers and the reserve

Where more arrives than can be served the pace that decides what can wait is that of a moment ago, and what went first took the place of denser work.

--- a/admission/worth.go
+++ b/admission/worth.go
@@ -22,29 +22,6 @@
 	return worth / max(it.Work, leastWork)
 }
 
-// latestStart is when an item must be placed to begin in time; ok is false for one without
-// an objective and for one that is late already.
-func (it *Item) latestStart(now time.Time) (at time.Time, ok bool) {
-	if it.Objective.IsZero() {
-		return time.Time{}, false
-	}
-	at = it.Objective.Add(-it.StartTime)
-	return at, !at.Before(now)
-}
-
-// byWorth returns the item of a band that goes first: the one with the most worth for its
-// work, unless another one would become late and those worth more can wait for it.
-func (b *band) byWorth(pace *drain, now time.Time) *Item {
-	best := b.densest(now)
-	if best == nil || b.length == 1 || pace.rate <= 0 {
-		return best
-	}
-	if urgent := b.mostUrgent(now); urgent != nil && urgent != best && b.canWaitFor(urgent, pace, now) {
-		return urgent
-	}
-	return best
-}
-
 // densest returns the item of a band with the most worth for its work, the earliest of
 // equals.
 func (b *band) densest(now time.Time) *Item {
@@ -59,43 +36,6 @@
 	return best
 }
 
-// mostUrgent returns the item that becomes late first, the earliest of equals; nil if no item
-// can be in time.
-func (b *band) mostUrgent(now time.Time) *Item {
-	var first *Item
-	var at time.Time
-	for it := range b.items {
-		latest, ok := it.latestStart(now)
-		if ok && (first == nil || latest.Before(at) || latest.Equal(at) && it.seq < first.seq) {
-			first, at = it, latest
-		}
-	}
-	return first
-}
-
-// canWaitFor reports whether all items with more worth for their work than urgent can still
-// be placed in time after it, in the order of their latest starts, at the present pace.
-func (b *band) canWaitFor(urgent *Item, pace *drain, now time.Time) bool {
-	least := urgent.Density(now)
-	var denser []*Item
-	for it := range b.items {
-		if _, ok := it.latestStart(now); ok && it != urgent && it.Density(now) > least {
-			denser = append(denser, it)
-		}
-	}
-	slices.SortFunc(denser, func(x, y *Item) int {
-		return x.Objective.Add(-x.StartTime).Compare(y.Objective.Add(-y.StartTime))
-	})
-	ahead := urgent.Work
-	for _, it := range denser {
-		if latest, _ := it.latestStart(now); now.Add(pace.time(ahead)).After(latest) {
-			return false
-		}
-		ahead += it.Work
-	}
-	return true
-}
-
 // First returns the item that goes first without removing anything, nil if none waits.
 func (q *Queue) First(now time.Time) *Item {
 	for i := range q.bands {
