Hold requests for the first configuration; log early refusals

Cause: after all processes are killed, gateways listen 0.5 s after the kill and get their first configuration 0.4 s later.

Change: a request that finds no configuration yet waits for it, for 0.8 s or a quarter of its caller's time at the most. Requests that are refused before they have a route, an account or a service get a line.

--- a/control/control.go
+++ b/control/control.go
@@ -65,10 +65,10 @@
 	SelfRepair bool
 	// Seeds are the control addresses that the settings name. The leader announces itself to
 	// those that are no replicas, since a process may know of nothing else.
-	Seeds []string
-	Recorder   *timeline.Recorder
-	Meter      metric.Meter
-	Logger     log.Logger
+	Seeds    []string
+	Recorder *timeline.Recorder
+	Meter    metric.Meter
+	Logger   log.Logger
 	// RegistrationsPerSecond and RegistrationBurst replace the constants when set.
 	RegistrationsPerSecond float64
 	RegistrationBurst      int
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,8 @@
 	opt     Options
 	server  *http.Server
 	leaving atomic.Bool
+	// awaiting counts the requests that wait for the first configuration.
+	awaiting atomic.Int64
 	// stopBy is when a stopping gateway cuts what is still open; nil before it stops.
 	stopBy    atomic.Pointer[time.Time]
 	peers     sync.Map // address -> *peer
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -57,9 +58,12 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	began := time.Now()
+	g.awaitConfiguration(r.Context(), in)
 	c, p := g.beginArrival(in)
 	if p != nil {
 		g.metrics.problem(p)
+		g.logRefused(in, began, p)
 		writeProblem(w, p)
 		return
 	}
@@ -67,6 +71,41 @@
 	g.serve(w, r, c)
 }
 
+const (
+	// firstConfiguration is how long a request waits for the first configuration of a gateway
+	// that has just started. After a restart of all processes a leader stands within 0.5 s.
+	firstConfiguration = 800 * time.Millisecond
+	// configurationPoll is the time between two looks for it.
+	configurationPoll = 10 * time.Millisecond
+	// mostAwaiting bounds the requests that wait for it.
+	mostAwaiting = 256
+)
+
+// awaitConfiguration holds a request that reached a gateway before its first configuration,
+// for at most a quarter of the time that its caller waits.
+func (g *Gateway) awaitConfiguration(ctx context.Context, in *Arrival) {
+	if g.opt.View.Config() != nil {
+		return
+	}
+	defer g.awaiting.Add(-1)
+	if g.awaiting.Add(1) > mostAwaiting {
+		return
+	}
+	wait := firstConfiguration
+	if in.Timeout > 0 {
+		wait = min(wait, in.Timeout/4)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for g.opt.View.Config() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(configurationPoll):
+		}
+	}
+}
+
 func (g *Gateway) beginArrival(in *Arrival) (*call, *Problem) {
 	now := time.Now()
 	config := g.opt.View.Config()
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -35,6 +35,17 @@
 	c.last = rec
 }
 
+// logRefused writes the line of a request that was refused before it had a route, an account
+// or a service.
+func (g *Gateway) logRefused(in *Arrival, began time.Time, p *Problem) {
+	document := uint64(0)
+	if c := g.opt.View.Config(); c != nil && c.Ingress != nil {
+		document = c.Ingress.Version
+	}
+	_ = g.opt.Logger.Log("msg", "request", "request", in.ID, "outcome", p.Code, "status", p.Status, "execution", string(p.Execution),
+		"host", in.Host, "path", in.Path, "document", document, "total_ms", time.Since(began).Milliseconds(), "detail", p.Detail)
+}
+
 // logRequest writes the line of a request that has ended. p is nil for one whose answer was
 // passed on whole.
 func (g *Gateway) logRequest(c *call, out *answerWriter, began time.Time, p *Problem) {
