Read the seeds of the moment from a file

Cause: the leader announced itself to the seeds of its start. Where seeds are exchanged for relays while replicas run, and only the relays restart together, they would know of nobody.

--- a/control/control.go
+++ b/control/control.go
@@ -63,9 +63,10 @@
 	// SelfRepair lets the leader change the control group: it adds replicas that ask to
 	// join and removes silent ones in their favour. Without it operators do so.
 	SelfRepair bool
-	// Seeds are the control addresses that the settings name. The leader announces itself to
-	// those that are no replicas, since a process may know of nothing else.
-	Seeds    []string
+	// Seeds returns the control addresses that the settings name at present; nil where they
+	// name none. The leader announces itself to those that are no replicas, since a process
+	// may know of nothing else.
+	Seeds    func() []string
 	Recorder *timeline.Recorder
 	Meter    metric.Meter
 	Logger   log.Logger
@@ -165,7 +166,7 @@
 	s.run(s.lead)
 	s.run(s.publishChanges)
 	s.run(s.decideMoves)
-	if s.opts.SelfRepair && len(s.opts.Seeds) > 0 {
+	if s.opts.SelfRepair && s.opts.Seeds != nil {
 		s.run(s.announceLeader)
 	}
 	return nil
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -139,7 +139,7 @@
 	folders map[string]string
 	decider func(api.Move) control.Decider
 	// selfRepair and founders are the options of replicas that start from now on.
-	// seeds are the control addresses that replicas started from now on find in their settings.
+	// seeds are the control addresses that the settings name.
 	seeds      []string
 	selfRepair bool
 	founders   []string
@@ -173,7 +173,7 @@
 		}),
 		NewDecider: g.decider,
 		SelfRepair: g.selfRepair,
-		Seeds:      g.seeds,
+		Seeds:      func() []string { return g.seeds },
 	})
 	assert.NilError(t, err)
 	assert.NilError(t, s.Start(t.Context()))
--- a/control/relay.go
+++ b/control/relay.go
@@ -170,7 +170,7 @@
 func (s *Server) announce() {
 	replicas := s.recordedControl()
 	in := &api.Announce{Leader: s.opts.Self.LinkAddress, Replicas: replicas}
-	for _, seed := range s.opts.Seeds {
+	for _, seed := range s.opts.Seeds() {
 		if slices.Contains(replicas, seed) {
 			continue
 		}
--- a/control/repair_test.go
+++ b/control/repair_test.go
@@ -328,5 +328,13 @@
 		for _, r := range relays {
 			assert.Equal(t, r.Leader(), leader)
 		}
+		// The seeds are exchanged while the replicas run, for a relay that knows nothing.
+		g.seeds = []string{"relay-2"}
+		late := newControl(t, g.network, control.Options{
+			Self:    instance.Instance{ID: "relay-2", Role: instance.RoleControl, LinkAddress: "relay-2"},
+			OpenLog: control.RelayLog(control.RelayOptions{Seeds: g.seeds, Network: g.network, Logger: log.NewNopLogger()}),
+		})
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, late.Leader(), leader)
 	})
 }
--- a/program/control.go
+++ b/program/control.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	kitlog "github.com/go-kit/log"
@@ -32,6 +34,7 @@
 	Members   []string `help:"Addresses of all replicas including this one, ip:port, comma separated." env:"TOUCAN_MEMBERS" required:""`
 	// MemberPort serves where the members are known by another of their ports.
 	MemberPort   int           `help:"Port of the replicas, in place of those in --members; 0 for none." env:"TOUCAN_MEMBER_PORT"`
+	SeedsFile    string        `help:"File with the control addresses that the deployment names at present, like --members; it may change." env:"TOUCAN_SEEDS_FILE"`
 	Bootstrap    bool          `help:"Form a new group with --members while the data folder is empty; otherwise ask them to be added to theirs." env:"TOUCAN_BOOTSTRAP" default:"true" negatable:""`
 	Tick         time.Duration `help:"Unit of elections: a replica starts one after 10 to 20 ticks of silence." env:"TOUCAN_TICK" default:"50ms"`
 	TokenOverrun OptionalFloat `help:"Share of an account's token limit that may be admitted beyond it." env:"TOUCAN_TOKEN_OVERRUN"`
@@ -112,7 +115,7 @@
 		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
 		OpenLog:    c.openLog(),
 		SelfRepair: c.settings.SelfRepair,
-		Seeds:      c.members(),
+		Seeds:      c.seeds,
 		TokenTolerance: budget.Tolerance{
 			Overrun: c.settings.TokenOverrun.Or(0), Slack: c.settings.TokenSlack.Or(0),
 		},
@@ -154,6 +157,20 @@
 // members returns the link addresses of the replicas that the settings name.
 func (c *Control) members() []string { return WithPort(c.settings.Members, c.settings.MemberPort) }
 
+// seeds returns the link addresses of control that the settings name at present.
+func (c *Control) seeds() []string {
+	if c.settings.SeedsFile == "" {
+		return c.members()
+	}
+	content, err := os.ReadFile(c.settings.SeedsFile)
+	seeds := strings.Split(strings.TrimSpace(string(content)), ",")
+	if err = cmp.Or(err, CheckAddresses("seeds-file", seeds)); err != nil {
+		_ = c.logger.Log("msg", "seeds not read", "err", err)
+		return c.members()
+	}
+	return WithPort(seeds, c.settings.MemberPort)
+}
+
 // founders returns the replicas with which this one may form a group; none where it has
 // to be added to a group.
 func (c *Control) founders() []string {
