--- a/gateway/call.go
+++ b/gateway/call.go
@@ -97,7 +97,7 @@
 func (g *Gateway) Handler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/models", g.serveModels).Methods(http.MethodGet)
-	r.HandleFunc("/v1/chat/completions", g.serveModel).Methods(http.MethodPost)
+	r.HandleFunc(pathChat, g.serveModel).Methods(http.MethodPost)
 	r.HandleFunc("/v1/completions", g.serveModel).Methods(http.MethodPost)
 	r.PathPrefix("/services/{service}/").HandlerFunc(g.servePlain)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -227,6 +227,25 @@
 	Stream              bool   `json:"stream"`
 	MaxTokens           int    `json:"max_tokens"`
 	MaxCompletionTokens int    `json:"max_completion_tokens"`
+	// Messages are those of a chat; their content is the engine's to read.
+	Messages []json.RawMessage `json:"messages"`
+}
+
+// pathChat takes chats, which need messages.
+const pathChat = "/v1/chat/completions"
+
+// invalid returns what makes a request on a path one that no engine can answer, empty for
+// none.
+func (m *modelRequest) invalid(path string) string {
+	switch {
+	case path == pathChat && len(m.Messages) == 0:
+		return "a chat needs at least one of messages"
+	case m.MaxTokens < 0:
+		return "max_tokens is below 0"
+	case m.MaxCompletionTokens < 0:
+		return "max_completion_tokens is below 0"
+	}
+	return ""
 }
 
 // check reads a call with its checks; it answers a refused one and returns nil.
@@ -272,7 +291,13 @@
 	if int64(len(c.body)) > s.MaxBody {
 		return newProblem(http.StatusRequestEntityTooLarge, "body_too_large", NotRun, "the body exceeds %d bytes", s.MaxBody)
 	}
-	return c.finish(r, s)
+	if p := c.finish(r, s); p != nil {
+		return p
+	}
+	if reason := m.invalid(r.URL.Path); reason != "" {
+		return newProblem(http.StatusBadRequest, "bad_request", NotRun, "%s", reason)
+	}
+	return nil
 }
 
 // estimate returns the expected number of answer tokens, at most what the caller allows.
--- a/gateway/caller_test.go
+++ b/gateway/caller_test.go
@@ -68,6 +68,10 @@
 			code                     string
 		}{
 			{"bad JSON", "POST", "/v1/completions", "{", nil, 400, "bad_json"},
+			{"chat without messages", "POST", "/v1/chat/completions", `{"model":"lm"}`, nil, 400, "bad_request"},
+			{"empty chat", "POST", "/v1/chat/completions", `{"model":"lm","messages":[]}`, nil, 400, "bad_request"},
+			{"answer below 0", "POST", "/v1/completions", `{"model":"lm","max_tokens":-1}`, nil, 400, "bad_request"},
+			{"chat answer below 0", "POST", "/v1/chat/completions", `{"model":"lm","max_completion_tokens":-1,"messages":[{"role":"user","content":"x"}]}`, nil, 400, "bad_request"},
 			{"bad timeout", "POST", booking, "{}", []string{"X-Request-Timeout-Ms", "0"}, 400, "bad_header"},
 			{"bad tier", "POST", booking, "{}", []string{"X-Request-Tier", "gold"}, 400, "bad_header"},
 			{"bad request ID", "POST", booking, "{}", []string{"X-Request-Id", "a b"}, 400, "bad_header"},
