--- a/agent/watch_test.go
+++ b/agent/watch_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,13 +21,14 @@
 		g.declare(dispatch.Engine{ID: "e", Slots: 4})
 		w, stop := g.watch(instance.Incarnation(9))
 		defer stop()
-		reports := 0
-		var heard time.Time
+		var reports atomic.Int64
+		var heard atomic.Pointer[time.Time]
 		go func() {
 			for {
 				g.reportTo(w, time.Now())
-				reports++
-				heard = time.Now()
+				reports.Add(1)
+				now := time.Now()
+				heard.Store(&now)
 				if !w.await(t.Context()) {
 					return
 				}
@@ -40,12 +42,12 @@
 			first.ended(outcome{})
 			time.Sleep(5 * time.Millisecond)
 		}
-		assert.Assert(t, reports <= int(2*time.Since(start)/countDelay), "%d reports in %s", reports, time.Since(start))
+		assert.Assert(t, reports.Load() <= int64(2*time.Since(start)/countDelay), "%d reports in %s", reports.Load(), time.Since(start))
 		for range 4 {
 			g.enter(exactHeader(1, 0), time.Now())
 		}
 		full := time.Now()
 		time.Sleep(2 * roomDelay)
-		assert.Assert(t, heard.After(full), "the gateway does not know that the endpoint is full")
+		assert.Assert(t, heard.Load().After(full), "the gateway does not know that the endpoint is full")
 	})
 }
