--- a/admission/queue.go
+++ b/admission/queue.go
@@ -176,7 +176,7 @@
 // first returns the item of a tier that goes first.
 func (q *Queue) first(rank int, now time.Time) *Item {
 	if q.opt.ByWorth {
-		return q.bands[rank].densest(now)
+		return q.bands[rank].densest(now, anyItem)
 	}
 	return q.bands[rank].peek()
 }
--- a/admission/worth.go
+++ b/admission/worth.go
@@ -22,12 +22,15 @@
 	return worth / max(it.Work, leastWork)
 }
 
-// densest returns the item of a band with the most worth for its work, the earliest of
-// equals.
-func (b *band) densest(now time.Time) *Item {
+// densest returns the item of a band with the most worth for its work of those that may go,
+// the earliest of equals.
+func (b *band) densest(now time.Time, may func(*Item) bool) *Item {
 	var best *Item
 	most := 0.0
 	for it := range b.items {
+		if !may(it) {
+			continue
+		}
 		d := it.Density(now)
 		if best == nil || d > most || d == most && it.seq < best.seq {
 			best, most = it, d
@@ -36,6 +39,8 @@
 	return best
 }
 
+func anyItem(*Item) bool { return true }
+
 // First returns the item that goes first without removing anything, nil if none waits.
 func (q *Queue) First(now time.Time) *Item {
 	for i := range q.bands {
@@ -50,14 +55,9 @@
 // slot of an endpoint, nil if there is none.
 func (q *Queue) FirstWithoutReserve(now time.Time) *Item {
 	for rank := range q.bands {
-		var best *Item
-		for it := range q.bands[rank].items {
-			if it.Reserve == 0 && !it.late(now) && (best == nil || it.Density(now) > best.Density(now)) {
-				best = it
-			}
-		}
-		if best != nil {
-			return best
+		it := q.bands[rank].densest(now, func(it *Item) bool { return it.Reserve == 0 && !it.late(now) })
+		if it != nil {
+			return it
 		}
 	}
 	return nil
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -111,9 +111,9 @@
 // reportTo returns the load report for a watcher.
 func (g *gate) reportTo(w *watcher, now time.Time) endpoint.Load {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	w.room = g.room(w.gateway, now)
-	g.mu.Unlock()
-	return g.loadFor(w.gateway, now)
+	return g.reportFor(w.gateway, now)
 }
 
 // want takes in what waits at a gateway.
@@ -410,6 +410,11 @@
 func (g *gate) loadFor(gateway instance.Incarnation, now time.Time) endpoint.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.reportFor(gateway, now)
+}
+
+// reportFor is loadFor with mu held.
+func (g *gate) reportFor(gateway instance.Incarnation, now time.Time) endpoint.Load {
 	l := g.report(now)
 	all, own := g.offers.held(gateway, now)
 	l.Running += all - own
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -131,15 +131,10 @@
 // JoinReply answers a JoinReplica.
 type JoinReply struct{ Leader string }
 
-// Announce is "Control.Announce": the leader tells a process without a log that its settings
-// name as control who leads.
-type Announce struct {
-	Leader   string
-	Replicas []string
-}
-
-// LeaderReply answers "Control.Leader", which asks who leads.
-type LeaderReply struct {
+// Leadership is who leads. It answers "Control.Leader", and the leader sends it with
+// "Control.Announce" to processes without a log that its settings name as control.
+type Leadership struct {
+	// Leader is empty where none is known.
 	Leader string
 	// Replicas are the link addresses of the control replicas.
 	Replicas []string
--- a/control/relay.go
+++ b/control/relay.go
@@ -40,24 +40,19 @@
 	return func(StateMachine, *link.Server) (Log, error) {
 		ctx, cancel := context.WithCancel(context.Background())
 		l := &relayLog{opts: opts, client: NewClient(opts.Network, opts.Seeds), cancel: cancel, done: make(chan struct{})}
-		l.status.Store(&relayStatus{})
+		l.status.Store(&api.Leadership{})
 		go l.follow(ctx)
 		return l, nil
 	}
 }
 
-// relayStatus is what a relay knows of the control group.
-type relayStatus struct {
-	leader   string
-	replicas []string
-}
-
 type relayLog struct {
 	opts   RelayOptions
 	client *Client
 	cancel context.CancelFunc
 	done   chan struct{}
-	status atomic.Pointer[relayStatus]
+	// status is what the relay was told last.
+	status atomic.Pointer[api.Leadership]
 }
 
 // follow asks for the leader until ctx ends.
@@ -73,35 +68,34 @@
 func (l *relayLog) ask(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
-	reply, err := call(ctx, l.client, "Leader", &api.Empty{}, func(r *api.LeaderReply) (string, bool) { return r.Leader, r.Leader != "" })
+	reply, err := call(ctx, l.client, "Leader", &api.Empty{}, func(r *api.Leadership) (string, bool) { return r.Leader, r.Leader != "" })
 	if err != nil {
-		l.learn(&relayStatus{replicas: l.status.Load().replicas}, err)
-		return
+		reply = &api.Leadership{Replicas: l.status.Load().Replicas}
 	}
-	l.learn(&relayStatus{leader: reply.Leader, replicas: reply.Replicas}, nil)
+	l.learn(reply, err)
 }
 
 // learn takes over what the relay was told; err is why it knows no leader.
-func (l *relayLog) learn(next *relayStatus, err error) {
-	l.client.SetAddresses(distribution.WithSeeds(next.replicas, l.opts.Seeds))
-	if before := l.status.Swap(next); next.leader != before.leader {
-		_ = l.opts.Logger.Log("msg", "control leader changed", "leader", next.leader, "before", before.leader, "err", err)
+func (l *relayLog) learn(next *api.Leadership, err error) {
+	l.client.SetAddresses(distribution.WithSeeds(next.Replicas, l.opts.Seeds))
+	if before := l.status.Swap(next); next.Leader != before.Leader {
+		_ = l.opts.Logger.Log("msg", "control leader changed", "leader", next.Leader, "before", before.Leader, "err", err)
 	}
 }
 
-func (l *relayLog) notLeader() error { return &NotLeader{Leader: l.status.Load().leader} }
+func (l *relayLog) notLeader() error { return &NotLeader{Leader: l.status.Load().Leader} }
 
 func (l *relayLog) Propose(context.Context, []byte) ([]byte, error) { return nil, l.notLeader() }
 
 func (l *relayLog) ReadBarrier(context.Context) error { return l.notLeader() }
 
 func (l *relayLog) Status() LogStatus {
-	return LogStatus{Leader: l.status.Load().leader, Joined: true}
+	return LogStatus{Leader: l.status.Load().Leader, Joined: true}
 }
 
 func (l *relayLog) Members() []api.Replica {
 	var out []api.Replica
-	for _, address := range l.status.Load().replicas {
+	for _, address := range l.status.Load().Replicas {
 		out = append(out, api.Replica{Address: address, Voter: true})
 	}
 	return out
@@ -132,7 +126,7 @@
 }
 
 // Leader names the leader and the control replicas.
-func (v *service) Leader(_ *api.Empty, out *api.LeaderReply) error {
+func (v *service) Leader(_ *api.Empty, out *api.Leadership) error {
 	if err := v.s.notLeading(); err != nil {
 		out.Leader, err = redirect(err)
 		return err
@@ -143,9 +137,9 @@
 }
 
 // Announce tells a relay who leads. Replicas know that from their log.
-func (v *service) Announce(in *api.Announce, _ *api.Empty) error {
+func (v *service) Announce(in *api.Leadership, _ *api.Empty) error {
 	if l, ok := v.s.log.(*relayLog); ok {
-		l.learn(&relayStatus{leader: in.Leader, replicas: in.Replicas}, nil)
+		l.learn(in, nil)
 	}
 	return nil
 }
@@ -169,7 +163,7 @@
 
 func (s *Server) announce() {
 	replicas := s.recordedControl()
-	in := &api.Announce{Leader: s.opts.Self.LinkAddress, Replicas: replicas}
+	in := &api.Leadership{Leader: s.opts.Self.LinkAddress, Replicas: replicas}
 	for _, seed := range s.opts.Seeds() {
 		if slices.Contains(replicas, seed) {
 			continue
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,21 +85,21 @@
 	// awaiting counts the requests that wait for the first configuration.
 	awaiting atomic.Int64
 	// stopBy is when a stopping gateway cuts what is still open; nil before it stops.
-	stopBy    atomic.Pointer[time.Time]
-	peers     sync.Map // address -> *peer
-	idle      *idleLinks
-	sequence  atomic.Uint64
-	idPrefix  string // of request IDs made here
-	metrics   *metrics
-	routing   atomic.Pointer[routing]
-	rebuild   sync.Mutex
-	accounts  admission.AccountLimits
-	wallets   wallets
-	watches   watches
-	sizes     sizeMeans
-	estimator schedule.AnswerEstimator
-	engines   sync.Map // target -> endpoint.Engine
-	claims    sync.Map // account and key -> runningClaim, of calls in progress
+	stopBy           atomic.Pointer[time.Time]
+	peers            sync.Map // address -> *peer
+	idle             *idleLinks
+	sequence         atomic.Uint64
+	idPrefix         string // of request IDs made here
+	metrics          *metrics
+	routing          atomic.Pointer[routing]
+	rebuild          sync.Mutex
+	accounts         admission.AccountLimits
+	wallets          wallets
+	watches          watches
+	sizes, densities means
+	estimator        schedule.AnswerEstimator
+	engines          sync.Map // target -> endpoint.Engine
+	claims           sync.Map // account and key -> runningClaim, of calls in progress
 
 	tasks     sync.WaitGroup
 	taskSlots chan struct{}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -31,7 +31,6 @@
 	// waiting mirrors the length of queue, ahead what goes first there.
 	waiting atomic.Int64
 	ahead   atomic.Pointer[dispatch.Waiting]
-	density densityMean
 
 	mu    sync.Mutex
 	queue *admission.ServiceQueue
@@ -267,9 +266,9 @@
 	}
 }
 
-// ask tells agents that offer their slots what waits.
+// ask tells agents that offer their slots what waits, as settle left it.
 func (q *serviceQueue) ask(now time.Time) {
-	if w := q.describe(q.queue.Len(), now); w != nil {
+	if w := q.ahead.Load(); w != nil {
 		q.gateway.want(q.service, *w, now)
 	}
 }
--- a/gateway/value.go
+++ b/gateway/value.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -17,29 +16,29 @@
 	mostWorth = 4.0
 	// answerSize is the size of a token of the answer in tokens of the prompt.
 	answerSize = 10
-	// sizeGain is the weight of one request in the mean size of its route.
-	sizeGain = 0.02
+	// meanGain is the weight of one request in the means of its route and its service.
+	meanGain = 0.02
 )
 
-// sizeMeans learns the mean size of the requests of each route.
-type sizeMeans struct {
-	mu      sync.Mutex
-	byRoute map[string]float64
+// means learns means by name. The zero value has learned nothing.
+type means struct {
+	mu     sync.Mutex
+	byName map[string]float64
 }
 
-// observe adds a size and returns the mean.
-func (m *sizeMeans) observe(route string, size float64) float64 {
+// observe adds a value and returns the mean.
+func (m *means) observe(name string, value float64) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.byRoute == nil {
-		m.byRoute = make(map[string]float64)
+	if m.byName == nil {
+		m.byName = make(map[string]float64)
 	}
-	mean, known := m.byRoute[route]
+	mean, known := m.byName[name]
 	if !known {
-		mean = size
+		mean = value
 	}
-	mean += sizeGain * (size - mean)
-	m.byRoute[route] = mean
+	mean += meanGain * (value - mean)
+	m.byName[name] = mean
 	return mean
 }
 
@@ -62,27 +61,8 @@
 	reservedSlots = 0.2
 	// leastReserved is the number of slots from which some are left free.
 	leastReserved = 3
-	// densityGain is the weight of one request in the mean of its service.
-	densityGain = 0.02
 )
 
-// densityMean learns the mean worth for the work of the requests of a service. The zero
-// value has learned nothing. It is safe for concurrent use.
-type densityMean struct{ bits atomic.Uint64 }
-
-// observe adds a density and returns the mean. Of two calls at the same moment one may be
-// lost, which the mean does not notice.
-func (m *densityMean) observe(density float64) float64 {
-	old := m.bits.Load()
-	mean := density
-	if old != 0 {
-		mean = math.Float64frombits(old)
-		mean += densityGain * (density - mean)
-	}
-	m.bits.CompareAndSwap(old, math.Float64bits(mean))
-	return mean
-}
-
 // rate estimates the rating of a call.
 func (q *serviceQueue) rate(c *call) rating {
 	if c.ingress == nil {
@@ -100,7 +80,7 @@
 	slots := max(c.service.Slots, 1)
 	r := rating{worth: worth, work: first + float64(c.answerTokens)/(decode*float64(slots)), start: time.Duration(first * float64(time.Second))}
 	density := worth / r.work
-	if mean := q.density.observe(density); density < lowDensity*mean && slots >= leastReserved {
+	if mean := q.gateway.densities.observe(q.service, density); density < lowDensity*mean && slots >= leastReserved {
 		r.reserve = int(math.Ceil(reservedSlots * float64(slots)))
 	}
 	return r
