Let toucan-dev form its control group again; print its ready line when gateways know all endpoints

No test started toucan-dev.

The first start under test then showed a call refused with no_version right after the ready line (1 of 3 double starts): the wait looked at control's list of endpoints, which gateways hear of later. It waits for the gateways' own lists now.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -114,7 +115,7 @@
 		if err := os.MkdirAll(folder, 0o750); err != nil {
 			return &program.SettingError{Flag: "data", Err: err}
 		}
-		s := &program.ControlSettings{Common: d.common(id, d.domain(i)), Listen: address, Data: folder, Members: addresses}
+		s := &program.ControlSettings{Common: d.common(id, d.domain(i)), Listen: address, Data: folder, Members: addresses, Bootstrap: true}
 		c, err := program.NewControl(s, link.TCP{}, kitlog.With(d.logger, "process", id))
 		if err != nil {
 			return err
@@ -231,24 +232,18 @@
 	return d.waitEndpoints(ctx)
 }
 
-// waitEndpoints returns when every endpoint is registered.
+// waitEndpoints returns when every gateway knows every endpoint: control hears of an endpoint
+// before the gateways do.
 func (d *Deployment) waitEndpoints(ctx context.Context) error {
-	client := control.NewClient(link.TCP{}, d.ControlAddresses())
-	defer client.Close()
-	for {
-		status, err := client.Status(ctx)
-		if err != nil {
-			return err
-		}
-		if len(status.Endpoints) >= len(d.agents) {
-			return nil
-		}
+	missing := func(g *program.Gateway) bool { return g.Endpoints() < len(d.agents) }
+	for slices.ContainsFunc(d.gateways, missing) {
 		select {
 		case <-time.After(pollInterval):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
+	return nil
 }
 
 const pollInterval = 50 * time.Millisecond
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -159,6 +159,14 @@
 // WaitReady returns when the first configuration has arrived.
 func (g *Gateway) WaitReady(ctx context.Context) error { return g.member.waitReady(ctx) }
 
+// Endpoints returns the number of endpoints that the gateway knows.
+func (g *Gateway) Endpoints() int {
+	if d := g.member.Directory(); d != nil {
+		return len(d.Endpoints)
+	}
+	return 0
+}
+
 // Address returns where callers connect.
 func (g *Gateway) Address() string { return g.callers.Addr().String() }
 
