Run the agents of endpoints that have none in gateways

Cause: an endpoint that announces itself as a model endpoint was taken to have an agent beside it. In deployments without instances beside their endpoints every dispatch was refused (no_endpoint) with endpoints free, and gateways logged each failed dial.

Change: the leader looks for an agent beside each such endpoint. Gate, pace, ledger and offers are those of package agent. A hosted agent acts only while its process may serve. A stopping gateway drains its agents and tells control at once. Ways weighed: a leased share of places and starts for each gateway (a bound of 18 starts a second split over 23 gateways leaves each below one); power of two choices on load headers (refusals of full endpoints count against the retry budget, and the bound on cold endpoints needs a lease all the same); owners by rendezvous hashing without control (two gateways with different directories both act).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -51,6 +51,9 @@
 	Pace Pace
 	// Token is the highest fencing token known from the registration.
 	Token uint64
+	// MayAct reports whether the agent may still give work to the endpoint; nil means always.
+	// An agent that runs away from its endpoint may have a successor that it cannot know of.
+	MayAct func(now time.Time) bool
 }
 
 // Agent serves dispatches for one endpoint.
@@ -177,3 +180,5 @@
 }
 
 func (a *Agent) now() time.Time { return time.Now() }
+
+func (a *Agent) mayAct() bool { return a.opt.MayAct == nil || a.opt.MayAct(a.now()) }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -75,7 +75,7 @@
 		return dispatch.CodeWrongIncarnation
 	case h.Engine == nil && (h.Version != a.opt.Endpoint.Version || h.Service != a.opt.Endpoint.Service):
 		return dispatch.CodeWrongVersion
-	case a.leaving.Load():
+	case a.leaving.Load() || !a.mayAct():
 		return dispatch.CodeDraining
 	case a.domainDrained():
 		return dispatch.CodeDomainDrained
@@ -121,6 +121,12 @@
 		d.stream.refuse(refusal{code: dispatch.CodeCancelled})
 		return
 	}
+	if !a.mayAct() {
+		// The dispatch waited here until the agent's time was over.
+		a.ledger.Seal(d.header.ID, a.now())
+		d.stream.refuse(refusal{code: dispatch.CodeDraining})
+		return
+	}
 	if !a.ledger.Commit(d.header.ID) {
 		d.stream.refuse(refusal{code: dispatch.CodeSealed})
 		return
--- a/control/control.go
+++ b/control/control.go
@@ -166,6 +166,7 @@
 	s.run(s.lead)
 	s.run(s.publishChanges)
 	s.run(s.decideMoves)
+	s.run(s.placeAgents)
 	if s.opts.SelfRepair && s.opts.Seeds != nil {
 		s.run(s.announceLeader)
 	}
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -42,6 +42,7 @@
 	StartMove     *StartMove         `msgpack:",omitempty"`
 	EndEndpoint   *EndEndpoint       `msgpack:",omitempty"`
 	SetControl    *SetControl        `msgpack:",omitempty"`
+	SetHostings   *SetHostings       `msgpack:",omitempty"`
 }
 
 // SetEvacuated takes a failure domain out of service, or back into it.
--- a/control/state/registration.go
+++ b/control/state/registration.go
@@ -27,6 +27,9 @@
 			s.unregister(earlier)
 		}
 	}
+	if c.Endpoint != nil {
+		s.withhold(c.Endpoint)
+	}
 	r, ok := s.data.Registrations[id]
 	if ok && r.Instance == c.Instance && sameEndpoint(r.Endpoint, c.Endpoint) {
 		return &Result{Register: r}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -58,6 +58,9 @@
 	Control []string
 	// ControlSize is the number of voters that the control group is to have.
 	ControlSize int
+	// Hostings says where the agents of endpoints run that announced themselves, by the
+	// endpoint's target.
+	Hostings map[string]*Hosting
 }
 
 // Ended is an endpoint that ended; announcements of Incarnation and of earlier ones are
@@ -159,6 +162,8 @@
 		return s.endEndpoint(c.EndEndpoint)
 	case c.SetControl != nil:
 		return s.setControl(c.SetControl)
+	case c.SetHostings != nil:
+		return s.setHostings(c.SetHostings)
 	case c.NextToken != nil:
 		s.data.Token++
 		return &Result{Token: s.data.Token}
@@ -205,6 +210,7 @@
 			delete(s.data.Ended, id)
 		}
 	}
+	s.forgetHostings()
 	s.activateDomains()
 	return &Result{}
 }
@@ -231,6 +237,7 @@
 	initMap(&d.Registrations)
 	initMap(&d.Lost)
 	initMap(&d.Ended)
+	initMap(&d.Hostings)
 	next := State{data: d, leases: make(map[uint64]instance.ID, len(d.Registrations))}
 	for id, r := range d.Registrations {
 		next.leases[r.Lease] = id
--- a/control/state/view.go
+++ b/control/state/view.go
@@ -37,7 +37,7 @@
 	d := &api.Directory{Revision: s.data.DirectoryRevision, Control: slices.Clone(s.data.Control)}
 	for _, r := range s.data.Registrations {
 		if r.Endpoint != nil {
-			d.Endpoints = append(d.Endpoints, *r.Endpoint)
+			d.Endpoints = append(d.Endpoints, s.attended(*r.Endpoint))
 		} else {
 			d.Processes = append(d.Processes, r.Instance)
 		}
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -3,6 +3,7 @@
 package endpoint
 
 import (
+	"strings"
 	"time"
 
 	"toucantiller.dev/failuredomain"
@@ -19,8 +20,8 @@
 	Service     string               `msgpack:"service" json:"service"`
 	Version     string               `msgpack:"version" json:"version"`
 	Domain      failuredomain.ID     `msgpack:"domain" json:"domain"`
-	// Address is where the agent takes dispatches, as "ip:port"; empty for an endpoint
-	// without an agent, which gateways call at Target.
+	// Address is where the agent takes dispatches: "ip:port", or as HostedAddress returns it.
+	// It is empty for an endpoint without an agent, which gateways call at Target.
 	Address string `msgpack:"address" json:"address"`
 	// LinkAddress is where the agent serves net/rpc, as "ip:port".
 	LinkAddress string `msgpack:"link_address" json:"link_address"`
@@ -36,6 +37,9 @@
 	Cold bool `msgpack:"cold" json:"cold,omitempty"`
 	// Slots is the number of requests that the endpoint runs at once; 0 means not known.
 	Slots int `msgpack:"slots" json:"slots,omitempty"`
+	// Unattended is set while the endpoint needs an agent and none may act for it. It gets no
+	// work then.
+	Unattended bool `msgpack:"unattended,omitempty" json:"unattended,omitempty"`
 }
 
 // SelfAnnounced reports whether the endpoint announces itself to control.
@@ -45,6 +49,20 @@
 // itself, so its agent does not register, and it has an agent.
 func (e *Endpoint) Watched() bool { return e.SelfAnnounced() && e.Address != "" }
 
+// HostedAddress returns the address of the agent that another process, with the agent
+// address host, runs for the endpoint at target: "ip:port/target".
+func HostedAddress(host, target string) string { return host + "/" + target }
+
+// SplitAddress splits the address of an agent into where it is dialled, as "ip:port", and
+// the path before those of its interface: "/target" for a hosted agent, else empty.
+func SplitAddress(address string) (dial, path string) {
+	dial, target, hosted := strings.Cut(address, "/")
+	if !hosted {
+		return address, ""
+	}
+	return dial, "/" + target
+}
+
 // Load is an agent's report on its endpoint. It travels on dispatch frames.
 type Load struct {
 	// Each agent reports to each gateway, so names of fields would be most of the bytes.
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"toucantiller.dev/dispatch"
+	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 )
@@ -28,7 +29,8 @@
 // peer is the link to one agent.
 type peer struct {
 	network link.Network
-	address string
+	// address is the agent's, dial the part of it at which connections are opened.
+	address, dial string
 	// dispatch is the request that each dispatch copies.
 	dispatch *http.Request
 	client   atomic.Pointer[http.Client]
@@ -58,12 +60,13 @@
 func (p *peer) forget(i instance.Incarnation) { p.incarnation.CompareAndSwap(uint64(i), 0) }
 
 func newPeer(network link.Network, address string, links *idleLinks) *peer {
-	p := &peer{network: network, address: address, use: use{links: links}}
+	dial, path := endpoint.SplitAddress(address)
+	p := &peer{network: network, address: address, dial: dial, use: use{links: links}}
 	p.dispatch = &http.Request{
-		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: dispatch.PathDispatch}, Host: address,
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: dial, Path: path + dispatch.PathDispatch}, Host: dial,
 		Proto: "HTTP/2.0", ProtoMajor: 2,
 	}
-	p.client.Store(link.NewHTTPClient(network, address))
+	p.client.Store(link.NewHTTPClient(network, dial))
 	return p
 }
 
@@ -78,7 +81,7 @@
 // replace makes later requests use a new connection. old is the client whose connection
 // failed; when another request has replaced it already, nothing happens.
 func (p *peer) replace(old *http.Client) {
-	if p.client.CompareAndSwap(old, link.NewHTTPClient(p.network, p.address)) {
+	if p.client.CompareAndSwap(old, link.NewHTTPClient(p.network, p.dial)) {
 		old.CloseIdleConnections()
 	}
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -58,21 +59,27 @@
 
 // watchAgent follows one agent until ctx ends.
 func (g *Gateway) watchAgent(ctx context.Context, address string) {
+	lost := false
 	for ctx.Err() == nil {
-		err := g.watchOnce(ctx, address)
+		followed, err := g.watchOnce(ctx, address)
 		if ctx.Err() != nil {
 			return
 		}
 		p := g.peer(address)
 		p.incarnation.Store(0)
 		g.suspendAt(address, time.Now().Add(suspendTime))
-		_ = g.opt.Logger.Log("msg", "agent lost", "agent", address, "err", err)
+		if followed || !lost {
+			// Tries that fail again tell nothing new.
+			_ = g.opt.Logger.Log("msg", "agent lost", "agent", address, "err", err)
+		}
+		lost = true
 		pause(ctx, watchRetry)
 	}
 }
 
-// watchOnce reads reports from one connection until it breaks off or goes silent.
-func (g *Gateway) watchOnce(ctx context.Context, address string) error {
+// watchOnce reads reports from one connection until it breaks off or goes silent. followed
+// is set if any came.
+func (g *Gateway) watchOnce(ctx context.Context, address string) (followed bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(watchSilence, cancel)
@@ -80,28 +87,30 @@
 	p := g.peer(address)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+dispatch.PathWatch, nil)
 	if err != nil {
-		return &link.Error{Step: "building watch", Peer: address, Err: err}
+		return false, &link.Error{Step: "building watch", Peer: address, Err: err}
 	}
 	req.Header.Set(dispatch.HeaderGateway, strconv.FormatUint(uint64(g.opt.Instance.Incarnation), 16))
 	p.use.begin()
 	defer p.use.end()
 	resp, client, err := p.send(req, dispatch.PathWatch)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false, &link.Error{Step: dispatch.PathWatch, Peer: address, Err: errors.New(resp.Status)}
+	}
 	decoder := msgpack.NewDecoder(resp.Body)
-	first := true
 	for {
 		var m dispatch.Heartbeat
 		if err := decoder.Decode(&m); err != nil {
 			p.replace(client)
-			return &link.Error{Step: "reading watch", Peer: address, Err: err}
+			return followed, &link.Error{Step: "reading watch", Peer: address, Err: err}
 		}
 		watchdog.Reset(watchSilence)
 		p.incarnation.Store(uint64(m.Incarnation))
-		if first {
-			first = false
+		if !followed {
+			followed = true
 			g.suspendAt(address, time.Now())
 			_ = g.opt.Logger.Log("msg", "agent followed", "agent", address, "incarnation", uint64(m.Incarnation))
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -36,6 +36,9 @@
 	LinkAddress string `msgpack:"link_address" json:"link_address"`
 	// AdminAddress serves health, metrics and the time line, as "ip:port".
 	AdminAddress string `msgpack:"admin_address" json:"admin_address"`
+	// AgentAddress is where a gateway takes dispatches to the agents that it runs for
+	// endpoints without one, as "ip:port"; empty for a process that runs none.
+	AgentAddress string `msgpack:"agent_address,omitempty" json:"agent_address,omitempty"`
 }
 
 // NewIncarnation returns a random incarnation. Random numbers need no disk and
--- a/membership/announcer.go
+++ b/membership/announcer.go
@@ -54,7 +54,8 @@
 	opts     Options
 	lease    atomic.Uint64
 	endpoint atomic.Pointer[endpoint.Endpoint]
-	// changed receives when the endpoint must be announced anew.
+	self     atomic.Pointer[instance.Instance]
+	// changed receives when the process or its endpoint must be announced anew.
 	changed chan struct{}
 	leaving chan struct{}
 	leave   sync.Once
@@ -65,6 +66,7 @@
 func NewAnnouncer(opts Options) *Announcer {
 	a := &Announcer{opts: opts, changed: make(chan struct{}, 1), leaving: make(chan struct{}), done: make(chan struct{})}
 	a.endpoint.Store(opts.Endpoint)
+	a.self.Store(&opts.Self)
 	return a
 }
 
@@ -77,6 +79,12 @@
 	notify(a.changed)
 }
 
+// SetSelf announces a change of the process, such as an address at which it serves no more.
+func (a *Announcer) SetSelf(self instance.Instance) {
+	a.self.Store(&self)
+	notify(a.changed)
+}
+
 // Run keeps the process registered until ctx ends or Leave is called.
 func (a *Announcer) Run(ctx context.Context) {
 	defer close(a.done)
@@ -123,7 +131,7 @@
 func (a *Announcer) register(ctx context.Context) bool {
 	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	reply, err := a.opts.Control.Register(attempt, &api.Register{Instance: a.opts.Self, Endpoint: a.endpoint.Load()})
+	reply, err := a.opts.Control.Register(attempt, &api.Register{Instance: *a.self.Load(), Endpoint: a.endpoint.Load()})
 	switch {
 	case err != nil:
 		sleep(ctx, jitter(retryDelay))
--- a/program/agent.go
+++ b/program/agent.go
@@ -21,17 +21,27 @@
 // AgentSettings are the settings of an agent.
 type AgentSettings struct {
 	Common            `embed:""`
-	Service           string        `help:"Service that the endpoint belongs to." env:"TOUCAN_SERVICE"`
-	ServiceVersion    string        `help:"Version that the endpoint serves." env:"TOUCAN_SERVICE_VERSION"`
-	SelfAnnounced     bool          `help:"The endpoint announces itself to control on the users' platform; the agent needs neither service nor control." env:"TOUCAN_SELF_ANNOUNCED"`
-	Engine            string        `help:"Base URL of the engine or plain service." env:"TOUCAN_ENGINE" required:""`
-	DispatchListen    string        `help:"Address for dispatches of gateways, ip:port." env:"TOUCAN_DISPATCH_LISTEN" default:"127.0.0.1:7400"`
-	DispatchAdvertise string        `help:"Address at which gateways reach --dispatch-listen, ip:port, if not that address." env:"TOUCAN_DISPATCH_ADVERTISE"`
-	LinkListen        string        `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7401"`
-	LinkAdvertise     string        `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
-	ColdOverrun       OptionalFloat `help:"Bound on the requests in one second to an endpoint that may be cold, as a multiple of the rate that it bears while cold; 1.2 by default." env:"TOUCAN_COLD_OVERRUN"`
-	ColdSlack         OptionalFloat `help:"Requests in one second beyond --cold-overrun; 2 by default." env:"TOUCAN_COLD_SLACK"`
-	Control           []string      `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL"`
+	Service           string `help:"Service that the endpoint belongs to." env:"TOUCAN_SERVICE"`
+	ServiceVersion    string `help:"Version that the endpoint serves." env:"TOUCAN_SERVICE_VERSION"`
+	SelfAnnounced     bool   `help:"The endpoint announces itself to control on the users' platform; the agent needs neither service nor control." env:"TOUCAN_SELF_ANNOUNCED"`
+	Engine            string `help:"Base URL of the engine or plain service." env:"TOUCAN_ENGINE" required:""`
+	DispatchListen    string `help:"Address for dispatches of gateways, ip:port." env:"TOUCAN_DISPATCH_LISTEN" default:"127.0.0.1:7400"`
+	DispatchAdvertise string `help:"Address at which gateways reach --dispatch-listen, ip:port, if not that address." env:"TOUCAN_DISPATCH_ADVERTISE"`
+	LinkListen        string `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7401"`
+	LinkAdvertise     string `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
+	PaceSettings      `embed:""`
+	Control           []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL"`
+}
+
+// PaceSettings bound what agents give to endpoints that announce themselves.
+type PaceSettings struct {
+	ColdOverrun OptionalFloat `help:"Bound on the requests in one second to an endpoint that may be cold, as a multiple of the rate that it bears while cold; 1.2 by default." env:"TOUCAN_COLD_OVERRUN"`
+	ColdSlack   OptionalFloat `help:"Requests in one second beyond --cold-overrun; 2 by default." env:"TOUCAN_COLD_SLACK"`
+}
+
+// pace returns the bound.
+func (s *PaceSettings) pace() agent.Pace {
+	return agent.Pace{Overrun: s.ColdOverrun.Or(agent.DefaultPace.Overrun), Slack: s.ColdSlack.Or(agent.DefaultPace.Slack)}
 }
 
 // Check checks the settings.
@@ -106,7 +116,7 @@
 	a.agent, err = agent.New(agent.Options{
 		Endpoint: e,
 		Engine:   a.engine(),
-		Pace:     agent.Pace{Overrun: a.settings.ColdOverrun.Or(agent.DefaultPace.Overrun), Slack: a.settings.ColdSlack.Or(agent.DefaultPace.Slack)},
+		Pace:     a.settings.pace(),
 		View:     a.member,
 		Network:  a.member.network,
 		Logger:   a.logger,
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -10,6 +10,7 @@
 
 	kitlog "github.com/go-kit/log"
 
+	"toucantiller.dev/agent/host"
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/endpoint"
@@ -22,12 +23,14 @@
 // GatewaySettings are the settings of a gateway.
 type GatewaySettings struct {
 	Common        `embed:""`
-	Listen        string   `help:"Address for callers, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:8080"`
-	LinkListen    string   `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7300"`
-	LinkAdvertise string   `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
-	Control       []string `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
-	ControlPort   int      `help:"Port of the control replicas, in place of those in --control; 0 for none." env:"TOUCAN_CONTROL_PORT"`
-	Interface     string   `help:"Interface for callers: openai, or that of the users' platform." env:"TOUCAN_INTERFACE" enum:"openai,platform" default:"openai"`
+	Listen        string    `help:"Address for callers, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:8080"`
+	LinkListen    string    `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7300"`
+	LinkAdvertise string    `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
+	Control       []string  `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
+	ControlPort   int       `help:"Port of the control replicas, in place of those in --control; 0 for none." env:"TOUCAN_CONTROL_PORT"`
+	Interface     string    `help:"Interface for callers: openai, or that of the users' platform." env:"TOUCAN_INTERFACE" enum:"openai,platform" default:"openai"`
+	AgentListen   PortRange `help:"Address for dispatches to endpoints without an agent, whose agents this gateway runs: ip:port, or ip:first-last for the highest port that is free; empty for none." env:"TOUCAN_AGENT_LISTEN"`
+	PaceSettings  `embed:""`
 	// StopDelay covers two health checks a second apart.
 	StopDelay time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
 }
@@ -61,7 +64,11 @@
 	gateway  *gateway.Gateway
 	evidence *evidenceReporter
 	callers  net.Listener
-	cancel   context.CancelFunc
+	// host runs agents of endpoints that have none, dispatches is its listener; both are nil
+	// where the settings name no address for it.
+	host       *host.Host
+	dispatches net.Listener
+	cancel     context.CancelFunc
 }
 
 // NewGateway builds a gateway.
@@ -114,8 +121,12 @@
 	if err != nil {
 		return err
 	}
+	if err := g.newHost(); err != nil {
+		return err
+	}
 	run, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
+	g.startHost(run)
 	g.member.start(nil)
 	g.member.running.Go(func() { g.evidence.run(run) })
 	g.member.running.Go(func() { g.member.logChanges(run, g.logger) })
@@ -125,6 +136,53 @@
 	return nil
 }
 
+// newHost builds the host of agents, if the settings ask for one.
+func (g *Gateway) newHost() (err error) {
+	if g.dispatches == nil {
+		return nil
+	}
+	g.host, err = host.New(host.Options{
+		Self: g.member.self, View: g.member, Network: g.member.network, Logger: g.logger, Timeline: g.admin.Timeline,
+		Pace:      g.settings.pace(),
+		NewEngine: func(target string) endpoint.Engine { return platform.NewEngine(nil, target, 0) },
+	})
+	return err
+}
+
+// startHost serves dispatches and follows the directory until ctx ends.
+func (g *Gateway) startHost(ctx context.Context) {
+	if g.host == nil {
+		return
+	}
+	g.member.running.Go(func() { _ = g.host.Serve(g.dispatches) })
+	g.member.running.Go(func() {
+		changes, unwatch := g.member.holder.Watch()
+		defer unwatch()
+		for {
+			if d := g.member.Directory(); d != nil {
+				g.host.Update(d.Endpoints)
+			}
+			select {
+			case <-changes:
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// handAgentsOver drains the agents that run here and tells control that another process may
+// take them.
+func (g *Gateway) handAgentsOver() {
+	if g.host == nil {
+		return
+	}
+	g.host.Drain()
+	self := g.member.self
+	self.AgentAddress = ""
+	g.member.announcer.SetSelf(self)
+}
+
 // callersInterface returns the interface for callers that the settings name, nil for the
 // product's own.
 func (g *Gateway) callersInterface() func(*gateway.Gateway) http.Handler {
@@ -153,6 +211,13 @@
 		return &SettingError{Flag: "listen", Err: err}
 	}
 	g.callers = l
+	if g.settings.AgentListen.Empty() {
+		return nil
+	}
+	if g.dispatches, err = g.settings.AgentListen.Listen(g.member.network); err != nil {
+		return &SettingError{Flag: "agent-listen", Err: err}
+	}
+	g.member.self.AgentAddress = g.dispatches.Addr().String()
 	return nil
 }
 
@@ -173,7 +238,11 @@
 // Stop fails /readyz, accepts calls for the stop delay, finishes open requests and leaves.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.admin.Telemetry.SetReady(false)
+	g.handAgentsOver()
 	err := g.gateway.Stop(ctx)
+	if g.host != nil {
+		err = cmp.Or(err, g.host.Stop(ctx))
+	}
 	_ = g.member.leave(ctx) // the lease ends by itself where control cannot be told
 	g.cancel()
 	g.member.stop()
--- a/program/program_test.go
+++ b/program/program_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/alecthomas/kong"
 	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/link"
 )
 
 // Guards against a setting whose placeholder is empty in a deployment that states no value
@@ -31,6 +33,28 @@
 	}
 }
 
+// Guards against a range of ports that is read wrongly, and a process that does not start
+// because another one has the port.
+func TestPortRange(t *testing.T) {
+	for _, wrong := range []string{"127.0.0.1", "host:1", "127.0.0.1:2-1", "127.0.0.1:1-70000", "127.0.0.1:"} {
+		var r PortRange
+		assert.Assert(t, r.UnmarshalText([]byte(wrong)) != nil, wrong)
+	}
+	var none PortRange
+	assert.NilError(t, none.UnmarshalText(nil))
+	assert.Assert(t, none.Empty())
+	network := link.NewMemory()
+	taken, err := network.Listen("127.0.0.1:7615")
+	assert.NilError(t, err)
+	defer taken.Close()
+	var r PortRange
+	assert.NilError(t, r.UnmarshalText([]byte("127.0.0.1:7600-7615")))
+	l, err := r.Listen(network)
+	assert.NilError(t, err)
+	defer l.Close()
+	assert.Equal(t, l.Addr().String(), "127.0.0.1:7614")
+}
+
 // Guards against settings that are taken though the process cannot work with them.
 func TestSettingsAreChecked(t *testing.T) {
 	agent := func(args ...string) error {
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -19,6 +19,8 @@
 	ReasonNoEndpoint
 	// ReasonDomainDrained: all endpoints are in drained failure domains or leaving.
 	ReasonDomainDrained
+	// ReasonUnattended: no agent may act for any of the endpoints at present.
+	ReasonUnattended
 	// ReasonNoVersion: no endpoint serves the version.
 	ReasonNoVersion
 	// ReasonAllTried: every endpoint was tried before.
@@ -36,7 +38,7 @@
 	ReasonSaturated
 )
 
-var reasonNames = [...]string{"none", "unknown_service", "no_endpoint", "domain_drained", "no_version",
+var reasonNames = [...]string{"none", "unknown_service", "no_endpoint", "domain_drained", "unattended", "no_version",
 	"all_tried", "unreachable", "draining", "floor", "failing", "saturated"}
 
 // String returns the reason's name.
@@ -110,6 +112,9 @@
 	if svc.drained+svc.leaving > 0 {
 		return ReasonDomainDrained
 	}
+	if svc.unattended > 0 {
+		return ReasonUnattended
+	}
 	return ReasonNoEndpoint
 }
 
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -54,9 +54,12 @@
 	states map[stateKey]*state
 }
 
+// stateKey names an endpoint and its agent: what an agent reported says nothing about the
+// one after it.
 type stateKey struct {
 	id          endpoint.ID
 	incarnation instance.Incarnation
+	agent       string
 }
 
 // service holds the candidates of one service. Candidates of one version are
@@ -70,6 +73,8 @@
 	shares   []contract.VersionShare
 	// excluded counts endpoints left out because they leave or their domain is drained.
 	leaving, drained int
+	// unattended counts endpoints for which no agent may act at present.
+	unattended int
 }
 
 type versionRange struct {
@@ -113,6 +118,8 @@
 		}
 		d, known := in.Config.Domains[e.Domain]
 		switch {
+		case e.Unattended:
+			svc.unattended++
 		case e.Leaving:
 			svc.leaving++
 		case known && !d.AcceptsWork():
@@ -155,7 +162,7 @@
 }
 
 func (s *Snapshot) stateOf(previous *Snapshot, e endpoint.Endpoint) *state {
-	key := stateKey{e.ID, e.Incarnation}
+	key := stateKey{e.ID, e.Incarnation, e.Address}
 	var st *state
 	if previous != nil {
 		st = previous.states[key]
