Count a returning caller's objective from its first try; refuse what is overtaken forever

Cause: in overload most arrivals are callers that were refused and come back. Their objective was counted anew from the return, so they went before callers whose answer could still be in time. And a request was held until its caller would leave as long as the work that waits ahead fitted, though as much work that goes before it arrived as was served.

Change: what a caller states of its wait, against the longest stated on the route, tells since when it tries (gateway/returning.go). The wait behind others counts what arrives meanwhile at the pace of the last second (admission/arrivals.go).

--- a/admission/drain.go
+++ b/admission/drain.go
@@ -39,6 +39,16 @@
 	d.from = now
 }
 
+// behind estimates how long work of this cost takes while more arrives, at a pace in cost a
+// second, that goes before what waits.
+func (d *drain) behind(cost, arriving float64) time.Duration {
+	left := d.rate - arriving
+	if left <= 0 {
+		return MaxRetryAfter
+	}
+	return time.Duration(min(cost/left, MaxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // time estimates how long work of this cost takes; without a measured rate it
 // returns 1 s.
 func (d *drain) time(cost float64) time.Duration {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -42,6 +42,8 @@
 	drain  drain
 	// work is the pace of Item.Work.
 	work drain
+	// arrived is what came a moment ago.
+	arrived arrivals
 	// mayShed tells whether a tier may be shed for its queue time; nil allows all.
 	mayShed func(tier account.Tier, now time.Time) bool
 }
@@ -282,6 +284,10 @@
 	if q.length == 0 {
 		// The pace is that of a busy queue; idle time does not count.
 		q.work.restart(now)
+		q.arrived.restart(now)
+	}
+	if q.opt.ByWorth && !it.Returned {
+		q.arrived.add(it, now)
 	}
 	q.seq++
 	it.seq = q.seq
--- a/admission/worth.go
+++ b/admission/worth.go
@@ -72,18 +72,20 @@
 }
 
 // hopeless returns the items that cannot be served before their deadline behind those that
-// go before them, at the present pace. A caller that is told so early can come back, and
+// go before them, at the present pace: those that wait already and those that will arrive
+// meanwhile, if as many do as a moment ago. A caller that is told so early can come back, and
 // its place in the queue delays nobody.
 func (q *Queue) hopeless(now time.Time) []Dropped {
 	if !q.opt.ByWorth || q.work.rate <= 0 {
 		return nil
 	}
 	var out []Dropped
+	arriving := q.arrived.order(now)
 	ahead := 0.0
 	for rank := range q.bands {
 		for _, it := range q.bands[rank].byDensity(now) {
-			wait := q.work.time(ahead)
-			if it.late(now.Add(wait)) {
+			wait := q.work.behind(ahead, arriving.pace(it.Tier, it.Density(now)))
+			if ahead > 0 && it.late(now.Add(wait)) {
 				out = append(out, Dropped{it, &Refusal{ReasonDeadline, it.Tier, clampRetry(wait)}})
 				continue
 			}
--- a/admission/worth_test.go
+++ b/admission/worth_test.go
@@ -123,3 +123,40 @@
 	assert.Assert(t, len(dropped) == 1 && dropped[0].Item == last, "%d dropped", len(dropped))
 	assert.Assert(t, dropped[0].Refusal.RetryAfter >= 500*time.Millisecond)
 }
+
+// Guards against a request that is held until its caller leaves while as much work that goes
+// before it arrives as is served: the sustained load of a scale day. With less of it the
+// request must be kept until its turn.
+func TestWhatIsOvertakenForeverIsRefusedAtOnce(t *testing.T) {
+	for _, perPop := range []float64{2, 0.7} {
+		q := worthQueue()
+		sparse := &Item{Worth: 0.01, Work: 0.01}
+		dense := 0.0
+		served, held := false, time.Duration(-1)
+		for ms := range 2000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			if ms%10 == 0 {
+				for dense += perPop; dense >= 1; dense-- {
+					_, _ = q.Push(&Item{Worth: 1, Work: 0.01, Deadline: now.Add(time.Second)}, now)
+				}
+				got, _ := q.Pop(now)
+				served = served || got == sparse
+			}
+			if ms == 1001 {
+				sparse.StartBy = now.Add(5 * time.Second)
+				_, refusal := q.Push(sparse, now)
+				assert.Assert(t, refusal == nil)
+			}
+			for _, d := range q.Expire(now) {
+				if d.Item == sparse {
+					held = now.Sub(sparse.queued)
+				}
+			}
+		}
+		if overload := perPop > 1; overload {
+			assert.Assert(t, held >= 0 && held < 100*time.Millisecond, "held for %s, served %t", held, served)
+		} else {
+			assert.Assert(t, served, "refused after %s", held)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,7 @@
 	wallets          wallets
 	watches          watches
 	sizes, densities means
+	waits            statedWaits
 	estimator        schedule.AnswerEstimator
 	engines          sync.Map // target -> endpoint.Engine
 	claims           sync.Map // account and key -> runningClaim, of calls in progress
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -141,7 +141,8 @@
 		c.startBy = now.Add(route.Patience)
 	}
 	if route.Objective > 0 {
-		c.objective = now.Add(route.Objective)
+		// The caller's objective counts from its first try.
+		c.objective = now.Add(route.Objective - g.waits.elapsed(route.Name, c.account.Name, in.Timeout))
 	}
 	return c, nil
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -118,7 +118,7 @@
 	r := &c.rating
 	t.item = admission.Item{
 		Worth: r.worth, Work: r.work, StartTime: r.start, Reserve: r.reserve, Objective: c.objective, StartBy: c.startBy,
-		LeastTime: least, Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
+		Returned: c.last.endpoint != "", LeastTime: least, Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
 		Cost: c.promptTokens + c.answerTokens, Deadline: c.deadline, Value: t,
 	}
 	now := time.Now()
--- /dev/null
+++ b/gateway/returning_test.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a caller that comes back after a refusal and is taken for one whose answer
+// can still be in time, so that it goes before callers whose answers can.
+func TestReturningCallersAreRecognized(t *testing.T) {
+	var s statedWaits
+	const route = "audit"
+	for i := range 20 {
+		stated := 5*time.Second - time.Duration(i)*35*time.Millisecond
+		assert.Equal(t, s.elapsed(route, "a", stated), time.Duration(0), "a first try is taken for a repeat")
+	}
+	assert.Assert(t, s.elapsed(route, "a", 2700*time.Millisecond) >= 1100*time.Millisecond)
+	assert.Equal(t, s.elapsed(route, "a", 0), time.Duration(0), "a caller that does not say how long it waits")
+	assert.Equal(t, s.elapsed("other", "a", 2700*time.Millisecond), time.Duration(0))
+}
+
+// Guards against callers of one account that never wait long and are always taken for
+// returning ones, since those of other accounts do.
+func TestImpatientAccountIsNotReturning(t *testing.T) {
+	var s statedWaits
+	for range 20 {
+		s.elapsed("audit", "patient", 5*time.Second)
+		s.elapsed("audit", "brief", time.Second)
+	}
+	assert.Equal(t, s.elapsed("audit", "brief", time.Second), time.Duration(0))
+	s.keep(nil)
+	assert.Equal(t, len(s.byName), 0)
+}
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -67,6 +67,7 @@
 	g.wallets.update(config.Accounts, tokenShare(directory), now)
 	if old == nil || old.config != config {
 		g.accounts.Update(config.Accounts, now)
+		g.waits.keep(config.Ingress)
 		next.queues = g.buildQueues(next.queues, config)
 	}
 	g.dropPeers(in.Endpoints)
