Keep slots for dense work under pressure; learn speeds under load; a part for each kind

Their work was underestimated tenfold: where the slots are declared, only answers faster than predicted changed the learned speed, and the events that come with the first byte counted as decoded after it. A fixed fifth of the slots was kept free of them.

Change: endpoints with declared slots learn from every answer. Work is the time for which a request holds a slot. Long requests leave more slots free the more dense ones are refused (gateway/pressure.go). A route that is served far less often than all, or its large requests than the others, takes turns with the mean request. An overload is expected to last as long as it has lasted (admission/arrivals.go), so that short bursts are waited out. A request past its objective that has waited for half of its time is refused.

--- a/admission/arrivals.go
+++ b/admission/arrivals.go
@@ -11,6 +11,8 @@
 const (
 	// arrivalTime is the time over which the pace of arriving work is a mean.
 	arrivalTime = time.Second
+	// shortPause is the time without a queue that ends an overload.
+	shortPause = 300 * time.Millisecond
 	// mostArrivals bounds the arrivals that are remembered.
 	mostArrivals = 1024
 )
@@ -19,8 +21,8 @@
 // moment, and go before what waits, is taken to be like it.
 type arrivals struct {
 	list []arrival
-	// since is when the queue last began to fill.
-	since time.Time
+	// since is when the queue began to fill, seen when it was last seen to hold items.
+	since, seen time.Time
 }
 
 // arrival is one item at its push.
@@ -31,11 +33,18 @@
 	at      time.Time
 }
 
-func (a *arrivals) restart(now time.Time) {
-	a.list = a.list[:0]
-	a.since = now
+// fill is called when the queue begins to fill. A short time without a queue does not end a
+// time of overload.
+func (a *arrivals) fill(now time.Time) {
+	if now.Sub(a.seen) > shortPause {
+		a.list = a.list[:0]
+		a.since = now
+	}
 }
 
+// lasts returns how long the overload is expected to last: for as long as it has lasted.
+func (a *arrivals) lasts(now time.Time) time.Duration { return now.Sub(a.since) }
+
 func (a *arrivals) add(it *Item, now time.Time) {
 	a.drop(now)
 	if len(a.list) == mostArrivals {
--- a/admission/drain.go
+++ b/admission/drain.go
@@ -40,13 +40,13 @@
 }
 
 // behind estimates how long work of this cost takes while more arrives, at a pace in cost a
-// second, that goes before what waits.
-func (d *drain) behind(cost, arriving float64) time.Duration {
-	left := d.rate - arriving
-	if left <= 0 {
-		return MaxRetryAfter
+// second and for a time, that goes before what waits.
+func (d *drain) behind(cost, arriving float64, lasts time.Duration) time.Duration {
+	seconds := (cost + arriving*lasts.Seconds()) / d.rate
+	if left := d.rate - arriving; left > 0 {
+		seconds = min(seconds, cost/left)
 	}
-	return time.Duration(min(cost/left, MaxRetryAfter.Seconds()) * float64(time.Second))
+	return time.Duration(min(seconds, MaxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // time estimates how long work of this cost takes; without a measured rate it
--- a/admission/item.go
+++ b/admission/item.go
@@ -32,6 +32,8 @@
 	StartBy time.Time
 	// Returned is set for an item that waited before and found no room at its endpoint.
 	Returned bool
+	// Arrived is when the request came; zero means when it was pushed.
+	Arrived time.Time
 	// Value is the caller's request.
 	Value any
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -284,7 +284,7 @@
 	if q.length == 0 {
 		// The pace is that of a busy queue; idle time does not count.
 		q.work.restart(now)
-		q.arrived.restart(now)
+		q.arrived.fill(now)
 	}
 	if q.opt.ByWorth && !it.Returned {
 		q.arrived.add(it, now)
--- a/admission/worth.go
+++ b/admission/worth.go
@@ -67,24 +67,49 @@
 func (q *Queue) Take(it *Item, now time.Time) {
 	it.flow.deficit -= it.cost()
 	q.unlink(it)
+	q.arrived.seen = now
 	q.drain.add(it.cost(), now)
 	q.work.add(it.Work, now)
 }
 
+// patienceShare is the share of the time that a caller has after which an item past its
+// objective is refused. Others went before it all the while, and the caller can still come
+// back to a place with room.
+const patienceShare = 0.5
+
+// givenUp reports whether an item has waited for so long that it is refused.
+func (it *Item) givenUp(now time.Time) bool {
+	if it.Objective.IsZero() || it.Deadline.IsZero() || now.Before(it.Objective) {
+		return false
+	}
+	since := it.Arrived
+	if since.IsZero() {
+		since = it.queued
+	}
+	return now.Sub(since) > time.Duration(patienceShare*float64(it.Deadline.Sub(since)))
+}
+
 // hopeless returns the items that cannot be served before their deadline behind those that
 // go before them, at the present pace: those that wait already and those that will arrive
-// meanwhile, if as many do as a moment ago. A caller that is told so early can come back, and
+// meanwhile, if as many do as a moment ago and for as long again as some have waited. A caller that is told so early can come back, and
 // its place in the queue delays nobody.
 func (q *Queue) hopeless(now time.Time) []Dropped {
 	if !q.opt.ByWorth || q.work.rate <= 0 {
 		return nil
 	}
+	if q.length > 0 {
+		q.arrived.seen = now
+	}
 	var out []Dropped
 	arriving := q.arrived.order(now)
 	ahead := 0.0
 	for rank := range q.bands {
 		for _, it := range q.bands[rank].byDensity(now) {
-			wait := q.work.behind(ahead, arriving.pace(it.Tier, it.Density(now)))
+			if it.givenUp(now) {
+				out = append(out, Dropped{it, &Refusal{ReasonDeadline, it.Tier, clampRetry(q.work.time(ahead))}})
+				continue
+			}
+			wait := q.work.behind(ahead, arriving.pace(it.Tier, it.Density(now)), q.arrived.lasts(now))
 			if ahead > 0 && it.late(now.Add(wait)) {
 				out = append(out, Dropped{it, &Refusal{ReasonDeadline, it.Tier, clampRetry(wait)}})
 				continue
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -156,7 +156,7 @@
 	}
 	a.ledger.Finish(d.header.ID, k.answer(), a.now())
 	tokens := d.answerTokens(&count)
-	d.place.ended(outcome{answerTokens: tokens, failed: answer.Status >= 500})
+	d.place.ended(outcome{answerTokens: d.decodedTokens(&count, tokens), failed: answer.Status >= 500})
 	d.record("dispatch.done", "")
 	d.stream.end(count.prompt, tokens)
 	d.log("done", answer.Status, count.events)
@@ -187,6 +187,14 @@
 	return count.tokens()
 }
 
+// decodedTokens returns the tokens of an answer that came after its first byte.
+func (d *dispatched) decodedTokens(count *tokenCounter, tokens int) int {
+	if e := d.header.Engine; e != nil {
+		return max(count.events-1, 0) * max(e.EventTokens, 1)
+	}
+	return tokens
+}
+
 // copy returns io.EOF once the engine ended the answer.
 func (d *dispatched) copy(answer *endpoint.Answer, live bool, k *keeper, count *tokenCounter) error {
 	buf := copyBuffers.Get().(*[copyBuffer]byte)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -69,6 +69,8 @@
 	problem func(w http.ResponseWriter, p *Problem)
 	// cost is what the call counts against the account's token budget.
 	cost int
+	// arrived is when a call that came by host and path was read; zero for others.
+	arrived time.Time
 	// objective is when the answer should begin; zero without an objective.
 	objective time.Time
 	// startBy is when the caller leaves if the answer has not begun; zero if it stays.
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -132,7 +132,7 @@
 	if in.Timeout > 0 {
 		timeout = min(timeout, in.Timeout)
 	}
-	c.deadline = now.Add(timeout)
+	c.arrived, c.deadline = now, now.Add(timeout)
 	if by := g.stopBy.Load(); by != nil && c.deadline.After(*by) {
 		// It could be cut halfway, and another gateway can take it.
 		return nil, retryProblem(string(admission.ReasonHandedBack), "the gateway stops before the request's deadline")
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -28,6 +28,8 @@
 	gateway *Gateway
 	service string
 	budget  retryBudget
+	// pressure follows which requests are served.
+	pressure pressure
 	// waiting mirrors the length of queue, ahead what goes first there.
 	waiting atomic.Int64
 	ahead   atomic.Pointer[dispatch.Waiting]
@@ -118,7 +120,7 @@
 	r := &c.rating
 	t.item = admission.Item{
 		Worth: r.worth, Work: r.work, StartTime: r.start, Reserve: r.reserve, Objective: c.objective, StartBy: c.startBy,
-		Returned: c.last.endpoint != "", LeastTime: least, Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
+		Returned: c.last.endpoint != "", Arrived: c.arrived, LeastTime: least, Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
 		Cost: c.promptTokens + c.answerTokens, Deadline: c.deadline, Value: t,
 	}
 	now := time.Now()
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -59,7 +59,7 @@
 	r := &c.last
 	_ = g.opt.Logger.Log("msg", "request", "request", c.id, "outcome", outcome, "status", status, "execution", execution,
 		"route", c.ingress.Name, "service", c.service.Name, "account", c.account.Name, "tier", int(c.tier),
-		"prompt", c.promptTokens, "answer", c.answerTokens, "document", c.config.Ingress.Version,
+		"prompt", c.promptTokens, "answer", c.answerTokens, "reserve", c.rating.reserve, "document", c.config.Ingress.Version,
 		"total_ms", time.Since(began).Milliseconds(), "waited_ms", c.waited.Milliseconds(), "ran_on", c.runs,
 		"endpoint", r.endpoint, "endpoint_load", r.others, "endpoint_limit", r.limit, "load_age_ms", r.age.Milliseconds(),
 		"first_ms", r.firstToken.Milliseconds(), "endpoint_ms", r.total.Milliseconds(), "last_refusal", r.code)
--- a/gateway/returning.go
+++ b/gateway/returning.go
@@ -4,8 +4,6 @@
 	"maps"
 	"sync"
 	"time"
-
-	"toucantiller.dev/contract"
 )
 
 // Callers that were refused come back, to any gateway and as new requests. What they say of
@@ -67,13 +65,7 @@
 }
 
 // keep drops what was learned of routes that are gone.
-func (s *statedWaits) keep(in *contract.Ingress) {
-	known := make(map[string]bool)
-	if in != nil {
-		for i := range in.Routes {
-			known[in.Routes[i].Name] = true
-		}
-	}
+func (s *statedWaits) keep(known map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.byName, func(key waitKey, _ *longestWait) bool { return !known[key.route] })
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -67,14 +67,28 @@
 	g.wallets.update(config.Accounts, tokenShare(directory), now)
 	if old == nil || old.config != config {
 		g.accounts.Update(config.Accounts, now)
-		g.waits.keep(config.Ingress)
 		next.queues = g.buildQueues(next.queues, config)
+		g.forgetRoutes(config, next.queues)
 	}
 	g.dropPeers(in.Endpoints)
 	g.watchAgents(next.snapshot)
 	return next
 }
 
+// forgetRoutes drops what was learned of routes that the configuration has no more.
+func (g *Gateway) forgetRoutes(c *contract.Config, queues map[string]*serviceQueue) {
+	known := make(map[string]bool)
+	if c.Ingress != nil {
+		for i := range c.Ingress.Routes {
+			known[c.Ingress.Routes[i].Name] = true
+		}
+	}
+	g.waits.keep(known)
+	for _, q := range queues {
+		q.pressure.keep(known)
+	}
+}
+
 func (g *Gateway) buildQueues(old map[string]*serviceQueue, config *contract.Config) map[string]*serviceQueue {
 	out := make(map[string]*serviceQueue, len(config.Services))
 	for _, s := range config.Services {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -38,6 +38,7 @@
 	defer func() { g.metrics.duration.record(time.Since(began)) }()
 	p := g.execute(r.Context(), c, out)
 	g.logRequest(c, out, began, p)
+	g.observePressure(c, p)
 	if p == nil {
 		g.metrics.completed.one()
 		g.opt.Timeline.Record(timeline.Event{Kind: "request.done", Request: c.id})
--- a/gateway/value.go
+++ b/gateway/value.go
@@ -44,12 +44,16 @@
 
 // rating is what decides the order and the place of a call.
 type rating struct {
-	// worth is what a timely answer is worth against others of its tier, work the seconds of
-	// an endpoint that it takes, and start the time to the beginning of its answer.
+	// worth is what a timely answer is worth against others of its tier, work the seconds for
+	// which it holds a slot of an endpoint, and start the time to the beginning of its answer.
 	worth, work float64
 	start       time.Duration
 	// reserve is the number of slots that the call must leave free at its endpoint.
 	reserve int
+	// sparse is set for a call that is worth little for its work.
+	sparse bool
+	// large is set for a call that is large for its route.
+	large bool
 }
 
 const (
@@ -57,12 +61,19 @@
 	// a request leaves slots free: it would hold one for long while others come that are
 	// worth far more.
 	lowDensity = 0.25
-	// reservedSlots is the share of an endpoint's slots that such requests leave free.
-	reservedSlots = 0.2
 	// leastReserved is the number of slots from which some are left free.
 	leastReserved = 3
 )
 
+// observePressure takes in how a call ended. What its caller gave up says nothing.
+func (g *Gateway) observePressure(c *call, p *Problem) {
+	q := g.queue(c)
+	if q == nil || !c.rated || c.ingress == nil || p != nil && p.Status == statusClientClosed {
+		return
+	}
+	q.pressure.observe(kind{c.ingress.Name, c.rating.large}, c.runs > 0, !c.rating.sparse)
+}
+
 // rate estimates the rating of a call.
 func (q *serviceQueue) rate(c *call) rating {
 	if c.ingress == nil {
@@ -78,10 +89,18 @@
 	prefill, decode := q.gateway.routing.Load().snapshot.Speeds(q.service)
 	first := float64(c.promptTokens) / prefill
 	slots := max(c.service.Slots, 1)
-	r := rating{worth: worth, work: first + float64(c.answerTokens)/(decode*float64(slots)), start: time.Duration(first * float64(time.Second))}
+	r := rating{worth: worth, work: first + float64(c.answerTokens)/decode, start: time.Duration(first * float64(time.Second))}
 	density := worth / r.work
-	if mean := q.gateway.densities.observe(q.service, density); density < lowDensity*mean && slots >= leastReserved {
-		r.reserve = int(math.Ceil(reservedSlots * float64(slots)))
+	meanDensity := q.gateway.densities.observe(q.service, density)
+	if density < lowDensity*meanDensity && slots >= leastReserved {
+		r.sparse = true
+		r.reserve = q.pressure.reserve(slots)
+	}
+	r.large = size > largeSize*mean
+	if q.pressure.starved(kind{c.ingress.Name, r.large}) {
+		// It takes turns with the mean request of the service.
+		r.reserve = 0
+		r.worth = max(r.worth, meanDensity*r.work)
 	}
 	return r
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -252,8 +252,12 @@
 // lightShare is the share of the limit up to which calls hardly slow each other.
 const lightShare = 0.25
 
+// crowd weighs a call in the baseline. Where the limit is declared, the speeds tell how long
+// calls take at the load that the endpoint has: all count alike.
 func (l *Limiter) crowd() crowd {
 	switch {
+	case l.declared > 0:
+		return crowdLight
 	case l.calls.open <= 1:
 		return crowdAlone
 	case float64(l.calls.open) <= lightShare*l.limit:
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -321,3 +321,34 @@
 	requests, _ = l.Outstanding()
 	assert.Equal(t, requests, 0)
 }
+
+// TestDeclaredEndpointReportsSpeedUnderLoad guards against speeds that only the fastest
+// answers of a full endpoint decide: gateways then take long answers for short ones.
+func TestDeclaredEndpointReportsSpeedUnderLoad(t *testing.T) {
+	const slots, prefill = 4, 20_000.0
+	l := New(Options{})
+	l.Declare(slots)
+	now := start
+	var open []Ticket
+	for range slots - 1 {
+		open = append(open, l.Start(now, 1000))
+	}
+	tokens, seconds := 0.0, 0.0
+	for i := range 8000 {
+		p, a := 500+37*(i%50), 20+17*(i%23)
+		decode := 60.0 + 8*float64(i%11) // answers differ in speed with what runs beside them
+		first := time.Duration(float64(p) / prefill * 1e9)
+		total := first + time.Duration(float64(a)/decode*1e9)
+		ticket := l.Start(now, p)
+		now = now.Add(total)
+		l.Finish(ticket, Sample{first, total, p, a, false}, now)
+		tokens += float64(a)
+		seconds += float64(a) / decode
+	}
+	_, got := l.Rates()
+	mean := tokens / seconds
+	assert.Check(t, got > 0.85*mean && got < 1.15*mean, "decode %f, mean %f", got, mean)
+	for _, o := range open {
+		l.Cancel(o, Sample{}, now)
+	}
+}
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -206,8 +206,9 @@
 	return 1 / (1 + a*(1+a*0.5))
 }
 
-// crowding is the slowdown of decodes at an endpoint at its limit. Agents report
-// speeds without load and raise the limit until calls take about this much longer.
+// crowding is the slowdown of decodes at an endpoint at its limit. Agents that adapt the
+// limit report speeds without load, and raise the limit until calls take about this much
+// longer. Where the limit is declared they report speeds under load.
 const crowding = 0.75
 
 // estimate computes time to first token and time to finish for one candidate, in
@@ -225,7 +226,10 @@
 	if over := x.requests[i] + 1 - float64(rep.limit); over > 0 {
 		first += over * rep.perLimit * x.callTime(i, answer)
 	}
-	crowd := 1 + crowding*x.occupancy[i]*x.occupancy[i]
+	crowd := 1.0
+	if !rep.exact {
+		crowd += crowding * x.occupancy[i] * x.occupancy[i]
+	}
 	return first, first + answer*rep.perDecode*crowd
 }
 
