--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -31,10 +31,10 @@
 	answer   atomic.Int64
 	// suspended is kept as a time.Time, whose monotonic part ignores clock steps.
 	suspended atomic.Pointer[time.Time]
-	failures failures
-	cache    prefixCache
-	history  history
-	base     *timeBase
+	failures  failures
+	cache     prefixCache
+	history   history
+	base      *timeBase
 }
 
 // report is an immutable load report with what was known when it arrived. It holds
