Log requests that are refused over a limit of their account

Change: such refusals end in the line that all requests end in. Also closes listeners of a test with their errors checked, as the linter asks.

--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -46,13 +46,13 @@
 		"host", in.Host, "path", in.Path, "document", document, "total_ms", time.Since(began).Milliseconds(), "detail", p.Detail)
 }
 
-// logRequest writes the line of a request that has ended. p is nil for one whose answer was
-// passed on whole.
-func (g *Gateway) logRequest(c *call, out *answerWriter, began time.Time, p *Problem) {
+// logRequest writes the line of a request that has ended. status is that of the endpoint's
+// answer; p is nil for one whose answer was passed on whole.
+func (g *Gateway) logRequest(c *call, status int, began time.Time, p *Problem) {
 	if c.ingress == nil {
 		return // the product's own interface has the time line
 	}
-	outcome, status, execution := "answered", out.status, "ran"
+	outcome, execution := "answered", "ran"
 	if p != nil {
 		outcome, status, execution = p.Code, p.Status, string(p.Execution)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"toucantiller.dev/admission"
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/schedule"
 	"toucantiller.dev/timeline"
@@ -20,14 +21,12 @@
 	g.route()
 	pass, refused := g.accounts.Enter(c.account.Name, c.tier, began)
 	if refused != nil {
-		g.metrics.shed(refused)
-		c.writeProblem(w, refusalProblem(refused))
+		g.refuse(w, c, began, refused)
 		return
 	}
 	defer pass.Leave()
 	if refused = g.spend(r.Context(), c); refused != nil {
-		g.metrics.shed(refused)
-		c.writeProblem(w, refusalProblem(refused))
+		g.refuse(w, c, began, refused)
 		return
 	}
 	if q := g.queue(c); q != nil {
@@ -37,7 +36,7 @@
 	out := newAnswerWriter(w, c)
 	defer func() { g.metrics.duration.record(time.Since(began)) }()
 	p := g.execute(r.Context(), c, out)
-	g.logRequest(c, out, began, p)
+	g.logRequest(c, out.status, began, p)
 	g.observePressure(c, p)
 	if p == nil {
 		g.metrics.completed.one()
@@ -52,6 +51,14 @@
 	out.fail(p)
 }
 
+// refuse answers a call that is over a limit of its account.
+func (g *Gateway) refuse(w http.ResponseWriter, c *call, began time.Time, refused *admission.Refusal) {
+	p := refusalProblem(refused)
+	g.metrics.shed(refused)
+	g.logRequest(c, 0, began, p)
+	c.writeProblem(w, p)
+}
+
 func (g *Gateway) execute(ctx context.Context, c *call, out *answerWriter) *Problem {
 	if c.claimed() {
 		return g.executeClaimed(ctx, c, out)
--- a/program/program_test.go
+++ b/program/program_test.go
@@ -46,12 +46,12 @@
 	network := link.NewMemory()
 	taken, err := network.Listen("127.0.0.1:7615")
 	assert.NilError(t, err)
-	defer taken.Close()
+	defer func() { assert.NilError(t, taken.Close()) }()
 	var r PortRange
 	assert.NilError(t, r.UnmarshalText([]byte("127.0.0.1:7600-7615")))
 	l, err := r.Listen(network)
 	assert.NilError(t, err)
-	defer l.Close()
+	defer func() { assert.NilError(t, l.Close()) }()
 	assert.Equal(t, l.Addr().String(), "127.0.0.1:7614")
 }
 
