Bound the head of an endpoint's answer

Cause: net/http reads 10 MiB of an answer's head before it gives up, for each request; the smallest instances have 88 to 112 MB in all.

Change: 64 KiB a head and 16 interim responses. TestHeadWithoutEndIsBounded read 10,485,760 bytes before and passes now; the outcome stays unknown, never not run.

--- a/agent/httpengine/conn.go
+++ b/agent/httpengine/conn.go
@@ -1,8 +1,10 @@
 package httpengine
 
 import (
+	"errors"
 	"net"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 )
 
@@ -50,6 +52,18 @@
 type submission struct {
 	conn   *trackedConn
 	reused bool
+	// interim counts the interim responses; only the goroutine that reads the connection uses it.
+	interim int
+}
+
+var errInterim = errors.New("too many interim responses")
+
+// gotInterim is called by net/http for each interim response.
+func (s *submission) gotInterim(int, textproto.MIMEHeader) error {
+	if s.interim++; s.interim > maxInterim {
+		return errInterim
+	}
+	return nil
 }
 
 // gotConn is called by net/http when it has chosen a connection.
--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -23,6 +23,11 @@
 const (
 	// maxIdle is the number of idle connections kept to the engine.
 	maxIdle = 256
+	// maxHead bounds the head of an answer, in bytes. A server in trouble may send one without
+	// end, and the smallest instances have a hundred megabytes for all requests.
+	maxHead = 64 << 10
+	// maxInterim bounds the interim responses before an answer.
+	maxInterim = 16
 	// idleTimeout is below the 5 s after which common Python servers close an idle
 	// connection; a request written to a connection that the engine is closing has an
 	// unknown outcome.
@@ -66,7 +71,9 @@
 		MaxIdleConnsPerHost: maxIdle,
 		MaxConnsPerHost:     opt.MaxConnections,
 		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHead,
+		DisableCompression:     true,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			c, err := network.Dial(ctx, addr)
 			if err != nil {
@@ -106,7 +113,7 @@
 		defer mu.Unlock()
 		got = true
 		s.gotConn(info)
-	}})
+	}, Got1xxResponse: s.gotInterim})
 	req, err := e.request(ctx, r)
 	if err != nil {
 		return nil, false, fmt.Errorf("building request to %s: %w: %w", e.base, endpoint.ErrNotSent, err)
--- a/agent/httpengine/engine_test.go
+++ b/agent/httpengine/engine_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -192,3 +193,65 @@
 		assert.Assert(t, err != nil && !errors.Is(err, endpoint.ErrNotSent), "%v", err)
 	})
 }
+
+// readCounter counts the bytes that are read from the connections of a network.
+type readCounter struct {
+	link.Network
+	bytes atomic.Int64
+}
+
+func (n *readCounter) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := n.Network.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, &n.bytes}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Guards against memory that an engine fills whose bytes are no answer and do not end: the
+// head of an answer is bounded, the connection is closed, and the request may have run.
+func TestHeadWithoutEndIsBounded(t *testing.T) {
+	for name, head := range map[string]struct{ first, repeated string }{
+		"one line":      {"", "x"},
+		"status line":   {"HTTP/1.1 200 ", "OK "},
+		"header lines":  {"HTTP/1.1 200 OK\r\n", "X-Filler: abcdefgh\r\n"},
+		"interim heads": {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			network := &readCounter{Network: link.NewMemory()}
+			l, err := network.Listen("engine:1")
+			assert.NilError(t, err)
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				c, err := l.Accept()
+				assert.NilError(t, err)
+				_, err = http.ReadRequest(bufio.NewReader(c))
+				assert.NilError(t, err)
+				_, err = io.WriteString(c, head.first)
+				for err == nil {
+					_, err = io.WriteString(c, strings.Repeat(head.repeated, 100))
+					time.Sleep(time.Millisecond)
+				}
+			}()
+			e := httpengine.New(network, "http://engine:1")
+			_, err = e.Submit(t.Context(), &endpoint.Request{ID: "r", Method: http.MethodPost, Path: "/", Body: []byte("body")})
+			assert.Assert(t, err != nil && !errors.Is(err, endpoint.ErrNotSent), "%s: %v", name, err)
+			<-closed // the engine writes until the caller closes
+			const most = 128 << 10
+			assert.Assert(t, network.bytes.Load() < most, "%s: %d bytes were read", name, network.bytes.Load())
+			assert.NilError(t, l.Close())
+		})
+	}
+}
