Bound the looks for agents by rate; test two paths that mutations passed

Cause: reviewing the leader's cost at the design size, 12,000 endpoints looked at every 8 s are 1,500 connections a second, and a first finding of all of them searched the registrations once for each. Mutations showed that no test failed without the withholding of new endpoints, nor without the use of the time that a returning caller has tried.

Change: at most 10 looks a second at agents that were found; one pass over the registrations. TestMissingAgentsAreHosted watches what gateways learn of a new endpoint, TestObjectiveCountsFromTheFirstTry the objective of a returning caller; both fail without their mechanism.

--- a/control/agents.go
+++ b/control/agents.go
@@ -23,9 +23,11 @@
 	// placeInterval is the time between decisions about agents.
 	placeInterval = 250 * time.Millisecond
 	// lookAgain is the time between looks for an agent until one is found or hosted, lookRarely
-	// the mean time between looks after that.
+	// the least mean time between looks after that.
 	lookAgain  = 300 * time.Millisecond
 	lookRarely = 8 * time.Second
+	// rareLooks bounds the looks a second at agents that were found, however many there are.
+	rareLooks = 10
 	// lookTimeout bounds one look.
 	lookTimeout = time.Second
 	// looksAtOnce bounds the looks under way, and with lookTimeout their rate.
@@ -202,10 +204,17 @@
 	l.Observe(found, now)
 	l.due = now.Add(lookAgain)
 	if settled {
-		l.due = now.Add(lookRarely/2 + rand.N(lookRarely))
+		mean := restTime(len(looks.byID))
+		l.due = now.Add(mean/2 + rand.N(mean))
 	}
 }
 
+// restTime returns the mean time between two looks at an endpoint whose agent was found, of a
+// number of endpoints.
+func restTime(endpoints int) time.Duration {
+	return max(lookRarely, time.Duration(endpoints)*time.Second/rareLooks)
+}
+
 // findAgent asks for a load report, which only an agent gives.
 func findAgent(ctx context.Context, network link.Network, address string) hosting.Finding {
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
--- a/control/agents_test.go
+++ b/control/agents_test.go
@@ -84,7 +84,10 @@
 		assert.Equal(t, attendant(s, "e2").Address, "e2:7", "an agent that is there is passed over")
 
 		beat(t, s, announced("e3"))
-		time.Sleep(3 * time.Second)
+		for range 15 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, attendant(s, "e3").Address != "e3:7", "gateways learn of an agent that does not exist")
+		}
 		assert.Equal(t, attendant(s, "e3").Address, "h1:9/e3:80")
 
 		// The lease of a process that is cut off ends after 8 s; it may act for a while then.
--- a/control/state/hosting.go
+++ b/control/state/hosting.go
@@ -31,14 +31,18 @@
 // setHostings takes over changes for endpoints that are registered.
 func (s *State) setHostings(c *SetHostings) *Result {
 	published := false
-	for target, next := range c.Hostings {
-		e := s.endpointAt(target)
+	for _, r := range s.data.Registrations {
+		e := r.Endpoint
 		if e == nil {
 			continue
 		}
+		next, changed := c.Hostings[e.Target]
+		if !changed {
+			continue
+		}
 		before := s.attended(*e)
 		next.Service = e.Service
-		s.data.Hostings[target] = &next
+		s.data.Hostings[e.Target] = &next
 		published = published || s.attended(*e) != before
 	}
 	if published {
@@ -47,16 +51,6 @@
 	return &Result{}
 }
 
-// endpointAt returns the endpoint that announced itself with a target, nil without one.
-func (s *State) endpointAt(target string) *endpoint.Endpoint {
-	for _, r := range s.data.Registrations {
-		if r.Endpoint != nil && r.Endpoint.Target == target {
-			return r.Endpoint
-		}
-	}
-	return nil
-}
-
 // withhold keeps a new endpoint from gateways if agents of its service run elsewhere, until
 // control has looked whether it has one: another process can then take it at once.
 func (s *State) withhold(e *endpoint.Endpoint) {
--- a/gateway/returning_test.go
+++ b/gateway/returning_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/contract"
+	"toucantiller.dev/control/api"
 )
 
 // Guards against a caller that comes back after a refusal and is taken for one whose answer
@@ -33,3 +36,34 @@
 	s.keep(nil)
 	assert.Equal(t, len(s.byName), 0)
 }
+
+// fixedView is a deployment that does not change.
+type fixedView struct{ config *contract.Config }
+
+func (v fixedView) Config() *contract.Config     { return v.config }
+func (fixedView) Directory() *api.Directory      { return nil }
+func (fixedView) UnprovenAllowed(time.Time) bool { return true }
+func (fixedView) MayServe(time.Time) bool        { return true }
+func (fixedView) Saw(uint64, string)             {}
+
+// Guards against a caller that comes back and is placed as if its first try were this one.
+func TestObjectiveCountsFromTheFirstTry(t *testing.T) {
+	config := (&contract.Config{
+		Revision: 1, Services: []*contract.Service{{Name: "lm"}},
+		Ingress: &contract.Ingress{Routes: []contract.IngressRoute{{
+			Name: "audit", Host: "h", Prefix: "/", Public: true, Objective: 800 * time.Millisecond, Timeout: 5 * time.Second,
+			Split: []contract.WeightedService{{Service: "lm", Weight: 1}},
+		}}},
+	}).Index()
+	g := &Gateway{opt: Options{View: fixedView{config}}}
+	objective := func(wait time.Duration) time.Duration {
+		now := time.Now()
+		c, p := g.beginArrival(&Arrival{ID: "1", Host: "h", Path: "/", Timeout: wait})
+		assert.Assert(t, p == nil, "%+v", p)
+		return c.objective.Sub(now)
+	}
+	for range 6 {
+		assert.Assert(t, objective(5*time.Second) >= 800*time.Millisecond)
+	}
+	assert.Assert(t, objective(2700*time.Millisecond) < 0)
+}
