--- a/admission/item.go
+++ b/admission/item.go
@@ -30,8 +30,8 @@
 	// StartBy is when the caller leaves if its answer has not begun; zero if only Deadline
 	// counts.
 	StartBy time.Time
-	// Returned is set for an item that waited before and found no room at its endpoint.
-	Returned bool
+	// Requeued is set for an item that waited before and found no room at its endpoint.
+	Requeued bool
 	// Arrived is when the request came; zero means when it was pushed.
 	Arrived time.Time
 	// Value is the caller's request.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -286,7 +286,7 @@
 		q.work.restart(now)
 		q.arrived.fill(now)
 	}
-	if q.opt.ByWorth && !it.Returned {
+	if q.opt.ByWorth && !it.Requeued {
 		q.arrived.add(it, now)
 	}
 	q.seq++
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -126,7 +126,7 @@
 	r := &c.rating
 	t.item = admission.Item{
 		Worth: r.worth, Work: r.work, StartTime: r.start, Reserve: r.reserve, Objective: c.objective, StartBy: c.startBy,
-		Returned: c.last.endpoint != "", Arrived: c.arrived, LeastTime: least, Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
+		Requeued: c.last.endpoint != "", Arrived: c.arrived, LeastTime: least, Tier: c.tier, Account: c.account.Name, Weight: c.account.Weight,
 		Cost: c.promptTokens + c.answerTokens, Deadline: c.deadline, Value: t,
 	}
 	now := time.Now()
--- a/gateway/value.go
+++ b/gateway/value.go
@@ -88,19 +88,25 @@
 	worth *= min(size/max(mean, 1), mostWorth)
 	prefill, decode := q.gateway.routing.Load().snapshot.Speeds(q.service)
 	first := float64(c.promptTokens) / prefill
-	slots := max(c.service.Slots, 1)
-	r := rating{worth: worth, work: first + float64(c.answerTokens)/decode, start: time.Duration(first * float64(time.Second))}
-	density := worth / r.work
-	meanDensity := q.gateway.densities.observe(q.service, density)
-	if density < lowDensity*meanDensity && slots >= leastReserved {
+	r := rating{
+		worth: worth, work: first + float64(c.answerTokens)/decode, start: time.Duration(first * float64(time.Second)),
+		large: size > largeSize*mean,
+	}
+	q.balance(c, &r)
+	return r
+}
+
+// balance keeps slots free of a call that is worth little for its work, and lets a call of a
+// kind that is served too seldom take turns with the mean request of the service.
+func (q *serviceQueue) balance(c *call, r *rating) {
+	density := r.worth / r.work
+	mean := q.gateway.densities.observe(q.service, density)
+	if slots := c.service.Slots; density < lowDensity*mean && slots >= leastReserved {
 		r.sparse = true
 		r.reserve = q.pressure.reserve(slots)
 	}
-	r.large = size > largeSize*mean
 	if q.pressure.starved(kind{c.ingress.Name, r.large}) {
-		// It takes turns with the mean request of the service.
 		r.reserve = 0
-		r.worth = max(r.worth, meanDensity*r.work)
+		r.worth = max(r.worth, mean*r.work)
 	}
-	return r
 }
