Remember a lost host until its agents are given away; split a long function

Cause: Maintain forgets a lost process once it may no longer act on old settings. The decision about agents takes one that is neither registered nor lost for one that left, so without the second of margin its agents could go to another process early.

Change: lost processes are remembered 10 s longer; lists of them are filtered by time as before.

--- a/control/agents.go
+++ b/control/agents.go
@@ -84,8 +84,25 @@
 // placeOnce starts the looks that are due and commits the changes that follow from what is
 // known.
 func (s *Server) placeOnce(looks *agentLooks, now time.Time) error {
-	var claims []state.AgentClaim
-	var fleet hosting.Fleet
+	claims, fleet := s.agentClaims()
+	changes := hosting.Decide(now, s.look(looks, claims, now), fleet)
+	if len(changes) == 0 {
+		return nil
+	}
+	in := &state.SetHostings{Hostings: make(map[string]state.Hosting, len(changes))}
+	for target, c := range changes {
+		in.Hostings[target] = state.Hosting{Beside: c.State == hosting.Beside, Host: c.Host}
+	}
+	if _, err := s.propose(&state.Command{SetHostings: in}); err != nil {
+		return err
+	}
+	s.logPlaced(changes)
+	return nil
+}
+
+// agentClaims returns the endpoints that announced themselves with an agent, and the
+// processes that may run agents.
+func (s *Server) agentClaims() (claims []state.AgentClaim, fleet hosting.Fleet) {
 	lost := make(map[instance.ID]time.Time)
 	s.machine.read(func(st *state.State) {
 		claims = st.AgentClaims()
@@ -104,19 +121,7 @@
 		at, ok := lost[id]
 		return at, ok
 	}
-	changes := hosting.Decide(now, s.look(looks, claims, now), fleet)
-	if len(changes) == 0 {
-		return nil
-	}
-	in := &state.SetHostings{Hostings: make(map[string]state.Hosting, len(changes))}
-	for target, c := range changes {
-		in.Hostings[target] = state.Hosting{Beside: c.State == hosting.Beside, Host: c.Host}
-	}
-	if _, err := s.propose(&state.Command{SetHostings: in}); err != nil {
-		return err
-	}
-	s.logPlaced(changes)
-	return nil
+	return claims, fleet
 }
 
 // logPlaced writes a line for each agent that moved; those found beside their endpoints
--- a/control/state/hosting.go
+++ b/control/state/hosting.go
@@ -140,7 +140,7 @@
 }
 
 // LostSince returns when the lease of a process ended in silence; ok is false where it did
-// not, or where the process has outlived the time for which it may act alone.
+// not, or long ago.
 func (s *State) LostSince(id instance.ID) (at time.Time, ok bool) {
 	l := s.data.Lost[id]
 	if l == nil {
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -22,6 +22,9 @@
 	RestorePeriod = time.Minute
 	// EndedRetention is how long a late announcement of an endpoint that ended is refused.
 	EndedRetention = 10 * time.Minute
+	// lostRetention is how much longer a lost process is remembered than it may act on old
+	// settings: its agents go to another process a little after that.
+	lostRetention = 10 * time.Second
 	// BundlesKept is the number of past bundles whose content is kept.
 	BundlesKept = 16
 )
@@ -201,7 +204,7 @@
 		}
 	}
 	for id, lost := range s.data.Lost {
-		if s.outlived(lost) {
+		if s.data.Now.Sub(lost.At) > s.serveStale()+lostRetention {
 			delete(s.data.Lost, id)
 		}
 	}
