--- a/systemtest/soak_load_test.go
+++ b/systemtest/soak_load_test.go
@@ -176,6 +176,11 @@
 
 // check compares what callers saw with what endpoints ran.
 func (s *soak) check() {
+	hosted := 0
+	for _, e := range s.endpoints[soakModels : soakModels+soakBare] {
+		hosted += len(e.Runs())
+	}
+	s.t.Logf("endpoints without an agent beside them ran %d requests", hosted)
 	runs := make(map[string][]time.Time)
 	bodies := make(map[string]string)
 	for _, e := range s.endpoints {
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -34,11 +34,13 @@
 	soakControls = 3
 	soakGateways = 3
 	soakModels   = 4
-	soakPlains   = 2
+	// soakBare is the number of model endpoints without an agent beside them.
+	soakBare   = 2
+	soakPlains = 2
 	// soakRecovery is the time after the last fault in which service must return.
 	soakRecovery = 12 * time.Second
 	// Ports of the soak's processes, alike on all of its loopback addresses.
-	soakLink, soakCalls, soakFront, soakEngine = 7100, 7300, 8080, 9000
+	soakLink, soakAgents, soakCalls, soakFront, soakEngine = 7100, 7200, 7300, 8080, 9000
 )
 
 // Guards the promises of the platform's pages under random faults from outside the
@@ -108,13 +110,13 @@
 	for i := range soakControls {
 		s.controls = append(s.controls, s.control(i))
 	}
-	for i := range soakModels + soakPlains {
+	for i := range soakModels + soakBare + soakPlains {
 		s.addEndpoint(ctx, i)
 	}
 	for i := range soakGateways {
 		s.gateways = append(s.gateways, s.spawn(fmt.Sprintf("gateway-%d", i), "toucan-gateway", "--interface=platform",
 			"--domain", "lagos-a", "--listen", at(soakIP(classGateway, i), soakFront), "--admin-listen", "127.0.0.1:0",
-			"--link-listen", at(soakIP(classGateway, i), soakLink), "--control", strings.Join(s.members, ","),
+			"--link-listen", at(soakIP(classGateway, i), soakLink), "--agent-listen", at(soakIP(classGateway, i), soakAgents), "--control", strings.Join(s.members, ","),
 			"--stop-delay", "300ms", "--stop-timeout", "4s"))
 	}
 	s.operator = newSoakOperator(s)
@@ -149,13 +151,15 @@
 		"--admin-listen", "127.0.0.1:0", "--stop-timeout", "4s")
 }
 
-// addEndpoint starts an endpoint, and an agent beside a model endpoint.
+// addEndpoint starts an endpoint, and an agent beside each of the first model endpoints.
 func (s *soak) addEndpoint(ctx context.Context, i int) {
 	e := &standin.Endpoint{ID: fmt.Sprintf("e-%d", i), Service: "desk", Domain: "lagos-a", Slots: 6, Work: 20 * time.Millisecond}
 	own := at(soakIP(classPlain, i), soakEngine)
 	e.Address = own
-	if i < soakModels {
+	if i < soakModels+soakBare {
 		e.Service, e.Model, e.Events, e.Slots = "lm", "m", 6, 4
+	}
+	if i < soakModels {
 		ip, proxied := soakIP(classAgent, i), soakIP(classAgentProxy, i)
 		e.Address = at(proxied, soakEngine)
 		s.proxy(at(proxied, soakLink), at(ip, soakLink))
