--- a/admission/worth.go
+++ b/admission/worth.go
@@ -91,8 +91,8 @@
 
 // hopeless returns the items that cannot be served before their deadline behind those that
 // go before them, at the present pace: those that wait already and those that will arrive
-// meanwhile, if as many do as a moment ago and for as long again as some have waited. A caller that is told so early can come back, and
-// its place in the queue delays nobody.
+// meanwhile, if as many do as a moment ago and for as long again as some have waited. A
+// caller that is told so early can come back, and its place in the queue delays nobody.
 func (q *Queue) hopeless(now time.Time) []Dropped {
 	if !q.opt.ByWorth || q.work.rate <= 0 {
 		return nil
--- a/admission/worth_test.go
+++ b/admission/worth_test.go
@@ -160,3 +160,28 @@
 		}
 	}
 }
+
+// Guards against a request past its objective that is held for most of its caller's time,
+// while others go before it: the caller could still come back to a place with room.
+func TestLateRequestIsGivenUpHalfway(t *testing.T) {
+	q := worthQueue()
+	now := start
+	waiting := &Item{Worth: 0.01, Work: 0.01, Arrived: now, Objective: now.Add(500 * time.Millisecond), Deadline: now.Add(2 * time.Second)}
+	_, refusal := q.Push(waiting, now)
+	assert.Assert(t, refusal == nil)
+	for ms := range 1500 {
+		now = start.Add(time.Duration(ms) * time.Millisecond)
+		if ms%10 == 0 { // what goes first takes half of the time
+			_, _ = q.Push(&Item{Worth: 1, Work: 0.005, Deadline: now.Add(time.Second)}, now)
+			_, _ = q.Pop(now)
+		}
+		dropped := q.Expire(now)
+		if ms <= 1000 {
+			assert.Assert(t, len(dropped) == 0, "refused after %d ms", ms)
+		} else if len(dropped) > 0 {
+			assert.Assert(t, dropped[0].Item == waiting)
+			return
+		}
+	}
+	t.Fatal("held until the deadline")
+}
