Keep the pace of an endpoint that comes back under another ID

An agent forgot the starts of the last second whenever a dispatch meant another endpoint than the one before. After a restart under a new ID, gateways learn of it one after the other, so dispatches mean the old one and the new one by turns, and each change freed all starts.

Change: the starts stay. Also removes a function that nothing used any more, which the linter refused.

--- a/agent/gate.go
+++ b/agent/gate.go
@@ -170,8 +170,9 @@
 	}
 	changed = g.engine.ID != e.ID
 	if changed {
+		// The starts of the last second stay: gateways learn of a new endpoint one after the
+		// other, and those that mean the old one would make them forgotten again and again.
 		g.limiter.Restart()
-		g.pace = pace{}
 	}
 	g.engine = e
 	g.limiter.Declare(e.Slots)
--- a/control/state/registration.go
+++ b/control/state/registration.go
@@ -94,11 +94,6 @@
 	return ok && r.Instance.Incarnation == incarnation
 }
 
-// outlived reports whether a lost process can no longer take work on old settings.
-func (s *State) outlived(l *Lost) bool {
-	return s.data.Now.Sub(l.At) > s.serveStale()
-}
-
 func (s *State) serveStale() time.Duration {
 	if s.config == nil {
 		return 0
