Correct a comment on retired agents

A retired agent is no longer found under its target, so a later seal is answered by another incarnation, as the comment at retire says. The comment at the time limit said otherwise. Comment only; found on reading the whole change once more.

--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -23,8 +23,7 @@
 	"toucantiller.dev/timeline"
 )
 
-// retireTimeout bounds the time for which an agent that acts no more finishes its work. Its
-// process answers seals meanwhile.
+// retireTimeout bounds the time for which an agent that acts no more finishes its work.
 const retireTimeout = 30 * time.Second
 
 // View is what the host knows about the deployment.
