Keep long answers off endpoints that are too slow for them

Requests whose expected answer did not fit before the deadline were refused at once although callers' estimates are too high in half of the cases.

Change: the scheduler passes over endpoints at which the answer would not begin by its objective or, with a margin of 1.5, not end by its deadline; an endpoint of unknown speed counts as slow for this; the fastest always stay. The queue lets later requests pass one that waits for such an endpoint. Half of the expected answer must fit before the deadline, and a request's worth is weighed with the chance that its answer ends in time. The request log names the stated bound on the answer and the Retry-After.

--- a/admission/worth.go
+++ b/admission/worth.go
@@ -51,11 +51,13 @@
 	return nil
 }
 
-// FirstWithoutReserve returns the item that is served next among those that may use the last
-// free slot of an endpoint, nil if there is none.
-func (q *Queue) FirstWithoutReserve(now time.Time) *Item {
+// NextExcept returns the item that is served next among those that can still be served and are
+// not skipped, nil if there is none.
+func (q *Queue) NextExcept(skipped []*Item, now time.Time) *Item {
 	for rank := range q.tiers {
-		it := q.tiers[rank].densest(now, func(it *Item) bool { return it.Reserve == 0 && !it.missesDeadline(now) })
+		it := q.tiers[rank].densest(now, func(it *Item) bool {
+			return !it.missesDeadline(now) && !slices.Contains(skipped, it)
+		})
 		if it != nil {
 			return it
 		}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -54,7 +54,9 @@
 	stream       bool
 	promptTokens int
 	answerTokens int
-	key          string
+	// maxAnswerTokens is the bound on the answer that the caller stated, 0 if it stated none.
+	maxAnswerTokens int
+	key             string
 	// passedHeaders holds the caller's headers that are passed to the engine.
 	passedHeaders http.Header
 	// hash selects the version and stays the same for all attempts.
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -171,7 +171,7 @@
 			c.prefixes = append(c.prefixes, p)
 		}
 	}
-	c.answerTokens = in.MaxAnswerTokens
+	c.answerTokens, c.maxAnswerTokens = in.MaxAnswerTokens, in.MaxAnswerTokens
 	if in.ExpectedAnswer > 0 {
 		c.answerTokens = in.ExpectedAnswer
 	}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -23,6 +23,10 @@
 	agentsPerProbe = 4
 )
 
+// minAnswerShare is the share of the expected answer that must fit before the deadline. Callers'
+// estimates are often too high, and a refused request is lost for certain.
+const minAnswerShare = 0.5
+
 // serviceQueue holds the requests of one service for which every endpoint is saturated. While
 // it is empty, requests pass it without taking its lock.
 type serviceQueue struct {
@@ -123,7 +127,7 @@
 
 func (q *serviceQueue) enqueue(c *call) (*queuedRequest, *Problem) {
 	t := &queuedRequest{call: c, result: make(chan placementResult, 1)}
-	least := q.gateway.routing.Load().snapshot.MinCompletionTime(q.service, c.promptTokens, c.answerTokens)
+	least := q.gateway.routing.Load().snapshot.MinCompletionTime(q.service, c.promptTokens, int(minAnswerShare*float64(c.answerTokens)))
 	r := &c.rating
 	t.item = admission.Item{
 		Worth: r.worth, Work: r.work, StartTime: r.timeToStart, Reserve: r.reserve, Objective: c.objective, StartBy: c.startBy,
@@ -177,47 +181,59 @@
 	q.placeWaitingLocked(time.Now())
 }
 
-// placeWaitingLocked places requests in queue order until all endpoints are saturated. It and
-// the functions below it must be called with mu held. It uses the routing already loaded,
-// because building a new one takes the same lock.
+// maxSkipped bounds the requests that are passed over while the queue is searched for one that a
+// free endpoint suits.
+const maxSkipped = 16
+
+// placeWaitingLocked places requests in queue order until all endpoints are saturated. A request
+// for which no endpoint with room is fast enough, or that must leave more slots free, lets later
+// ones pass. It and the functions below it must be called with mu held. It uses the routing
+// already loaded, because building a new one takes the same lock.
 func (q *serviceQueue) placeWaitingLocked(now time.Time) {
+	var skipped []*admission.Item
 	for {
-		head, dropped := q.queue.Peek(now)
-		q.refuseDropped(dropped)
+		head := q.nextItem(skipped, now)
 		if head == nil {
 			break
 		}
-		if !q.placeItem(head, now) && !q.placeWithoutReserve(head, now) {
+		placed, tryNext := q.placeItem(head, now)
+		if placed {
+			continue
+		}
+		if !tryNext || len(skipped) == maxSkipped {
 			break
 		}
+		skipped = append(skipped, head)
 	}
 	q.updateSummary()
 }
 
-// placeItem sends an item its result; it returns false if every endpoint is saturated for it.
-func (q *serviceQueue) placeItem(it *admission.Item, now time.Time) bool {
+// nextItem returns the item that is served next after the skipped ones and refuses those found
+// on the way that can no longer be served.
+func (q *serviceQueue) nextItem(skipped []*admission.Item, now time.Time) *admission.Item {
+	if len(skipped) > 0 {
+		return q.queue.NextExcept(skipped, now)
+	}
+	head, dropped := q.queue.Peek(now)
+	q.refuseDropped(dropped)
+	return head
+}
+
+// placeItem sends an item its result; placed is false if every endpoint is saturated for it. In
+// this case tryNext reports whether another item may still find room.
+func (q *serviceQueue) placeItem(it *admission.Item, now time.Time) (placed, tryNext bool) {
 	t := it.Value.(*queuedRequest)
 	d := q.gateway.pickEndpoint(q.gateway.routing.Load(), t.call)
 	if d.Candidate == nil && d.Reason == schedule.ReasonSaturated {
-		return false
+		return false, it.Reserve > 0 || d.Dropped[schedule.ReasonTooSlow] > 0
 	}
 	q.queue.Take(it, now)
 	if d.Candidate == nil {
 		t.result <- placementResult{problem: noEndpointProblem(t.call, d.Reason)}
-		return true
+		return true, true
 	}
 	t.result <- placementResult{decision: d}
-	return true
-}
-
-// placeWithoutReserve places the first request without a reserve when the head of the queue may
-// not use the last free slots of any endpoint but that one may.
-func (q *serviceQueue) placeWithoutReserve(head *admission.Item, now time.Time) bool {
-	if head.Reserve == 0 {
-		return false
-	}
-	next := q.queue.FirstWithoutReserve(now)
-	return next != nil && q.placeItem(next, now)
+	return true, true
 }
 
 func (q *serviceQueue) updateSummary() {
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -51,15 +51,16 @@
 	if c.ingress == nil {
 		return // calls on the gateway's own interface are in the time line
 	}
-	outcome, execution := "answered", "ran"
+	outcome, execution, retryAfter := "answered", "ran", time.Duration(0)
 	if p != nil {
-		outcome, status, execution = p.Code, p.Status, string(p.Execution)
+		outcome, status, execution, retryAfter = p.Code, p.Status, string(p.Execution), p.RetryAfter
 	}
 	r := &c.lastAttempt
 	_ = g.opt.Logger.Log("msg", "request", "request", c.id, "outcome", outcome, "status", status, "execution", execution,
 		"route", c.ingress.Name, "service", c.service.Name, "account", c.account.Name, "tier", int(c.tier),
-		"prompt", c.promptTokens, "answer", c.answerTokens, "reserve", c.rating.reserve, "document", c.config.Ingress.Version,
+		"prompt", c.promptTokens, "answer", c.answerTokens, "answer_max", c.maxAnswerTokens, "reserve", c.rating.reserve, "document", c.config.Ingress.Version,
 		"total_ms", time.Since(began).Milliseconds(), "waited_ms", c.waited.Milliseconds(), "ran_on", c.runs,
 		"endpoint", r.endpoint, "endpoint_load", r.others, "endpoint_limit", r.limit, "load_age_ms", r.age.Milliseconds(),
-		"first_ms", r.firstToken.Milliseconds(), "endpoint_ms", r.total.Milliseconds(), "last_refusal", r.code)
+		"first_ms", r.firstToken.Milliseconds(), "endpoint_ms", r.total.Milliseconds(), "last_refusal", r.code,
+		"retry_after_ms", retryAfter.Milliseconds())
 }
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -129,6 +129,12 @@
 		Hash:            c.hash, Tier: c.tier, PromptTokens: c.promptTokens, AnswerTokens: c.answerTokens,
 		Prefixes: c.prefixes, Excluded: c.excluded, Reserve: c.rating.reserve,
 	}
+	if c.ingress != nil {
+		r.FinishWithin = c.deadline.Sub(now)
+		if !c.objective.IsZero() {
+			r.StartWithin = c.objective.Sub(now)
+		}
+	}
 	rng := rngPool.Get().(*rand.Rand)
 	defer rngPool.Put(rng)
 	if route.config != c.config {
--- a/gateway/value.go
+++ b/gateway/value.go
@@ -88,6 +88,7 @@
 	worth *= min(size/max(mean, 1), maxSizeWorth)
 	prefill, decode := q.gateway.routing.Load().snapshot.Speeds(q.service)
 	first := float64(c.promptTokens) / prefill
+	worth *= endsInTime(first+float64(c.answerTokens)/decode, time.Until(c.deadline).Seconds())
 	r := rating{
 		worth: worth, work: first + float64(c.answerTokens)/decode, timeToStart: time.Duration(first * float64(time.Second)),
 		large: size > largeSizeRatio*mean,
@@ -96,6 +97,19 @@
 	return r
 }
 
+// answerSpread is the spread of answers around their expected size: the larger it is, the more
+// exactly the expected size tells the actual one.
+const answerSpread = 3.4
+
+// endsInTime estimates the probability that an answer which is expected to take needed seconds
+// ends within left seconds.
+func endsInTime(needed, left float64) float64 {
+	if left <= 0 {
+		return 0
+	}
+	return 1 / (1 + math.Pow(needed/left, answerSpread))
+}
+
 // applyReserve makes a call of low worth for its work leave slots free, and lets a starved
 // class of requests alternate with the mean request of the service.
 func (q *serviceQueue) applyReserve(c *call, r *rating) {
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -34,12 +34,15 @@
 	// ReasonFailing counts endpoints excluded because their answers fail; the filter never
 	// excludes the last one.
 	ReasonFailing
+	// ReasonTooSlow counts endpoints excluded because the answer would not begin or end there in
+	// time; the filter never excludes the fastest one.
+	ReasonTooSlow
 	// ReasonSaturated: all endpoints are at their limit; the request should wait.
 	ReasonSaturated
 )
 
 var reasonNames = [...]string{"none", "unknown_service", "no_endpoint", "domain_drained", "unattended", "no_version",
-	"all_tried", "unreachable", "draining", "floor", "failing", "saturated"}
+	"all_tried", "unreachable", "draining", "floor", "failing", "too_slow", "saturated"}
 
 // String returns the reason's name.
 func (r Reason) String() string { return reasonNames[r] }
@@ -166,6 +169,7 @@
 			floorFilter{},
 			failingFilter{},
 			prefixAffinity{},
+			tooSlowFilter{},
 			saturatedFilter{},
 		},
 		Scorers: []WeightedScorer{
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -301,4 +301,7 @@
 	Excluded []endpoint.ID
 	// Reserve is the number of slots that must stay free beside the request.
 	Reserve int
+	// StartWithin is the time in which the answer should begin, FinishWithin that in which it
+	// must end; 0 means no bound.
+	StartWithin, FinishWithin time.Duration
 }
