Elect and find the first leader after a start sooner

Change: the election timeout of a replica that has not heard from a leader since its start begins at a third and grows to its full length over three elections; pre-votes keep it from disturbing a leader. A process without a configuration bounds each call to 300 ms. A trial with a third for all elections before the first leader made a test of replicas with slow links run without end, since votes took longer than the timeout; it grows for this reason.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -32,7 +32,8 @@
 type Config struct {
 	ID ID
 	// ElectionTicks is the base election timeout. A follower that hears from no leader
-	// starts an election after a random time between ElectionTicks and twice that. A
+	// starts an election after a random time between ElectionTicks and twice that, and sooner
+	// in its first elections after a start. A
 	// leader that hears from no quorum for ElectionTicks steps down.
 	ElectionTicks  int
 	HeartbeatTicks int
@@ -100,8 +101,11 @@
 	// memberships holds the membership at the snapshot and every later one in the log.
 	memberships []membershipAt
 
-	role             Role
-	leader           ID
+	role   Role
+	leader ID
+	// startupElections counts the elections that the replica started before it heard from a
+	// leader for the first time since its start; it is startupSteps from then on.
+	startupElections int
 	electionElapsed  int
 	electionTimeout  int
 	votes            map[ID]bool
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -11,13 +11,24 @@
 	c.resetTimeout()
 }
 
+// startupSteps is the number of elections over which the election timeout of a replica that has
+// just started grows to its full length. When all replicas start together there is no leader to
+// wait for, and if there is one, the voters that hear from it refuse the pre-vote. The timeout
+// grows because the first votes may take longer than the shortest one.
+const startupSteps = 3
+
 func (c *Core) resetTimeout() {
+	ticks := c.cfg.ElectionTicks
+	if c.startupElections < startupSteps {
+		ticks = max(1, ticks*(c.startupElections+1)/startupSteps)
+	}
 	c.electionElapsed = 0
-	c.electionTimeout = c.cfg.ElectionTicks + c.rand.IntN(c.cfg.ElectionTicks)
+	c.electionTimeout = ticks + c.rand.IntN(ticks)
 }
 
 // followLeader follows the leader of the current term and restarts the election timer.
 func (c *Core) followLeader(leader ID) {
+	c.startupElections = startupSteps
 	if c.role != Follower {
 		c.becomeFollower(c.state.Term, leader)
 	}
@@ -29,6 +40,7 @@
 // a leadership transfer.
 func (c *Core) campaign(role Role, byTransfer bool) {
 	c.role, c.leader = role, 0
+	c.startupElections = min(c.startupElections+1, startupSteps)
 	c.resetTimeout()
 	term, kind := c.state.Term+1, MsgPreVote
 	if role == Candidate {
@@ -122,6 +134,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role, c.leader, c.votes = Leader, c.id, nil
+	c.startupElections = startupSteps
 	c.heartbeatElapsed, c.round, c.pendingReads = 0, 0, nil
 	c.transfer = transfer{}
 	c.peers = make(map[ID]*peer)
--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -37,6 +37,9 @@
 	// often almost ready when all processes start at once.
 	startupRetryDelay = 60 * time.Millisecond
 	startupRetries    = 30
+	// startupCallTimeout bounds a call of a process that has no configuration yet. A connection to
+	// an instance that is about to start hangs for seconds, because its opening packet is lost.
+	startupCallTimeout = 300 * time.Millisecond
 	// maxFallbackTime is how long a subscriber follows another relay than its parent in the
 	// tree before it tries the parent again.
 	maxFallbackTime = 10 * time.Second
@@ -238,8 +241,12 @@
 	client := s.client(c.address)
 	in := s.opts.Holder.subscribeRequest(wait)
 	in.Instance = s.opts.Self.ID
+	timeout := pollTimeout
+	if s.opts.Holder.Config() == nil {
+		timeout = startupCallTimeout
+	}
 	return func(ctx context.Context) (string, error) {
-		ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		view, err := s.opts.Holder.pull(ctx, client, method, in)
 		if err != nil {
