Expect the start of a large prompt at the fastest endpoints, return callers sooner

Refusals by an endpoint told the caller to return after 1 s, past the objective of every kind.

Change: the time to the start is that of the best prefill speed; a request that an endpoint could not take is told to return after 0.3 s, and one that then finds the queue full is told the queue's estimate.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,6 +24,9 @@
 	deadlineGrace = 200 * time.Millisecond
 	// suspendDuration is how long an endpoint is not picked after its connection was lost.
 	suspendDuration = time.Second
+	// unavailableRetryAfter is the Retry-After of a request that an endpoint could not take; others
+	// may take it soon, within the caller's objective.
+	unavailableRetryAfter = 300 * time.Millisecond
 )
 
 // attempt is one dispatch of a call to one endpoint.
@@ -301,7 +304,7 @@
 		status = http.StatusGatewayTimeout
 	}
 	p := newProblem(status, string(m.Code), ExecutionNotRun, "endpoint %s refused: %s", a.endpoint.ID, m.Code)
-	p.RetryAfter = max(m.RetryAfter, time.Second)
+	p.RetryAfter = max(m.RetryAfter, unavailableRetryAfter)
 	return attemptResult{problem: p, code: m.Code, notRun: true}
 }
 
@@ -386,7 +389,7 @@
 		return attemptResult{problem: deadlineProblem(), code: dispatch.CodeDeadline, notRun: true}
 	}
 	p := newProblem(http.StatusServiceUnavailable, "endpoint_unreachable", ExecutionNotRun, "%v", cause)
-	p.RetryAfter = time.Second
+	p.RetryAfter = unavailableRetryAfter
 	return attemptResult{problem: p, code: code, notRun: true}
 }
 
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -367,7 +367,7 @@
 
 func noEndpointProblem(c *call, reason schedule.Reason) *Problem {
 	p := newProblem(http.StatusServiceUnavailable, "no_endpoint", ExecutionNotRun, "no endpoint of %s can take the request: %s", c.service.Name, reason)
-	p.RetryAfter = time.Second
+	p.RetryAfter = unavailableRetryAfter
 	return p
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -98,7 +99,9 @@
 			continue
 		}
 		if r.code == "" && last.problem != nil {
-			// No further endpoint is available: the last refusal is the more useful reason.
+			// No further endpoint is available: the last refusal is the more useful reason, and
+			// the queue knows when there may be room.
+			last.problem.RetryAfter = cmp.Or(r.problem.RetryAfter, last.problem.RetryAfter)
 			return last
 		}
 		last = r
--- a/gateway/value.go
+++ b/gateway/value.go
@@ -86,11 +86,13 @@
 	size := float64(c.promptTokens + answerTokenSize*c.answerTokens)
 	mean := q.gateway.meanSizes.observe(c.ingress.Name, size)
 	worth *= min(size/max(mean, 1), maxSizeWorth)
-	prefill, decode := q.gateway.routing.Load().snapshot.Speeds(q.service)
-	first := float64(c.promptTokens) / prefill
-	worth *= endsInTime(first+float64(c.answerTokens)/decode, time.Until(c.deadline).Seconds())
+	speeds := q.gateway.routing.Load().snapshot.Speeds(q.service)
+	work := float64(c.promptTokens)/speeds.Prefill + float64(c.answerTokens)/speeds.Decode
+	worth *= endsInTime(work, time.Until(c.deadline).Seconds())
+	// Large prompts go to the fastest endpoints.
+	start := float64(c.promptTokens) / speeds.BestPrefill
 	r := rating{
-		worth: worth, work: first + float64(c.answerTokens)/decode, timeToStart: time.Duration(first * float64(time.Second)),
+		worth: worth, work: work, timeToStart: time.Duration(start * float64(time.Second)),
 		large: size > largeSizeRatio*mean,
 	}
 	q.applyReserve(c, &r)
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -225,24 +225,34 @@
 	return seconds(least)
 }
 
-// Speeds returns the mean learned speeds of the candidates of a service in tokens a second,
-// for prompts and for answers; defaults where none has been learned.
-func (s *Snapshot) Speeds(serviceName string) (prefill, decode float64) {
-	prefills, decodes := 0.0, 0.0
+// Speeds are learned speeds of the candidates of a service, in tokens a second.
+type Speeds struct {
+	// Prefill and Decode are the means for prompts and for answers.
+	Prefill, Decode float64
+	// BestPrefill is the highest one for prompts.
+	BestPrefill float64
+}
+
+// Speeds returns the learned speeds of the candidates of a service; defaults where none has been
+// learned.
+func (s *Snapshot) Speeds(serviceName string) Speeds {
+	out, known := Speeds{}, 0.0
 	for _, c := range s.Candidates(serviceName) {
 		r := c.state.report.Load()
 		if r == nil || r.load.PrefillRate <= 0 || r.load.DecodeRate <= 0 {
 			continue
 		}
-		prefill += r.load.PrefillRate
-		prefills++
-		decode += r.load.DecodeRate
-		decodes++
+		known++
+		out.Prefill += r.load.PrefillRate
+		out.Decode += r.load.DecodeRate
+		out.BestPrefill = max(out.BestPrefill, r.load.PrefillRate)
 	}
-	if prefills == 0 {
-		return defaultPrefillRate, defaultDecodeRate
+	if known == 0 {
+		return Speeds{Prefill: defaultPrefillRate, Decode: defaultDecodeRate, BestPrefill: defaultPrefillRate}
 	}
-	return prefill / prefills, decode / decodes
+	out.Prefill /= known
+	out.Decode /= known
+	return out
 }
 
 func (svc *service) rangeOf(version string) (from, to int) {
