Give the gateway's policies names and a switch

Cause: experiments switched policies off by editing copies of the code; a newcomer had no list of them. All are on by default, and bounds and promises have no switch. Result: no decision changes with all on.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -27,6 +27,8 @@
 	// ByWorth serves the items of a tier by descending Density instead of sharing the tier
 	// among accounts. It is for deployments whose accounts have token limits.
 	ByWorth bool
+	// NoEarlyRefusal keeps items that cannot be served in time until that time is over.
+	NoEarlyRefusal bool
 }
 
 // Queue is a bounded priority queue by tier with fair sharing among accounts
--- a/admission/worth.go
+++ b/admission/worth.go
@@ -97,7 +97,7 @@
 // overload has lasted. Refusing such items early lets their callers retry, and they delay no
 // other item.
 func (q *Queue) unservable(now time.Time) []Dropped {
-	if !q.opt.ByWorth || q.workRate.rate <= 0 {
+	if !q.opt.ByWorth || q.opt.NoEarlyRefusal || q.workRate.rate <= 0 {
 		return nil
 	}
 	if q.length > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/policy"
 	"toucantiller.dev/schedule"
 	"toucantiller.dev/timeline"
 )
@@ -74,6 +75,8 @@
 	// /readyz fail sends no more. Closing the listener earlier would reset the connections that
 	// it has not accepted yet, and an idle connection may be about to carry a new call.
 	StopDelay time.Duration
+	// Without is the set of policies that are switched off.
+	Without policy.Off
 }
 
 // Gateway serves callers.
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -11,6 +11,7 @@
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/policy"
 	"toucantiller.dev/schedule"
 )
 
@@ -142,7 +143,11 @@
 	}
 	if route.Objective > 0 {
 		// The caller's objective counts from its first attempt.
-		c.objective = now.Add(route.Objective - g.waits.elapsed(route.Name, c.account.Name, in.Timeout))
+		elapsed := g.waits.elapsed(route.Name, c.account.Name, in.Timeout)
+		if !g.opt.Without.InForce(policy.ReturningCallers) {
+			elapsed = 0
+		}
+		c.objective = now.Add(route.Objective - elapsed)
 	}
 	return c, nil
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -11,6 +11,7 @@
 	"toucantiller.dev/admission"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/dispatch"
+	"toucantiller.dev/policy"
 	"toucantiller.dev/schedule"
 )
 
@@ -79,10 +80,14 @@
 	for i, t := range c.Tiers {
 		times[i] = t.MaxQueueTime
 	}
+	off := q.gateway.opt.Without
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.queue.SetOptions(admission.ServiceOptions{
-		QueueOptions: admission.QueueOptions{Capacity: s.QueueLength, MaxQueueTime: times, Tiers: len(c.Tiers), FairEviction: true, ByWorth: c.Ingress != nil},
+		QueueOptions: admission.QueueOptions{
+			Capacity: s.QueueLength, MaxQueueTime: times, Tiers: len(c.Tiers), FairEviction: true,
+			ByWorth: c.Ingress != nil && off.InForce(policy.WorthOrder), NoEarlyRefusal: !off.InForce(policy.EarlyRefusal),
+		},
 	})
 }
 
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -54,7 +54,7 @@
 
 func (g *Gateway) buildRouting(old *routing, config *contract.Config, directory *api.Directory) *routing {
 	now := time.Now()
-	in := schedule.SnapshotInput{Gateway: g.opt.Instance.ID, Domain: g.opt.Instance.Domain, Config: config}
+	in := schedule.SnapshotInput{Profile: schedule.ProfileWithout(g.opt.Without), Gateway: g.opt.Instance.ID, Domain: g.opt.Instance.Domain, Config: config}
 	if directory != nil {
 		in.Endpoints = directory.Endpoints
 	}
--- a/gateway/value.go
+++ b/gateway/value.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"toucantiller.dev/policy"
 )
 
 const (
@@ -76,6 +78,7 @@
 
 // estimateRating estimates the rating of a call.
 func (q *serviceQueue) estimateRating(c *call) rating {
+	off := q.gateway.opt.Without
 	if c.ingress == nil {
 		return rating{worth: 1, work: 1}
 	}
@@ -88,7 +91,9 @@
 	worth *= min(size/max(mean, 1), maxSizeWorth)
 	speeds := q.gateway.routing.Load().snapshot.Speeds(q.service)
 	work := float64(c.promptTokens)/speeds.Prefill + float64(c.answerTokens)/speeds.Decode
-	worth *= endsInTime(work, time.Until(c.deadline).Seconds())
+	if off.InForce(policy.FinishChance) {
+		worth *= endsInTime(work, time.Until(c.deadline).Seconds())
+	}
 	// Large prompts go to the fastest endpoints.
 	start := float64(c.promptTokens) / speeds.BestPrefill
 	r := rating{
@@ -119,9 +124,12 @@
 	mean := q.gateway.meanDensities.observe(q.service, density)
 	if slots := c.service.Slots; density < sparseDensityRatio*mean && slots >= minSlotsForReserve {
 		r.sparse = true
-		r.reserve = q.acceptance.reservedSlots(slots)
 	}
-	if q.acceptance.starved(requestClass{c.ingress.Name, r.large}) {
+	off := q.gateway.opt.Without
+	if r.sparse && off.InForce(policy.SlotReserve) {
+		r.reserve = q.acceptance.reservedSlots(c.service.Slots)
+	}
+	if off.InForce(policy.ClassFloor) && q.acceptance.starved(requestClass{c.ingress.Name, r.large}) {
 		r.reserve = 0
 		r.worth = max(r.worth, mean*r.work)
 	}
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -18,6 +18,7 @@
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 	"toucantiller.dev/platform"
+	"toucantiller.dev/policy"
 )
 
 // GatewaySettings are the settings of a gateway.
@@ -33,6 +34,8 @@
 	PaceSettings  `embed:""`
 	// StopDelay covers two health checks a second apart.
 	StopDelay time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
+	// Without is for experiments.
+	Without []string `help:"Policies to switch off for an experiment, comma separated." env:"TOUCAN_WITHOUT"`
 }
 
 // Check checks the settings.
@@ -45,9 +48,17 @@
 		CheckAddresses("control", s.Control),
 		CheckPort("control-port", s.ControlPort),
 		checkStopDelay(s.StopDelay, s.StopTimeout),
+		checkWithout(s.Without),
 	)
 }
 
+func checkWithout(names []string) error {
+	if _, err := policy.ParseOff(names); err != nil {
+		return &SettingError{Flag: "without", Err: err}
+	}
+	return nil
+}
+
 func checkStopDelay(d, stop time.Duration) error {
 	if d < 0 || d >= stop {
 		return &SettingError{Flag: "stop-delay", Err: fmt.Errorf("%s is not between 0s and %s", d, stop)}
@@ -101,8 +112,12 @@
 	if err := g.listen(); err != nil {
 		return err
 	}
-	var err error
+	off, err := policy.ParseOff(g.settings.Without)
+	if err != nil {
+		return err
+	}
 	g.gateway, err = gateway.New(gateway.Options{
+		Without:  off,
 		Instance: g.member.self,
 		View:     g.member,
 		Claims:   claims{g.member.control},
@@ -133,7 +148,7 @@
 	g.member.goroutines.Go(func() { g.member.logChanges(run, g.logger) })
 	g.member.goroutines.Go(func() { _ = g.gateway.Serve(g.callerListener) })
 	g.member.goroutines.Go(func() { g.setReadyWhenConfigured(run) })
-	_ = g.logger.Log("msg", "gateway started", "listen", g.callerListener.Addr())
+	_ = g.logger.Log("msg", "gateway started", "listen", g.callerListener.Addr(), "without", off)
 	return nil
 }
 
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
+
+	"toucantiller.dev/policy"
 )
 
 // Reason says why a pick found no endpoint.
@@ -159,6 +162,22 @@
 	nearSlack        = 0.005
 )
 
+// ProfileWithout returns the default profile less the policies that are switched off.
+func ProfileWithout(off policy.Off) *Profile {
+	p := DefaultProfile()
+	p.Filters = slices.DeleteFunc(p.Filters, func(f Filter) bool {
+		switch f.(type) {
+		case failingFilter:
+			return !off.InForce(policy.FailingEndpoints)
+		case tooSlowFilter:
+			return !off.InForce(policy.SpeedFilter)
+		}
+		return false
+	})
+	p.Picker = twoChoices{share: nearShare, slack: nearSlack, anyDomain: !off.InForce(policy.OwnDomain)}
+	return p
+}
+
 // DefaultProfile returns the routing profile of the gateway.
 func DefaultProfile() *Profile {
 	return &Profile{
--- a/schedule/picker.go
+++ b/schedule/picker.go
@@ -18,6 +18,8 @@
 type twoChoices struct {
 	// share and slack bound the near-best set: best*(1+share)+slack seconds.
 	share, slack float64
+	// anyDomain is set if the gateway's own failure domain is not preferred.
+	anyDomain bool
 }
 
 func (p twoChoices) Pick(x *scratch, rng *rand.Rand) (index, near int) {
@@ -36,7 +38,9 @@
 			near++
 		}
 	}
-	near = x.preferOwnDomain(near)
+	if !p.anyDomain {
+		near = x.preferOwnDomain(near)
+	}
 	live := x.live[:near]
 	x.live = live
 	draw := rng.Uint64()
