--- a/admission/worth_test.go
+++ b/admission/worth_test.go
@@ -186,3 +186,20 @@
 	}
 	t.Fatal("held until the deadline")
 }
+
+// Guards against a request that waits for a fast endpoint and keeps those behind it from the free
+// slots of slow ones.
+func TestItemsBehindASkippedOneAreServed(t *testing.T) {
+	q := worthQueue()
+	long := &Item{Worth: 4, Work: 1, Deadline: start.Add(time.Second)}
+	short := &Item{Worth: 1, Work: 0.5, Deadline: start.Add(time.Second)}
+	expired := &Item{Worth: 2, Work: 0.5, Deadline: start.Add(time.Millisecond)}
+	for _, it := range []*Item{long, expired, short} {
+		_, refusal := q.Push(it, start)
+		assert.Assert(t, refusal == nil)
+	}
+	now := start.Add(10 * time.Millisecond)
+	assert.Assert(t, q.NextExcept(nil, now) == long)
+	assert.Assert(t, q.NextExcept([]*Item{long}, now) == short)
+	assert.Assert(t, q.NextExcept([]*Item{long, short}, now) == nil)
+}
--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -126,6 +126,31 @@
 	assert.Equal(t, c.cores[2].Status().Leader, consensus.ID(3))
 }
 
+// Guards against replicas that all start together and wait a full election timeout for a leader
+// that cannot exist.
+func TestFirstElectionAfterAStartIsSooner(t *testing.T) {
+	c := newThreeVoterCluster(t)
+	c.tick(electionTicks-1, 1, 2, 3)
+	leaders := 0
+	for _, core := range c.cores {
+		if core.Status().Role == consensus.Leader {
+			leaders++
+		}
+	}
+	assert.Equal(t, leaders, 1)
+}
+
+// Guards against replicas whose votes take longer than the first election timeouts and that
+// therefore start one election after another without end.
+func TestFirstElectionsBecomeRarer(t *testing.T) {
+	c := newThreeVoterCluster(t)
+	c.partitioned[2], c.partitioned[3] = true, true
+	const timeouts = 20
+	c.tick(timeouts*electionTicks, 1)
+	others := len(c.cores) - 1
+	assert.Assert(t, c.sent[consensus.MsgPreVote] <= others*(timeouts+3), "%d pre-votes", c.sent[consensus.MsgPreVote])
+}
+
 // Guards against a replica that comes back from a partition and deposes a working leader.
 func TestReturningReplicaDoesNotDeposeLeader(t *testing.T) {
 	c := newThreeVoterCluster(t)
--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -62,6 +62,30 @@
 	}
 }
 
+// Guards against a process that starts before the control replicas and whose first calls hang
+// long after these are back, because the opening packets went to instances that were down.
+func TestFirstCallsDoNotHang(t *testing.T) {
+	runSynctest(t, func(t *testing.T) {
+		replicas := []string{"control", "control-x", "control-y"}
+		l := startLeader(t, replicas...)
+		l.directory = directoryOf(1, "a")
+		l.publish(t, 2)
+		for _, addr := range replicas {
+			l.network.SetFault(addr, link.FaultPartition)
+		}
+		start := time.Now()
+		a := l.start(t, "a", replicas...)
+		time.Sleep(500 * time.Millisecond)
+		for _, addr := range replicas {
+			l.network.SetFault(addr, link.FaultNone)
+		}
+		for a.holder.Config() == nil && time.Since(start) < 10*time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, time.Since(start) < 900*time.Millisecond, "configuration after %s", time.Since(start))
+	})
+}
+
 // Guards against a process that sees a higher revision on the data path and cannot fetch it
 // from that peer at once.
 func TestFetchFromPeerWithHigherRevision(t *testing.T) {
