Say from gateways' logs where worth is lost

Change: toucanctl losses FILE... joins the attempts of a caller by account, route and sizes and prints by reason how many requests were late or not served and their share by size, as text or JSON; unreadable lines are counted, files without request lines end with status 2. Package losses holds the pure part.

--- a/operator/cli.go
+++ b/operator/cli.go
@@ -45,6 +45,7 @@
 	Replica   replicaCommands `cmd:"" help:"Show, add and remove control replicas."`
 	Endpoints endpointsCmd    `cmd:"" help:"List the registered endpoints."`
 	Timeline  timelineCmd     `cmd:"" help:"Show the events of all processes in one order."`
+	Losses    lossesCmd       `cmd:"" help:"Say from gateways' logs for which reasons requests were late or not served."`
 	Key       keyCommands     `cmd:"" help:"Generate keys."`
 }
 
