--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -181,3 +181,17 @@
 		assert.Assert(t, sum <= 1_100_000, "%d cut off: %.0f tokens", cut, sum)
 	}
 }
+
+// Guards against a new leader that refuses callers within their limit: after all processes were
+// killed the requests of some seconds come at once.
+func TestNewPoolServesReturningCallers(t *testing.T) {
+	limit := budget.Limit{Rate: 36_000, Burst: 36_000}
+	p := budget.NewPool(budget.Tolerance{Overrun: 0.1, Slack: 140_000})
+	now := time.Unix(0, 0)
+	granted := 0.0
+	for range 20 {
+		got, _ := p.Draw("a", limit, 2500, 2500, now)
+		granted += got
+	}
+	assert.Equal(t, granted, 50_000.0, "1.4 s of the limit")
+}
