Split the messages of control and of dispatch by what they are about

Change: declarations moved, unchanged, to a file a concern: changes, budgets, replicas, moves, members, views, claims, status; dispatch header and messages.

--- /dev/null
+++ b/control/api/budget.go
@@ -0,0 +1,23 @@
+package api
+
+import (
+	"time"
+
+	"toucantiller.dev/instance"
+)
+
+// DrawBudget is "Control.DrawBudget": a gateway draws tokens from the budget of an account.
+type DrawBudget struct {
+	Gateway instance.ID
+	Account string
+	// Want is the number of tokens asked for; a grant below Least is of no use to the gateway.
+	Want, Least float64
+}
+
+// BudgetGrant answers a DrawBudget.
+type BudgetGrant struct {
+	Leader string
+	Tokens float64
+	// Wait is the time until a draw of Least tokens may be granted, if none were granted now.
+	Wait time.Duration
+}
