--- a/gateway/value.go
+++ b/gateway/value.go
@@ -104,9 +104,10 @@
 	return r
 }
 
-// answerSpread is the spread of answers around their expected size: the larger it is, the more
-// exactly the expected size tells the actual one.
-const answerSpread = 3.4
+// finishSteepness is how steeply the chance to end in time falls around the point at which an
+// answer is expected to take all the time that is left. It fits answers that vary by a factor of
+// 1.7 around callers' estimates.
+const finishSteepness = 3.4
 
 // endsInTime estimates the probability that an answer which is expected to take needed seconds
 // ends within left seconds.
@@ -114,7 +115,7 @@
 	if left <= 0 {
 		return 0
 	}
-	return 1 / (1 + math.Pow(needed/left, answerSpread))
+	return 1 / (1 + math.Pow(needed/left, finishSteepness))
 }
 
 // applyReserve makes a call of low worth for its work leave slots free, and lets a starved
--- a/operator/losses.go
+++ b/operator/losses.go
@@ -62,9 +62,9 @@
 		if f, err = os.Open(name); err != nil { //nolint:gosec // the operator names the file
 			return nil, 0, err
 		}
-		defer f.Close()
 	}
 	attempts, unreadable, err = losses.Read(f)
+	_ = f.Close() // it was only read
 	if err != nil {
 		err = fmt.Errorf("reading %s: %w", name, err)
 	}
