--- a/distribution/contact.go
+++ b/distribution/contact.go
@@ -29,6 +29,17 @@
 	err    error
 }
 
+// departure returns why the sender of an answer that was not accepted is left.
+func (a answer) departure() departure {
+	switch {
+	case a.err != nil:
+		return departureFailed
+	case a.leader != "":
+		return departureRedirect
+	}
+	return departureStale
+}
+
 // find calls the waiting candidates in order until one answers with a fresh view. Calls
 // overlap, because sequential calls took 5.5 s to reach a peer for a process cut off from
 // five control replicas. find gives up when no candidate is left, or when changed reports
--- a/distribution/holder.go
+++ b/distribution/holder.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"math"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,6 +106,16 @@
 	return b.age(now, sinceBoot, ok)
 }
 
+// FreshnessText returns the age of the last beacon in milliseconds for logs, or "never" before
+// the first.
+func (h *Holder) FreshnessText(now time.Time) string {
+	age := h.Freshness(now)
+	if age == NeverFresh {
+		return "never"
+	}
+	return strconv.FormatInt(age.Milliseconds(), 10)
+}
+
 // MayServe reports whether the process may accept new work: it has a configuration, and the
 // last beacon is no older than the bundle's serve_stale time.
 func (h *Holder) MayServe(now time.Time) bool {
--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
@@ -53,8 +55,22 @@
 	// Control lists the addresses of the control replicas.
 	Control  []string
 	Recorder *timeline.Recorder
+	// Logger gets a line for each change of the followed address; nil discards it.
+	Logger log.Logger
 }
 
+// departure is the reason for which a subscriber stops following an address.
+type departure string
+
+// Departures.
+const (
+	departureFailed   departure = "failed"
+	departureStale    departure = "stale"
+	departureRedirect departure = "redirected"
+	departureMoved    departure = "parent changed"
+	departureFallback departure = "fallback expired"
+)
+
 // Subscriber keeps a Holder up to date from a relay or a control replica.
 type Subscriber struct {
 	opts    SubscriberOptions
@@ -65,6 +81,8 @@
 	// failed holds the time of the last failure by address.
 	failed map[string]time.Time
 	parent atomic.Pointer[string]
+	// departure is why the latest parent was left.
+	departure departure
 
 	// relays and peers are the results of Parents and Peers for directory.
 	directory *api.Directory
@@ -80,6 +98,9 @@
 
 // NewSubscriber returns a subscriber; call Run to start it.
 func NewSubscriber(opts SubscriberOptions) *Subscriber {
+	if opts.Logger == nil {
+		opts.Logger = log.NewNopLogger()
+	}
 	return &Subscriber{opts: opts, seeds: opts.Control, clients: make(map[string]*link.Client), failed: make(map[string]time.Time)}
 }
 
@@ -211,19 +232,23 @@
 func (s *Subscriber) follow(ctx context.Context, c candidate) bool {
 	start := time.Now()
 	preferred := s.isPreferred(c)
-	s.setParent(c.address)
+	s.setParent(c)
 	followed := false
 	for ctx.Err() == nil {
 		leader, err := s.newCall(c, pollWait)(ctx)
-		if !s.checkAnswer(answer{from: c, leader: leader, err: err}) {
+		a := answer{from: c, leader: leader, err: err}
+		if !s.checkAnswer(a) {
+			s.departure = a.departure()
 			// After a long call, candidates that failed earlier may answer again.
 			return followed || leader != "" || time.Since(start) >= nextCallDelay
 		}
 		followed = true
 		if now := s.isPreferred(c); now != preferred {
+			s.departure = departureMoved
 			return true
 		}
 		if !preferred && time.Since(start) > maxFallbackTime {
+			s.departure = departureFallback
 			return true
 		}
 	}
@@ -297,11 +322,13 @@
 	return s.relays[0] == c.address
 }
 
-func (s *Subscriber) setParent(address string) {
-	if s.Parent() == address {
+func (s *Subscriber) setParent(c candidate) {
+	address, before := c.address, s.Parent()
+	if before == address {
 		return
 	}
 	s.parent.Store(&address)
+	s.logParent(c, before)
 	// Idle connections would still be probed for liveness.
 	for other, c := range s.clients {
 		if other != address {
@@ -312,6 +339,13 @@
 	s.opts.Recorder.Record(timeline.Event{Kind: "subscription.moved", Detail: address})
 }
 
+// logParent logs what the subscriber follows now and what it held when it turned to it.
+func (s *Subscriber) logParent(c candidate, before string) {
+	_ = s.opts.Logger.Log("msg", "configuration source changed", "source", c.address, "control", c.control,
+		"before", before, "reason", s.departure, "revision", s.opts.Holder.Revision(),
+		"beacon_age_ms", s.opts.Holder.FreshnessText(time.Now()))
+}
+
 func (s *Subscriber) client(address string) *link.Client {
 	c, ok := s.clients[address]
 	if !ok {
--- a/program/agent.go
+++ b/program/agent.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := newMember(s.Instance(instance.RoleAgent), network, s.Control, admin.Timeline)
+	m := newMember(s.Instance(instance.RoleAgent), network, s.Control, admin.Timeline, logger)
 	return &Agent{settings: s, logger: logger, admin: admin, member: m}, nil
 }
 
@@ -132,7 +132,7 @@
 	a.member.goroutines.Go(func() { _ = a.agent.Serve(a.dispatchListener) })
 	if !a.settings.SelfAnnounced {
 		a.member.start(&e)
-		a.member.goroutines.Go(func() { a.member.logChanges(run, a.logger) })
+		a.member.goroutines.Go(func() { a.member.logChanges(run) })
 	}
 	a.admin.Telemetry.SetReady(true)
 	_ = a.logger.Log("msg", "agent started", "endpoint", e.ID, "service", e.Service, "version", e.Version)
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := newMember(s.Instance(instance.RoleGateway), network, ReplacePorts(s.Control, s.ControlPort), admin.Timeline)
+	m := newMember(s.Instance(instance.RoleGateway), network, ReplacePorts(s.Control, s.ControlPort), admin.Timeline, logger)
 	g := &Gateway{settings: s, logger: logger, admin: admin, member: m}
 	g.evidence = &evidenceReporter{gateway: m.self.ID, underMove: g.underMove, report: m.control.ReportEvidence}
 	return g, nil
@@ -145,7 +145,7 @@
 	g.startHost(run)
 	g.member.start(nil)
 	g.member.goroutines.Go(func() { g.evidence.run(run) })
-	g.member.goroutines.Go(func() { g.member.logChanges(run, g.logger) })
+	g.member.goroutines.Go(func() { g.member.logChanges(run) })
 	g.member.goroutines.Go(func() { _ = g.gateway.Serve(g.callerListener) })
 	g.member.goroutines.Go(func() { g.setReadyWhenConfigured(run) })
 	_ = g.logger.Log("msg", "gateway started", "listen", g.callerListener.Addr(), "without", off)
--- a/program/member.go
+++ b/program/member.go
@@ -36,6 +36,7 @@
 	holder       *distribution.Holder
 	rpc          *link.Server
 	recorder     *timeline.Recorder
+	logger       kitlog.Logger
 	controlSeeds []string
 
 	subscriber *distribution.Subscriber
@@ -48,7 +49,7 @@
 	fetchingPeers sync.Map
 }
 
-func newMember(self instance.Instance, network link.Network, controlAddresses []string, recorder *timeline.Recorder) *member {
+func newMember(self instance.Instance, network link.Network, controlAddresses []string, recorder *timeline.Recorder, logger kitlog.Logger) *member {
 	return &member{
 		self:         self,
 		network:      network,
@@ -56,6 +57,7 @@
 		holder:       distribution.NewHolder(recorder),
 		rpc:          link.NewServer(),
 		recorder:     recorder,
+		logger:       logger,
 		controlSeeds: controlAddresses,
 	}
 }
@@ -78,7 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	m.subscriber = distribution.NewSubscriber(distribution.SubscriberOptions{
-		Network: m.network, Holder: m.holder, Self: m.self, Control: m.controlSeeds, Recorder: m.recorder,
+		Network: m.network, Holder: m.holder, Self: m.self, Control: m.controlSeeds, Recorder: m.recorder, Logger: m.logger,
 	})
 	m.announcer = membership.NewAnnouncer(membership.Options{
 		Control: m.control, Configuration: m.holder, Self: m.self, Endpoint: e, Recorder: m.recorder,
@@ -172,14 +174,15 @@
 }
 
 // logChanges logs each change of the configuration revision until ctx ends.
-func (m *member) logChanges(ctx context.Context, logger kitlog.Logger) {
+func (m *member) logChanges(ctx context.Context) {
 	changes, unwatch := m.holder.Watch()
 	defer unwatch()
 	var last uint64
 	for {
 		if r := m.holder.Revision(); r != last {
 			last = r
-			_ = logger.Log("msg", "configuration in force", "revision", r)
+			_ = m.logger.Log("msg", "configuration in force", "revision", r, "source", m.subscriber.Parent(),
+				"beacon_age_ms", m.holder.FreshnessText(time.Now()))
 		}
 		select {
 		case <-changes:
