Keep processes from following each other for their configuration

Cause: when control or the parent in the tree is away for a moment, a process falls back to a peer. Two processes may each fall back to the other. Neither gets anything new, and both count as fresh until their beacon is 1.5 s old, which was looked at only at the end of a poll of 1 s. Ruled out: a relay that is gone (both left as stale, not as failed) and late publishing (six other gateways had the change 1.5 ms after it was accepted).

Change: a view carries the path from control to its sender. A process that finds itself in it does not follow the sender, and a waiting subscriber is answered at once when the path comes to contain it. A poll ends when the beacon held becomes stale, and a beacon is stale at 1.25 s. The path is a new field of the view; one without it reads as before.

--- a/control/api/view.go
+++ b/control/api/view.go
@@ -35,6 +35,10 @@
 	// Held is how long the sender kept the call waiting. The rest of the call's duration is an
 	// upper bound of the transit time, which the receiver adds to the beacon's age.
 	Held time.Duration
+	// Path lists the processes between control and the caller, from control down and with the
+	// sender last; it is empty for a control replica. A process that finds itself in it follows
+	// one of its own subscribers.
+	Path []instance.ID
 	// Leader is set when the called control replica is not the leader; call that address.
 	Leader string
 }
--- a/distribution/contact.go
+++ b/distribution/contact.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"toucantiller.dev/instance"
 )
 
 // nextCallDelay is how long a candidate may take to answer before the next one is called
@@ -22,20 +24,23 @@
 }
 
 // answer is the outcome of a call to a candidate. leader is set when a control replica that
-// does not lead redirects to the one that does.
+// does not lead redirects to the one that does. path is the view's path.
 type answer struct {
 	from   candidate
 	leader string
+	path   []instance.ID
 	err    error
 }
 
 // departure returns why the sender of an answer that was not accepted is left.
-func (a answer) departure() departure {
+func (a answer) departure(self instance.ID) departure {
 	switch {
 	case a.err != nil:
 		return departureFailed
 	case a.leader != "":
 		return departureRedirect
+	case slices.Contains(a.path, self):
+		return departureLoop
 	}
 	return departureStale
 }
@@ -44,7 +49,7 @@
 // overlap, because sequential calls took 5.5 s to reach a peer for a process cut off from
 // five control replicas. find gives up when no candidate is left, or when changed reports
 // that the directory behind the list of candidates has been replaced.
-func (f *candidateSearch) find(ctx context.Context, changed func() bool) (candidate, bool) {
+func (f *candidateSearch) find(ctx context.Context, changed func() bool) (answer, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.answers = make(chan answer)
@@ -53,7 +58,7 @@
 	for len(f.waiting) > 0 || len(f.called) > 0 {
 		select {
 		case <-ctx.Done():
-			return candidate{}, false
+			return answer{}, false
 		case <-next.C:
 			if f.callNext(ctx) {
 				next.Reset(nextCallDelay)
@@ -62,16 +67,16 @@
 			f.called = slices.DeleteFunc(f.called, func(c candidate) bool { return c == a.from })
 			if f.s.checkAnswer(a) {
 				f.requeueCalled()
-				return a.from, true
+				return a, true
 			}
 			if changed() {
-				return candidate{}, false
+				return answer{}, false
 			}
 			f.redirect(a.leader)
 			next.Reset(0)
 		}
 	}
-	return candidate{}, false
+	return answer{}, false
 }
 
 // callNext starts a call to the first waiting candidate and reports whether there was one.
@@ -87,9 +92,9 @@
 	// A call that outlives this search must not deliver its answer to the next one.
 	answers := f.answers
 	go func() {
-		leader, err := call(ctx)
+		a := call(ctx)
 		select {
-		case answers <- answer{from: c, leader: leader, err: err}:
+		case answers <- a:
 		case <-ctx.Done():
 		}
 	}()
--- a/distribution/holder.go
+++ b/distribution/holder.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/instance"
 	"toucantiller.dev/timeline"
 )
 
@@ -45,8 +47,10 @@
 	bootTime func() (since time.Duration, ok bool)
 
 	mu sync.Mutex
-	// progress is closed and replaced when a value or the beacon advances.
-	progress    chan struct{}
+	// progress is closed and replaced when a value or the beacon advances, or path changes.
+	progress chan struct{}
+	// path lists the processes from control down to this one, as View.Path does.
+	path        []instance.ID
 	watchers    map[chan struct{}]struct{}
 	configs     history[contract.Config, api.ConfigDelta]
 	directories history[api.Directory, api.DirectoryDelta]
@@ -170,8 +174,7 @@
 	changed = config != nil || directory != nil
 	progressed := h.acceptBeacon(v.Beacon, received.Add(-transit))
 	if changed || progressed {
-		close(h.progress)
-		h.progress = make(chan struct{})
+		h.notifyProgress()
 	}
 	if changed {
 		h.notifyWatchers()
@@ -250,6 +253,23 @@
 	return term > thanTerm || (term == thanTerm && seq > thanSeq)
 }
 
+// SetPath records the processes from control down to this one. Subscribers that are waiting
+// and are among them are answered at once.
+func (h *Holder) SetPath(path []instance.ID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if slices.Equal(h.path, path) {
+		return
+	}
+	h.path = path
+	h.notifyProgress()
+}
+
+func (h *Holder) notifyProgress() {
+	close(h.progress)
+	h.progress = make(chan struct{})
+}
+
 func (h *Holder) notifyWatchers() {
 	for ch := range h.watchers {
 		select {
--- a/distribution/service.go
+++ b/distribution/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -77,9 +78,11 @@
 	}
 }
 
-// view builds the view for a subscriber and reports whether it contains anything newer than
-// the subscriber has.
+// view builds the view for a subscriber and reports whether it is to be sent at once: it
+// contains something newer than the subscriber has, or this process follows the subscriber.
 func (h *Holder) view(in *api.Subscribe) (v api.View, newer bool) {
+	v.Path = h.path
+	newer = in.Instance != "" && slices.Contains(h.path, in.Instance)
 	if c := h.config.Load(); c != nil && c.Revision > in.Revision {
 		newer = true
 		if v.ConfigDelta = h.configs.delta(in.Revision, diffConfig); v.ConfigDelta == nil {
--- a/distribution/subscriber.go
+++ b/distribution/subscriber.go
@@ -21,11 +21,15 @@
 	// pollWait is how long a relay may hold a call. A relay with a connection to control gets
 	// a beacon within two intervals and answers earlier.
 	pollWait = 2 * BeaconInterval
+	// minPollWait keeps a subscriber with an old beacon from polling without a pause.
+	minPollWait = 50 * time.Millisecond
+	// pollMargin is what a call may take beyond the time for which it is held.
+	pollMargin = 250 * time.Millisecond
 	// pollTimeout bounds a call, so that a subscriber of an unresponsive relay can find
-	// another within the 3 s after which a drained domain must get no new work.
-	pollTimeout = pollWait + 250*time.Millisecond
+	// another within the 2 s after which a change must be in force.
+	pollTimeout = pollWait + pollMargin
 	// maxBeaconAge is the age of the last beacon at which a subscriber tries another relay.
-	maxBeaconAge = 3 * BeaconInterval
+	maxBeaconAge = 5 * BeaconInterval / 2
 	// failureRetention is how long a failed address is tried after all others and not called
 	// on a redirect. It is the time in which control elects another leader.
 	failureRetention = 2 * time.Second
@@ -67,6 +71,7 @@
 	departureFailed   departure = "failed"
 	departureStale    departure = "stale"
 	departureRedirect departure = "redirected"
+	departureLoop     departure = "loop"
 	departureMoved    departure = "parent changed"
 	departureFallback departure = "fallback expired"
 )
@@ -135,11 +140,11 @@
 	changed := func() bool { return s.opts.Holder.Directory() != listed }
 	search := candidateSearch{s: s, waiting: s.candidates()}
 	for {
-		c, found := search.find(ctx, changed)
-		if !found {
+		found, ok := search.find(ctx, changed)
+		if !ok {
 			return changed()
 		}
-		if s.follow(ctx, c) || changed() {
+		if s.follow(ctx, found) || changed() {
 			return true
 		}
 	}
@@ -224,25 +229,26 @@
 	s.peers = Peers(d, s.opts.Self)
 }
 
-// follow polls a candidate that gave a fresh view until it fails or its beacons are
-// stale. It returns true when the candidates should be listed again at once: a poll succeeded
-// before the failure, the failure came at least nextCallDelay after the start, the candidate
-// redirected to another control leader, the candidate became or ceased to be the preferred
-// parent, or a fallback has been followed for maxFallbackTime.
-func (s *Subscriber) follow(ctx context.Context, c candidate) bool {
-	start := time.Now()
+// follow polls the candidate that gave a fresh view until it fails, its beacons are stale or
+// it follows this process. It returns true when the candidates should be listed again at once: a
+// poll succeeded before the failure, the failure came at least nextCallDelay after the start, the
+// candidate redirected to another control leader, the candidate became or ceased to be the
+// preferred parent, or a fallback has been followed for maxFallbackTime.
+func (s *Subscriber) follow(ctx context.Context, found answer) bool {
+	c, start := found.from, time.Now()
 	preferred := s.isPreferred(c)
 	s.setParent(c)
+	s.setPath(found.path)
 	followed := false
 	for ctx.Err() == nil {
-		leader, err := s.newCall(c, pollWait)(ctx)
-		a := answer{from: c, leader: leader, err: err}
+		a := s.newCall(c, s.nextPollWait())(ctx)
 		if !s.checkAnswer(a) {
-			s.departure = a.departure()
+			s.departure = a.departure(s.opts.Self.ID)
 			// After a long call, candidates that failed earlier may answer again.
-			return followed || leader != "" || time.Since(start) >= nextCallDelay
+			return followed || a.leader != "" || time.Since(start) >= nextCallDelay
 		}
 		followed = true
+		s.setPath(a.path)
 		if now := s.isPreferred(c); now != preferred {
 			s.departure = departureMoved
 			return true
@@ -255,10 +261,22 @@
 	return false
 }
 
+// nextPollWait is how long the next poll may be held: it ends when the beacon held becomes
+// stale, so that a source without news is left at that moment.
+func (s *Subscriber) nextPollWait() time.Duration {
+	left := maxBeaconAge - s.opts.Holder.Freshness(time.Now())
+	return min(max(left, minPollWait), pollWait)
+}
+
+// setPath tells the subscribers of this process, through the Holder, what it follows; path is that
+// of the followed process.
+func (s *Subscriber) setPath(path []instance.ID) {
+	s.opts.Holder.SetPath(append(slices.Clone(path), s.opts.Self.ID))
+}
+
 // newCall returns a function that polls a candidate, which may hold the call for wait, and
-// accepts its view. The function returns the leader's address when a control follower
-// redirects to it. Several such calls may run concurrently.
-func (s *Subscriber) newCall(c candidate, wait time.Duration) func(context.Context) (leader string, err error) {
+// accepts its view. Several such calls may run concurrently.
+func (s *Subscriber) newCall(c candidate, wait time.Duration) func(context.Context) answer {
 	method := ServiceName + ".Subscribe"
 	if c.control {
 		method = "Control.Subscribe"
@@ -266,23 +284,26 @@
 	client := s.client(c.address)
 	in := s.opts.Holder.subscribeRequest(wait)
 	in.Instance = s.opts.Self.ID
-	timeout := pollTimeout
+	timeout := wait + pollMargin
+	if wait == 0 {
+		timeout = pollTimeout
+	}
 	if s.opts.Holder.Config() == nil {
 		timeout = startupCallTimeout
 	}
-	return func(ctx context.Context) (string, error) {
+	return func(ctx context.Context) answer {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		view, err := s.opts.Holder.pull(ctx, client, method, in)
 		if err != nil {
-			return "", err
+			return answer{from: c, err: err}
 		}
-		return view.Leader, nil
+		return answer{from: c, leader: view.Leader, path: view.Path}
 	}
 }
 
 // checkAnswer reports whether the candidate that gave the answer can be followed, and records
-// the failure of one that returned an error or is stale.
+// the failure of one that returned an error, is stale or follows this process.
 func (s *Subscriber) checkAnswer(a answer) bool {
 	switch {
 	case a.err != nil:
@@ -293,7 +314,7 @@
 		return false
 	case a.leader != "":
 		return false
-	case !s.isFresh():
+	case slices.Contains(a.path, s.opts.Self.ID), !s.isFresh():
 		s.failed[a.from.address] = time.Now()
 		return false
 	}
