Place a process that the directory does not list yet by its rank

The order by rank does not depend on the directory, so each process now computes the place that it will have; a parent always has a higher rank than its child, whatever directory each of them holds.

TestUnlistedProcessTakesItsPlaceInTheTree fails on the code before ('new and g04 follow each other') and passes now.

--- a/distribution/tree.go
+++ b/distribution/tree.go
@@ -42,10 +42,11 @@
 	}
 	members, domains := domainMembers(d, self.Domain)
 	roots := rootsPerDomain(domains)
-	position := slices.IndexFunc(members, func(m member) bool { return m.id == self.ID })
-	if position < 0 {
-		// The process is not in the directory yet and is placed as a new leaf.
-		position = len(members)
+	// A process that is not in the directory yet takes the place that it will have, so that it
+	// does not follow a process whose directory has it above.
+	position, listed := slices.BinarySearchFunc(members, member{id: self.ID, rank: rank(self.Domain, self.ID)}, compareRank)
+	if !listed {
+		members = slices.Insert(members, position, member{id: self.ID, address: self.LinkAddress})
 	}
 	if position < roots {
 		return nil
