Let only processes that hold a configuration be relays and peers

When control was away for a moment, gateways chose sources among addresses that serve no configuration, and turned to each other.

Cause: the tree and the peers were made from endpoint.Address, where an endpoint's agent takes dispatches, instead of LinkAddress, where a process serves net/rpc. Agents of endpoints that announce themselves hold no configuration and have no link address at all.

Change: members of the tree are the processes with a link address, and the number of these decides whether there is a tree. The test fixtures now give an agent both addresses, as the programs do; they expect as much as before. TestAgentsWithoutAConfigurationAreNoRelays fails on the code before ('g01 follows e15:dispatch') and passes now.

--- a/distribution/bench_test.go
+++ b/distribution/bench_test.go
@@ -20,7 +20,7 @@
 	for i := range 12370 {
 		id := fmt.Sprintf("agent-%05d", i)
 		d.Endpoints = append(d.Endpoints, endpoint.Endpoint{
-			ID: instance.ID(id), Incarnation: 1, Service: "weft", Version: "v1", Address: id + ":7200",
+			ID: instance.ID(id), Incarnation: 1, Service: "weft", Version: "v1", Address: id + ":7200", LinkAddress: id + ":7300",
 			Domain: failuredomain.ID(fmt.Sprintf("domain-%02d", i%13)),
 		})
 	}
--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -235,7 +235,7 @@
 		for i := range rapid.IntRange(1, 800).Draw(t, "processes") {
 			id := fmt.Sprintf("p%04d", i)
 			domain := failuredomain.ID(fmt.Sprintf("d%d", rapid.IntRange(1, domains).Draw(t, "domain")))
-			d.Endpoints = append(d.Endpoints, endpoint.Endpoint{ID: instance.ID(id), Domain: domain, Address: id})
+			d.Endpoints = append(d.Endpoints, endpoint.Endpoint{ID: instance.ID(id), Domain: domain, Address: id + ":dispatch", LinkAddress: id})
 		}
 		steps, children := treeShape(t, d, d.Endpoints)
 		assert.Assert(t, len(steps) <= 5, "steps to control: %v", steps)
@@ -253,7 +253,7 @@
 	var first []endpoint.Endpoint
 	for i := range processes {
 		id := fmt.Sprintf("p%05d", i)
-		e := endpoint.Endpoint{ID: instance.ID(id), Domain: failuredomain.ID(fmt.Sprint(i % domains)), Address: id}
+		e := endpoint.Endpoint{ID: instance.ID(id), Domain: failuredomain.ID(fmt.Sprint(i % domains)), Address: id + ":dispatch", LinkAddress: id}
 		d.Endpoints = append(d.Endpoints, e)
 		if i%domains == 0 {
 			first = append(first, e)
@@ -276,11 +276,11 @@
 	for _, e := range of {
 		to := "control"
 		parents := distribution.Parents(d, instance.Instance{ID: e.ID, Domain: e.Domain})
-		assert.Assert(t, !slices.Contains(parents, e.Address), "%s follows itself", e.ID)
+		assert.Assert(t, !slices.Contains(parents, e.LinkAddress), "%s follows itself", e.ID)
 		if len(parents) > 0 {
 			to = parents[0]
 		}
-		parent[e.Address] = to
+		parent[e.LinkAddress] = to
 		children[to]++
 	}
 	for id := range parent {
--- a/distribution/helper_test.go
+++ b/distribution/helper_test.go
@@ -126,7 +126,7 @@
 func directoryOf(revision uint64, ids ...string) *api.Directory {
 	d := &api.Directory{Revision: revision}
 	for _, id := range ids {
-		d.Endpoints = append(d.Endpoints, endpoint.Endpoint{ID: instance.ID(id), Domain: "lagos-a", Address: id, Incarnation: 1})
+		d.Endpoints = append(d.Endpoints, endpoint.Endpoint{ID: instance.ID(id), Domain: "lagos-a", Address: id + ":dispatch", LinkAddress: id, Incarnation: 1})
 	}
 	return d
 }
--- a/distribution/loop_test.go
+++ b/distribution/loop_test.go
@@ -10,6 +10,7 @@
 
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/distribution"
+	"toucantiller.dev/endpoint"
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
@@ -48,6 +49,29 @@
 	}
 }
 
+// Guards against processes that follow the dispatch listener of an endpoint's agent, which serves
+// no configuration: each search for a source then calls it in vain.
+func TestAgentsWithoutAConfigurationAreNoRelays(t *testing.T) {
+	d := &api.Directory{Revision: 1}
+	links := map[string]bool{}
+	for i := range 40 {
+		id := instance.ID(fmt.Sprintf("e%02d", i))
+		d.Endpoints = append(d.Endpoints, endpoint.Endpoint{ID: id, Domain: "lagos-a", Address: string(id) + ":dispatch"})
+	}
+	for i := range 40 {
+		p := instance.Instance{ID: instance.ID(fmt.Sprintf("g%02d", i)), Domain: "lagos-a", LinkAddress: fmt.Sprintf("g%02d:link", i)}
+		d.Processes = append(d.Processes, p)
+		links[p.LinkAddress] = true
+	}
+	for _, p := range d.Processes {
+		for _, address := range append(distribution.Parents(d, p), distribution.Peers(d, p)...) {
+			assert.Assert(t, links[address], "%s follows %s", p.ID, address)
+		}
+	}
+	few := &api.Directory{Endpoints: d.Endpoints, Processes: d.Processes[:distribution.PlannedFanOut]}
+	assert.Equal(t, len(distribution.Parents(few, d.Processes[0])), 0, "so few processes follow control itself")
+}
+
 // Guards against a process that is not in its own directory yet and follows one that has it as
 // its parent.
 func TestUnlistedProcessTakesItsPlaceInTheTree(t *testing.T) {
--- a/distribution/tree.go
+++ b/distribution/tree.go
@@ -37,7 +37,7 @@
 // domain, sorted by hash, are laid out as a heap in which each has at most PlannedFanOut
 // children.
 func Parents(d *api.Directory, self instance.Instance) []string {
-	if d == nil || len(d.Endpoints)+len(d.Processes) <= PlannedFanOut {
+	if d == nil || subscribers(d) <= PlannedFanOut {
 		return nil
 	}
 	members, domains := domainMembers(d, self.Domain)
@@ -75,7 +75,7 @@
 		best = best[:min(len(best), MaxPeers)]
 	}
 	for _, e := range d.Endpoints {
-		consider(e.ID, e.Domain, e.Address)
+		consider(e.ID, e.Domain, e.LinkAddress)
 	}
 	for _, p := range d.Processes {
 		consider(p.ID, p.Domain, p.LinkAddress)
@@ -123,18 +123,38 @@
 	return RootsPerDomain
 }
 
-// domainMembers returns the processes of a domain in order of rank, and the number of domains
-// in the directory.
+// subscribers returns the number of processes in the directory that hold a configuration. The
+// agents of endpoints that announce themselves hold none and have no link address.
+func subscribers(d *api.Directory) int {
+	n := 0
+	for i := range d.Endpoints {
+		if d.Endpoints[i].LinkAddress != "" {
+			n++
+		}
+	}
+	for i := range d.Processes {
+		if d.Processes[i].LinkAddress != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// domainMembers returns the processes of a domain that hold a configuration in order of rank, and
+// the number of domains in the directory that have any.
 func domainMembers(d *api.Directory, domain failuredomain.ID) (members []member, domains int) {
 	seen := make(map[failuredomain.ID]struct{})
 	add := func(id instance.ID, in failuredomain.ID, address string) {
+		if address == "" {
+			return
+		}
 		seen[in] = struct{}{}
 		if in == domain {
 			members = append(members, member{id: id, address: address, rank: rank(domain, id)})
 		}
 	}
 	for _, e := range d.Endpoints {
-		add(e.ID, e.Domain, e.Address)
+		add(e.ID, e.Domain, e.LinkAddress)
 	}
 	for _, p := range d.Processes {
 		add(p.ID, p.Domain, p.LinkAddress)
