Count the age of a configuration from before it was asked for, suspend included

What callers could see: a key works more than revoke_ms after the change that took it away.

Holder counted suspend, which the monotonic clock leaves out, but what others told it did not: the age that a relay or the leader states, the duration of the call, and the leader's time since it asked its quorum. A machine that was suspended with an answer in its socket buffer took that answer for new on waking, and served on a configuration as old as the suspend. Besides, ages were measured and stamped later: a process that stands still between the two readings passed on too young an age.

Change: package uptime pairs the monotonic clock with the one since boot, and an age is the longer of both. Accept takes the moment before the sender was asked, plus the time that the sender says it held the call; nothing read afterwards makes a beacon younger. The sender takes the age and the time held at one moment.

Signatures in older tests changed with Accept; their checks did not.

--- a/control/leader.go
+++ b/control/leader.go
@@ -14,6 +14,7 @@
 	"toucantiller.dev/instance"
 	"toucantiller.dev/lease"
 	"toucantiller.dev/timeline"
+	"toucantiller.dev/uptime"
 )
 
 // Timing of the leader.
@@ -66,10 +67,11 @@
 	if now.Sub(d.lastTick) > stallTolerance {
 		s.extendLeases(now)
 	}
+	start := uptime.Now()
 	if now.Sub(d.lastBeacon) >= distribution.BeaconInterval-tickInterval/2 && s.confirmQuorum() {
 		d.lastBeacon = now
 		d.seq++
-		s.publishBeacon(now, d.seq)
+		s.publishBeacon(start, d.seq)
 		s.endExpiredLeases(time.Now())
 	}
 	if now.Sub(d.lastRepair) >= repairInterval {
@@ -153,13 +155,13 @@
 }
 
 // publishBeacon publishes a proof that this replica led, with a quorum, after start.
-func (s *Server) publishBeacon(start time.Time, seq uint64) {
+func (s *Server) publishBeacon(start uptime.Instant, seq uint64) {
 	s.publish(true)
 	s.mu.Lock()
 	term := s.term
 	s.mu.Unlock()
-	beacon := api.Beacon{Revision: s.holder.Revision(), Term: term, Seq: seq, Age: time.Since(start)}
-	if _, err := s.holder.Accept(&api.View{Beacon: beacon}, 0); err == nil {
+	beacon := api.Beacon{Revision: s.holder.Revision(), Term: term, Seq: seq}
+	if _, err := s.holder.Accept(&api.View{Beacon: beacon}, start); err == nil {
 		count(s.counts.beacons, 1)
 	}
 }
@@ -173,7 +175,7 @@
 			view.Directory = st.Directory()
 		}
 	})
-	_, err := s.holder.Accept(view, 0)
+	_, err := s.holder.Accept(view, uptime.Now())
 	s.logFailure("publish", err)
 }
 
--- a/distribution/bench_test.go
+++ b/distribution/bench_test.go
@@ -12,6 +12,7 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/uptime"
 )
 
 // fleetDirectory lists 12,370 endpoints in 13 domains.
@@ -43,7 +44,7 @@
 	sender, receiver := distribution.NewHolder(nil), distribution.NewHolder(nil)
 	d := fleetDirectory(1)
 	for _, h := range []*distribution.Holder{sender, receiver} {
-		_, err := h.Accept(&api.View{Directory: d}, 0)
+		_, err := h.Accept(&api.View{Directory: d}, uptime.Now())
 		assert.NilError(b, err)
 	}
 	directories := []*api.Directory{fleetDirectory(0), fleetDirectory(0)}
@@ -54,9 +55,9 @@
 		next.Endpoints[100].Incarnation = instance.Incarnation(revision)
 		revision++
 		next.Revision = revision
-		_, _ = sender.Accept(&api.View{Directory: &next}, 0)
+		_, _ = sender.Accept(&api.View{Directory: &next}, uptime.Now())
 		v := sender.Wait(&api.Subscribe{Directory: revision - 1}, nil)
-		changed, err := receiver.Accept(&v, 0)
+		changed, err := receiver.Accept(&v, uptime.Now())
 		if !changed || err != nil || v.DirectoryDelta == nil {
 			b.Fatal("no delta was applied", err)
 		}
@@ -66,7 +67,7 @@
 // BenchmarkRequestPath measures the calls to a Holder that a gateway makes for each request.
 func BenchmarkRequestPath(b *testing.B) {
 	h := distribution.NewHolder(nil)
-	_, err := h.Accept(&api.View{Config: config(2), Beacon: api.Beacon{Revision: 2, Term: 1, Seq: 1}}, 0)
+	_, err := h.Accept(&api.View{Config: config(2), Beacon: api.Beacon{Revision: 2, Term: 1, Seq: 1}}, uptime.Now())
 	assert.NilError(b, err)
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -18,6 +18,7 @@
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/uptime"
 )
 
 // Guards against a process that is cut off from control but not from its peers and
@@ -137,7 +138,7 @@
 func TestBeaconAgeIncludesTransit(t *testing.T) {
 	h := distribution.NewHolder(nil)
 	accept := func(v *api.View, transit time.Duration) {
-		_, err := h.Accept(v, transit)
+		_, err := h.Accept(v, uptime.Now().Add(-transit))
 		assert.NilError(t, err)
 	}
 	accept(&api.View{Config: config(2), Beacon: api.Beacon{Revision: 3, Term: 1, Seq: 1}}, 0)
@@ -164,7 +165,7 @@
 		assert.Equal(t, a.holder.Revision(), uint64(300))
 		assert.Equal(t, l.fullViews.Load(), int64(1))
 		for _, stale := range []uint64{1, 299, 300} {
-			changed, err := a.holder.Accept(&api.View{Config: config(stale)}, 0)
+			changed, err := a.holder.Accept(&api.View{Config: config(stale)}, uptime.Now())
 			assert.NilError(t, err)
 			assert.Assert(t, !changed)
 		}
@@ -298,7 +299,7 @@
 func TestServiceBoundsSubscribers(t *testing.T) {
 	runSynctest(t, func(t *testing.T) {
 		h := distribution.NewHolder(nil)
-		_, err := h.Accept(&api.View{Config: config(2)}, 0)
+		_, err := h.Accept(&api.View{Config: config(2)}, uptime.Now())
 		assert.NilError(t, err)
 		s := distribution.NewService(h)
 		refused := make(chan error, 40)
@@ -320,14 +321,14 @@
 		from, to := drawView(t, 1), drawView(t, 2)
 		source, target := distribution.NewHolder(nil), distribution.NewHolder(nil)
 		for _, h := range []*distribution.Holder{source, target} {
-			_, err := h.Accept(&api.View{Config: from.Config, Directory: from.Directory}, 0)
+			_, err := h.Accept(&api.View{Config: from.Config, Directory: from.Directory}, uptime.Now())
 			assert.NilError(t, err)
 		}
-		_, err := source.Accept(&to, 0)
+		_, err := source.Accept(&to, uptime.Now())
 		assert.NilError(t, err)
 		v := source.Wait(&api.Subscribe{Revision: 1, Directory: 1}, nil)
 		assert.Assert(t, v.Config == nil && v.Directory == nil)
-		_, err = target.Accept(&v, 0)
+		_, err = target.Accept(&v, uptime.Now())
 		assert.NilError(t, err)
 		assert.DeepEqual(t, sorted(target.Config().Accounts), sorted(source.Config().Accounts))
 		assert.Equal(t, header(t, target), header(t, source))
--- a/distribution/example_test.go
+++ b/distribution/example_test.go
@@ -7,6 +7,7 @@
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/distribution"
+	"toucantiller.dev/uptime"
 )
 
 func Example() {
@@ -15,7 +16,7 @@
 		changed, err := h.Accept(&api.View{
 			Config: &contract.Config{Revision: revision, ServeStale: time.Minute},
 			Beacon: api.Beacon{Revision: revision, Term: 1, Seq: revision, Age: 2 * time.Second},
-		}, 0)
+		}, uptime.Now())
 		fmt.Println("revision", revision, "accepted:", changed, err)
 	}
 	accept(7)
--- a/distribution/helper_test.go
+++ b/distribution/helper_test.go
@@ -16,6 +16,7 @@
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/uptime"
 )
 
 // runSynctest runs a test in a synctest bubble. At the end it waits until the probes of
@@ -72,7 +73,7 @@
 		for t.Context().Err() == nil {
 			l.seq++
 			beacon := api.Beacon{Revision: l.holder.Revision(), Term: 1, Seq: l.seq}
-			_, _ = l.holder.Accept(&api.View{Beacon: beacon}, 0)
+			_, _ = l.holder.Accept(&api.View{Beacon: beacon}, uptime.Now())
 			time.Sleep(distribution.BeaconInterval)
 		}
 	}()
@@ -82,7 +83,7 @@
 // publish puts a revision in force at the leader; odd revisions drain lagos-a.
 func (l *fakeLeader) publish(t testing.TB, revision uint64) {
 	t.Helper()
-	_, err := l.holder.Accept(&api.View{Config: config(revision), Directory: l.directory}, 0)
+	_, err := l.holder.Accept(&api.View{Config: config(revision), Directory: l.directory}, uptime.Now())
 	assert.NilError(t, err)
 }
 
--- a/distribution/holder.go
+++ b/distribution/holder.go
@@ -16,6 +16,7 @@
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/timeline"
+	"toucantiller.dev/uptime"
 )
 
 // Timing of distribution.
@@ -43,8 +44,8 @@
 	directory atomic.Pointer[api.Directory]
 	beacon    atomic.Pointer[heldBeacon]
 	recorder  *timeline.Recorder
-	// bootTime returns the time since the machine started.
-	bootTime func() (since time.Duration, ok bool)
+	// sinceBoot reads the clock that counts time in suspend, as uptime.SinceBoot does.
+	sinceBoot func() (since time.Duration, ok bool)
 
 	mu sync.Mutex
 	// progress is closed and replaced when a value or the beacon advances, or path changes.
@@ -56,33 +57,19 @@
 	directories history[api.Directory, api.DirectoryDelta]
 }
 
-// heldBeacon is the newest beacon and the latest local time at which it can have been
-// issued.
+// heldBeacon is the newest beacon and the latest moment at which it can have been issued.
 type heldBeacon struct {
 	term, seq, revision uint64
-	issued              time.Time
-	// issuedBootTime is issued on the clock of bootTime, if the machine has it.
-	issuedBootTime time.Duration
-	hasBootTime    bool
-}
-
-// age returns how long ago the beacon was issued, including time in suspend: the
-// configuration may have been replaced while the machine was suspended.
-func (b *heldBeacon) age(now time.Time, sinceBoot time.Duration, hasBootTime bool) time.Duration {
-	age := max(now.Sub(b.issued), 0)
-	if b.hasBootTime && hasBootTime {
-		age = max(age, sinceBoot-b.issuedBootTime)
-	}
-	return age
+	issued              uptime.Instant
 }
 
 // NewHolder returns an empty holder. recorder may be nil.
 func NewHolder(recorder *timeline.Recorder) *Holder {
 	return &Holder{
-		recorder: recorder,
-		bootTime: bootTime,
-		progress: make(chan struct{}),
-		watchers: make(map[chan struct{}]struct{}),
+		recorder:  recorder,
+		sinceBoot: uptime.SinceBoot,
+		progress:  make(chan struct{}),
+		watchers:  make(map[chan struct{}]struct{}),
 	}
 }
 
@@ -106,10 +93,12 @@
 	if b == nil {
 		return NeverFresh
 	}
-	sinceBoot, ok := h.bootTime()
-	return b.age(now, sinceBoot, ok)
+	return uptime.At(now, h.sinceBoot).Sub(b.issued)
 }
 
+// now returns the present moment.
+func (h *Holder) now() uptime.Instant { return uptime.At(time.Now(), h.sinceBoot) }
+
 // FreshnessText returns the age of the last beacon in milliseconds for logs, or "never" before
 // the first.
 func (h *Holder) FreshnessText(now time.Time) string {
@@ -147,11 +136,11 @@
 }
 
 // Accept adopts what is newer in the view and reports whether the configuration or the
-// directory changed. transit is an upper bound on the view's network delay; it is added to
-// the beacon's age. Accept returns ErrUnknownBase for a delta on a revision that the holder
-// does not have.
-func (h *Holder) Accept(v *api.View, transit time.Duration) (changed bool, err error) {
-	received := time.Now()
+// directory changed. The beacon's age counts back from asOf, a moment no later than the one at
+// which the sender built the view; it is read before the sender is asked, so that a process that
+// stands still at any later step does not take an old view for a new one. Accept returns
+// ErrUnknownBase for a delta on a revision that the holder does not have.
+func (h *Holder) Accept(v *api.View, asOf uptime.Instant) (changed bool, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	config, err := h.nextConfig(v)
@@ -172,7 +161,7 @@
 		h.directory.Store(directory)
 	}
 	changed = config != nil || directory != nil
-	progressed := h.acceptBeacon(v.Beacon, received.Add(-transit))
+	progressed := h.acceptBeacon(v.Beacon, asOf.Add(-v.Beacon.Age))
 	if changed || progressed {
 		h.notifyProgress()
 	}
@@ -226,24 +215,23 @@
 
 // acceptBeacon keeps the latest beacon and reports whether its sequence advanced. A beacon
 // for a newer revision than the process has does not prove that its own is current, so it
-// is ignored.
-func (h *Holder) acceptBeacon(b api.Beacon, received time.Time) (progressed bool) {
+// is ignored. issued is the latest moment at which the beacon can have been issued.
+func (h *Holder) acceptBeacon(b api.Beacon, issued uptime.Instant) (progressed bool) {
 	if b.Term == 0 || b.Revision > h.Revision() {
 		return false
 	}
-	next := heldBeacon{term: b.Term, seq: b.Seq, revision: b.Revision, issued: received.Add(-b.Age)}
-	next.issuedBootTime, next.hasBootTime = h.bootTime()
-	next.issuedBootTime -= time.Since(next.issued)
-	if last := h.beacon.Load(); last != nil {
-		progressed = beaconNewer(b.Term, b.Seq, last.term, last.seq)
-		if !progressed {
-			next.term, next.seq, next.revision = last.term, last.seq, last.revision
-		}
-		if last.issued.After(next.issued) {
-			next.issued, next.issuedBootTime, next.hasBootTime = last.issued, last.issuedBootTime, last.hasBootTime
-		}
-	} else {
-		progressed = true
+	next := heldBeacon{term: b.Term, seq: b.Seq, revision: b.Revision, issued: issued}
+	last := h.beacon.Load()
+	if last == nil {
+		h.beacon.Store(&next)
+		return true
+	}
+	progressed = beaconNewer(b.Term, b.Seq, last.term, last.seq)
+	if !progressed {
+		next.term, next.seq, next.revision = last.term, last.seq, last.revision
+	}
+	if now := h.now(); now.Sub(last.issued) < now.Sub(issued) {
+		next.issued = last.issued
 	}
 	h.beacon.Store(&next)
 	return progressed
--- a/distribution/service.go
+++ b/distribution/service.go
@@ -9,6 +9,7 @@
 
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/link"
+	"toucantiller.dev/uptime"
 )
 
 // ServiceName is the net/rpc name of Service, which every process registers.
@@ -56,16 +57,18 @@
 // Wait returns the view for a subscriber as soon as the holder has something newer than the
 // subscriber, and otherwise after in.Wait (at most MaxWait) or when done closes.
 func (h *Holder) Wait(in *api.Subscribe, done <-chan struct{}) api.View {
-	start := time.Now()
+	start := h.now()
 	timer := time.NewTimer(min(in.Wait, MaxWait))
 	defer timer.Stop()
 	for {
 		h.mu.Lock()
-		view, newer := h.view(in)
+		// Held and the beacon's age end at one moment: what passes after it is transit.
+		now := h.now()
+		view, newer := h.view(in, now)
 		progress := h.progress
 		h.mu.Unlock()
 		if newer || in.Wait <= 0 {
-			view.Held = time.Since(start)
+			view.Held = now.Sub(start)
 			return view
 		}
 		select {
@@ -80,7 +83,7 @@
 
 // view builds the view for a subscriber and reports whether it is to be sent at once: it
 // contains something newer than the subscriber has, or this process follows the subscriber.
-func (h *Holder) view(in *api.Subscribe) (v api.View, newer bool) {
+func (h *Holder) view(in *api.Subscribe, now uptime.Instant) (v api.View, newer bool) {
 	v.Path = h.path
 	newer = in.Instance != "" && slices.Contains(h.path, in.Instance)
 	if c := h.config.Load(); c != nil && c.Revision > in.Revision {
@@ -96,7 +99,7 @@
 		}
 	}
 	if b := h.beacon.Load(); b != nil {
-		v.Beacon = api.Beacon{Revision: b.revision, Term: b.term, Seq: b.seq, Age: max(time.Since(b.issued), 0)}
+		v.Beacon = api.Beacon{Revision: b.revision, Term: b.term, Seq: b.seq, Age: now.Sub(b.issued)}
 		newer = newer || beaconNewer(b.term, b.seq, in.Term, in.Seq)
 	}
 	return v, newer
@@ -124,7 +127,7 @@
 // pull makes one Subscribe call and accepts its view. After a delta on an unknown base it
 // asks again for the full state.
 func (h *Holder) pull(ctx context.Context, peer *link.Client, method string, in api.Subscribe) (*api.View, error) {
-	start := time.Now()
+	start := h.now()
 	view := &api.View{}
 	if err := peer.Call(ctx, method, &in, view); err != nil {
 		return nil, err
@@ -132,7 +135,7 @@
 	if view.Leader != "" {
 		return view, nil
 	}
-	_, err := h.Accept(view, max(time.Since(start)-view.Held, 0))
+	_, err := h.Accept(view, start.Add(view.Held))
 	if errors.Is(err, ErrUnknownBase) && (in.Revision != 0 || in.Directory != 0) {
 		return h.pull(ctx, peer, method, api.Subscribe{Instance: in.Instance})
 	}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -16,6 +16,7 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/membership"
+	"toucantiller.dev/uptime"
 )
 
 // fakeControl is a Control that knows one lease.
@@ -72,7 +73,7 @@
 		time.Sleep(time.Second)
 		assert.Equal(t, a.Lease(), uint64(1))
 
-		_, err := holder.Accept(&api.View{Config: &contract.Config{Revision: 7}}, 0)
+		_, err := holder.Accept(&api.View{Config: &contract.Config{Revision: 7}}, uptime.Now())
 		assert.NilError(t, err)
 		synctest.Wait()
 		f.update(func(f *fakeControl) { assert.Equal(t, f.confirmed, uint64(7), "not confirmed at once") })
@@ -103,7 +104,7 @@
 		d.Endpoints = append(d.Endpoints, endpoint.Endpoint{ID: id, Incarnation: 1, Service: "weft"})
 	}
 	h := distribution.NewHolder(nil)
-	_, err := h.Accept(&api.View{Directory: d}, 0)
+	_, err := h.Accept(&api.View{Directory: d}, uptime.Now())
 	assert.NilError(t, err)
 	return membership.NewDirectory(h)
 }
--- a/systemtest/capacity_test.go
+++ b/systemtest/capacity_test.go
@@ -21,6 +21,7 @@
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 	"toucantiller.dev/schedule"
+	"toucantiller.dev/uptime"
 )
 
 // Numbers of the design scale.
@@ -76,7 +77,7 @@
 			before := heap()
 			h := distribution.NewHolder(nil)
 			for r := uint64(1); r <= distribution.HistoryKept; r++ {
-				_, err := h.Accept(&api.View{Config: designConfig(r), Directory: designDirectory(r, n)}, 0)
+				_, err := h.Accept(&api.View{Config: designConfig(r), Directory: designDirectory(r, n)}, uptime.Now())
 				assert.NilError(b, err)
 			}
 			s := schedule.NewSnapshot(schedule.SnapshotInput{Gateway: "gateway-1", Domain: "domain-0", Config: h.Config(), Endpoints: h.Directory().Endpoints})
