--- a/distribution/suspend_test.go
+++ b/distribution/suspend_test.go
@@ -62,6 +62,7 @@
 	network := link.NewMemory()
 	caller := &machine{sinceBoot: time.Hour}
 	h := caller.newHolder(t)
+	time.Sleep(10 * time.Millisecond) // the relay's beacon is clearly newer
 	relay := (&machine{sinceBoot: time.Hour}).newHolder(t)
 	server := link.NewServer()
 	assert.NilError(t, server.Register(ServiceName, &lateReader{relay: relay, caller: caller}))
