Ask for the permission to serve before reading the configuration

A request read the configuration and then asked MayServe, which looks at the configuration and beacon of its own moment: with a change in between, a request was judged by the old configuration under the permission of the new one.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -112,10 +112,20 @@
 	return g.closeConnectionsWhenStopping(r)
 }
 
+// servingConfig returns the configuration to judge a request by, nil if the gateway may not accept
+// it. The permission is read first: it covers the configuration of that moment and any newer
+// one, but not one that was read before.
+func (g *Gateway) servingConfig(now time.Time) *contract.Config {
+	if !g.opt.View.MayServe(now) {
+		return nil
+	}
+	return g.opt.View.Config()
+}
+
 // beginCall checks what all calls have in common: configuration, identity and account.
 func (g *Gateway) beginCall(w http.ResponseWriter, r *http.Request) (*call, *Problem) {
-	config := g.opt.View.Config()
-	if config == nil || !g.opt.View.MayServe(time.Now()) {
+	config := g.servingConfig(time.Now())
+	if config == nil {
 		p := newProblem(http.StatusServiceUnavailable, "no_configuration", ExecutionNotRun, "no current configuration at this gateway")
 		p.RetryAfter = time.Second
 		return nil, p
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -109,8 +109,8 @@
 
 func (g *Gateway) beginIngressRequest(in *IngressRequest) (*call, *Problem) {
 	now := time.Now()
-	config := g.opt.View.Config()
-	if config == nil || config.Ingress == nil || !g.opt.View.MayServe(now) {
+	config := g.servingConfig(now)
+	if config == nil || config.Ingress == nil {
 		return nil, retryProblem("no_configuration", "no current configuration at this gateway")
 	}
 	route, ok := config.Ingress.Route(in.Host, in.Path)
