--- a/program/member.go
+++ b/program/member.go
@@ -89,6 +89,7 @@
 	m.goroutines.Go(func() { m.subscriber.Run(ctx) })
 	m.goroutines.Go(func() { m.announcer.Run(ctx) })
 	m.goroutines.Go(func() { m.followControl(ctx) })
+	m.goroutines.Go(func() { logStalls(ctx, m.logger) })
 }
 
 // followControl keeps the client's addresses up to date with the control replicas in the
