--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -82,7 +82,7 @@
 	client := control.NewClient(network, addrs)
 	opts := membership.Options{Control: client, Configuration: p.holder, Self: self}
 	if self.Role == instance.RoleAgent {
-		opts.Endpoint = &endpoint.Endpoint{ID: self.ID, Incarnation: self.Incarnation, Service: "weft", Version: "v1", Domain: self.Domain, Address: self.LinkAddress}
+		opts.Endpoint = &endpoint.Endpoint{ID: self.ID, Incarnation: self.Incarnation, Service: "weft", Version: "v1", Domain: self.Domain, Address: self.LinkAddress, LinkAddress: self.LinkAddress}
 	}
 	p.announcer = membership.NewAnnouncer(opts)
 	server := link.NewServer()
--- a/distribution/loop_test.go
+++ b/distribution/loop_test.go
@@ -39,11 +39,11 @@
 			l.network.SetFault("control", link.FaultNone)
 			l.publish(t, 3)
 			start := time.Now()
-			for !(drained(a.holder) && drained(b.holder)) && time.Since(start) < 10*time.Second {
+			for (!drained(a.holder) || !drained(b.holder)) && time.Since(start) < 10*time.Second {
 				time.Sleep(5 * time.Millisecond)
 			}
 			late := time.Since(start)
-			t.Log(fmt.Sprintf("run %d: %s", run, late))
+			t.Logf("run %d: %s", run, late)
 			assert.Assert(t, late < maxInForce, "in force after %s", late)
 		})
 	}
