Hold back the parts of prompts under which endpoints end

Cause: nothing remembered which requests an endpoint was answering when it ended. Each loss was a failure of the endpoint alone, so the next request with the same part went to the next endpoint. Class: failures are attributed to the side that breaks, never to the input.

Change: package quarantine. A gateway reports each request that an agent lost with its endpoint before one event of its answer was complete, with the parts of its prompt (not the last) that it has not seen answered within 10 s. The control leader counts endpoints by part over all gateways; four endpoints within a minute put the part into the replicated quarantine, which gateways get with the directory. They refuse requests with it (503, not run, Retry-After 60 s) on arrival and again before each dispatch. A gateway that has seen an answer to a held back part reports it as sound and the part is released. A part ends its quarantine 10 minutes after it came last. Losses with the agent (a rack, a kill) are not counted; endpoints that crash for other causes end under many parts that are answered elsewhere. Memory: 1,024 suspects, 256 parts held back, a table of 64 KiB for parts answered lately, which requests write without a lock. Alone, a gateway holds back what it has itself seen four times.

Ruled out as places: agents see one endpoint each; gateways alone need 4 x 8 crashes; retry budget and failing-endpoint filter bound repeats and endpoints, not inputs.

Tests: TestPartThatCrashesEndpointsIsHeldBackEverywhere (four gateways, a lost leader, a late process, a release), the detector's and watcher's bounds, TestQuarantineIsKeptAndEnds.

--- a/control/api/view.go
+++ b/control/api/view.go
@@ -8,6 +8,7 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/quarantine"
 )
 
 // Subscribe is "Control.Subscribe" and "Distribution.Subscribe": waits until the
@@ -75,6 +76,8 @@
 	RemovedProcesses []instance.ID
 	// Control replaces the list of control replicas.
 	Control []string
+	// Quarantined replaces the list of parts of prompts that are held back.
+	Quarantined []quarantine.Part
 }
 
 // Beacon proves freshness: at most Age ago, a leader that a quorum had confirmed was at this
@@ -95,4 +98,7 @@
 	// Control lists the link addresses of the control replicas, in order; it is empty
 	// until a leader has recorded them.
 	Control []string
+	// Quarantined lists the parts of prompts that are held back, in order: endpoints end under
+	// requests with them.
+	Quarantined []quarantine.Part
 }
--- a/control/client.go
+++ b/control/client.go
@@ -117,6 +117,12 @@
 	return err
 }
 
+// ReportLosses reports parts of prompts under which endpoints ended.
+func (c *Client) ReportLosses(ctx context.Context, in *api.ReportLosses) error {
+	_, err := call(ctx, c, "ReportLosses", in, func(r *api.ReportLossesReply) (string, bool) { return r.Leader, true })
+	return err
+}
+
 // ReportEvidence sends observations.
 func (c *Client) ReportEvidence(ctx context.Context, in *api.Evidence) error {
 	_, err := call(ctx, c, "ReportEvidence", in, func(r *api.EvidenceReply) (string, bool) { return r.Leader, true })
--- a/control/control.go
+++ b/control/control.go
@@ -22,6 +22,7 @@
 	"toucantiller.dev/instance"
 	"toucantiller.dev/lease"
 	"toucantiller.dev/link"
+	"toucantiller.dev/quarantine"
 	"toucantiller.dev/timeline"
 )
 
@@ -99,6 +100,8 @@
 	evidence  *evidenceCollector
 	// budgets holds the token limits that gateways draw from.
 	budgets *budget.Pool
+	// detector counts the endpoints that ended under parts of prompts in this term.
+	detector *quarantine.Detector
 	// lastHeartbeats holds the last heartbeat of each endpoint that announces itself.
 	lastHeartbeats map[endpoint.ID]lastHeartbeat
 
@@ -140,6 +143,7 @@
 		leases:         lease.NewTable(lease.TTL),
 		evidence:       newEvidenceCollector(),
 		budgets:        budget.NewPool(opts.TokenTolerance),
+		detector:       quarantine.NewDetector(),
 		lastHeartbeats: make(map[endpoint.ID]lastHeartbeat),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/control/leader.go
+++ b/control/leader.go
@@ -13,6 +13,7 @@
 	"toucantiller.dev/distribution"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/lease"
+	"toucantiller.dev/quarantine"
 	"toucantiller.dev/timeline"
 	"toucantiller.dev/uptime"
 )
@@ -119,6 +120,7 @@
 	s.admission = lease.NewAdmission(s.opts.RegistrationsPerSecond, s.opts.RegistrationBurst)
 	s.evidence = newEvidenceCollector()
 	s.budgets = budget.NewPool(s.opts.TokenTolerance)
+	s.detector = quarantine.NewDetector()
 	clear(s.lastHeartbeats)
 	s.mu.Unlock()
 	s.extendLeases(now)
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -45,6 +45,7 @@
 	EndEndpoint   *EndEndpoint       `msgpack:",omitempty"`
 	SetControl    *SetControl        `msgpack:",omitempty"`
 	SetHostings   *SetHostings       `msgpack:",omitempty"`
+	SetQuarantine *SetQuarantine     `msgpack:",omitempty"`
 }
 
 // SetEvacuated drains a failure domain, or makes it active again.
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -11,6 +11,7 @@
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/idempotency"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/quarantine"
 )
 
 // Retention and timing of state.
@@ -66,6 +67,8 @@
 	// Hostings holds where the agents of self-announced endpoints run, by the endpoint's
 	// target.
 	Hostings map[string]*Hosting
+	// Quarantined holds the parts of prompts that are held back and when they last came.
+	Quarantined map[quarantine.Part]time.Time
 }
 
 // Ended records the end of an endpoint. Announcements with Incarnation or an earlier one are
@@ -170,6 +173,8 @@
 		return s.setControl(c.SetControl)
 	case c.SetHostings != nil:
 		return s.setHostings(c.SetHostings)
+	case c.SetQuarantine != nil:
+		return s.setQuarantine(c.SetQuarantine)
 	case c.NextToken != nil:
 		s.data.Token++
 		return &Result{Token: s.data.Token}
@@ -217,6 +222,7 @@
 		}
 	}
 	s.dropUnusedHostings()
+	s.releaseQuarantined()
 	s.activateDomains()
 	return &Result{}
 }
@@ -244,6 +250,7 @@
 	initMap(&d.Lost)
 	initMap(&d.Ended)
 	initMap(&d.Hostings)
+	initMap(&d.Quarantined)
 	next := State{data: d, leases: make(map[uint64]instance.ID, len(d.Registrations))}
 	for id, r := range d.Registrations {
 		next.leases[r.Lease] = id
--- a/control/state/view.go
+++ b/control/state/view.go
@@ -34,7 +34,7 @@
 	if s.directory != nil {
 		return s.directory
 	}
-	d := &api.Directory{Revision: s.data.DirectoryRevision, Control: slices.Clone(s.data.Control)}
+	d := &api.Directory{Revision: s.data.DirectoryRevision, Control: slices.Clone(s.data.Control), Quarantined: slices.Sorted(maps.Keys(s.data.Quarantined))}
 	for _, r := range s.data.Registrations {
 		if r.Endpoint != nil {
 			d.Endpoints = append(d.Endpoints, s.publishedEndpoint(*r.Endpoint))
--- a/distribution/delta.go
+++ b/distribution/delta.go
@@ -189,7 +189,7 @@
 	d := &api.DirectoryDelta{From: old.Revision, To: next.Revision}
 	d.Endpoints, d.RemovedEndpoints = diffSorted(old.Endpoints, next.Endpoints, endpointID)
 	d.Processes, d.RemovedProcesses = diffSorted(old.Processes, next.Processes, instanceID)
-	d.Control = next.Control
+	d.Control, d.Quarantined = next.Control, next.Quarantined
 	return d
 }
 
@@ -199,6 +199,8 @@
 		Endpoints: mergeSorted(old.Endpoints, d.Endpoints, d.RemovedEndpoints, endpointID),
 		Processes: mergeSorted(old.Processes, d.Processes, d.RemovedProcesses, instanceID),
 		Control:   d.Control,
+
+		Quarantined: d.Quarantined,
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,6 +49,8 @@
 	utilization float64
 	// acknowledged is set once the endpoint has accepted or refused the request.
 	acknowledged bool
+	// answered is set once the answer has begun.
+	answered bool
 	// released is set once the request is no longer counted at the candidate.
 	released bool
 	// connected is set once net/http has a connection for the dispatch.
@@ -265,6 +267,7 @@
 		a.firstByte = a.lastByte
 		a.candidate.PrefillDone(a.call.promptTokens)
 	}
+	a.recordAnswerData(p)
 	a.out.writeData(p)
 }
 
@@ -309,6 +312,7 @@
 }
 
 func (a *attempt) handleLost(m *dispatch.Lost) attemptResult {
+	a.recordEndpointLost(m.Code)
 	a.recordFailure(m.Code != dispatch.CodeDeadline && m.Code != dispatch.CodeCancelled)
 	if m.Code == dispatch.CodeDeadline {
 		return attemptResult{problem: newProblem(http.StatusGatewayTimeout, string(m.Code), ExecutionUnknown, "endpoint %s had not finished by the deadline", a.endpoint.ID)}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -16,6 +16,7 @@
 	"toucantiller.dev/contract"
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
+	"toucantiller.dev/quarantine"
 	"toucantiller.dev/schedule"
 )
 
@@ -62,6 +63,8 @@
 	// hash selects the version and stays the same for all attempts.
 	hash     uint64
 	prefixes []schedule.Prefix
+	// sharedParts are the parts of the prompt that other requests may have too.
+	sharedParts []quarantine.Part
 	// host is the caller's Host header, for the engine.
 	host string
 	// ingress is the route of a call that is routed by host and path; nil for the gateway's own
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 	"toucantiller.dev/policy"
+	"toucantiller.dev/quarantine"
 	"toucantiller.dev/schedule"
 	"toucantiller.dev/timeline"
 )
@@ -75,6 +76,9 @@
 	// /readyz fail sends no more. Closing the listener earlier would reset the connections that
 	// it has not accepted yet, and an idle connection may be about to carry a new call.
 	StopDelay time.Duration
+	// Quarantine watches for parts of prompts under which endpoints end; nil means that none are
+	// held back.
+	Quarantine *quarantine.Watcher
 	// Without is the set of policies that are switched off.
 	Without policy.Off
 }
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -12,6 +12,7 @@
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/policy"
+	"toucantiller.dev/quarantine"
 	"toucantiller.dev/schedule"
 )
 
@@ -37,6 +38,8 @@
 	ExpectedAnswer int
 	// Prefixes lists hashed prefixes of the prompt, from the shortest to the longest.
 	Prefixes []schedule.Prefix
+	// SharedParts lists the parts of the prompt that other requests may have too.
+	SharedParts []quarantine.Part
 	// Header holds the caller's headers that are passed to the endpoint.
 	Header http.Header
 	Body   []byte
@@ -119,7 +122,7 @@
 	}
 	c := &call{
 		config: config, ingress: route, id: in.ID, method: in.Method, host: in.Host, path: in.Target, body: in.Body,
-		passedHeaders: in.Header, hash: rand.Uint64(), //nolint:gosec // load balancing needs no secrecy
+		passedHeaders: in.Header, sharedParts: in.SharedParts, hash: rand.Uint64(), //nolint:gosec // load balancing needs no secrecy
 		route: contract.Route{Name: route.Name, Idempotent: route.Repeatable()},
 	}
 	if p := c.findAccount(in.Key); p != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -26,6 +26,10 @@
 		return
 	}
 	defer pass.Leave()
+	if p := g.quarantineProblem(c); p != nil {
+		g.refuseProblem(w, c, began, p)
+		return
+	}
 	if refused = g.spendTokens(r.Context(), c); refused != nil {
 		g.refuse(w, c, began, refused)
 		return
@@ -54,8 +58,12 @@
 
 // refuse answers a call that exceeds a limit of its account.
 func (g *Gateway) refuse(w http.ResponseWriter, c *call, began time.Time, refused *admission.Refusal) {
-	p := refusalProblem(refused)
 	g.metrics.recordShed(refused)
+	g.refuseProblem(w, c, began, refusalProblem(refused))
+}
+
+// refuseProblem answers a call that is refused before it waits for an endpoint.
+func (g *Gateway) refuseProblem(w http.ResponseWriter, c *call, began time.Time, p *Problem) {
 	g.logRequest(c, 0, began, p)
 	c.writeProblem(w, p)
 }
@@ -130,6 +138,10 @@
 	}
 	a := g.newAttempt(c, out, d)
 	defer g.release(a)
+	// The part may have been found while the call waited.
+	if p := g.quarantineProblem(c); p != nil {
+		return attemptResult{problem: p, notRun: true}, false
+	}
 	if claim != nil {
 		if r, held := claim.acquire(ctx, a); !held {
 			return r, false
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -19,6 +19,7 @@
 	"toucantiller.dev/link"
 	"toucantiller.dev/platform"
 	"toucantiller.dev/policy"
+	"toucantiller.dev/quarantine"
 )
 
 // GatewaySettings are the settings of a gateway.
@@ -74,6 +75,7 @@
 	member         *member
 	gateway        *gateway.Gateway
 	evidence       *evidenceReporter
+	losses         *lossReporter
 	callerListener net.Listener
 	// host runs agents for endpoints without one and dispatchListener is its listener; both
 	// are nil if --agent-listen is empty.
@@ -91,6 +93,7 @@
 	m := newMember(s.Instance(instance.RoleGateway), network, ReplacePorts(s.Control, s.ControlPort), admin.Timeline, logger)
 	g := &Gateway{settings: s, logger: logger, admin: admin, member: m}
 	g.evidence = &evidenceReporter{gateway: m.self.ID, underMove: g.underMove, report: m.control.ReportEvidence}
+	g.losses = &lossReporter{gateway: m.self.ID, watcher: quarantine.NewWatcher(time.Now()), report: m.control.ReportLosses, logger: logger}
 	return g, nil
 }
 
@@ -128,6 +131,8 @@
 		Timeline: g.admin.Timeline,
 		Meter:    g.admin.Telemetry.Meter("toucantiller.dev/gateway"),
 
+		Quarantine: g.losses.watcher,
+
 		StopDelay: g.settings.StopDelay,
 		Handler:   g.callerHandler(),
 		NewEngine: func(target string, maxConnections int) endpoint.Engine {
@@ -145,6 +150,8 @@
 	g.startHost(run)
 	g.member.start(nil)
 	g.member.goroutines.Go(func() { g.evidence.run(run) })
+	g.member.goroutines.Go(func() { g.losses.run(run) })
+	g.member.goroutines.Go(func() { g.followDirectory(run, g.losses.publish) })
 	g.member.goroutines.Go(func() { g.member.logChanges(run) })
 	g.member.goroutines.Go(func() { _ = g.gateway.Serve(g.callerListener) })
 	g.member.goroutines.Go(func() { g.setReadyWhenConfigured(run) })
@@ -172,21 +179,26 @@
 	}
 	g.member.goroutines.Go(func() { _ = g.host.Serve(g.dispatchListener) })
 	g.member.goroutines.Go(func() {
-		changes, unwatch := g.member.holder.Watch()
-		defer unwatch()
-		for {
-			if d := g.member.Directory(); d != nil {
-				g.host.Update(d.Endpoints)
-			}
-			select {
-			case <-changes:
-			case <-ctx.Done():
-				return
-			}
-		}
+		g.followDirectory(ctx, func(d *api.Directory) { g.host.Update(d.Endpoints) })
 	})
 }
 
+// followDirectory passes the directory to update after each change until ctx ends.
+func (g *Gateway) followDirectory(ctx context.Context, update func(*api.Directory)) {
+	changes, unwatch := g.member.holder.Watch()
+	defer unwatch()
+	for {
+		if d := g.member.Directory(); d != nil {
+			update(d)
+		}
+		select {
+		case <-changes:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // handOverAgents drains the agents that run here and withdraws the agent address from the
 // announcement, so that control lets another process host them.
 func (g *Gateway) handOverAgents() {
