Send nothing to an endpoint that has said that it leaves or wants no request for a while

A replica that cannot reach control to report that it drains was sent requests until its lease ended.

Change: the HTTP client of an endpoint, which agents, hosts of agents and gateways share, remembers both wishes by endpoint ID and incarnation and refuses to send before a byte has left. The dispatch header carries the endpoint's incarnation (absent from older gateways: 0), so that a new start under the same ID is not taken for the one that left. Codes engine_leaving and paused hand the request back without a charge to the retry budget, and the gateway passes the endpoint over meanwhile. The wait that a caller is told no longer comes from a single full endpoint.

TestLeavingEndpointGetsNoFurtherRequest and TestRetryAfterOfAnEndpointIsKept fail without the check.

--- a/agent/execute.go
+++ b/agent/execute.go
@@ -55,7 +55,7 @@
 		Host: h.Host, Account: h.Account, Timeout: d.remaining(),
 	}
 	if h.Engine != nil {
-		r.Endpoint = h.Engine.ID
+		r.Endpoint, r.Incarnation = h.Engine.ID, h.Engine.Incarnation
 	}
 	return r
 }
@@ -89,13 +89,21 @@
 		d.slot.finish(outcome{cancelled: !gone, failed: gone, unreachable: gone})
 		code := dispatch.CodeEngineRefused
 		switch {
+		case full && refused.Leaving:
+			code = dispatch.CodeEngineLeaving
+		case full && !refused.Misdirected && refused.Status == 0:
+			code = dispatch.CodePaused
 		case full && !refused.Misdirected:
 			code = dispatch.CodeEngineFull
 		case !full && d.header.Engine != nil:
 			// No byte reached the engine, so another attempt cannot run the request twice.
 			code = dispatch.CodeUnreachable
 		}
-		d.stream.writeRefused(refusal{code: code, detail: err.Error()})
+		r := refusal{code: code, detail: err.Error()}
+		if full {
+			r.retryAfter = refused.RetryAfter
+		}
+		d.stream.writeRefused(r)
 		return
 	}
 	a.ledger.Finish(d.header.ID, nil, a.now())
--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -43,6 +43,8 @@
 	baseURL string
 	client  *http.Client
 	opt     Options
+
+	restraints restraints
 }
 
 // Options adapts an Engine to servers that need more than plain HTTP. The zero value changes
@@ -56,6 +58,8 @@
 	// endpoint.ErrNotSent means that the request did not run. After any other error the
 	// connection is closed, since the bytes that follow on it cannot be attributed to a request.
 	Check func(resp *http.Response, r *endpoint.Request) error
+	// Wishes reads what an answer asks for; nil if the server asks for nothing.
+	Wishes func(resp *http.Response) Wishes
 }
 
 // New returns an engine at a base URL such as "http://127.0.0.1:9000". network may be
@@ -95,6 +99,9 @@
 // of it left this process.
 func (e *Engine) Submit(ctx context.Context, r *endpoint.Request) (*endpoint.Answer, error) {
 	for try := 1; ; try++ {
+		if err := e.restraints.check(r, time.Now()); err != nil {
+			return nil, err
+		}
 		answer, retry, err := e.submit(ctx, r)
 		if err == nil {
 			return answer, nil
@@ -125,9 +132,17 @@
 	mu.Lock()
 	defer mu.Unlock()
 	if err == nil {
+		wishes := e.wishes(resp)
 		if err = e.checkAnswer(resp, r); err == nil {
+			e.restraints.record(r, wishes, time.Now())
 			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, false, nil
 		}
+		var refused *endpoint.RefusedError
+		if errors.As(err, &refused) && !refused.Misdirected {
+			// Another endpoint at the address speaks for itself only.
+			refused.RetryAfter = wishes.RetryAfter
+			e.restraints.record(r, wishes, time.Now())
+		}
 		if !errors.Is(err, endpoint.ErrNotSent) && s.conn != nil {
 			_ = s.conn.Close() // the error of Check is the one to report
 		}
@@ -160,6 +175,13 @@
 	return req, nil
 }
 
+func (e *Engine) wishes(resp *http.Response) Wishes {
+	if e.opt.Wishes == nil {
+		return Wishes{}
+	}
+	return e.opt.Wishes(resp)
+}
+
 func (e *Engine) checkAnswer(resp *http.Response, r *endpoint.Request) error {
 	if e.opt.Check == nil {
 		return nil
--- a/dispatch/header.go
+++ b/dispatch/header.go
@@ -72,6 +72,8 @@
 	// ID is the endpoint that must handle the request; another one at its address must refuse
 	// it.
 	ID endpoint.ID
+	// Incarnation is that of the endpoint; 0 if the gateway does not send it.
+	Incarnation instance.Incarnation
 	// Slots is the number of requests that it runs at once; 0 means not known.
 	Slots int
 	// ColdRate is the maximum rate while cold, in requests per second; 0 means no bound.
@@ -118,19 +120,20 @@
 // between dispatches share one header, because each header with a new value takes an entry
 // of the compression table of HTTP/2.
 const (
-	headerDispatch = "toucan-dispatch"
-	headerService  = "toucan-service"
-	headerVersion  = "toucan-version"
-	headerRoute    = "toucan-route"
-	headerAccount  = "toucan-account"
-	headerMethod   = "toucan-method"
-	headerPath     = "toucan-path"
-	headerClaim    = "toucan-claim"
-	headerLink     = "toucan-link"
-	headerHost     = "toucan-host"
-	headerEngine   = "toucan-engine"
-	headerPassAll  = "toucan-pass-all"
-	headerWaiting  = "toucan-waiting"
+	headerDispatch    = "toucan-dispatch"
+	headerService     = "toucan-service"
+	headerVersion     = "toucan-version"
+	headerRoute       = "toucan-route"
+	headerAccount     = "toucan-account"
+	headerMethod      = "toucan-method"
+	headerPath        = "toucan-path"
+	headerClaim       = "toucan-claim"
+	headerLink        = "toucan-link"
+	headerHost        = "toucan-host"
+	headerEngine      = "toucan-engine"
+	headerIncarnation = "toucan-engine-incarnation"
+	headerPassAll     = "toucan-pass-all"
+	headerWaiting     = "toucan-waiting"
 )
 
 // HeaderCount is the capacity to allocate for the HTTP headers that carry a Header.
@@ -154,6 +157,7 @@
 	}
 	if e := h.Engine; e != nil {
 		to[headerWaiting] = []string{h.formatWaiting()}
+		to[headerIncarnation] = []string{strconv.FormatUint(uint64(e.Incarnation), 16)}
 		to[headerEngine] = []string{strconv.FormatBool(e.Cold) + ";" + strconv.Itoa(e.Slots) + ";" + strconv.Itoa(e.EventTokens) + ";" + strconv.FormatFloat(e.ColdRate, 'g', -1, 64) + ";" + string(e.ID)}
 	}
 	if h.PassAll {
@@ -250,6 +254,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("dispatch header %s: %w", headerEngine, err)
 		}
+		if v := from.Get(headerIncarnation); v != "" {
+			n, err := strconv.ParseUint(v, 16, 64)
+			if err != nil {
+				return nil, fmt.Errorf("dispatch header %s: %w", headerIncarnation, err)
+			}
+			e.Incarnation = instance.Incarnation(n)
+		}
 		h.Engine = e
 		if err = h.parseWaiting(from.Get(headerWaiting)); err != nil {
 			return nil, fmt.Errorf("dispatch header %s: %w", headerWaiting, err)
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -77,7 +77,11 @@
 	// CodeUnreachable: no connection to the agent could be opened.
 	CodeUnreachable Code = "unreachable"
 	// CodeEngineFull: the engine, not the agent, refused the request before it ran.
-	CodeEngineFull  Code = "engine_full"
+	CodeEngineFull Code = "engine_full"
+	// CodeEngineLeaving: the engine has said that it leaves and was not sent the request.
+	CodeEngineLeaving Code = "engine_leaving"
+	// CodePaused: the engine has asked for no request for a while and was sent none.
+	CodePaused      Code = "paused"
 	CodeStaleConfig Code = "stale_config"
 	// CodeQueueTime: the request waited in the queue for the maximum time of its tier.
 	CodeQueueTime Code = "queue_time"
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"toucantiller.dev/instance"
 )
 
 // ErrNotSent is wrapped by errors of Engine.Submit that prove that the request did not run:
@@ -30,6 +32,8 @@
 	// Endpoint is the ID of the endpoint that must handle the request; another one at its
 	// address must refuse it. It is empty where endpoints have no ID of their own.
 	Endpoint ID
+	// Incarnation is the incarnation of Endpoint, 0 if it is not known.
+	Incarnation instance.Incarnation
 	// Account is the client account, for engines that accept it.
 	Account string
 	// Timeout is the time left until the caller's deadline.
@@ -43,10 +47,21 @@
 	Status int
 	// Misdirected is set when another endpoint answers at the address.
 	Misdirected bool
+	// Leaving is set when the request was not sent because the endpoint has said that it leaves.
+	Leaving bool
+	// RetryAfter is how long the endpoint wants no further request from this process, 0 if it did
+	// not say.
+	RetryAfter time.Duration
 }
 
 // Error returns a message with the status.
 func (e *RefusedError) Error() string {
+	switch {
+	case e.Leaving:
+		return "the endpoint has said that it leaves"
+	case e.Status == 0:
+		return fmt.Sprintf("the endpoint wants no request for %s", e.RetryAfter)
+	}
 	return fmt.Sprintf("the engine refused with status %d", e.Status)
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -163,7 +163,7 @@
 		if q := a.gateway.queue(c); q != nil {
 			h.Waiting = q.waitingSummary()
 		}
-		h.Engine = &dispatch.Engine{ID: a.endpoint.ID, Slots: a.endpoint.Slots, ColdRate: c.service.ColdRate, EventTokens: c.service.EventTokens, Cold: a.endpoint.Cold}
+		h.Engine = &dispatch.Engine{ID: a.endpoint.ID, Incarnation: a.endpoint.Incarnation, Slots: a.endpoint.Slots, ColdRate: c.service.ColdRate, EventTokens: c.service.EventTokens, Cold: a.endpoint.Cold}
 	}
 	a.trace.GotConn = func(httptrace.GotConnInfo) { a.connected.Store(true) }
 	req := a.peer.dispatch.WithContext(httptrace.WithClientTrace(ctx, &a.trace))
@@ -293,8 +293,10 @@
 		} else {
 			a.suspend()
 		}
-	case dispatch.CodeWrongVersion:
+	case dispatch.CodeWrongVersion, dispatch.CodeEngineLeaving:
 		a.suspend()
+	case dispatch.CodeEngineFull, dispatch.CodePaused:
+		a.suspendFor(m.RetryAfter)
 	case dispatch.CodeEngineRefused, dispatch.CodeUnreachable:
 		if announced {
 			// Its address does not answer or belongs to another endpoint; the directory will be
@@ -307,7 +309,11 @@
 		status = http.StatusGatewayTimeout
 	}
 	p := newProblem(status, string(m.Code), ExecutionNotRun, "endpoint %s refused: %s", a.endpoint.ID, m.Code)
-	p.RetryAfter = max(m.RetryAfter, unavailableRetryAfter)
+	p.RetryAfter = unavailableRetryAfter
+	if refusedForLoad(m.Code) {
+		// The other codes' times are about this endpoint alone; others may serve earlier.
+		p.RetryAfter = max(m.RetryAfter, unavailableRetryAfter)
+	}
 	return attemptResult{problem: p, code: m.Code, notRun: true}
 }
 
@@ -363,6 +369,13 @@
 // suspend keeps the endpoint from being picked for suspendDuration.
 func (a *attempt) suspend() { a.candidate.Suspend(time.Now().Add(suspendDuration)) }
 
+// suspendFor keeps the endpoint from being picked for a time that it has asked for.
+func (a *attempt) suspendFor(d time.Duration) {
+	if d > 0 {
+		a.candidate.Suspend(time.Now().Add(d))
+	}
+}
+
 // releaseCandidate ends the count of the request at its candidate; later calls do nothing.
 func (a *attempt) releaseCandidate() {
 	if a.released {
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -61,7 +61,7 @@
 	engine := a.gateway.directEngine(a.endpoint.Target, c.service.MaxConnections)
 	answer, err := engine.Submit(ctx, &endpoint.Request{
 		ID: a.id.String(), Method: c.method, Path: c.path, Header: c.passedHeaders, Body: c.body, Host: c.host,
-		Endpoint: a.endpoint.ID, Account: c.account.Name, Timeout: time.Until(c.deadline),
+		Endpoint: a.endpoint.ID, Incarnation: a.endpoint.Incarnation, Account: c.account.Name, Timeout: time.Until(c.deadline),
 	})
 	if err != nil {
 		return a.submitFailed(ctx, err)
@@ -90,12 +90,8 @@
 	var refused *endpoint.RefusedError
 	switch {
 	case errors.As(err, &refused):
-		code := dispatch.CodeEngineFull
-		if refused.Misdirected {
-			code = dispatch.CodeEngineRefused
-			a.suspend()
-		}
-		return a.notRunResult(code, err)
+		a.suspendFor(refused.RetryAfter)
+		return a.notRunResult(a.refusalCode(refused), err)
 	case errors.Is(err, endpoint.ErrNotSent):
 		if ctx.Err() == nil {
 			a.suspend()
@@ -105,6 +101,22 @@
 	return a.directOutcomeUnknown(ctx, err)
 }
 
+// refusalCode returns the code of a direct call that the endpoint refused, or that was not sent to
+// it because it wants none.
+func (a *attempt) refusalCode(r *endpoint.RefusedError) dispatch.Code {
+	switch {
+	case r.Misdirected:
+		a.suspend()
+		return dispatch.CodeEngineRefused
+	case r.Leaving:
+		a.suspend()
+		return dispatch.CodeEngineLeaving
+	case r.Status == 0:
+		return dispatch.CodePaused
+	}
+	return dispatch.CodeEngineFull
+}
+
 // directOutcomeUnknown handles a direct call whose outcome is unknown.
 func (a *attempt) directOutcomeUnknown(ctx context.Context, err error) attemptResult {
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -190,7 +190,8 @@
 
 func handedBack(code dispatch.Code) bool {
 	switch code {
-	case dispatch.CodeDraining, dispatch.CodeDomainDrained, dispatch.CodeWrongIncarnation, dispatch.CodeWrongVersion, dispatch.CodeUnreachable:
+	case dispatch.CodeDraining, dispatch.CodeDomainDrained, dispatch.CodeWrongIncarnation, dispatch.CodeWrongVersion, dispatch.CodeUnreachable,
+		dispatch.CodePaused, dispatch.CodeEngineLeaving:
 		return true
 	}
 	return false
