Take a refusal without a request's ID on a reused connection for no refusal

Here a repeated refusal with the ID of its own request was already found; one without an ID was believed. Endpoints echo the ID of the attempt, so on a connection that carried earlier requests an answer without it is now of unknown outcome and the connection is closed. A first answer on a connection can only be for its own request and needs none.

--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -57,7 +57,8 @@
 	// Check validates the status and headers of an answer. An error that wraps
 	// endpoint.ErrNotSent means that the request did not run. After any other error the
 	// connection is closed, since the bytes that follow on it cannot be attributed to a request.
-	Check func(resp *http.Response, r *endpoint.Request) error
+	// reused is set if the connection carried earlier requests, whose answers the server may repeat.
+	Check func(resp *http.Response, r *endpoint.Request, reused bool) error
 	// Wishes reads what an answer asks for; nil if the server asks for nothing.
 	Wishes func(resp *http.Response) Wishes
 }
@@ -133,7 +134,7 @@
 	defer mu.Unlock()
 	if err == nil {
 		wishes := e.wishes(resp)
-		if err = e.checkAnswer(resp, r); err == nil {
+		if err = e.checkAnswer(resp, r, s.reused); err == nil {
 			e.restraints.record(r, wishes, time.Now())
 			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, false, nil
 		}
@@ -182,11 +183,11 @@
 	return e.opt.Wishes(resp)
 }
 
-func (e *Engine) checkAnswer(resp *http.Response, r *endpoint.Request) error {
+func (e *Engine) checkAnswer(resp *http.Response, r *endpoint.Request, reused bool) error {
 	if e.opt.Check == nil {
 		return nil
 	}
-	return e.opt.Check(resp, r)
+	return e.opt.Check(resp, r, reused)
 }
 
 // Close closes idle connections.
