Report a stream that ends inside an event as broken off

The body of an event stream now ends with an error unless its last bytes end an event. TestStreamThatEndsInsideAnEventIsBrokenOff fails without it.

--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -136,7 +136,7 @@
 		wishes := e.wishes(resp)
 		if err = e.checkAnswer(resp, r, s.reused); err == nil {
 			e.restraints.record(r, wishes, time.Now())
-			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, false, nil
+			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: checkEvents(resp)}, false, nil
 		}
 		var refused *endpoint.RefusedError
 		if errors.As(err, &refused) && !refused.Misdirected {
