Let a follower that has heard a leader wait the full election timeout

Cause: replicas that just started hold elections sooner, by a shorter timeout that is drawn at the start. A follower that heard a leader before it held an election kept that timeout, since only the count of early elections was ended, not the timeout itself. The first sync of 150 ms, during which the leader sends nothing, then cost it the leadership. In operation: a change of leader in the first seconds after a start without a cause.

Change: the first message of a leader draws a full timeout.

--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -165,6 +165,20 @@
 	assert.Equal(t, leader.Status().Term, term)
 }
 
+// Guards against a follower that keeps the short election timeout of its start after it has heard
+// a leader, and replaces that leader at its first slow sync.
+func TestFollowerThatHeardALeaderWaitsTheFullTimeout(t *testing.T) {
+	c := newThreeVoterCluster(t)
+	c.elect(1)
+	c.tick(1, 1)
+	for range electionTicks - 1 {
+		c.tick(1, 2, 3)
+		for _, id := range []consensus.ID{2, 3} {
+			assert.Equal(t, c.cores[id].Status().Role, consensus.Follower, "replica %d holds an election before ElectionTicks", id)
+		}
+	}
+}
+
 // Guards against a candidate that deposes a leader which its followers still hear. A removed
 // replica with an older version of the election rules may send such a vote request.
 func TestVoteIsIgnoredWhileALeaderIsHeard(t *testing.T) {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -28,8 +28,10 @@
 
 // followLeader follows the leader of the current term and restarts the election timer.
 func (c *Core) followLeader(leader ID) {
+	starting := c.startupElections < startupSteps
 	c.startupElections = startupSteps
-	if c.role != Follower {
+	if c.role != Follower || starting {
+		// The timeout of a start would end the leader's term at its first slow sync.
 		c.becomeFollower(c.state.Term, leader)
 	}
 	c.leader, c.electionElapsed = leader, 0
