--- a/agent/execute.go
+++ b/agent/execute.go
@@ -82,28 +82,7 @@
 func (d *dispatchRun) fail(ctx context.Context, err error) {
 	a := d.agent
 	if errors.Is(err, endpoint.ErrNotSent) {
-		a.ledger.MarkUnsent(d.header.ID, a.now())
-		var refused *endpoint.RefusedError
-		full := errors.As(err, &refused)
-		gone := ctx.Err() == nil && !full
-		d.slot.finish(outcome{cancelled: !gone, failed: gone, unreachable: gone})
-		code := dispatch.CodeEngineRefused
-		switch {
-		case full && refused.Leaving:
-			code = dispatch.CodeEngineLeaving
-		case full && !refused.Misdirected && refused.Status == 0:
-			code = dispatch.CodePaused
-		case full && !refused.Misdirected:
-			code = dispatch.CodeEngineFull
-		case !full && d.header.Engine != nil:
-			// No byte reached the engine, so another attempt cannot run the request twice.
-			code = dispatch.CodeUnreachable
-		}
-		r := refusal{code: code, detail: err.Error()}
-		if full {
-			r.retryAfter = refused.RetryAfter
-		}
-		d.stream.writeRefused(r)
+		d.failUnsent(ctx, err)
 		return
 	}
 	a.ledger.Finish(d.header.ID, nil, a.now())
@@ -118,6 +97,27 @@
 	d.stream.writeLost(dispatch.CodeEngineLost, err.Error())
 }
 
+// failUnsent refuses a dispatch that provably did not run at the engine.
+func (d *dispatchRun) failUnsent(ctx context.Context, err error) {
+	a := d.agent
+	a.ledger.MarkUnsent(d.header.ID, a.now())
+	r := refusal{code: dispatch.CodeEngineRefused, detail: err.Error()}
+	var refused *endpoint.RefusedError
+	if errors.As(err, &refused) {
+		r.code, r.retryAfter = dispatch.RefusalCode(refused), refused.RetryAfter
+		d.slot.finish(outcome{cancelled: true})
+		d.stream.writeRefused(r)
+		return
+	}
+	gone := ctx.Err() == nil
+	d.slot.finish(outcome{cancelled: !gone, failed: gone, unreachable: gone})
+	if d.header.Engine != nil {
+		// No byte reached the engine, so another attempt cannot run the request twice.
+		r.code = dispatch.CodeUnreachable
+	}
+	d.stream.writeRefused(r)
+}
+
 // stopAtEngine cancels the request at the engine after the caller left or the deadline passed.
 func (d *dispatchRun) stopAtEngine(ctx context.Context) {
 	a := d.agent
--- a/agent/httpengine/events.go
+++ b/agent/httpengine/events.go
@@ -18,7 +18,9 @@
 // broken off: one that ends with its connection looks complete otherwise.
 type eventBody struct {
 	io.ReadCloser
-	tail []byte
+	// tail holds the last bytes that were read, length of them.
+	tail   [tailLength]byte
+	length int
 }
 
 // checkEvents wraps the body of an answer that is an event stream.
@@ -32,19 +34,27 @@
 // Read reads the stream.
 func (b *eventBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.tail = append(b.tail, p[max(0, n-tailLength):n]...)
-	b.tail = b.tail[max(0, len(b.tail)-tailLength):]
+	b.remember(p[max(0, n-tailLength):n])
 	if errors.Is(err, io.EOF) && !b.atEventEnd() {
 		return n, io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
+// remember appends p, at most tailLength bytes, to the tail.
+func (b *eventBody) remember(p []byte) {
+	kept := min(b.length, tailLength-len(p))
+	copy(b.tail[:], b.tail[b.length-kept:b.length])
+	copy(b.tail[kept:], p)
+	b.length = kept + len(p)
+}
+
+// atEventEnd reports whether the stream is empty or its last bytes end an event.
 func (b *eventBody) atEventEnd() bool {
 	for _, end := range eventEnds {
-		if bytes.HasSuffix(b.tail, end) {
+		if bytes.HasSuffix(b.tail[:b.length], end) {
 			return true
 		}
 	}
-	return len(b.tail) == 0
+	return b.length == 0
 }
--- a/agent/httpengine/restraint.go
+++ b/agent/httpengine/restraint.go
@@ -20,15 +20,15 @@
 // yields.
 const maxRestraints = 8
 
-// starter is one start of an endpoint.
-type starter struct {
+// endpointStart identifies one start of an endpoint.
+type endpointStart struct {
 	id          endpoint.ID
 	incarnation instance.Incarnation
 }
 
 // restraint is what one start of an endpoint has asked for.
 type restraint struct {
-	of      starter
+	of      endpointStart
 	leaving bool
 	until   time.Time
 }
@@ -43,7 +43,7 @@
 func (s *restraints) check(r *endpoint.Request, now time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i := s.find(starter{r.Endpoint, r.Incarnation})
+	i := s.find(endpointStart{r.Endpoint, r.Incarnation})
 	if i < 0 {
 		return nil
 	}
@@ -63,7 +63,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	of := starter{r.Endpoint, r.Incarnation}
+	of := endpointStart{r.Endpoint, r.Incarnation}
 	next := restraint{of: of, leaving: w.Leaving, until: now.Add(w.RetryAfter)}
 	if i := s.find(of); i >= 0 {
 		old := s.list[i]
@@ -78,7 +78,7 @@
 }
 
 // find returns the index of a start of an endpoint, -1 if nothing is remembered of it.
-func (s *restraints) find(of starter) int {
+func (s *restraints) find(of endpointStart) int {
 	for i := range s.list {
 		if s.list[i].of == of {
 			return i
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -160,3 +160,17 @@
 
 // MaxStoredAnswer bounds the body of a stored answer, in bytes.
 const MaxStoredAnswer = MaxFrame / 2
+
+// RefusalCode returns the code of a request that the engine refused, or that was not sent to it
+// because it wants none.
+func RefusalCode(r *endpoint.RefusedError) Code {
+	switch {
+	case r.Misdirected:
+		return CodeEngineRefused
+	case r.Leaving:
+		return CodeEngineLeaving
+	case r.Status == 0:
+		return CodePaused
+	}
+	return CodeEngineFull
+}
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -91,7 +91,10 @@
 	switch {
 	case errors.As(err, &refused):
 		a.suspendFor(refused.RetryAfter)
-		return a.notRunResult(a.refusalCode(refused), err)
+		if refused.Misdirected || refused.Leaving {
+			a.suspend()
+		}
+		return a.notRunResult(dispatch.RefusalCode(refused), err)
 	case errors.Is(err, endpoint.ErrNotSent):
 		if ctx.Err() == nil {
 			a.suspend()
@@ -101,22 +104,6 @@
 	return a.directOutcomeUnknown(ctx, err)
 }
 
-// refusalCode returns the code of a direct call that the endpoint refused, or that was not sent to
-// it because it wants none.
-func (a *attempt) refusalCode(r *endpoint.RefusedError) dispatch.Code {
-	switch {
-	case r.Misdirected:
-		a.suspend()
-		return dispatch.CodeEngineRefused
-	case r.Leaving:
-		a.suspend()
-		return dispatch.CodeEngineLeaving
-	case r.Status == 0:
-		return dispatch.CodePaused
-	}
-	return dispatch.CodeEngineFull
-}
-
 // directOutcomeUnknown handles a direct call whose outcome is unknown.
 func (a *attempt) directOutcomeUnknown(ctx context.Context, err error) attemptResult {
 	if errors.Is(ctx.Err(), context.Canceled) {
