End a quarantine in probation, and count endpoints that end together once

Found by reading the new code: a quarantine was renewed for as long as requests with its part came. A sound part whose requests were lost in a wave of crashes, and which nobody had answered within 10 s, would have been held back for ever, since no request with it could show otherwise.

Change: ends within 40 ms of each other count once, by when they happened at the gateway (a report gives each loss its age), and a loss that is reported again is not counted later. A quarantine ends after 10 minutes; for an hour its part is on probation, where one loss holds it back again. The report of refused parts and its lock on the path of refusals are gone.

--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -8,9 +8,6 @@
 	"toucantiller.dev/quarantine"
 )
 
-// quarantineRenewal is the age of a quarantine's last renewal at which it is renewed in the log.
-const quarantineRenewal = state.QuarantineRetention / 4
-
 // ReportLosses counts the endpoints that ended under each part of a prompt over all gateways, and
 // holds back the parts that are suspected.
 func (v *service) ReportLosses(in *api.ReportLosses, out *api.ReportLossesReply) error {
@@ -29,23 +26,26 @@
 	return err
 }
 
-// judgeLosses returns the change of the quarantine that a report calls for.
+// judgeLosses returns the change of the quarantine that a report calls for. A part on probation is
+// held back again at its first loss.
 func (s *Server) judgeLosses(r *quarantine.Report, now time.Time) *state.SetQuarantine {
 	change := &state.SetQuarantine{}
 	suspected := s.recordLosses(r, now)
 	s.machine.read(func(st *state.State) {
-		for _, p := range suspected {
-			if _, held := st.Quarantined(p); !held {
-				change.Held = append(change.Held, p)
+		for _, l := range r.Losses {
+			for _, p := range l.Parts {
+				if st.OnProbation(p) {
+					suspected = append(suspected, p)
+				}
 			}
 		}
-		for _, p := range r.Refused {
-			if at, held := st.Quarantined(p); held && st.Now().Sub(at) > quarantineRenewal {
+		for _, p := range quarantine.Distinct(suspected) {
+			if !st.Quarantined(p) {
 				change.Held = append(change.Held, p)
 			}
 		}
 		for _, p := range r.Answered {
-			if _, held := st.Quarantined(p); held {
+			if st.Quarantined(p) {
 				change.Released = append(change.Released, p)
 			}
 		}
@@ -64,5 +64,5 @@
 	for _, l := range r.Losses {
 		suspected = append(suspected, s.detector.Lost(l, now)...)
 	}
-	return quarantine.Distinct(suspected)
+	return suspected
 }
--- a/control/quarantine_test.go
+++ b/control/quarantine_test.go
@@ -29,6 +29,7 @@
 			in := &api.ReportLosses{Gateway: instance.ID(fmt.Sprint("gateway-", i)), Report: quarantine.Report{Losses: []quarantine.Loss{loss}}}
 			assert.Equal(t, len(p.holder.Directory().Quarantined), 0)
 			assert.NilError(t, c.ReportLosses(t.Context(), in))
+			time.Sleep(100 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, p.holder.Directory().Quarantined, []quarantine.Part{7})
--- a/control/state/quarantine.go
+++ b/control/state/quarantine.go
@@ -7,34 +7,59 @@
 )
 
 const (
-	// QuarantineRetention is how long a part of prompts is held back after requests with it came
-	// last.
-	QuarantineRetention = 10 * time.Minute
-	// MaxQuarantined bounds the parts held back; the one that came longest ago yields.
+	// QuarantineTime is how long a part of prompts is held back. It then passes on probation, so
+	// that a sound part, or one that endpoints bear by now, is not held back for ever.
+	QuarantineTime = 10 * time.Minute
+	// ProbationTime is how long a part is on probation.
+	ProbationTime = time.Hour
+	// MaxQuarantined bounds the parts held back, and those on probation; the one that was added
+	// longest ago yields.
 	MaxQuarantined = 256
 )
 
-// SetQuarantine holds parts of prompts back, or lets them pass again. Held lists parts that are
-// new or came again.
+// SetQuarantine holds parts of prompts back, or lets parts pass again that endpoints have
+// answered.
 type SetQuarantine struct {
 	Held     []quarantine.Part
 	Released []quarantine.Part
 }
 
+// quarantined holds when each part was added.
+type quarantined map[quarantine.Part]time.Time
+
+// add adds a part, in place of the oldest one if there is no room.
+func (q quarantined) add(p quarantine.Part, now time.Time) {
+	if len(q) >= MaxQuarantined {
+		delete(q, q.oldest())
+	}
+	q[p] = now
+}
+
+// oldest returns the part that was added first. Equal times are ordered by part, so that all
+// replicas drop the same one.
+func (q quarantined) oldest() quarantine.Part {
+	var oldest quarantine.Part
+	var at time.Time
+	for p, t := range q {
+		if at.IsZero() || t.Before(at) || t.Equal(at) && p < oldest {
+			oldest, at = p, t
+		}
+	}
+	return oldest
+}
+
 func (s *State) setQuarantine(c *SetQuarantine) *Result {
 	changed := false
 	for _, p := range c.Held {
-		if _, known := s.data.Quarantined[p]; !known {
-			s.makeQuarantineRoom()
+		if !s.Quarantined(p) {
+			s.data.Quarantined.add(p, s.data.Now)
+			delete(s.data.Probation, p)
 			changed = true
 		}
-		s.data.Quarantined[p] = s.data.Now
 	}
 	for _, p := range c.Released {
-		if _, known := s.data.Quarantined[p]; known {
-			delete(s.data.Quarantined, p)
-			changed = true
-		}
+		changed = changed || s.Quarantined(p)
+		delete(s.data.Quarantined, p)
 	}
 	if changed {
 		s.raiseDirectoryRevision()
@@ -42,38 +67,35 @@
 	return &Result{}
 }
 
-func (s *State) makeQuarantineRoom() {
-	if len(s.data.Quarantined) < MaxQuarantined {
-		return
-	}
-	var oldest quarantine.Part
-	var at time.Time
-	for p, t := range s.data.Quarantined {
-		// Equal times are ordered by part, so that all replicas drop the same one.
-		if at.IsZero() || t.Before(at) || t.Equal(at) && p < oldest {
-			oldest, at = p, t
-		}
-	}
-	delete(s.data.Quarantined, oldest)
-}
-
-// releaseQuarantined lets parts pass again that have not come for QuarantineRetention.
-func (s *State) releaseQuarantined() {
+// endQuarantines puts parts on probation that have been held back for QuarantineTime, and ends
+// probations.
+func (s *State) endQuarantines() {
 	released := false
 	for p, at := range s.data.Quarantined {
-		if s.data.Now.Sub(at) > QuarantineRetention {
+		if s.data.Now.Sub(at) > QuarantineTime {
 			delete(s.data.Quarantined, p)
+			s.data.Probation.add(p, s.data.Now)
 			released = true
 		}
 	}
+	for p, at := range s.data.Probation {
+		if s.data.Now.Sub(at) > ProbationTime {
+			delete(s.data.Probation, p)
+		}
+	}
 	if released {
 		s.raiseDirectoryRevision()
 	}
 }
 
-// Quarantined returns when requests with a part that is held back last came; held is false for
-// other parts.
-func (s *State) Quarantined(p quarantine.Part) (at time.Time, held bool) {
-	at, held = s.data.Quarantined[p]
-	return at, held
+// Quarantined reports whether a part is held back.
+func (s *State) Quarantined(p quarantine.Part) bool {
+	_, held := s.data.Quarantined[p]
+	return held
+}
+
+// OnProbation reports whether a part was held back until lately.
+func (s *State) OnProbation(p quarantine.Part) bool {
+	_, known := s.data.Probation[p]
+	return known
 }
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -11,7 +11,6 @@
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/idempotency"
 	"toucantiller.dev/instance"
-	"toucantiller.dev/quarantine"
 )
 
 // Retention and timing of state.
@@ -67,8 +66,10 @@
 	// Hostings holds where the agents of self-announced endpoints run, by the endpoint's
 	// target.
 	Hostings map[string]*Hosting
-	// Quarantined holds the parts of prompts that are held back and when they last came.
-	Quarantined map[quarantine.Part]time.Time
+	// Quarantined and Probation hold the parts of prompts that are held back, and those that were
+	// until lately.
+	Quarantined quarantined
+	Probation   quarantined
 }
 
 // Ended records the end of an endpoint. Announcements with Incarnation or an earlier one are
@@ -222,7 +223,7 @@
 		}
 	}
 	s.dropUnusedHostings()
-	s.releaseQuarantined()
+	s.endQuarantines()
 	s.activateDomains()
 	return &Result{}
 }
@@ -250,7 +251,12 @@
 	initMap(&d.Lost)
 	initMap(&d.Ended)
 	initMap(&d.Hostings)
-	initMap(&d.Quarantined)
+	if d.Quarantined == nil {
+		d.Quarantined = make(quarantined)
+	}
+	if d.Probation == nil {
+		d.Probation = make(quarantined)
+	}
 	next := State{data: d, leases: make(map[uint64]instance.ID, len(d.Registrations))}
 	for id, r := range d.Registrations {
 		next.leases[r.Lease] = id
--- a/program/quarantine.go
+++ b/program/quarantine.go
@@ -31,7 +31,7 @@
 			return
 		case <-r.watcher.Due():
 		}
-		report, ok := r.watcher.TakeReport()
+		report, ok := r.watcher.TakeReport(time.Now())
 		if !ok {
 			continue
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -24,8 +24,13 @@
 	MinCrashes = 4
 	// CrashWindow is the time within which they end.
 	CrashWindow = time.Minute
+	// minCrashGap is the time between two ends that count: endpoints that end together do so for
+	// a common cause, such as a rack or a kill.
+	minCrashGap = 40 * time.Millisecond
 	// maxSuspects bounds the parts that a Detector counts; the ones seen longest ago yield.
 	maxSuspects = 1024
+	// maxEndpoints bounds the endpoints that are remembered of one part.
+	maxEndpoints = 64
 	// maxParts bounds the parts of one loss.
 	maxParts = 64
 )
@@ -68,6 +73,8 @@
 	Endpoint Endpoint `msgpack:"endpoint"`
 	// Parts are those of the prompt that are not known to have been answered lately.
 	Parts []Part `msgpack:"parts"`
+	// Ago is how long ago the endpoint was lost.
+	Ago time.Duration `msgpack:"ago"`
 }
 
 // Detector counts the endpoints that ended under each part. It is not safe for concurrent use.
@@ -79,8 +86,10 @@
 
 // crashes are the endpoints that ended under a part.
 type crashes struct {
-	endpoints []Endpoint
-	times     []time.Time
+	// seen lists the latest endpoints, so that none is counted twice.
+	seen []Endpoint
+	// times are those of the ends that count.
+	times []time.Time
 }
 
 // NewDetector returns a detector without losses.
@@ -103,8 +112,8 @@
 			c = &crashes{}
 			d.crashes[p] = c
 		}
-		c.add(l.Endpoint, now)
-		if len(c.endpoints) >= MinCrashes {
+		c.add(l.Endpoint, now.Add(-l.Ago))
+		if len(c.times) >= MinCrashes {
 			suspected = append(suspected, p)
 		}
 	}
@@ -120,26 +129,29 @@
 	}
 }
 
-func (c *crashes) add(e Endpoint, now time.Time) {
-	if len(c.endpoints) >= MinCrashes || slices.Contains(c.endpoints, e) {
+// add counts an end, unless it was counted before or is one of several at about the same time.
+func (c *crashes) add(e Endpoint, at time.Time) {
+	if slices.Contains(c.seen, e) {
 		return
 	}
-	c.endpoints = append(c.endpoints, e)
-	c.times = append(c.times, now)
+	c.seen = append(c.seen, e)
+	c.seen = c.seen[max(0, len(c.seen)-maxEndpoints):]
+	together := func(other time.Time) bool { return at.Sub(other).Abs() < minCrashGap }
+	if len(c.times) < MinCrashes && !slices.ContainsFunc(c.times, together) {
+		c.times = append(c.times, at)
+	}
 }
 
 // expire forgets what is older than CrashWindow.
 func (d *Detector) expire(now time.Time) {
+	old := func(at time.Time) bool { return now.Sub(at) > CrashWindow }
 	for p, c := range d.crashes {
-		for len(c.times) > 0 && now.Sub(c.times[0]) > CrashWindow {
-			c.times, c.endpoints = c.times[1:], c.endpoints[1:]
-		}
-		if len(c.times) == 0 {
+		if c.times = slices.DeleteFunc(c.times, old); len(c.times) == 0 {
 			delete(d.crashes, p)
 		}
 	}
 	for p, at := range d.cleared {
-		if now.Sub(at) > CrashWindow {
+		if old(at) {
 			delete(d.cleared, p)
 		}
 	}
--- a/quarantine/watcher.go
+++ b/quarantine/watcher.go
@@ -19,8 +19,6 @@
 	maxLosses = 128
 	// ownRetention is how long a part stays held back on the word of this process alone.
 	ownRetention = time.Minute
-	// renewInterval is the time between two reports that a held back part still comes.
-	renewInterval = 30 * time.Second
 )
 
 // Report is what a gateway tells the control leader.
@@ -28,8 +26,6 @@
 	Losses []Loss `msgpack:"losses"`
 	// Answered lists parts that are held back although requests with them were answered lately.
 	Answered []Part `msgpack:"answered"`
-	// Refused lists parts that are held back and still come.
-	Refused []Part `msgpack:"refused"`
 }
 
 // Watcher is a gateway's view of harmful parts: it records what happens to requests, and says
@@ -41,8 +37,8 @@
 	// answered holds, by slot, the upper bits of a part and the second of its last answer, counted
 	// from 1; 0 is an empty slot.
 	answered [answeredSlots]atomic.Uint64
-	// held maps the parts held back to the reason.
-	held atomic.Pointer[map[Part]bool]
+	// held maps the parts held back to when that ends; the zero time stands for no end.
+	held atomic.Pointer[map[Part]time.Time]
 	// due receives when there is something to report.
 	due chan struct{}
 
@@ -51,8 +47,9 @@
 	losses    []datedLoss
 	own       map[Part]time.Time
 	published []Part
-	refused   map[Part]time.Time
-	pending   Report
+	// lossesDue is set if a loss has not been reported; sound lists parts to report as sound.
+	lossesDue bool
+	sound     []Part
 }
 
 // datedLoss is a loss and when it happened.
@@ -65,9 +62,9 @@
 func NewWatcher(now time.Time) *Watcher {
 	w := &Watcher{
 		start: now, due: make(chan struct{}, 1), detector: NewDetector(),
-		own: make(map[Part]time.Time), refused: make(map[Part]time.Time),
+		own: make(map[Part]time.Time),
 	}
-	w.held.Store(&map[Part]bool{})
+	w.held.Store(&map[Part]time.Time{})
 	return w
 }
 
@@ -116,10 +113,7 @@
 	w.losses = append(w.losses, datedLoss{l, now})
 	w.losses = slices.DeleteFunc(w.losses, func(l datedLoss) bool { return now.Sub(l.at) > lossMemory })
 	w.losses = w.losses[max(0, len(w.losses)-maxLosses):]
-	w.pending.Losses = nil
-	for _, l := range w.losses {
-		w.pending.Losses = append(w.pending.Losses, l.Loss)
-	}
+	w.lossesDue = true
 	for _, p := range w.detector.Lost(l, now) {
 		w.own[p] = now
 	}
@@ -134,8 +128,8 @@
 	defer w.mu.Unlock()
 	w.published = parts
 	for _, p := range parts {
-		if w.answeredLately(p, now) && len(w.pending.Answered) < maxSuspects {
-			w.pending.Answered = append(w.pending.Answered, p)
+		if w.answeredLately(p, now) && len(w.sound) < maxSuspects {
+			w.sound = append(w.sound, p)
 			w.notify()
 		}
 	}
@@ -144,54 +138,36 @@
 
 // update rebuilds the set of parts held back.
 func (w *Watcher) update(now time.Time) {
-	held := make(map[Part]bool, len(w.published)+len(w.own))
-	for _, p := range w.published {
-		held[p] = true
-	}
+	held := make(map[Part]time.Time, len(w.published)+len(w.own))
 	for p, at := range w.own {
-		if now.Sub(at) > ownRetention || w.answeredLately(p, now) {
+		end := at.Add(ownRetention)
+		if !now.Before(end) || w.answeredLately(p, now) {
 			delete(w.own, p)
 			continue
 		}
-		held[p] = true
+		held[p] = end
+	}
+	for _, p := range w.published {
+		held[p] = time.Time{}
 	}
 	w.held.Store(&held)
 }
 
-// Holds reports whether a request with the parts is to be held back.
+// Holds returns the part for which a request with the parts is to be held back, and false for a
+// request that may pass.
 func (w *Watcher) Holds(parts []Part, now time.Time) (Part, bool) {
 	held := *w.held.Load()
 	if len(held) == 0 {
 		return 0, false
 	}
 	for _, p := range parts {
-		if held[p] {
-			w.recordRefusal(p, now)
+		if end, ok := held[p]; ok && (end.IsZero() || now.Before(end)) {
 			return p, true
 		}
 	}
 	return 0, false
 }
 
-// recordRefusal reports now and then that a part that is held back still comes, and drops parts
-// that are held back here alone once their time is over.
-func (w *Watcher) recordRefusal(p Part, now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if last, ok := w.refused[p]; ok && now.Sub(last) < renewInterval {
-		return
-	}
-	if len(w.refused) >= maxSuspects {
-		clear(w.refused)
-	}
-	w.refused[p] = now
-	if len(w.pending.Refused) < maxSuspects {
-		w.pending.Refused = append(w.pending.Refused, p)
-	}
-	w.update(now)
-	w.notify()
-}
-
 func (w *Watcher) notify() {
 	select {
 	case w.due <- struct{}{}:
@@ -199,11 +175,18 @@
 	}
 }
 
-// TakeReport returns what is to be reported, and false if there is nothing.
-func (w *Watcher) TakeReport() (Report, bool) {
+// TakeReport returns what is to be reported, and false if there is nothing. A report with a new loss
+// repeats those of the last lossMemory.
+func (w *Watcher) TakeReport(now time.Time) (Report, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r := w.pending
-	w.pending = Report{}
-	return r, len(r.Losses)+len(r.Answered)+len(r.Refused) > 0
+	r := Report{Answered: w.sound}
+	if w.lossesDue {
+		for _, l := range w.losses {
+			l.Ago = now.Sub(l.at)
+			r.Losses = append(r.Losses, l.Loss)
+		}
+	}
+	w.lossesDue, w.sound = false, nil
+	return r, len(r.Losses)+len(r.Answered) > 0
 }
