Report a held back part as sound also when its answer begins later

A gateway reported a part as sound only when the directory that holds it back arrived. An answer that begins after that, to a request sent before, now does so as well; without it a sound part whose requests were all under way would wait ten minutes. TestAnsweredPartIsReportedAsSound checks both and fails without the change.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -69,6 +69,10 @@
 	r, ok := w.TakeReport(now)
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, r.Answered, []Part{5})
+	w.Answered([]Part{6}, now.Add(2*time.Second)) // sent before it was held back
+	r, ok = w.TakeReport(now)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, r.Answered, []Part{6})
 	d := NewDetector()
 	d.Clear(5, now)
 	for i := range 2 * MinCrashes {
--- a/quarantine/watcher.go
+++ b/quarantine/watcher.go
@@ -85,6 +85,26 @@
 	for _, p := range parts {
 		w.answered[uint64(p)%answeredSlots].Store(uint64(p)>>secondBits<<secondBits | second)
 	}
+	if p, held := w.Holds(parts, now); held {
+		// The request was sent before the part was held back.
+		w.reportSound(p, now)
+	}
+}
+
+// reportSound lets control know that a part that is held back was answered.
+func (w *Watcher) reportSound(p Part, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addSound(p)
+	w.update(now)
+}
+
+// addSound adds a part to the next report. It must be called with mu held.
+func (w *Watcher) addSound(p Part) {
+	if len(w.sound) < maxSuspects {
+		w.sound = append(w.sound, p)
+		w.notify()
+	}
 }
 
 // answeredLately reports whether a request with the part was answered within answeredMemory.
@@ -128,9 +148,8 @@
 	defer w.mu.Unlock()
 	w.published = parts
 	for _, p := range parts {
-		if w.answeredLately(p, now) && len(w.sound) < maxSuspects {
-			w.sound = append(w.sound, p)
-			w.notify()
+		if w.answeredLately(p, now) {
+			w.addSound(p)
 		}
 	}
 	w.update(now)
