Distribution: list the subscribers of a directory in one place

Parents, Peers and the count of subscribers each walked the endpoints and the processes of a directory and left out those without a link address. subscribers is an iterator now that all of them use; treeMembers counts processes and domains on the same walk. No behaviour changes.

--- a/distribution/tree.go
+++ b/distribution/tree.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"iter"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,10 +38,10 @@
 // domain, sorted by hash, are laid out as a heap in which each has at most PlannedFanOut
 // children.
 func Parents(d *api.Directory, self instance.Instance) []string {
-	if d == nil || subscribers(d) <= PlannedFanOut {
+	members, processes, domains := treeMembers(d, self.Domain)
+	if processes <= PlannedFanOut {
 		return nil
 	}
-	members, domains := domainMembers(d, self.Domain)
 	roots := rootsPerDomain(domains)
 	// A process that is not in the directory yet takes the place that it will have, so that it
 	// does not follow a process whose directory has it above.
@@ -58,15 +59,12 @@
 // Peers returns the addresses of up to MaxPeers other processes, those of the process's own
 // domain first. Hashing with the process's ID gives each process another selection.
 func Peers(d *api.Directory, self instance.Instance) []string {
-	if d == nil {
-		return nil
-	}
 	best := make([]member, 0, MaxPeers+1)
-	consider := func(id instance.ID, domain failuredomain.ID, address string) {
-		if id == self.ID || address == "" {
-			return
+	for m, domain := range subscribers(d) {
+		if m.id == self.ID {
+			continue
 		}
-		m := member{id: id, address: address, rank: rank(failuredomain.ID(self.ID), id) >> 1}
+		m.rank = rank(failuredomain.ID(self.ID), m.id) >> 1
 		if domain == self.Domain {
 			m.rank |= 1 << 63
 		}
@@ -74,12 +72,6 @@
 		best = slices.Insert(best, at, m)
 		best = best[:min(len(best), MaxPeers)]
 	}
-	for _, e := range d.Endpoints {
-		consider(e.ID, e.Domain, e.LinkAddress)
-	}
-	for _, p := range d.Processes {
-		consider(p.ID, p.Domain, p.LinkAddress)
-	}
 	out := make([]string, 0, len(best))
 	for _, m := range best {
 		out = append(out, m.address)
@@ -123,44 +115,42 @@
 	return RootsPerDomain
 }
 
-// subscribers returns the number of processes in the directory that hold a configuration. The
-// agents of endpoints that announce themselves hold none and have no link address.
-func subscribers(d *api.Directory) int {
-	n := 0
-	for i := range d.Endpoints {
-		if d.Endpoints[i].LinkAddress != "" {
-			n++
+// subscribers lists the processes in the directory that hold a configuration, without their ranks, and
+// their domains. The agents of endpoints that announce themselves hold none and have no link address.
+func subscribers(d *api.Directory) iter.Seq2[member, failuredomain.ID] {
+	return func(yield func(member, failuredomain.ID) bool) {
+		if d == nil {
+			return
 		}
-	}
-	for i := range d.Processes {
-		if d.Processes[i].LinkAddress != "" {
-			n++
+		for i := range d.Endpoints {
+			e := &d.Endpoints[i]
+			if e.LinkAddress != "" && !yield(member{id: e.ID, address: e.LinkAddress}, e.Domain) {
+				return
+			}
+		}
+		for i := range d.Processes {
+			p := &d.Processes[i]
+			if p.LinkAddress != "" && !yield(member{id: p.ID, address: p.LinkAddress}, p.Domain) {
+				return
+			}
 		}
 	}
-	return n
 }
 
-// domainMembers returns the processes of a domain that hold a configuration in order of rank, and
-// the number of domains in the directory that have any.
-func domainMembers(d *api.Directory, domain failuredomain.ID) (members []member, domains int) {
+// treeMembers returns the processes of a domain that hold a configuration in order of rank, and the
+// numbers of such processes and of their domains in the whole directory.
+func treeMembers(d *api.Directory, domain failuredomain.ID) (members []member, processes, domains int) {
 	seen := make(map[failuredomain.ID]struct{})
-	add := func(id instance.ID, in failuredomain.ID, address string) {
-		if address == "" {
-			return
-		}
+	for m, in := range subscribers(d) {
+		processes++
 		seen[in] = struct{}{}
 		if in == domain {
-			members = append(members, member{id: id, address: address, rank: rank(domain, id)})
+			m.rank = rank(domain, m.id)
+			members = append(members, m)
 		}
 	}
-	for _, e := range d.Endpoints {
-		add(e.ID, e.Domain, e.LinkAddress)
-	}
-	for _, p := range d.Processes {
-		add(p.ID, p.Domain, p.LinkAddress)
-	}
 	slices.SortFunc(members, compareRank)
-	return members, len(seen)
+	return members, processes, len(seen)
 }
 
 func compareRank(a, b member) int {
