replica: log what a start loads, and know the size of the log on disk

What callers saw: the record of the incident does not tell how large the log of a replica was that ended again and again, nor how long its replay took. Cause: neither was logged or known.

Evidence: TestDiskBytesAreThoseOfTheFiles fails where the size of a closed segment is left out ("counted 5087, files 6166").

--- a/consensus/replica/api.go
+++ b/consensus/replica/api.go
@@ -103,6 +103,8 @@
 	SnapshotIndex uint64
 	// Founders is the number of members with which the group was formed.
 	Founders int
+	// DiskBytes is the size of the log on the disk in bytes.
+	DiskBytes int64
 }
 
 // NotLeaderError is returned by calls that only the leader serves. The call had no
--- a/consensus/replica/process.go
+++ b/consensus/replica/process.go
@@ -156,7 +156,7 @@
 		ID: s.ID, Term: s.Term, Leader: r.addressOf(s.Leader),
 		IsLeader: s.Role == consensus.Leader, Commit: s.Commit, Applied: s.Applied,
 		Members: r.core.Members(), Joined: s.Group != 0, SnapshotIndex: s.Snapshot,
-		Founders: r.core.Founders(),
+		Founders: r.core.Founders(), DiskBytes: r.storage.log.DiskBytes(),
 	}
 	was := r.status.Swap(&now)
 	changed := was == nil || was.Term != now.Term || was.Leader != now.Leader ||
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -90,6 +90,7 @@
 	if err := cfg.applyDefaults(); err != nil {
 		return nil, err
 	}
+	began := time.Now()
 	s, recovered, err := openStorage(cfg.DataFolder, wal.Options{FS: cfg.FS, NewOwner: cfg.newIdentity})
 	if err != nil {
 		return nil, fmt.Errorf("start replica %s: %w", cfg.Address, err)
@@ -110,10 +111,26 @@
 	if err := r.loadState(recovered); err != nil {
 		return nil, fmt.Errorf("start replica %s: %w", cfg.Address, errors.Join(err, s.close()))
 	}
+	r.logOpened(&recovered, time.Since(began))
 	r.publish()
 	return r, nil
 }
 
+// logOpened logs what the data folder held and how long it took to load it.
+func (r *Replica) logOpened(recovered *consensus.Recovered, took time.Duration) {
+	var index uint64
+	var snapshotBytes, entryBytes int
+	if s := recovered.Snapshot; s != nil {
+		index, snapshotBytes = s.Index, len(s.Data)
+	}
+	for _, e := range recovered.Entries {
+		entryBytes += len(e.Data)
+	}
+	_ = r.cfg.Logger.Log("event", "replica.opened", "id", r.storage.id, "snapshot", index, "snapshot_bytes", snapshotBytes,
+		"entries", len(recovered.Entries), "entry_bytes", entryBytes, "disk_bytes", r.storage.log.DiskBytes(),
+		"took_ms", took.Milliseconds())
+}
+
 // applyDefaults sets the zero fields to their defaults. It fails if a required field is missing.
 func (c *Config) applyDefaults() error {
 	if c.DataFolder == "" || c.Address == "" || c.Transport == nil || c.StateMachine == nil {
--- a/wal/recover.go
+++ b/wal/recover.go
@@ -227,7 +227,7 @@
 	if s.Index != index {
 		return &CorruptError{name, snapshotHeaderSize, fmt.Sprintf("snapshot holds index %d", s.Index)}
 	}
-	r.Owner, r.Snapshot, l.snapshotIndex = owner, s, index
+	r.Owner, r.Snapshot, l.snapshotIndex, l.snapshotBytes = owner, s, index, s.size()
 	return nil
 }
 
@@ -262,7 +262,7 @@
 		return err
 	}
 	if !last {
-		l.closedSegments = append(l.closedSegments, closedSegment{sequence: sequence, lastIndex: lastIndex})
+		l.closedSegments = append(l.closedSegments, closedSegment{sequence: sequence, lastIndex: lastIndex, size: int64(len(data))})
 		return nil
 	}
 	r.TruncatedBytes = int64(len(data)) - end
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -27,6 +27,9 @@
 
 var snapshotMagic = [8]byte{'T', 'T', 'S', 'N', 'A', 'P', 0, 1}
 
+// size returns the size of the snapshot's file in bytes, without the encoding of its fields.
+func (s *Snapshot) size() int64 { return snapshotHeaderSize + int64(len(s.Meta)) + int64(len(s.Data)) }
+
 func encodeSnapshot(owner uint64, s *Snapshot) ([]byte, error) {
 	payload, err := msgpack.Marshal(s)
 	if err != nil {
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -64,6 +64,8 @@
 	sequence uint64
 	// lastIndex is the highest index of an entry in the segment.
 	lastIndex uint64
+	// size is in bytes.
+	size int64
 }
 
 // Log is an open log. It is not safe for concurrent use, except for WriteSnapshot.
@@ -81,6 +83,7 @@
 	closedSegments []closedSegment
 	state          []byte
 	snapshotIndex  uint64
+	snapshotBytes  int64
 	err            error
 }
 
@@ -164,13 +167,23 @@
 		return l.fail(err)
 	}
 	previous := l.snapshotIndex
-	l.snapshotIndex = s.Index
+	l.snapshotIndex, l.snapshotBytes = s.Index, s.size()
 	if err := l.removeObsoleteFiles(previous); err != nil {
 		return l.fail(err)
 	}
 	return nil
 }
 
+// DiskBytes returns the size of the segments and of the adopted snapshot in bytes. A few bytes of the
+// snapshot's encoding, and a snapshot that is being written, are not in it.
+func (l *Log) DiskBytes() int64 {
+	n := l.offset + l.snapshotBytes
+	for _, s := range l.closedSegments {
+		n += s.size
+	}
+	return n
+}
+
 // Err returns the error that stopped the log, or nil.
 func (l *Log) Err() error { return l.err }
 
@@ -218,7 +231,7 @@
 // rotate starts a new segment. Its first frame repeats the state, so that older segments can
 // be removed, and records m if it is set.
 func (l *Log) rotate(m *mark) error {
-	old := closedSegment{sequence: l.current.sequence, lastIndex: l.lastIndex}
+	old := closedSegment{sequence: l.current.sequence, lastIndex: l.lastIndex, size: l.offset}
 	if err := l.file.Close(); err != nil {
 		return fmt.Errorf("close %s: %w", segmentName(old.sequence), err)
 	}
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"slices"
 	"testing"
@@ -306,3 +307,41 @@
 	after, _ := fs.List(folder)
 	assert.Assert(t, len(before) > 20 && len(after) == 2, "%d files before, %d after", len(before), len(after))
 }
+
+// Guards against a size of the log that differs from that of its files: the bound of the disk
+// would come unseen.
+func TestDiskBytesAreThoseOfTheFiles(t *testing.T) {
+	folder := t.TempDir()
+	options := wal.Options{SegmentSize: 1000}
+	log, _, err := wal.Open(folder, options)
+	assert.NilError(t, err)
+	check := func() {
+		t.Helper()
+		var files int64
+		for _, pattern := range []string{"*.log", "*.snap"} {
+			names, err := filepath.Glob(filepath.Join(folder, pattern))
+			assert.NilError(t, err)
+			for _, n := range names {
+				info, err := os.Stat(n)
+				assert.NilError(t, err)
+				files += info.Size()
+			}
+		}
+		// The encoding of the fields of a snapshot is not counted.
+		assert.Assert(t, log.DiskBytes() <= files && files-log.DiskBytes() < 64, "counted %d, files %d", log.DiskBytes(), files)
+	}
+	m := &model{}
+	for i := range uint64(60) {
+		assert.NilError(t, log.Append([]byte("state"), m.appendFrom(m.lastIndex()+1, 3, 1)))
+		if i == 20 || i == 40 {
+			s := wal.Snapshot{Index: 2 * i, Term: 1, Data: make([]byte, 5000)}
+			assert.NilError(t, log.SaveSnapshot(&s, true))
+		}
+		check()
+	}
+	assert.NilError(t, log.Close())
+	log, _, err = wal.Open(folder, options)
+	assert.NilError(t, err)
+	check()
+	assert.NilError(t, log.Close())
+}
