control: metrics of resident memory, the log on disk and elections

What callers saw: nothing told a growing log or terms that rise without an end before the replica ended. Change, no change of decisions: gauge control.log_disk, counter control.elections, and the standard metrics of a process, with process_resident_memory_bytes, in every daemon.

Evidence: TestControlHasMetricsOfMemoryLogAndElections; with a count that took the stored term 0 for no term it failed: "control_elections_total{ is ... 0". go test -race ./control -run 'Control|Replica' and ./program -run Control pass (arm64).

--- a/control/control.go
+++ b/control/control.go
@@ -159,6 +159,9 @@
 	if s.log, err = s.opts.OpenLog(s.machine, s.rpc); err != nil {
 		return err
 	}
+	if err := observeLog(s.opts.Meter, s.log); err != nil {
+		return errors.Join(err, s.log.Stop(context.Background()))
+	}
 	if s.listener, err = s.opts.Network.Listen(s.opts.Listen); err != nil {
 		return errors.Join(&link.Error{Step: "listen", Peer: s.opts.Listen, Err: err}, s.log.Stop(context.Background()))
 	}
@@ -183,6 +186,10 @@
 // Holder returns what the replica publishes while it leads.
 func (s *Server) Holder() *distribution.Holder { return s.holder }
 
+// LogBytes returns the size of the replica's log on the disk in bytes, 0 without a disk. Call it
+// after Start.
+func (s *Server) LogBytes() int64 { return s.log.Status().DiskBytes }
+
 // Done closes when the replica's log has ended, by Stop or by a failure that Err names.
 // Call it after Start.
 func (s *Server) Done() <-chan struct{} { return s.log.Done() }
--- a/control/counters.go
+++ b/control/counters.go
@@ -46,4 +46,23 @@
 	return c, nil
 }
 
+// observeLog makes the state of the log metrics of the replica.
+func observeLog(m metric.Meter, l Log) error {
+	bytes, err := m.Int64ObservableGauge("control.log_disk", metric.WithUnit("By"), metric.WithDescription("size of the log on the disk"))
+	if err != nil {
+		return err
+	}
+	elections, err := m.Int64ObservableCounter("control.elections", metric.WithDescription("rises of the replica's term since the start"))
+	if err != nil {
+		return err
+	}
+	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s := l.Status()
+		o.ObserveInt64(bytes, s.DiskBytes)
+		o.ObserveInt64(elections, s.Elections)
+		return nil
+	}, bytes, elections)
+	return err
+}
+
 func count(c metric.Int64Counter, n int) { c.Add(context.Background(), int64(n)) }
--- a/control/log.go
+++ b/control/log.go
@@ -51,6 +51,10 @@
 	Term   uint64
 	// Joined is false while the replica belongs to no group.
 	Joined bool
+	// DiskBytes is the size of the log on the disk in bytes, 0 without a disk.
+	DiskBytes int64
+	// Elections is the number of times that the term rose since the start.
+	Elections int64
 }
 
 // NotLeaderError is the error of calls on a replica that does not lead.
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -42,7 +43,8 @@
 		if err != nil {
 			return nil, err
 		}
-		r, err := replica.Start(replica.Config{
+		l := &replicaLog{transport: transport}
+		l.replica, err = replica.Start(replica.Config{
 			DataFolder:     opts.DataFolder,
 			Address:        opts.Address,
 			InitialMembers: opts.Members,
@@ -50,18 +52,31 @@
 			StateMachine:   sm,
 			TickInterval:   opts.Tick,
 			Logger:         opts.Logger,
+			OnChange:       l.countElections,
 		})
 		if err != nil {
 			transport.Close()
 			return nil, err
 		}
-		return &replicaLog{replica: r, transport: transport}, nil
+		return l, nil
 	}
 }
 
 type replicaLog struct {
 	replica   *replica.Replica
 	transport *replica.LinkTransport
+	// opened and term are set by countElections: that it was called, and with which term last.
+	opened    bool
+	term      uint64
+	elections atomic.Int64
+}
+
+// countElections counts a change to a later term. Its first call, with the stored term, counts none.
+func (l *replicaLog) countElections(s replica.Status) {
+	if l.opened && s.Term > l.term {
+		l.elections.Add(1)
+	}
+	l.opened, l.term = true, s.Term
 }
 
 func (l *replicaLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
@@ -75,7 +90,10 @@
 
 func (l *replicaLog) Status() LogStatus {
 	s := l.replica.Status()
-	return LogStatus{Leading: s.IsLeader, Leader: s.Leader, Term: s.Term, Joined: s.Joined}
+	return LogStatus{
+		Leading: s.IsLeader, Leader: s.Leader, Term: s.Term, Joined: s.Joined,
+		DiskBytes: s.DiskBytes, Elections: l.elections.Load(),
+	}
 }
 
 func (l *replicaLog) Members() []api.Replica {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -8,6 +8,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
@@ -23,9 +24,13 @@
 	ready    atomic.Bool
 }
 
-// New returns telemetry that exports in Prometheus text format.
+// New returns telemetry that exports in Prometheus text format, with the standard metrics of the
+// process such as process_resident_memory_bytes.
 func New() (*Telemetry, error) {
 	registry := prometheus.NewRegistry()
+	if err := registry.Register(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})); err != nil {
+		return nil, err
+	}
 	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
 	if err != nil {
 		return nil, err
