lastrun: log at the start how the process before ended

What callers saw: control processes ended again and again, and the record held neither their last words nor how they ended. Cause: a process that ends by a signal, a memory limit or the runtime writes nothing, and the next one did not know of it.

The next start logs msg="previous run" with end=stopped, failed, crashed or unknown (killed, memory limit, power). Relays, gateways and agents have no data folder and keep no record.

--- a/program/control.go
+++ b/program/control.go
@@ -20,6 +20,7 @@
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/decider"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/lastrun"
 	"toucantiller.dev/link"
 	"toucantiller.dev/platform"
 )
@@ -89,6 +90,8 @@
 	platformServer *http.Server
 	cancelJoin     context.CancelFunc
 	failed         chan struct{}
+	// run is the record of this process; nil at a relay, which has no data folder.
+	run *lastrun.Run
 }
 
 // NewControl builds a replica.
@@ -100,8 +103,20 @@
 	return &Control{settings: s, logger: logger, admin: admin, network: network, failed: make(chan struct{})}, nil
 }
 
-// Start opens the replicated log, or a relay to the leader, and serves.
+// Start logs how the previous process with the data folder ended, opens the replicated log, or a
+// relay to the leader, and serves.
 func (c *Control) Start(ctx context.Context) error {
+	if !c.settings.Relay {
+		c.run = lastrun.Start(c.settings.Data, c.logger)
+	}
+	if err := c.start(ctx); err != nil {
+		c.run.End(err)
+		return err
+	}
+	return nil
+}
+
+func (c *Control) start(ctx context.Context) error {
 	if err := c.admin.Start(c.settings.AdminListen); err != nil {
 		return err
 	}
@@ -130,6 +145,7 @@
 		return err
 	}
 	c.server = server
+	c.run.SetLogBytes(server.LogBytes)
 	if err := c.servePlatformCalls(); err != nil {
 		return err
 	}
@@ -232,6 +248,7 @@
 	if err := c.server.Err(); err != nil {
 		c.admin.Telemetry.SetReady(false)
 		_ = c.logger.Log("msg", "control replica failed", "err", err)
+		c.run.Fail(err)
 		close(c.failed)
 	}
 }
@@ -245,5 +262,7 @@
 		err = cmp.Or(err, c.platformServer.Close())
 	}
 	_ = c.logger.Log("msg", "control replica stopped")
-	return cmp.Or(err, c.admin.Stop(ctx))
+	err = cmp.Or(err, c.admin.Stop(ctx))
+	c.run.End(err)
+	return err
 }
--- a/program/control_test.go
+++ b/program/control_test.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -54,3 +55,17 @@
 		return poll.Success()
 	}, poll.WithTimeout(30*time.Second))
 }
+
+// Guards against a replica that ends without a word of it in the log of the next process.
+func TestControlLogsHowThePreviousProcessEnded(t *testing.T) {
+	folder := t.TempDir()
+	var out bytes.Buffer
+	for range 2 {
+		c := startControl(t, folder, kitlog.NewLogfmtLogger(kitlog.NewSyncWriter(&out)))
+		assert.NilError(t, c.Stop(t.Context()))
+	}
+	line := `msg="previous run" end=stopped err= pid=`
+	assert.Equal(t, strings.Count(out.String(), line), 1, out.String())
+	_, rest, _ := strings.Cut(out.String(), line)
+	assert.Assert(t, !strings.Contains(rest[:strings.IndexByte(rest, '\n')], "log_bytes=0 "), rest)
+}
