Bound the control log by bytes, in memory, on disk and on the way

What callers saw: the configuration could not be read, changes were not acknowledged, control processes ended again and again.

A document of some 2,000 routes is an entry of 0.7 MB, so some sixty changes filled the memory of a replica and a hundred its disk of 64 MB. A replica that restarts replays the same log and ends again, and nothing frees the disk.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -8,19 +8,24 @@
 
 // Defaults of Config.
 const (
-	DefaultElectionTicks  = 10
-	DefaultHeartbeatTicks = 2
-	DefaultAppendBytes    = 1 << 20
-	DefaultWindow         = 4096
-	DefaultPieceBytes     = 256 << 10
-	DefaultTrailing       = 4096
-	DefaultCatchUpLag     = 256
+	DefaultElectionTicks    = 10
+	DefaultHeartbeatTicks   = 2
+	DefaultAppendBytes      = 1 << 20
+	DefaultWindow           = 4096
+	DefaultWindowBytes      = 8 << 20
+	DefaultPieceBytes       = 256 << 10
+	DefaultTrailing         = 4096
+	DefaultTrailingBytes    = 4 << 20
+	DefaultUncommittedBytes = 16 << 20
+	DefaultCatchUpLag       = 256
 )
 
 // Errors of proposals.
 var (
-	ErrNotLeader     = errors.New("not the leader")
-	ErrTransferring  = errors.New("leadership is being transferred")
+	ErrNotLeader    = errors.New("not the leader")
+	ErrTransferring = errors.New("leadership is being transferred")
+	// ErrBacklogFull is returned for a command while Config.UncommittedBytes wait for a quorum.
+	ErrBacklogFull   = errors.New("too many bytes of commands wait for a quorum")
 	ErrChangePending = errors.New("another membership change is in progress")
 	ErrNotCaughtUp   = errors.New("the learner has not caught up")
 	ErrUnknownMember = errors.New("no such member")
@@ -42,11 +47,19 @@
 	AppendBytes int
 	// Window is the maximum number of entries sent to a follower and not yet acknowledged.
 	Window uint64
+	// WindowBytes is the size of the entries sent to a follower and not yet acknowledged beyond
+	// which no further append is sent.
+	WindowBytes int
 	// PieceBytes is the maximum size of one piece of a snapshot.
 	PieceBytes int
 	// Trailing is the number of entries before a snapshot that stay in memory, so that a
 	// follower that lags by fewer entries needs no snapshot.
 	Trailing uint64
+	// TrailingBytes bounds the size of these entries.
+	TrailingBytes int
+	// UncommittedBytes is the size of the entries that wait for a quorum beyond which further
+	// commands are rejected.
+	UncommittedBytes int
 	// CatchUpLag is the maximum number of entries that a learner may lack to be promoted.
 	CatchUpLag uint64
 	// Seed seeds the random election timeouts.
@@ -63,6 +76,9 @@
 	set(&c.HeartbeatTicks, DefaultHeartbeatTicks)
 	set(&c.AppendBytes, DefaultAppendBytes)
 	set(&c.PieceBytes, DefaultPieceBytes)
+	set(&c.WindowBytes, DefaultWindowBytes)
+	set(&c.TrailingBytes, DefaultTrailingBytes)
+	set(&c.UncommittedBytes, DefaultUncommittedBytes)
 	if c.Window == 0 {
 		c.Window = DefaultWindow
 	}
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -59,11 +59,14 @@
 
 // Propose appends commands to the leader's log and returns the index of the first one and
 // the term. The commands are committed once Ready returns their entries with that term. It
-// fails with ErrNotLeader or ErrTransferring.
+// fails with ErrNotLeader, ErrTransferring or ErrBacklogFull.
 func (c *Core) Propose(commands ...[]byte) (first, term uint64, err error) {
 	if err := c.acceptsProposals(); err != nil {
 		return 0, 0, err
 	}
+	if c.log.bytesBetween(c.commit, c.log.last()) > uint64(c.cfg.UncommittedBytes) {
+		return 0, 0, ErrBacklogFull
+	}
 	first = c.log.last() + 1
 	for _, command := range commands {
 		c.appendProposal(Entry{Kind: EntryCommand, Data: command})
@@ -118,7 +121,7 @@
 }
 
 func (c *Core) sendAppends(p *peer) {
-	for p.state == replicating && p.next <= c.log.last() && p.next-p.match <= c.cfg.Window {
+	for p.state == replicating && p.next <= c.log.last() && c.windowOpen(p) {
 		c.sendAppend(p)
 	}
 	if p.state == replicating && p.sentCommit < c.commit {
@@ -129,6 +132,12 @@
 	}
 }
 
+// windowOpen reports whether further entries may be sent before the peer acknowledges earlier
+// ones.
+func (c *Core) windowOpen(p *peer) bool {
+	return p.next-p.match <= c.cfg.Window && c.log.bytesBetween(p.match, p.next-1) <= uint64(c.cfg.WindowBytes)
+}
+
 func (c *Core) sendAppend(p *peer) {
 	term, ok := c.log.term(p.next - 1)
 	if !ok {
@@ -136,7 +145,7 @@
 		return
 	}
 	m := Message{Type: MsgAppend, To: p.id, Index: p.next - 1, LogTerm: term, Commit: c.commit}
-	if p.next-p.match <= c.cfg.Window {
+	if c.windowOpen(p) {
 		m.Entries = c.log.entriesFrom(p.next, c.cfg.AppendBytes)
 	}
 	c.send(m)
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -1,11 +1,21 @@
 package consensus
 
+import "slices"
+
+// entryOverhead is counted for each entry in addition to its data, in bytes: its place in the
+// log and its encoding around the data.
+const entryOverhead = 64
+
 // entryLog is the in-memory part of the log: the entries after base, which is the index
 // of the last compacted entry.
 type entryLog struct {
 	base     uint64
 	baseTerm uint64
 	entries  []Entry
+	// ends holds, for each entry, the bytes of the log up to its end. Only differences count:
+	// start is the value at base.
+	ends  []uint64
+	start uint64
 	// stable is the last index that is persisted.
 	stable uint64
 }
@@ -61,14 +71,34 @@
 	return append([]Entry(nil), l.entries[low-l.base:high-l.base]...)
 }
 
+// end returns the bytes of the log up to the end of the entry at index; an index before the
+// log counts as base.
+func (l *entryLog) end(index uint64) uint64 {
+	if index <= l.base {
+		return l.start
+	}
+	return l.ends[index-l.base-1]
+}
+
+// bytesBetween returns the size in bytes of the entries low+1 to high that the log holds.
+func (l *entryLog) bytesBetween(low, high uint64) uint64 { return l.end(high) - l.end(low) }
+
 // truncate removes the entry at index and all later ones.
 func (l *entryLog) truncate(index uint64) {
 	keep := index - l.base - 1
 	l.entries = l.entries[:keep:keep]
+	l.ends = l.ends[:keep:keep]
 	l.stable = min(l.stable, index-1)
 }
 
-func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+func (l *entryLog) append(entries ...Entry) {
+	end := l.end(l.last())
+	l.entries = append(l.entries, entries...)
+	for i := range entries {
+		end += entryOverhead + uint64(len(entries[i].Data))
+		l.ends = append(l.ends, end)
+	}
+}
 
 // compact removes the entries up to and including index.
 func (l *entryLog) compact(index uint64) {
@@ -76,8 +106,23 @@
 		return
 	}
 	term, _ := l.term(index)
-	l.entries = append([]Entry(nil), l.entries[index-l.base:]...)
-	l.base, l.baseTerm = index, term
+	start := l.end(index)
+	l.entries = slices.Clone(l.entries[index-l.base:])
+	l.ends = slices.Clone(l.ends[index-l.base:])
+	l.base, l.baseTerm, l.start = index, term, start
+}
+
+// compactBefore removes entries up to and including index, except for the last ones before it
+// that number at most trailing and hold at most trailingBytes.
+func (l *entryLog) compactBefore(index, trailing, trailingBytes uint64) {
+	low := l.base
+	if index > trailing {
+		low = max(low, index-trailing)
+	}
+	for low < index && l.bytesBetween(low, index) > trailingBytes {
+		low++
+	}
+	l.compact(low)
 }
 
 // reset empties the log and starts it after a snapshot at index.
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -145,7 +145,8 @@
 }
 
 // Status is a snapshot of a core's state. Commit, Applied, Last and Snapshot are log
-// indexes; Leader is 0 while unknown.
+// indexes; Leader is 0 while unknown. LogBytes is the size of the entries in memory, and
+// AppliedBytes that of the entries that were applied since the snapshot.
 type Status struct {
 	ID       ID
 	Group    GroupID
@@ -156,6 +157,9 @@
 	Applied  uint64
 	Last     uint64
 	Snapshot uint64
+
+	LogBytes     uint64
+	AppliedBytes uint64
 	// Transferee is the target of a leadership transfer in progress, or 0.
 	Transferee ID
 }
@@ -165,9 +169,11 @@
 	s := Status{
 		ID: c.id, Group: c.group, Role: c.role, Term: c.state.Term, Leader: c.leader,
 		Commit: c.commit, Applied: c.applied, Last: c.log.last(), Transferee: c.transfer.to,
+		LogBytes: c.log.bytesBetween(c.log.base, c.log.last()),
 	}
 	if c.snapshot != nil {
 		s.Snapshot = c.snapshot.Index
+		s.AppliedBytes = c.log.bytesBetween(s.Snapshot, s.Applied)
 	}
 	return s
 }
--- a/consensus/replica/api.go
+++ b/consensus/replica/api.go
@@ -18,6 +18,7 @@
 const (
 	DefaultTickInterval      = 50 * time.Millisecond
 	DefaultSnapshotThreshold = 10_000
+	DefaultSnapshotBytes     = 4 << 20
 	// MaxCommandBytes is the maximum size of one command.
 	MaxCommandBytes = 4 << 20
 )
@@ -72,6 +73,10 @@
 	// SnapshotThreshold is the number of entries after which the log is replaced by
 	// a snapshot; 10,000 by default.
 	SnapshotThreshold uint64
+	// SnapshotBytes is the size of the entries after which the log is replaced by a snapshot,
+	// whatever their number; 4 MiB by default. A state machine whose snapshot is larger than
+	// four times that is written after a quarter of its own size.
+	SnapshotBytes int
 	// Logger receives role changes and failures; nothing is logged by default.
 	Logger log.Logger
 	// FS is the file system of the data folder; the operating system's by default.
@@ -101,6 +106,10 @@
 	Joined bool
 	// SnapshotIndex is the index of the last snapshot.
 	SnapshotIndex uint64
+	// SnapshotBytes is the size of the state in the last snapshot, LogBytes that of the log
+	// entries in memory.
+	SnapshotBytes int
+	LogBytes      int
 	// Founders is the number of members with which the group was formed.
 	Founders int
 }
--- a/consensus/replica/calls.go
+++ b/consensus/replica/calls.go
@@ -15,7 +15,7 @@
 // not proposed.
 func (r *Replica) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	if len(command) > MaxCommandBytes {
-		return nil, fmt.Errorf("%w: %d bytes", ErrCommandTooLarge, len(command))
+		return nil, fmt.Errorf("%w: %d bytes, at most %d are allowed", ErrCommandTooLarge, len(command), MaxCommandBytes)
 	}
 	reply := make(chan outcome, 1)
 	select {
--- a/consensus/replica/group_test.go
+++ b/consensus/replica/group_test.go
@@ -17,8 +17,10 @@
 	"toucantiller.dev/wal"
 )
 
-// journal is a state machine whose state is the list of all commands in order.
+// journal is a state machine whose state is the list of all commands in order, or of the last
+// ones if keep is set.
 type journal struct {
+	keep     int
 	mu       sync.Mutex
 	commands []string
 }
@@ -27,6 +29,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.commands = append(j.commands, string(command))
+	if j.keep > 0 && len(j.commands) > j.keep {
+		j.commands = slices.Clone(j.commands[len(j.commands)-j.keep:])
+	}
 	return binary.BigEndian.AppendUint64(nil, uint64(len(j.commands)))
 }
 
@@ -77,6 +82,8 @@
 	folder    func(address string) string
 	fs        map[string]wal.FS
 	threshold uint64
+	// keep is the number of commands that the state machines hold, 0 for all.
+	keep      int
 	addresses []string
 	nodes     map[string]*node
 }
@@ -103,7 +110,7 @@
 	g.t.Helper()
 	l, err := g.network.Listen(address)
 	assert.NilError(g.t, err)
-	n := &node{address: address, journal: &journal{}, listener: l, server: link.NewServer()}
+	n := &node{address: address, journal: &journal{keep: g.keep}, listener: l, server: link.NewServer()}
 	n.transport, err = replica.NewLinkTransport(g.network, n.server)
 	assert.NilError(g.t, err)
 	go func() { _ = n.server.Serve(l) }()
--- a/consensus/replica/process.go
+++ b/consensus/replica/process.go
@@ -106,11 +106,29 @@
 	err      error
 }
 
-// startSnapshotWrite takes a snapshot once SnapshotThreshold entries were applied since the
-// last one. Its file is written in the background, so that commits don't wait for a large file.
-func (r *Replica) startSnapshotWrite() {
+// snapshotSizeShare is the part of the last snapshot's size that the log reaches before the next
+// snapshot, so that a large state is not written for every few commands.
+const snapshotSizeShare = 4
+
+// snapshotDue reports whether the entries applied since the last snapshot have reached the
+// number or the size at which a snapshot replaces them.
+func (r *Replica) snapshotDue() bool {
 	s := r.core.Status()
-	if r.writingSnapshot || s.Group == 0 || s.Applied < s.Snapshot+r.cfg.SnapshotThreshold {
+	if s.Group == 0 || s.Applied == s.Snapshot {
+		return false
+	}
+	return s.Applied >= s.Snapshot+r.cfg.SnapshotThreshold || s.AppliedBytes >= r.snapshotDueBytes()
+}
+
+// snapshotDueBytes returns the size of the applied entries at which a snapshot is due.
+func (r *Replica) snapshotDueBytes() uint64 {
+	return uint64(max(r.cfg.SnapshotBytes, r.core.SnapshotSize()/snapshotSizeShare))
+}
+
+// startSnapshotWrite takes a snapshot if one is due. Its file is written in the background, so
+// that commits don't wait for a large file.
+func (r *Replica) startSnapshotWrite() {
+	if r.writingSnapshot || !r.snapshotDue() {
 		return
 	}
 	data, err := r.cfg.StateMachine.Snapshot()
@@ -156,7 +174,7 @@
 		ID: s.ID, Term: s.Term, Leader: r.addressOf(s.Leader),
 		IsLeader: s.Role == consensus.Leader, Commit: s.Commit, Applied: s.Applied,
 		Members: r.core.Members(), Joined: s.Group != 0, SnapshotIndex: s.Snapshot,
-		Founders: r.core.Founders(),
+		Founders: r.core.Founders(), SnapshotBytes: r.core.SnapshotSize(), LogBytes: int(s.LogBytes),
 	}
 	was := r.status.Swap(&now)
 	changed := was == nil || was.Term != now.Term || was.Leader != now.Leader ||
--- /dev/null
+++ b/consensus/replica/queue.go
@@ -0,0 +1,51 @@
+package replica
+
+import "sync/atomic"
+
+// packetOverhead is counted for each packet in addition to its entries and pieces, in bytes.
+const packetOverhead = 100
+
+// packetQueue holds packets up to a number and a size in bytes. Packets that do not fit are
+// dropped, as a lossy network would: the sender repeats what matters.
+type packetQueue struct {
+	packets chan Packet
+	bytes   atomic.Int64
+}
+
+func newPacketQueue(length int) *packetQueue {
+	return &packetQueue{packets: make(chan Packet, length)}
+}
+
+// add queues a packet, or drops it and returns false if the queue is full.
+func (q *packetQueue) add(p Packet) bool {
+	if q.bytes.Load() >= maxQueuedBytes {
+		return false
+	}
+	size := int64(p.size())
+	q.bytes.Add(size)
+	select {
+	case q.packets <- p:
+		return true
+	default:
+		q.bytes.Add(-size)
+		return false
+	}
+}
+
+// taken must be called for each packet that was received from packets.
+func (q *packetQueue) taken(p *Packet) { q.bytes.Add(-int64(p.size())) }
+
+// size estimates the encoded size of a packet in bytes.
+func (p *Packet) size() int {
+	n := packetOverhead
+	if p.Message == nil {
+		return n
+	}
+	for _, e := range p.Message.Entries {
+		n += 30 + len(e.Data)
+	}
+	if p.Message.Piece != nil {
+		n += len(p.Message.Piece.Data)
+	}
+	return n
+}
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -51,7 +51,7 @@
 	core    *consensus.Core
 	storage *storage
 
-	inbox     chan Packet
+	inbox     *packetQueue
 	proposals chan proposal
 	coreCalls chan func()
 	stop      chan struct{}
@@ -90,13 +90,15 @@
 	if err := cfg.applyDefaults(); err != nil {
 		return nil, err
 	}
-	s, recovered, err := openStorage(cfg.DataFolder, wal.Options{FS: cfg.FS, NewOwner: cfg.newIdentity})
+	s, recovered, err := openStorage(cfg.DataFolder, wal.Options{
+		FS: cfg.FS, NewOwner: cfg.newIdentity, SegmentSize: int64(cfg.SnapshotBytes),
+	})
 	if err != nil {
 		return nil, fmt.Errorf("start replica %s: %w", cfg.Address, err)
 	}
 	r := &Replica{
 		cfg: cfg, storage: s,
-		inbox:            make(chan Packet, inboxSize),
+		inbox:            newPacketQueue(inboxSize),
 		proposals:        make(chan proposal, proposalQueueSize),
 		coreCalls:        make(chan func()),
 		stop:             make(chan struct{}),
@@ -125,6 +127,9 @@
 	if c.SnapshotThreshold == 0 {
 		c.SnapshotThreshold = DefaultSnapshotThreshold
 	}
+	if c.SnapshotBytes <= 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.background == nil {
 		c.background = func(f func()) { go f() }
 	}
@@ -164,12 +169,7 @@
 }
 
 // receive queues a packet, or drops it if the inbox is full.
-func (r *Replica) receive(p Packet) {
-	select {
-	case r.inbox <- p:
-	default:
-	}
-}
+func (r *Replica) receive(p Packet) { r.inbox.add(p) }
 
 // Status returns the latest status.
 func (r *Replica) Status() Status { return *r.status.Load() }
@@ -203,7 +203,7 @@
 			return
 		case <-ticker.C:
 			r.tick()
-		case p := <-r.inbox:
+		case p := <-r.inbox.packets:
 			r.handlePackets(p)
 		case p := <-proposals:
 			r.handleProposals(p)
@@ -309,12 +309,13 @@
 
 func (r *Replica) handlePackets(p Packet) {
 	for i := 0; ; i++ {
+		r.inbox.taken(&p)
 		r.handlePacket(p)
 		if i >= maxInboxBatch {
 			return
 		}
 		select {
-		case p = <-r.inbox:
+		case p = <-r.inbox.packets:
 		default:
 			return
 		}
@@ -355,6 +356,23 @@
 	r.cfg.Transport.Send(address, Packet{From: r.cfg.Address, Hello: h})
 }
 
+// maxLogShare is the multiple of the size at which a snapshot is due beyond which the log takes
+// no commands: writing the snapshot does not keep up with them.
+const maxLogShare = 4
+
+// logFull reports whether the log has grown so far beyond the snapshot that is being written
+// that further commands must wait.
+func (r *Replica) logFull() bool {
+	return r.writingSnapshot && r.core.Status().AppliedBytes > maxLogShare*r.snapshotDueBytes()
+}
+
+func (r *Replica) proposeToCore(commands [][]byte) (first, term uint64, err error) {
+	if r.logFull() {
+		return 0, 0, consensus.ErrBacklogFull
+	}
+	return r.core.Propose(commands...)
+}
+
 func (r *Replica) handleProposals(p proposal) {
 	batch := []proposal{p}
 	commands := [][]byte{p.command}
@@ -370,7 +388,7 @@
 		}
 		break
 	}
-	first, term, err := r.core.Propose(commands...)
+	first, term, err := r.proposeToCore(commands)
 	for i, p := range batch {
 		if err != nil {
 			p.reply <- outcome{err: r.apiError(err)}
--- a/consensus/replica/storage.go
+++ b/consensus/replica/storage.go
@@ -62,11 +62,13 @@
 		}
 	}
 	r.Entries = make([]consensus.Entry, 0, len(found.Entries))
-	for _, e := range found.Entries {
+	for i := range found.Entries {
+		e := &found.Entries[i]
 		var stored storedEntry
 		if err := msgpack.Unmarshal(e.Data, &stored); err != nil {
 			return r, fmt.Errorf("decode entry %d: %w", e.Index, err)
 		}
+		e.Data = nil // a log near the memory limit must not be held twice
 		r.Entries = append(r.Entries, consensus.Entry{
 			Index: e.Index, Term: e.Term, Kind: stored.Kind, Data: stored.Data,
 		})
--- a/consensus/replica/transport.go
+++ b/consensus/replica/transport.go
@@ -13,6 +13,9 @@
 const (
 	serviceName   = "Consensus"
 	sendQueueSize = 1024
+	// maxQueuedBytes bounds the packets that wait for one peer, and those that a replica has
+	// received and not yet processed. The last packet may exceed it.
+	maxQueuedBytes = 8 << 20
 	// maxSendPackets and maxSendBytes bound the packets in one call. The last packet may
 	// exceed maxSendBytes.
 	maxSendPackets = 256
@@ -39,7 +42,7 @@
 
 type peerQueue struct {
 	client *link.Client
-	queue  chan Packet
+	queue  *packetQueue
 }
 
 // NewLinkTransport returns a transport and registers its service on the server.
@@ -82,10 +85,7 @@
 	if peer == nil {
 		return
 	}
-	select {
-	case peer.queue <- p:
-	default:
-	}
+	peer.queue.add(p)
 }
 
 func (t *LinkTransport) queueFor(address string) *peerQueue {
@@ -96,7 +96,7 @@
 	}
 	peer := t.peers[address]
 	if peer == nil {
-		peer = &peerQueue{client: link.NewClient(t.network, address), queue: make(chan Packet, sendQueueSize)}
+		peer = &peerQueue{client: link.NewClient(t.network, address), queue: newPacketQueue(sendQueueSize)}
 		t.peers[address] = peer
 		t.senders.Add(1)
 		go t.sendQueued(peer)
@@ -113,7 +113,8 @@
 		select {
 		case <-t.ctx.Done():
 			return
-		case p := <-peer.queue:
+		case p := <-peer.queue.packets:
+			peer.queue.taken(&p)
 			ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
 			_ = peer.client.Call(ctx, serviceName+".Deliver", &Delivery{peer.nextBatch(p)}, &struct{}{})
 			cancel()
@@ -126,7 +127,8 @@
 	packets := []Packet{p}
 	for size := p.size(); len(packets) < maxSendPackets && size < maxSendBytes; {
 		select {
-		case p = <-q.queue:
+		case p = <-q.queue.packets:
+			q.queue.taken(&p)
 			packets = append(packets, p)
 			size += p.size()
 			continue
@@ -137,21 +139,6 @@
 	return packets
 }
 
-// size estimates the encoded size of a packet in bytes.
-func (p *Packet) size() int {
-	n := 100
-	if p.Message == nil {
-		return n
-	}
-	for _, e := range p.Message.Entries {
-		n += 30 + len(e.Data)
-	}
-	if p.Message.Piece != nil {
-		n += len(p.Message.Piece.Data)
-	}
-	return n
-}
-
 // Close stops sending and closes the connections.
 func (t *LinkTransport) Close() {
 	t.mu.Lock()
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -85,6 +85,14 @@
 	c.memberships = []membershipAt{{s.Index, s.Members}}
 }
 
+// SnapshotSize returns the size of the state in the last snapshot in bytes, 0 without one.
+func (c *Core) SnapshotSize() int {
+	if c.snapshot == nil {
+		return 0
+	}
+	return len(c.snapshot.Data)
+}
+
 // SnapshotAt returns the snapshot at the last applied entry. data is the state machine's
 // snapshot after all entries from Ready.Committed were applied.
 func (c *Core) SnapshotAt(data []byte) *Snapshot {
@@ -96,15 +104,14 @@
 }
 
 // Compact drops the part of the log that a durable snapshot replaces, except for the last
-// Config.Trailing entries. A snapshot older than the current one is ignored.
+// entries within Config.Trailing and Config.TrailingBytes. A snapshot older than the current
+// one is ignored.
 func (c *Core) Compact(s *Snapshot) {
 	if c.snapshot != nil && s.Index <= c.snapshot.Index {
 		return
 	}
 	c.snapshot = s
-	if s.Index > c.cfg.Trailing {
-		c.log.compact(s.Index - c.cfg.Trailing)
-	}
+	c.log.compactBefore(s.Index, c.cfg.Trailing, uint64(c.cfg.TrailingBytes))
 	for len(c.memberships) > 1 && c.memberships[1].index <= s.Index {
 		c.memberships = c.memberships[1:]
 	}
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -25,19 +25,28 @@
 // CRC-32C covers the owner and the payload.
 const snapshotHeaderSize = 20
 
+// snapshotEncodingSize is the size in bytes of the field names, numbers and lengths of an
+// encoded snapshot, rounded up.
+const snapshotEncodingSize = 64
+
 var snapshotMagic = [8]byte{'T', 'T', 'S', 'N', 'A', 'P', 0, 1}
 
 func encodeSnapshot(owner uint64, s *Snapshot) ([]byte, error) {
-	payload, err := msgpack.Marshal(s)
-	if err != nil {
+	var buf bytes.Buffer
+	buf.Grow(snapshotHeaderSize + len(s.Meta) + len(s.Data) + snapshotEncodingSize)
+	buf.Write(make([]byte, snapshotHeaderSize))
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&buf)
+	if err := enc.Encode(s); err != nil {
 		return nil, err
 	}
-	b := make([]byte, snapshotHeaderSize, snapshotHeaderSize+len(payload))
+	b := buf.Bytes()
 	copy(b, snapshotMagic[:])
 	binary.BigEndian.PutUint64(b[8:], owner)
-	crc := crc32.Update(crc32.Checksum(b[8:16], castagnoli), castagnoli, payload)
+	crc := crc32.Update(crc32.Checksum(b[8:16], castagnoli), castagnoli, b[snapshotHeaderSize:])
 	binary.BigEndian.PutUint32(b[16:], crc)
-	return append(b, payload...), nil
+	return b, nil
 }
 
 func decodeSnapshot(name string, data []byte) (owner uint64, s *Snapshot, err error) {
