Refuse a document beyond the log's bound instead of asking the operator to try again

What callers saw: 503 for a document whose encoding exceeds the 4 MiB of a command, each time it was sent. Cause: the log's ErrTooLarge was passed on like a temporary failure. Change: it is an invalid order, and names the size and the bound. Evidence: TestDocumentTooLargeForTheLogIsInvalid failed before with 'the command is too large for the log', which was no InvalidOrderError.

--- a/control/document.go
+++ b/control/document.go
@@ -86,7 +86,10 @@
 		return err
 	}
 	result, err := s.propose(c)
-	if err == nil && result.Refused != "" {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		err = &InvalidOrderError{err.Error()}
+	case err == nil && result.Refused != "":
 		err = &InvalidOrderError{result.Refused}
 	}
 	outcome := api.OutcomeAccepted
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -141,7 +142,7 @@
 		return &NotLeaderError{Leader: notLeader.Leader}
 	}
 	if errors.Is(err, replica.ErrCommandTooLarge) {
-		return ErrTooLarge
+		return fmt.Errorf("%w: %w", ErrTooLarge, err)
 	}
 	for _, lasting := range []error{replica.ErrBelongsToGroup, consensus.ErrRemoveLeader, consensus.ErrLastVoter} {
 		if errors.Is(err, lasting) {
