Live through a full disk instead of ending at every start

What callers saw: after the disks of the control replicas were full, each replica started, took part in an election, failed to write 40 bytes for the new term and ended, about once a second, for good; the configuration could not be read.

Cause: a write without space counted as a failure of the disk, after which the log accepts nothing more and the process ends.

Change: the log undoes a write for which there is no space (ErrNoSpace) and goes on; it keeps a reserve of 4 MiB that it gives up first. Without the reserve it is blocked until a write succeeds, which it tries on every tick. A failed sync, also one for want of space, still stops the log.

--- a/consensus/replica/api.go
+++ b/consensus/replica/api.go
@@ -77,6 +77,9 @@
 	// whatever their number; 4 MiB by default. A state machine whose snapshot is larger than
 	// four times that is written after a quarter of its own size.
 	SnapshotBytes int
+	// ReserveBytes is the size of a file that keeps space on the disk for when it is full, so that
+	// the snapshot which frees space can still be written; none by default.
+	ReserveBytes int
 	// Logger receives role changes and failures; nothing is logged by default.
 	Logger log.Logger
 	// FS is the file system of the data folder; the operating system's by default.
@@ -110,6 +113,9 @@
 	// entries in memory.
 	SnapshotBytes int
 	LogBytes      int
+	// DiskFull is true from a write for which the disk had no space until the space of the
+	// reserve is taken again. Meanwhile Propose fails with ErrDiskFull for all but small commands.
+	DiskFull bool
 	// Founders is the number of members with which the group was formed.
 	Founders int
 }
@@ -156,6 +162,9 @@
 	ErrLeadershipLost = errors.New("leadership lost")
 	// ErrCommandTooLarge is returned for a command of more than MaxCommandBytes.
 	ErrCommandTooLarge = errors.New("command is too large")
+	// ErrDiskFull is returned for a command while the disk of the data folder is full. The command
+	// was not proposed. Reads are served.
+	ErrDiskFull = errors.New("the disk of the data folder is full")
 	// ErrBelongsToGroup is returned by AddReplica for a replica that has already joined a
 	// group.
 	ErrBelongsToGroup = errors.New("the replica belongs to a group already; it needs an empty data folder")
--- /dev/null
+++ b/consensus/replica/full_disk_test.go
@@ -0,0 +1,114 @@
+package replica_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"toucantiller.dev/consensus/replica"
+	"toucantiller.dev/wal/faultfs"
+)
+
+func (g *group) disk(address string) *faultfs.FS { return g.fs[address].(*faultfs.FS) }
+
+// assertRuns fails the test if a replica has stopped.
+func (n *node) assertRuns(t *testing.T) {
+	t.Helper()
+	select {
+	case <-n.Done():
+		t.Fatalf("replica %s stopped: %v", n.address, n.Err())
+	default:
+	}
+}
+
+// Guards against a full disk that ends the leader, which ends again at each start, and against
+// a group that does not continue without it.
+func TestFullDiskOfTheLeaderDoesNotEndIt(t *testing.T) {
+	withVirtualTimeGroup(t, 0, func(t *testing.T, g *group) {
+		g.propose("before")
+		old := g.leader()
+		g.disk(old.address).SetCapacity(1)
+		_, err := old.Propose(timeoutContext(t, 5*time.Second), []byte("unknown"))
+		var unknown *replica.UnknownOutcomeError
+		assert.Assert(t, errors.As(err, &unknown), "%v", err)
+		g.propose("after")
+		old.assertRuns(t)
+		assert.Assert(t, old.Status().DiskFull)
+		_, err = old.Propose(timeoutContext(t, 5*time.Second), []byte("refused"))
+		assert.ErrorIs(t, err, replica.ErrDiskFull)
+
+		g.disk(old.address).SetCapacity(0)
+		want := g.leader().journal.all()
+		g.waitFor("the commands of the time without space", func() bool { return len(old.journal.all()) == len(want) })
+		assert.DeepEqual(t, old.journal.all(), want)
+		assert.Assert(t, !old.Status().DiskFull)
+	})
+}
+
+// startWithReserve starts the replicas again, with a state that is the last command and a reserve
+// in which a snapshot fits.
+func startWithReserve(g *group) {
+	g.reserve, g.keep = 1<<20, 1
+	for _, a := range g.addresses {
+		g.kill(g.nodes[a])
+		g.start(a)
+	}
+	g.propose("before")
+}
+
+// Guards against disks that fill up on all replicas and end them again and again: they must
+// refuse large commands, serve small ones and reads, survive a restart on the full disk and
+// continue once there is space, with everything that was acknowledged.
+func TestFullDisksOfAllReplicasLoseNothing(t *testing.T) {
+	withVirtualTimeGroup(t, 0, func(t *testing.T, g *group) {
+		startWithReserve(g)
+		for _, a := range g.addresses {
+			g.disk(a).SetCapacity(g.disk(a).Used() - g.reserve/2)
+		}
+		last := "before"
+		for i, refused := 0, 0; refused < 20; i++ {
+			assert.Assert(t, i < 200, "large commands are accepted on full disks")
+			command := largeCommand(i)
+			_, err := g.leader().Propose(timeoutContext(t, 5*time.Second), []byte(command))
+			switch {
+			case err == nil:
+				last = command
+				refused = 0
+			case errors.Is(err, replica.ErrDiskFull):
+				refused++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		assert.NilError(t, g.leader().ReadBarrier(timeoutContext(t, time.Second)))
+		assert.DeepEqual(t, g.leader().journal.all(), []string{last})
+		for _, a := range g.addresses {
+			g.nodes[a].assertRuns(t)
+			g.kill(g.nodes[a])
+			g.start(a)
+		}
+		assert.DeepEqual(t, g.leader().journal.all(), []string{last})
+		g.propose("small")
+		for _, a := range g.addresses {
+			g.disk(a).SetCapacity(0)
+		}
+		time.Sleep(2 * time.Second)
+		g.propose("%s", largeCommand(0))
+	})
+}
+
+// Guards against a leader that refuses commands for want of space while other replicas have it.
+func TestLeaderWithoutSpaceHandsOver(t *testing.T) {
+	withVirtualTimeGroup(t, 0, func(t *testing.T, g *group) {
+		startWithReserve(g)
+		old := g.leader()
+		g.disk(old.address).SetCapacity(g.disk(old.address).Used() + 10)
+		g.propose("makes the leader give up its reserve")
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, g.leader() != old)
+		g.propose("%s", largeCommand(0))
+		old.assertRuns(t)
+	})
+}
--- a/consensus/replica/group_test.go
+++ b/consensus/replica/group_test.go
@@ -83,7 +83,9 @@
 	fs        map[string]wal.FS
 	threshold uint64
 	// keep is the number of commands that the state machines hold, 0 for all.
-	keep      int
+	keep int
+	// reserve is the replicas' ReserveBytes.
+	reserve   int
 	addresses []string
 	nodes     map[string]*node
 }
@@ -117,6 +119,7 @@
 	n.Replica, err = replica.Start(replica.WithSeed(replica.Config{
 		DataFolder: g.folder(address), Address: address, InitialMembers: g.addresses,
 		Transport: n.transport, StateMachine: n.journal, FS: g.fs[address], SnapshotThreshold: g.threshold,
+		ReserveBytes: g.reserve,
 	}, uint64(len(g.nodes)+1)))
 	assert.NilError(g.t, err)
 	g.nodes[address] = n
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,13 @@
 	// handled.
 	writingSnapshot bool
 	snapshotWrites  chan snapshotWrite
+	// blocked is the batch for which the disk has no space, nil without one. The core must not be
+	// used until it is persisted.
+	blocked *consensus.Ready
+	// spaceTicks counts the ticks until space on the disk is looked for again.
+	spaceTicks int
+	// yielded is true once the replica has handed the leadership over because its disk is full.
+	yielded bool
 }
 
 // Start opens the data folder and starts the replica.
@@ -92,6 +100,7 @@
 	}
 	s, recovered, err := openStorage(cfg.DataFolder, wal.Options{
 		FS: cfg.FS, NewOwner: cfg.newIdentity, SegmentSize: int64(cfg.SnapshotBytes),
+		ReserveBytes: int64(cfg.ReserveBytes),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("start replica %s: %w", cfg.Address, err)
@@ -193,6 +202,12 @@
 	ticker := time.NewTicker(r.cfg.TickInterval)
 	defer ticker.Stop()
 	for r.err == nil {
+		if r.blocked != nil {
+			if !r.awaitSpace(ticker.C) {
+				return
+			}
+			continue
+		}
 		proposals := r.proposals
 		if len(r.waiters) >= maxPendingProposals {
 			proposals = nil
@@ -242,6 +257,7 @@
 }
 
 func (r *Replica) tick() {
+	r.lookForSpace()
 	if r.founder == nil {
 		r.core.Tick()
 		r.measureSilence()
@@ -370,6 +386,9 @@
 	if r.logFull() {
 		return 0, 0, consensus.ErrBacklogFull
 	}
+	if r.storage.log.Full() && slices.ContainsFunc(commands, needsSpace) {
+		return 0, 0, ErrDiskFull
+	}
 	return r.core.Propose(commands...)
 }
 
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -21,6 +21,9 @@
 // leader.
 const handoverTimeout = time.Second
 
+// reserveBytes is the space that the log keeps for a snapshot on a full disk.
+const reserveBytes = 4 << 20
+
 // ReplicaOptions configures the replicated log.
 type ReplicaOptions struct {
 	// DataFolder holds the log; it belongs to one process at a time.
@@ -50,6 +53,7 @@
 			Transport:      transport,
 			StateMachine:   sm,
 			TickInterval:   opts.Tick,
+			ReserveBytes:   reserveBytes,
 			Logger:         opts.Logger,
 		})
 		if err != nil {
--- a/wal/faultfs/faultfs.go
+++ b/wal/faultfs/faultfs.go
@@ -374,16 +374,28 @@
 	return n, err
 }
 
+// Used returns the total size of the files in bytes.
+func (d *FS) Used() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.used()
+}
+
+// used returns the total size of the files in bytes. The lock is held.
+func (d *FS) used() int {
+	n := 0
+	for _, f := range d.visible {
+		n += len(f.data)
+	}
+	return n
+}
+
 // freeBytes returns the remaining capacity in bytes, or -1 if it is unbounded. The lock is held.
 func (d *FS) freeBytes() int {
 	if d.capacity == 0 {
 		return -1
 	}
-	used := 0
-	for _, n := range d.visible {
-		used += len(n.data)
-	}
-	return max(0, d.capacity-used)
+	return max(0, d.capacity-d.used())
 }
 
 // Sync makes the content durable. After a failed sync a crash may preserve or lose it.
