Bound stored answers of Idempotency-Keys by bytes

What callers would see: nothing bounded the claims with their answers of up to half a frame each, kept for 24 hours by default; enough keyed requests with large answers fill the memory and the disks of all control replicas.

Claims that are held are still read, moved and completed. Only the leader checks it, so replicas need not agree on the bound.

--- a/control/claims.go
+++ b/control/claims.go
@@ -71,6 +71,27 @@
 	}
 }
 
+// DefaultMaxClaimBytes bounds the claims with their stored answers, in bytes.
+const DefaultMaxClaimBytes = 64 << 20
+
+// errClaimsFull is the error of a claim with a new key while the claims have their full size.
+var errClaimsFull = errors.New("no space for further Idempotency-Keys")
+
+// checkClaimSpace returns errClaimsFull for a claim that would add a record beyond the bound. The
+// claims that are held can still be read, moved and completed. Replicas need not agree on the
+// bound, since only the leader checks it.
+func (s *Server) checkClaimSpace(in *api.Claim) error {
+	full := false
+	s.machine.read(func(st *state.State) {
+		full = st.ClaimBytes() >= s.opts.MaxClaimBytes && !st.HoldsClaim(in.Account, in.Key)
+	})
+	if full {
+		count(s.counts.claimsRefused, 1)
+		return errClaimsFull
+	}
+	return nil
+}
+
 // proposeClaim commits one step, batched with other waiting steps, and returns the
 // reply to a claim. It returns only after the commit, so a granted claim is durable.
 func (s *Server) proposeClaim(step state.ClaimStep) (*api.ClaimReply, error) {
--- a/control/control.go
+++ b/control/control.go
@@ -61,6 +61,8 @@
 	NewDecider func(move api.Move) Decider
 	// TokenTolerance is what gateways may admit beyond the token limits of accounts.
 	TokenTolerance budget.Tolerance
+	// MaxClaimBytes bounds the claims with their stored answers; DefaultMaxClaimBytes when it is 0.
+	MaxClaimBytes int
 	// SelfRepair lets the leader change the control group: it adds replicas that ask to
 	// join and removes silent ones to make room for them. Without it operators do so.
 	SelfRepair bool
@@ -123,6 +125,9 @@
 	if opts.Meter == nil {
 		opts.Meter = noop.Meter{}
 	}
+	if opts.MaxClaimBytes == 0 {
+		opts.MaxClaimBytes = DefaultMaxClaimBytes
+	}
 	if opts.RegistrationsPerSecond == 0 {
 		opts.RegistrationsPerSecond = RegistrationsPerSecond
 	}
--- a/control/counters.go
+++ b/control/counters.go
@@ -18,6 +18,7 @@
 	observations        metric.Int64Counter
 	observationsDropped metric.Int64Counter
 	moveStages          metric.Int64Counter
+	claimsRefused       metric.Int64Counter
 }
 
 func newCounters(m metric.Meter) (*counters, error) {
@@ -36,6 +37,7 @@
 		{&c.observations, "control.observations", "observations received from gateways"},
 		{&c.observationsDropped, "control.observations_dropped", "observations dropped at the buffer's bound"},
 		{&c.moveStages, "control.move_stages", "stage changes of moves"},
+		{&c.claimsRefused, "control.claims_refused", "claims refused because the claims have their full size"},
 	} {
 		counter, err := m.Int64Counter(d.name, metric.WithDescription(d.usage))
 		if err != nil {
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -139,6 +139,8 @@
 	servers map[string]*control.Server
 	folders map[string]string
 	decider func(api.Move) control.Decider
+	// maxClaimBytes is an option of the replicas.
+	maxClaimBytes int
 	// seeds are the control addresses in the settings.
 	seeds []string
 	// selfRepair and founders are options of the replicas that start after they are set.
@@ -173,8 +175,8 @@
 			DataFolder: g.folders[addr], Address: addr, Members: g.founders, Network: g.network,
 		}),
 		NewDecider: g.decider,
-		SelfRepair: g.selfRepair,
-		Seeds:      func() []string { return g.seeds },
+		SelfRepair: g.selfRepair, MaxClaimBytes: g.maxClaimBytes,
+		Seeds: func() []string { return g.seeds },
 	})
 	assert.NilError(t, err)
 	assert.NilError(t, s.Start(t.Context()))
--- a/control/service.go
+++ b/control/service.go
@@ -250,6 +250,10 @@
 
 // Claim claims an idempotency key.
 func (v *service) Claim(in *api.Claim, out *api.ClaimReply) error {
+	if err := v.s.checkClaimSpace(in); err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
 	reply, err := v.s.proposeClaim(state.ClaimStep{Claim: in})
 	if err != nil {
 		out.Leader, err = redirect(err)
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -268,6 +268,7 @@
 		}
 		next.bundle = parsed
 	}
+	next.data.Claims.Measure()
 	*s = next
 	s.compileConfig()
 	return nil
--- a/control/state/view.go
+++ b/control/state/view.go
@@ -123,3 +123,9 @@
 }
 
 func (s *State) copyVersions() map[string]string { return maps.Clone(s.data.Versions) }
+
+// ClaimBytes returns the size of the claims with their stored answers in bytes, as an estimate.
+func (s *State) ClaimBytes() int { return s.data.Claims.Bytes() }
+
+// HoldsClaim reports whether there is a claim for the key of an account.
+func (s *State) HoldsClaim(account, key string) bool { return s.data.Claims.Holds(account, key) }
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -31,8 +31,45 @@
 type Table struct {
 	// Records is keyed by account, then by key.
 	Records map[string]map[string]*Record
+	// bytes is the sum of the sizes of the records. Measure sets it after Records was decoded.
+	bytes int
 }
 
+// recordOverhead is the size of a record in bytes beside its texts and its answer, in memory and
+// encoded.
+const recordOverhead = 400
+
+// size estimates the size of a record in bytes.
+func (r *Record) size() int {
+	n := recordOverhead + len(r.BodyDigest) + len(r.Owner) + len(r.Target.ID) + len(r.Target.Address)
+	if r.Answer == nil {
+		return n
+	}
+	for name, values := range r.Answer.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n + len(r.Answer.Body)
+}
+
+// Measure computes the size of a table whose Records were decoded.
+func (t *Table) Measure() {
+	t.bytes = 0
+	for _, keys := range t.Records {
+		for _, r := range keys {
+			t.bytes += r.size()
+		}
+	}
+}
+
+// Bytes returns the size of the table in bytes, as an estimate.
+func (t *Table) Bytes() int { return t.bytes }
+
+// Holds reports whether the table has a claim for the key of an account.
+func (t *Table) Holds(account, key string) bool { return t.lookup(account, key) != nil }
+
 // AliveFunc reports whether a gateway incarnation still holds its lease.
 type AliveFunc func(owner instance.ID, incarnation instance.Incarnation) bool
 
@@ -55,7 +92,9 @@
 		// A retry after a lost reply.
 		return r.reply(api.ClaimGranted, alive)
 	case c.Previous != nil && *c.Previous == r.Dispatch:
+		t.bytes -= r.size()
 		r.Owner, r.Target, r.Dispatch = c.Owner, c.Target, c.Dispatch
+		t.bytes += r.size()
 		return r.reply(api.ClaimGranted, alive)
 	}
 	return r.reply(api.ClaimRunning, alive)
@@ -77,7 +116,9 @@
 		t.remove(c.Account, c.Key)
 		return true
 	case api.ClaimDone:
+		t.bytes -= r.size()
 		r.Answer = c.Answer
+		t.bytes += r.size()
 	case api.ClaimUnknown:
 		if r.State == api.ClaimUnknown {
 			return false
@@ -128,10 +169,17 @@
 	if t.Records[account] == nil {
 		t.Records[account] = make(map[string]*Record)
 	}
+	if former := t.Records[account][key]; former != nil {
+		t.bytes -= former.size()
+	}
 	t.Records[account][key] = r
+	t.bytes += r.size()
 }
 
 func (t *Table) remove(account, key string) {
+	if r := t.lookup(account, key); r != nil {
+		t.bytes -= r.size()
+	}
 	delete(t.Records[account], key)
 	if len(t.Records[account]) == 0 {
 		delete(t.Records, account)
--- a/idempotency/idempotency_test.go
+++ b/idempotency/idempotency_test.go
@@ -56,6 +56,9 @@
 	case 5:
 		w.table.Sweep(w.now, w.isAlive)
 	}
+	measured := Table{Records: w.table.Records}
+	measured.Measure()
+	assert.Equal(t, w.table.Bytes(), measured.Bytes())
 }
 
 func (w *claimModel) claim(t *rapid.T, a *attempt, previous *dispatch.ID) {
--- a/program/control.go
+++ b/program/control.go
@@ -30,6 +30,7 @@
 	Listen    string   `help:"Address for other processes and operators, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:7100"`
 	Advertise string   `help:"Address at which other processes reach this one, ip:port, if not --listen." env:"TOUCAN_ADVERTISE"`
 	Data      string   `help:"Folder for the replica's state; it must exist." env:"TOUCAN_DATA" required:"" xor:"storage" type:"path"`
+	DiskMB    int      `help:"Size of the disk of the data folder in MB, of which stored answers take at most an eighth; 0 if it is large." env:"TOUCAN_DISK_MB"`
 	Relay     bool     `help:"Hold no state and send callers to the leader, on instances without a disk." env:"TOUCAN_RELAY" required:"" xor:"storage"`
 	Members   []string `help:"Addresses of all replicas including this one, ip:port, comma separated." env:"TOUCAN_MEMBERS" required:""`
 	// MemberPort is for deployments that know the members by another of their ports.
@@ -53,12 +54,30 @@
 		s.checkData(),
 		CheckAddresses("members", s.Members),
 		checkTick(s.Tick),
+		checkDisk(s.DiskMB),
 		CheckPort("member-port", s.MemberPort),
 		CheckPort("agent-port", s.AgentPort),
 		CheckAdvertised("call-listen", s.CallListen),
 	)
 }
 
+// claimDiskShare is the part of the disk that claims may take: a snapshot of them stands beside the
+// one before and a log of about the same size.
+const claimDiskShare = 8
+
+// maxClaimBytes returns the bound on claims, 0 for the default.
+func (s *ControlSettings) maxClaimBytes() int { return s.DiskMB << 20 / claimDiskShare }
+
+// maxDiskMB is a petabyte.
+const maxDiskMB = 1 << 30
+
+func checkDisk(mb int) error {
+	if mb < 0 || mb > maxDiskMB {
+		return &SettingError{Flag: "disk-mb", Err: fmt.Errorf("%d is not between 0 and %d", mb, maxDiskMB)}
+	}
+	return nil
+}
+
 func (s *ControlSettings) checkData() error {
 	if s.Relay {
 		return nil
@@ -115,7 +134,9 @@
 		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
 		OpenLog:    c.openLog(),
 		SelfRepair: c.settings.SelfRepair,
-		Seeds:      c.seedAddresses,
+
+		MaxClaimBytes: c.settings.maxClaimBytes(),
+		Seeds:         c.seedAddresses,
 		TokenTolerance: budget.Tolerance{
 			Overrun: c.settings.TokenOverrun.Or(0), Slack: c.settings.TokenSlack.Or(0),
 		},
