Return tokens of requests that did not run to the pool, without exceeding the limit

What the users saw: 2,035,779 tokens of an account in 8 s where 1,999,078 are allowed, after endpoints had hung for 6.5 s.

Cause: a gateway kept refunds in its wallet without a bound. Tokens granted while requests hung were spent when these came back, beside what the pool had refilled meanwhile.

Change: refunds go back to the pool with the next draw, with their age. A repeated call, or one about an earlier leader's grants, adds nothing.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -40,7 +40,11 @@
 	}
 	if g.cut[i] {
 		w.RecordDrawFailure(now)
-	} else if got, _ := g.pool.Draw("a", g.limit, want, cost, now); got > 0 {
+		ok, _, _, _ = w.Take(cost, now)
+		return ok
+	}
+	g.pool.Return("a", g.limit, w.Returns(now), now)
+	if got, _ := g.pool.Draw("a", g.limit, want, cost, now); got > 0 {
 		w.Credit(got, now)
 	}
 	ok, _, _, _ = w.Take(cost, now)
@@ -102,6 +106,65 @@
 	})
 }
 
+// Guards against gateways that spend refunds of requests that hung for seconds beside what the pool
+// refilled meanwhile, with cut-off gateways and a new leader in between.
+func TestRefundsStayWithinTheLimit(t *testing.T) {
+	const (
+		window = 8 * time.Second
+		slack  = 110_000
+	)
+	type request struct {
+		at      time.Time
+		gateway int
+		cost    float64
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		limit := budget.Limit{Rate: 100_000, Burst: 100_000}
+		now := time.Unix(0, 0)
+		g := newGateways(limit, now)
+		hang := time.Duration(rapid.IntRange(500, 7000).Draw(t, "hang ms")) * time.Millisecond
+		from := rapid.IntRange(0, 500).Draw(t, "hangs from step")
+		lost := rapid.IntRange(0, 2000).Draw(t, "leader lost at step")
+		var hanging, ran []request
+		for step := range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			if step == lost {
+				g.pool = budget.NewPool(tolerance)
+			}
+			if step%200 == 0 {
+				for i := range 3 {
+					g.cut[i] = rapid.Bool().Draw(t, "cut")
+				}
+			}
+			for len(hanging) > 0 && now.Sub(hanging[0].at) >= hang {
+				g.wallets[hanging[0].gateway].Refund(hanging[0].cost, hanging[0].at)
+				hanging = hanging[1:]
+			}
+			hangs := step >= from && step < from+int(hang/(10*time.Millisecond))
+			for i := range g.wallets {
+				r := request{now, i, 2000}
+				switch {
+				case !g.spend(i, r.cost, now):
+				case hangs:
+					hanging = append(hanging, r)
+				default:
+					ran = append(ran, r)
+				}
+			}
+		}
+		bound := (limit.Rate*window.Seconds()+limit.Burst)*1.1 + slack
+		sum, first := 0.0, 0
+		for _, r := range ran {
+			sum += r.cost
+			for r.at.Sub(ran[first].at) >= window {
+				sum -= ran[first].cost
+				first++
+			}
+			assert.Assert(t, sum <= bound, "%.0f tokens in %s, allowed are %.0f", sum, window, bound)
+		}
+	})
+}
+
 // Guards against a budget that refuses within the limit because traffic is at one gateway,
 // as a fixed split does.
 func TestLimitFollowsTheTraffic(t *testing.T) {
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -64,6 +64,7 @@
 type bucket struct {
 	balance float64
 	at      time.Time
+	history history
 }
 
 // NewPool returns an empty pool.
@@ -77,12 +78,7 @@
 	limit = p.tolerance.widen(limit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.accounts[account]
-	if b == nil {
-		b = &bucket{balance: p.tolerance.initialBalance(limit), at: now}
-		p.accounts[account] = b
-	}
-	b.refill(limit, now)
+	b := p.refilled(account, limit, now)
 	if b.balance <= 0 {
 		return 0, time.Duration(-b.balance/limit.Rate*float64(time.Second)) + waitMargin
 	}
@@ -91,6 +87,32 @@
 	return granted, 0
 }
 
+// Return takes back tokens that were drawn for requests that did not run, as if they had never been
+// drawn: a bucket that would have overflowed with them gains only what it could have held. A call
+// that is repeated, or one about the grants of an earlier leader, so adds nothing to the limit.
+func (p *Pool) Return(account string, limit Limit, returned []Returned, now time.Time) {
+	limit = p.tolerance.widen(limit)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.refilled(account, limit, now)
+	for _, r := range returned {
+		b.balance += b.history.restore(r.Tokens, limit.Burst, now.Add(-r.Age))
+	}
+}
+
+// refilled returns the bucket of an account as of now. The lock is held.
+func (p *Pool) refilled(account string, limit Limit, now time.Time) *bucket {
+	b := p.accounts[account]
+	if b == nil {
+		balance := p.tolerance.initialBalance(limit)
+		b = &bucket{balance: balance, at: now, history: newHistory(balance, now)}
+		p.accounts[account] = b
+	}
+	b.refill(limit, now)
+	b.history.record(b.balance, now)
+	return b
+}
+
 // refill refills the bucket up to the limit, which may have changed.
 func (b *bucket) refill(limit Limit, now time.Time) {
 	elapsed := max(0, now.Sub(b.at).Seconds())
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -35,6 +36,15 @@
 	// share is the gateway's part of the limit under a fixed split, in (0,1]; offlineShare of
 	// it is what the gateway spends while it cannot draw.
 	share float64
+	// returned lists refunded tokens by the time at which they were spent, oldest first.
+	returned []refund
+}
+
+// refund is a number of tokens that go back to the pool and were spent within historySlot from
+// spent on.
+type refund struct {
+	spent  time.Time
+	tokens float64
 }
 
 // Configure sets the account's limit and the gateway's part of it under a fixed split, in (0,1].
@@ -85,11 +95,33 @@
 	w.failedAt = now
 }
 
-// Refund returns the cost of a request that did not run.
-func (w *Wallet) Refund(cost float64) {
+// Refund returns the cost of a request that did not run and was charged at spent. The tokens go back
+// to the pool with the next draw: the wallet does not spend them itself, since the pool has granted
+// others for the time meanwhile.
+func (w *Wallet) Refund(cost float64, spent time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.balance += cost
+	at, _ := slices.BinarySearchFunc(w.returned, spent, func(r refund, spent time.Time) int { return r.spent.Compare(spent) })
+	if at > 0 && spent.Sub(w.returned[at-1].spent) < historySlot {
+		w.returned[at-1].tokens += cost
+		return
+	}
+	w.returned = slices.Insert(w.returned, at, refund{spent: spent, tokens: cost})
+	if len(w.returned) > historySlots {
+		w.returned = slices.Delete(w.returned, 0, 1)
+	}
+}
+
+// Returns takes the tokens that go back to the pool with a draw. If the draw fails, they are lost.
+func (w *Wallet) Returns(now time.Time) []Returned {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]Returned, 0, len(w.returned))
+	for _, r := range w.returned {
+		out = append(out, Returned{Tokens: r.tokens, Age: now.Sub(r.spent)})
+	}
+	w.returned = nil
+	return out
 }
 
 func (w *Wallet) offlineRate() float64 { return max(1, offlineShare*w.share*w.limit.Rate) }
--- a/control/api/budget.go
+++ b/control/api/budget.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucantiller.dev/budget"
 	"toucantiller.dev/instance"
 )
 
@@ -12,6 +13,8 @@
 	Account string
 	// Want is the number of tokens asked for; a grant below Least is of no use to the gateway.
 	Want, Least float64
+	// Returned are tokens, drawn earlier, of requests that did not run.
+	Returned []budget.Returned
 }
 
 // BudgetGrant answers a DrawBudget.
--- a/control/budgets.go
+++ b/control/budgets.go
@@ -24,7 +24,11 @@
 	v.s.mu.Lock()
 	pool := v.s.budgets
 	v.s.mu.Unlock()
-	out.Tokens, out.Wait = pool.Draw(in.Account, limit, in.Want, in.Least, time.Now())
+	now := time.Now()
+	if len(in.Returned) > 0 {
+		pool.Return(in.Account, limit, in.Returned, now)
+	}
+	out.Tokens, out.Wait = pool.Draw(in.Account, limit, in.Want, in.Least, now)
 	return nil
 }
 
--- a/gateway/wallets.go
+++ b/gateway/wallets.go
@@ -50,10 +50,10 @@
 	return nil
 }
 
-// refund returns the cost of a call that did not run.
-func (s *wallets) refund(c *call) {
+// refund returns the cost of a call that did not run and was charged at spent.
+func (s *wallets) refund(c *call, spent time.Time) {
 	if w := s.get(c.account.Name); w != nil {
-		w.Refund(float64(c.cost))
+		w.Refund(float64(c.cost), spent)
 	}
 }
 
@@ -84,7 +84,7 @@
 	defer cancel()
 	now := time.Now()
 	grant, err := g.opt.Budgets.DrawBudget(ctx, &api.DrawBudget{
-		Gateway: g.opt.Instance.ID, Account: c.account.Name, Want: want, Least: float64(c.cost),
+		Gateway: g.opt.Instance.ID, Account: c.account.Name, Want: want, Least: float64(c.cost), Returned: w.Returns(now),
 	})
 	if err != nil {
 		_ = g.opt.Logger.Log("msg", "budget not drawn", "request", c.id, "account", c.account.Name, "waited", time.Since(now), "err", err)
