--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,7 +52,7 @@
 	core    *consensus.Core
 	storage *storage
 
-	inbox     chan Packet
+	inbox     *packetQueue
 	proposals chan proposal
 	coreCalls chan func()
 	stop      chan struct{}
@@ -72,6 +73,13 @@
 	// handled.
 	writingSnapshot bool
 	snapshotWrites  chan snapshotWrite
+	// blocked is the batch for which the disk has no space, nil without one. The core must not be
+	// used until it is persisted.
+	blocked *consensus.Ready
+	// spaceTicks counts the ticks until space on the disk is looked for again.
+	spaceTicks int
+	// yielded is true once the replica has handed the leadership over because its disk is full.
+	yielded bool
 }
 
 // Start opens the data folder and starts the replica.
@@ -91,13 +99,16 @@
 		return nil, err
 	}
 	began := time.Now()
-	s, recovered, err := openStorage(cfg.DataFolder, wal.Options{FS: cfg.FS, NewOwner: cfg.newIdentity})
+	s, recovered, err := openStorage(cfg.DataFolder, wal.Options{
+		FS: cfg.FS, NewOwner: cfg.newIdentity, SegmentSize: int64(cfg.SnapshotBytes),
+		ReserveBytes: int64(cfg.ReserveBytes),
+	})
 	if err != nil {
 		return nil, fmt.Errorf("start replica %s: %w", cfg.Address, err)
 	}
 	r := &Replica{
 		cfg: cfg, storage: s,
-		inbox:            make(chan Packet, inboxSize),
+		inbox:            newPacketQueue(inboxSize),
 		proposals:        make(chan proposal, proposalQueueSize),
 		coreCalls:        make(chan func()),
 		stop:             make(chan struct{}),
@@ -142,6 +153,9 @@
 	if c.SnapshotThreshold == 0 {
 		c.SnapshotThreshold = DefaultSnapshotThreshold
 	}
+	if c.SnapshotBytes <= 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.background == nil {
 		c.background = func(f func()) { go f() }
 	}
@@ -181,12 +195,7 @@
 }
 
 // receive queues a packet, or drops it if the inbox is full.
-func (r *Replica) receive(p Packet) {
-	select {
-	case r.inbox <- p:
-	default:
-	}
-}
+func (r *Replica) receive(p Packet) { r.inbox.add(p) }
 
 // Status returns the latest status.
 func (r *Replica) Status() Status { return *r.status.Load() }
@@ -210,6 +219,12 @@
 	ticker := time.NewTicker(r.cfg.TickInterval)
 	defer ticker.Stop()
 	for r.err == nil {
+		if r.blocked != nil {
+			if !r.awaitSpace(ticker.C) {
+				return
+			}
+			continue
+		}
 		proposals := r.proposals
 		if len(r.waiters) >= maxPendingProposals {
 			proposals = nil
@@ -220,7 +235,7 @@
 			return
 		case <-ticker.C:
 			r.tick()
-		case p := <-r.inbox:
+		case p := <-r.inbox.packets:
 			r.handlePackets(p)
 		case p := <-proposals:
 			r.handleProposals(p)
@@ -259,6 +274,7 @@
 }
 
 func (r *Replica) tick() {
+	r.lookForSpace()
 	if r.founder == nil {
 		r.core.Tick()
 		r.measureSilence()
@@ -326,12 +342,13 @@
 
 func (r *Replica) handlePackets(p Packet) {
 	for i := 0; ; i++ {
+		r.inbox.taken(&p)
 		r.handlePacket(p)
 		if i >= maxInboxBatch {
 			return
 		}
 		select {
-		case p = <-r.inbox:
+		case p = <-r.inbox.packets:
 		default:
 			return
 		}
@@ -372,6 +389,26 @@
 	r.cfg.Transport.Send(address, Packet{From: r.cfg.Address, Hello: h})
 }
 
+// maxLogShare is the multiple of the size at which a snapshot is due beyond which the log takes
+// no commands: writing the snapshot does not keep up with them.
+const maxLogShare = 4
+
+// logFull reports whether the log has grown so far beyond the snapshot that is being written
+// that further commands must wait.
+func (r *Replica) logFull() bool {
+	return r.writingSnapshot && r.core.Status().AppliedBytes > maxLogShare*r.snapshotDueBytes()
+}
+
+func (r *Replica) proposeToCore(commands [][]byte) (first, term uint64, err error) {
+	if r.logFull() {
+		return 0, 0, consensus.ErrBacklogFull
+	}
+	if r.storage.log.Full() && slices.ContainsFunc(commands, needsSpace) {
+		return 0, 0, ErrDiskFull
+	}
+	return r.core.Propose(commands...)
+}
+
 func (r *Replica) handleProposals(p proposal) {
 	batch := []proposal{p}
 	commands := [][]byte{p.command}
@@ -387,7 +424,7 @@
 		}
 		break
 	}
-	first, term, err := r.core.Propose(commands...)
+	first, term, err := r.proposeToCore(commands)
 	for i, p := range batch {
 		if err != nil {
 			p.reply <- outcome{err: r.apiError(err)}
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -21,6 +22,9 @@
 // leader.
 const handoverTimeout = time.Second
 
+// reserveBytes is the space that the log keeps for a snapshot on a full disk.
+const reserveBytes = 4 << 20
+
 // ReplicaOptions configures the replicated log.
 type ReplicaOptions struct {
 	// DataFolder holds the log; it belongs to one process at a time.
@@ -51,6 +55,7 @@
 			Transport:      transport,
 			StateMachine:   sm,
 			TickInterval:   opts.Tick,
+			ReserveBytes:   reserveBytes,
 			Logger:         opts.Logger,
 			OnChange:       l.countElections,
 		})
@@ -159,7 +164,7 @@
 		return &NotLeaderError{Leader: notLeader.Leader}
 	}
 	if errors.Is(err, replica.ErrCommandTooLarge) {
-		return ErrTooLarge
+		return fmt.Errorf("%w: %w", ErrTooLarge, err)
 	}
 	for _, lasting := range []error{replica.ErrBelongsToGroup, consensus.ErrRemoveLeader, consensus.ErrLastVoter} {
 		if errors.Is(err, lasting) {
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -25,22 +25,31 @@
 // CRC-32C covers the owner and the payload.
 const snapshotHeaderSize = 20
 
+// snapshotEncodingSize is the size in bytes of the field names, numbers and lengths of an
+// encoded snapshot, rounded up.
+const snapshotEncodingSize = 64
+
 var snapshotMagic = [8]byte{'T', 'T', 'S', 'N', 'A', 'P', 0, 1}
 
 // size returns the size of the snapshot's file in bytes, without the encoding of its fields.
 func (s *Snapshot) size() int64 { return snapshotHeaderSize + int64(len(s.Meta)) + int64(len(s.Data)) }
 
 func encodeSnapshot(owner uint64, s *Snapshot) ([]byte, error) {
-	payload, err := msgpack.Marshal(s)
-	if err != nil {
+	var buf bytes.Buffer
+	buf.Grow(snapshotHeaderSize + len(s.Meta) + len(s.Data) + snapshotEncodingSize)
+	buf.Write(make([]byte, snapshotHeaderSize))
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&buf)
+	if err := enc.Encode(s); err != nil {
 		return nil, err
 	}
-	b := make([]byte, snapshotHeaderSize, snapshotHeaderSize+len(payload))
+	b := buf.Bytes()
 	copy(b, snapshotMagic[:])
 	binary.BigEndian.PutUint64(b[8:], owner)
-	crc := crc32.Update(crc32.Checksum(b[8:16], castagnoli), castagnoli, payload)
+	crc := crc32.Update(crc32.Checksum(b[8:16], castagnoli), castagnoli, b[snapshotHeaderSize:])
 	binary.BigEndian.PutUint32(b[16:], crc)
-	return append(b, payload...), nil
+	return b, nil
 }
 
 func decodeSnapshot(name string, data []byte) (owner uint64, s *Snapshot, err error) {
@@ -70,10 +79,11 @@
 	temporary := name + temporarySuffix
 	f, err := fsys.Create(temporary)
 	if err != nil {
-		return fmt.Errorf("create %s: %w", temporary, err)
+		return noSpace(fmt.Errorf("create %s: %w", temporary, err))
 	}
 	if _, err := f.Write(data); err != nil {
-		return fmt.Errorf("write %s: %w", temporary, errors.Join(err, f.Close()))
+		err = noSpace(fmt.Errorf("write %s: %w", temporary, errors.Join(err, f.Close())))
+		return errors.Join(err, fsys.Remove(temporary))
 	}
 	if err := f.Sync(); err != nil {
 		return fmt.Errorf("sync %s: %w", temporary, errors.Join(err, f.Close()))
