contract: build indexes with the value, never again

Cause: Config.Index replaced the lookups of a value, and of the Ingress that it shares with another one, after others had it: at a delta with SameIngress (distribution/delta.go), and at the leader, whose holder indexed the configuration of its own state (distribution/holder.go).

Change: one fix for both faults. contract.Parts is the content of a configuration and its encoded form; contract.NewConfig makes a Config of it with lookups of its own and writes to none of the parts. Config.Index and Ingress.index are gone. Views and deltas carry Parts, which have no lookups, so that a receiver must build a value before it can read one; an Ingress that was built is shared with its lookup.

Nothing else needed a change.

--- a/contract/compile.go
+++ b/contract/compile.go
@@ -42,7 +42,7 @@
 // Compile builds the configuration of a bundle. The bundle must be valid.
 func Compile(in CompileInput) *Config {
 	b := in.Bundle
-	c := &Config{
+	c := Parts{
 		Revision:   in.Revision,
 		Bundle:     in.Ref,
 		Domains:    make(map[failuredomain.ID]failuredomain.Domain, len(b.Domains)),
@@ -62,7 +62,7 @@
 	for _, s := range b.Services {
 		c.Services = append(c.Services, compileService(s, in))
 	}
-	return c.Index()
+	return NewConfig(c)
 }
 
 func compileAccount(a AccountSpec, rank map[string]account.Tier) *account.Account {
--- a/contract/config.go
+++ b/contract/config.go
@@ -11,9 +11,8 @@
 	"toucantiller.dev/failuredomain"
 )
 
-// Config is the compiled configuration. It is immutable: processes replace the
-// whole value, and only by one with a higher Revision.
-type Config struct {
+// Parts is the content of a configuration, and its encoded form.
+type Parts struct {
 	Revision uint64    `msgpack:"revision" json:"revision"`
 	Bundle   BundleRef `msgpack:"bundle" json:"bundle"`
 	// Tiers lists the tiers from the highest down; the index is the rank.
@@ -25,6 +24,13 @@
 	ServeStale time.Duration `msgpack:"serve_stale" json:"serve_stale"`
 	// Ingress routes requests by host and path; nil where a bundle is in force.
 	Ingress *Ingress `msgpack:"ingress" json:"ingress,omitempty"`
+}
+
+// Config is the compiled configuration. It is immutable and comes from NewConfig: processes
+// replace the whole value, and only by one with a higher Revision. It is not decoded itself; a
+// receiver decodes Parts.
+type Config struct {
+	Parts
 
 	byKey  map[string]*account.Account
 	byName map[string]*account.Account
@@ -104,20 +110,22 @@
 	Unproven bool `msgpack:"unproven" json:"unproven"`
 }
 
-// Index builds the lookup maps and returns c. It must be called once before the value is
-// shared between goroutines.
-func (c *Config) Index() *Config {
-	c.byKey = make(map[string]*account.Account)
-	c.byName = make(map[string]*account.Account, len(c.Accounts))
+// NewConfig returns the configuration with the given content, which must not change afterwards.
+// It writes to none of the parts, so that they may be those of another configuration; an Ingress
+// that was built before is shared.
+func NewConfig(parts Parts) *Config {
+	c := &Config{
+		Parts:  parts,
+		byKey:  make(map[string]*account.Account, len(parts.Accounts)),
+		byName: make(map[string]*account.Account, len(parts.Accounts)),
+	}
+	c.Ingress = parts.Ingress.built()
 	for _, a := range c.Accounts {
 		c.byName[a.Name] = a
 		for _, h := range a.KeyHashes {
 			c.byKey[h] = a
 		}
 	}
-	if c.Ingress != nil {
-		c.Ingress.index()
-	}
 	return c
 }
 
--- a/contract/document.go
+++ b/contract/document.go
@@ -73,7 +73,8 @@
 	Weight  int    `msgpack:"weight" json:"weight"`
 }
 
-// Ingress is the part of a Config that routes requests by host and path.
+// Ingress is the part of a Config that routes requests by host and path. It is immutable and
+// comes from NewIngress; one that was decoded has no routes in force until NewConfig builds it.
 type Ingress struct {
 	// Version is the number of the document in force.
 	Version uint64         `msgpack:"version" json:"version"`
@@ -92,16 +93,32 @@
 	return nil, false
 }
 
-// index builds the lookup for Route: the routes of each host, longest prefix first.
-func (i *Ingress) index() {
-	i.byHost = make(map[string][]*IngressRoute)
-	for n := range i.Routes {
-		r := &i.Routes[n]
-		i.byHost[r.Host] = append(i.byHost[r.Host], r)
+// NewIngress returns the Ingress of a document's version and routes, which must not change
+// afterwards.
+func NewIngress(version uint64, routes []IngressRoute) *Ingress {
+	return &Ingress{Version: version, Routes: routes, byHost: routesByHost(routes)}
+}
+
+// built returns i if it comes from NewIngress, and otherwise a new Ingress with its content; nil
+// stays nil.
+func (i *Ingress) built() *Ingress {
+	if i == nil || i.byHost != nil {
+		return i
+	}
+	return NewIngress(i.Version, i.Routes)
+}
+
+// routesByHost returns the routes of each host, longest prefix first.
+func routesByHost(routes []IngressRoute) map[string][]*IngressRoute {
+	byHost := make(map[string][]*IngressRoute)
+	for n := range routes {
+		r := &routes[n]
+		byHost[r.Host] = append(byHost[r.Host], r)
 	}
-	for _, list := range i.byHost {
+	for _, list := range byHost {
 		slices.SortStableFunc(list, func(a, b *IngressRoute) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	return byHost
 }
 
 // Pick chooses a service in proportion to the weights. hash must be uniformly distributed.
@@ -231,13 +248,13 @@
 // CompileDocument builds the configuration of a document. The document must be valid.
 func CompileDocument(in DocumentInput) *Config {
 	d := in.Document
-	c := &Config{
+	c := Parts{
 		Revision:   in.Revision,
 		Bundle:     BundleRef{Name: "document", Version: d.Version, Digest: Digest(d.Content)},
 		Domains:    in.Domains,
 		Accounts:   d.Accounts,
 		ServeStale: DocumentServeStale,
-		Ingress:    &Ingress{Version: d.Version, Routes: d.Routes},
+		Ingress:    NewIngress(d.Version, d.Routes),
 	}
 	for rank := range tierCount(d) {
 		// No MaxQueueTime: the deadline of each request bounds its wait.
@@ -249,7 +266,7 @@
 		service.Versions = versionShares(s.Name, AnyVersion, in.Moves, in.Versions)
 		c.Services = append(c.Services, &service)
 	}
-	return c.Index()
+	return NewConfig(c)
 }
 
 // tierCount returns the number of tiers: one more than the rank of the lowest tier that the
--- a/control/api/view.go
+++ b/control/api/view.go
@@ -26,7 +26,7 @@
 // View carries the configuration, the directory and a beacon to a subscriber. Nil parts are
 // unchanged.
 type View struct {
-	Config    *contract.Config
+	Config    *contract.Parts
 	Directory *Directory
 	// ConfigDelta and DirectoryDelta are sent instead of Config and Directory if the sender
 	// knows the content of the caller's revision.
@@ -48,7 +48,7 @@
 type ConfigDelta struct {
 	From uint64
 	// Header holds every part except accounts, domains and parts that are unchanged.
-	Header contract.Config
+	Header contract.Parts
 	// SameBundle and SameTiers are set if these parts are equal to those of From.
 	SameBundle bool
 	SameTiers  bool
--- a/control/leader.go
+++ b/control/leader.go
@@ -172,7 +172,9 @@
 func (s *Server) publish(directory bool) {
 	view := &api.View{}
 	s.machine.read(func(st *state.State) {
-		view.Config = st.Config()
+		if c := st.Config(); c != nil {
+			view.Config = &c.Parts
+		}
 		if directory {
 			view.Directory = st.Directory()
 		}
--- a/distribution/delta.go
+++ b/distribution/delta.go
@@ -53,7 +53,7 @@
 
 // diffConfig returns the change between two configurations.
 func diffConfig(old, next *contract.Config) *api.ConfigDelta {
-	d := &api.ConfigDelta{From: old.Revision, Header: headerOf(next)}
+	d := &api.ConfigDelta{From: old.Revision, Header: headerOf(&next.Parts)}
 	if d.SameBundle = old.Bundle == next.Bundle; d.SameBundle {
 		d.Header.Bundle = contract.BundleRef{}
 	}
@@ -151,7 +151,7 @@
 			next.Accounts = append(next.Accounts, a)
 		}
 	}
-	return next.Index()
+	return contract.NewConfig(next)
 }
 
 func applyDomains(old, changed map[failuredomain.ID]failuredomain.Domain, removed []failuredomain.ID) map[failuredomain.ID]failuredomain.Domain {
@@ -164,9 +164,9 @@
 	return next
 }
 
-// headerOf returns a shallow copy of a configuration without the accounts and the index.
-func headerOf(c *contract.Config) contract.Config {
-	return contract.Config{
+// headerOf returns a shallow copy of a configuration's content without the accounts.
+func headerOf(c *contract.Parts) contract.Parts {
+	return contract.Parts{
 		Revision:   c.Revision,
 		Bundle:     c.Bundle,
 		Tiers:      c.Tiers,
--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -355,7 +355,7 @@
 
 // drawView draws a view with random accounts, domains, services, tiers and endpoints.
 func drawView(t *rapid.T, revision uint64) api.View {
-	v := api.View{Config: &contract.Config{Revision: revision, Domains: map[failuredomain.ID]failuredomain.Domain{}}, Directory: &api.Directory{Revision: revision}}
+	v := api.View{Config: &contract.Parts{Revision: revision, Domains: map[failuredomain.ID]failuredomain.Domain{}}, Directory: &api.Directory{Revision: revision}}
 	v.Config.Bundle.Version = rapid.Uint64Range(1, 2).Draw(t, "bundle")
 	name := ""
 	for range 12 {
--- a/distribution/example_test.go
+++ b/distribution/example_test.go
@@ -14,7 +14,7 @@
 	h := distribution.NewHolder(nil)
 	accept := func(revision uint64) {
 		changed, err := h.Accept(&api.View{
-			Config: &contract.Config{Revision: revision, ServeStale: time.Minute},
+			Config: &contract.Parts{Revision: revision, ServeStale: time.Minute},
 			Beacon: api.Beacon{Revision: revision, Term: 1, Seq: revision, Age: 2 * time.Second},
 		}, uptime.Now())
 		fmt.Println("revision", revision, "accepted:", changed, err)
--- a/distribution/helper_test.go
+++ b/distribution/helper_test.go
@@ -87,12 +87,12 @@
 	assert.NilError(t, err)
 }
 
-func config(revision uint64) *contract.Config {
+func config(revision uint64) *contract.Parts {
 	state := failuredomain.StateActive
 	if revision%2 == 1 {
 		state = failuredomain.StateDrained
 	}
-	return &contract.Config{
+	return &contract.Parts{
 		Revision:   revision,
 		ServeStale: time.Minute,
 		Domains:    map[failuredomain.ID]failuredomain.Domain{"lagos-a": {ID: "lagos-a", State: state}},
--- a/distribution/holder.go
+++ b/distribution/holder.go
@@ -180,7 +180,7 @@
 		if current != nil && v.Config.Revision <= current.Revision {
 			return nil, nil
 		}
-		return v.Config.Index(), nil
+		return contract.NewConfig(*v.Config), nil
 	case v.ConfigDelta != nil:
 		if current != nil && v.ConfigDelta.Header.Revision <= current.Revision {
 			return nil, nil
--- a/distribution/service.go
+++ b/distribution/service.go
@@ -89,7 +89,7 @@
 	if c := h.config.Load(); c != nil && c.Revision > in.Revision {
 		newer = true
 		if v.ConfigDelta = h.configs.delta(in.Revision, diffConfig); v.ConfigDelta == nil {
-			v.Config = c
+			v.Config = &c.Parts
 		}
 	}
 	if d := h.directory.Load(); d != nil && d.Revision > in.Directory {
--- a/distribution/suspend_test.go
+++ b/distribution/suspend_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	h := NewHolder(nil)
 	h.sinceBoot = func() (time.Duration, bool) { return m.sinceBoot, true }
-	config := &contract.Config{Revision: 1, ServeStale: contract.DocumentServeStale}
+	config := &contract.Parts{Revision: 1, ServeStale: contract.DocumentServeStale}
 	_, err := h.Accept(&api.View{Config: config, Beacon: api.Beacon{Revision: 1, Term: 1, Seq: 1}}, h.now())
 	assert.NilError(t, err)
 	assert.Assert(t, h.MayServe(time.Now()))
--- a/gateway/first_test.go
+++ b/gateway/first_test.go
@@ -29,7 +29,7 @@
 		began := time.Now()
 		g.awaitConfiguration(t.Context(), &IngressRequest{Timeout: 2 * time.Second})
 		assert.Equal(t, time.Since(began), 500*time.Millisecond, "a quarter of the caller's time")
-		time.AfterFunc(300*time.Millisecond, func() { v.config.Store(&contract.Config{}) })
+		time.AfterFunc(300*time.Millisecond, func() { v.config.Store(contract.NewConfig(contract.Parts{})) })
 		began = time.Now()
 		g.awaitConfiguration(t.Context(), &IngressRequest{Timeout: 5 * time.Second})
 		assert.Assert(t, time.Since(began) <= 300*time.Millisecond+configurationPoll)
--- a/gateway/golden_test.go
+++ b/gateway/golden_test.go
@@ -76,7 +76,7 @@
 }
 
 func (d deployment) config() *contract.Config {
-	c := &contract.Config{Revision: 12, Domains: map[failuredomain.ID]failuredomain.Domain{}}
+	c := contract.Parts{Revision: 12, Domains: map[failuredomain.ID]failuredomain.Domain{}}
 	c.Domains["a"] = failuredomain.Domain{ID: "a", Region: d.region, State: failuredomain.StateActive}
 	for _, t := range d.tiers {
 		c.Tiers = append(c.Tiers, contract.Tier{Name: t, MaxQueueTime: contract.DefaultMaxQueueTime})
@@ -88,7 +88,7 @@
 			Routes: []contract.Route{{Name: "chat", Method: "POST", Path: "/v1/chat/completions", Idempotent: true}}},
 		{Name: d.plain, Kind: contract.KindPlain, Versions: one, MaxBody: 4096, Timeout: contract.DefaultTimeout},
 	}
-	return c.Index()
+	return contract.NewConfig(c)
 }
 
 func runSession(t *testing.T, d deployment, calls func(s *transcript), file string) {
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -127,7 +127,7 @@
 		config := testConfig()
 		config.Revision = 2
 		config.Domains["a"] = failuredomain.Domain{ID: "a", State: failuredomain.StateDrained}
-		w.view.config.Store(config.Index())
+		w.view.config.Store(config)
 		w.post(booking, "{}").expect(t, 503, executionField("not_run"))
 		assert.Equal(t, engine.runs.Load(), int64(1))
 	})
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -37,7 +37,7 @@
 func (v *staticView) ObserveRevision(uint64, string) {}
 
 func newStaticView(endpoints ...endpoint.Endpoint) *staticView {
-	c := &contract.Config{
+	c := contract.NewConfig(contract.Parts{
 		Revision: 1,
 		Tiers:    []contract.Tier{{Name: "counter"}, {Name: "batch"}},
 		Accounts: []*account.Account{{Name: "desk", KeyHashes: []string{account.HashKey("key")}}},
@@ -46,8 +46,8 @@
 			{Name: "lm", Kind: contract.KindModel, Models: []string{"lm"}, MaxBody: 1 << 10, Timeout: time.Second * 5, Versions: []contract.VersionShare{{Version: "1", Share: 1}}},
 			{Name: "desk", Kind: contract.KindPlain, MaxBody: 1 << 10, Timeout: time.Second * 5, Versions: []contract.VersionShare{{Version: "1", Share: 1}}},
 		},
-	}
-	return &staticView{config: c.Index(), directory: &api.Directory{Endpoints: endpoints}}
+	})
+	return &staticView{config: c, directory: &api.Directory{Endpoints: endpoints}}
 }
 
 func listen(t *testing.T) net.Listener {
--- a/gateway/returning_test.go
+++ b/gateway/returning_test.go
@@ -48,13 +48,13 @@
 
 // Guards against placing a returning caller as if its present attempt were the first.
 func TestObjectiveCountsFromTheFirstTry(t *testing.T) {
-	config := (&contract.Config{
+	config := contract.NewConfig(contract.Parts{
 		Revision: 1, Services: []*contract.Service{{Name: "lm"}},
-		Ingress: &contract.Ingress{Routes: []contract.IngressRoute{{
+		Ingress: contract.NewIngress(1, []contract.IngressRoute{{
 			Name: "audit", Host: "h", Prefix: "/", Public: true, Objective: 800 * time.Millisecond, Timeout: 5 * time.Second,
 			Split: []contract.WeightedService{{Service: "lm", Weight: 1}},
-		}}},
-	}).Index()
+		}}),
+	})
 	g := &Gateway{opt: Options{View: fixedView{config}}}
 	objective := func(wait time.Duration) time.Duration {
 		now := time.Now()
--- a/gateway/serving_test.go
+++ b/gateway/serving_test.go
@@ -19,13 +19,13 @@
 func (v *changingView) Config() *contract.Config { return v.config }
 
 func (v *changingView) MayServe(time.Time) bool {
-	v.config = &contract.Config{Revision: 2}
+	v.config = contract.NewConfig(contract.Parts{Revision: 2})
 	return true
 }
 
 // Guards against a request that is judged by a configuration read before the one that the
 // permission to serve is about, for example with a key that was revoked meanwhile.
 func TestPermissionCoversTheConfigurationUsed(t *testing.T) {
-	g := &Gateway{opt: Options{View: &changingView{config: &contract.Config{Revision: 1}}}}
+	g := &Gateway{opt: Options{View: &changingView{config: contract.NewConfig(contract.Parts{Revision: 1})}}}
 	assert.Equal(t, g.servingConfig(time.Now()).Revision, uint64(2))
 }
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -43,7 +43,7 @@
 func testConfig() *contract.Config {
 	shares := []contract.VersionShare{{Version: "1", Share: 1}}
 	idempotent := []contract.Route{{Name: "lookup", Method: "PUT", Path: "/lookup*", Idempotent: true}}
-	c := &contract.Config{
+	return contract.NewConfig(contract.Parts{
 		Revision: 1,
 		Tiers:    []contract.Tier{{Name: "counter", MaxQueueTime: 5 * time.Second}, {Name: "batch", MaxQueueTime: 5 * time.Second}},
 		Accounts: []*account.Account{
@@ -56,8 +56,7 @@
 			{Name: "lm", Kind: contract.KindModel, Models: []string{"lm"}, MaxBody: 1 << 20, QueueLength: 100, Timeout: 10 * time.Second, Versions: shares},
 			{Name: "desk", Kind: contract.KindPlain, MaxBody: 1 << 10, QueueLength: 100, Timeout: 10 * time.Second, Versions: shares, Routes: idempotent},
 		},
-	}
-	return c.Index()
+	})
 }
 
 // countingNetwork counts the bytes of a gateway's connections to agents in both
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -73,7 +73,7 @@
 		time.Sleep(time.Second)
 		assert.Equal(t, a.Lease(), uint64(1))
 
-		_, err := holder.Accept(&api.View{Config: &contract.Config{Revision: 7}}, uptime.Now())
+		_, err := holder.Accept(&api.View{Config: &contract.Parts{Revision: 7}}, uptime.Now())
 		assert.NilError(t, err)
 		synctest.Wait()
 		f.update(func(f *fakeControl) { assert.Equal(t, f.confirmed, uint64(7), "not confirmed at once") })
--- a/scenario/gateway.go
+++ b/scenario/gateway.go
@@ -75,14 +75,14 @@
 
 // rebuild makes a snapshot of the present endpoints.
 func (g *gateway) rebuild() {
-	cfg := &contract.Config{
+	cfg := contract.Parts{
 		Domains:  map[failuredomain.ID]failuredomain.Domain{},
 		Services: []*contract.Service{{Name: serviceName, Versions: []contract.VersionShare{{Version: "v1", Share: 1}}}},
 	}
 	for _, d := range domains {
 		cfg.Domains[d] = failuredomain.Domain{ID: d, Region: "lagos", State: failuredomain.StateActive}
 	}
-	in := schedule.SnapshotInput{Gateway: "gateway", Domain: domains[g.index%len(domains)], Config: cfg, Previous: g.snapshot}
+	in := schedule.SnapshotInput{Gateway: "gateway", Domain: domains[g.index%len(domains)], Config: contract.NewConfig(cfg), Previous: g.snapshot}
 	for _, a := range g.p.agents {
 		in.Endpoints = append(in.Endpoints, a.self)
 	}
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -16,7 +16,7 @@
 
 // fleet returns a configuration and endpoints spread over 13 domains and models.
 func fleet(n, models int) SnapshotInput {
-	cfg := &contract.Config{Domains: map[failuredomain.ID]failuredomain.Domain{}}
+	cfg := contract.Parts{Domains: map[failuredomain.ID]failuredomain.Domain{}}
 	for d := range 13 {
 		id := failuredomain.ID(fmt.Sprintf("domain-%d", d))
 		cfg.Domains[id] = failuredomain.Domain{ID: id, Region: failuredomain.Region(fmt.Sprint(d / 4)), State: failuredomain.StateActive}
@@ -24,7 +24,7 @@
 	for m := range models {
 		cfg.Services = append(cfg.Services, &contract.Service{Name: fmt.Sprintf("model-%d", m), Versions: []contract.VersionShare{{Version: "v1", Share: 1}}})
 	}
-	in := SnapshotInput{Gateway: "gateway-1", Domain: "domain-0", Config: cfg.Index()}
+	in := SnapshotInput{Gateway: "gateway-1", Domain: "domain-0", Config: contract.NewConfig(cfg)}
 	for i := range n {
 		in.Endpoints = append(in.Endpoints, endpoint.Endpoint{
 			ID: endpoint.ID(fmt.Sprintf("endpoint-%d", i)), Incarnation: 1,
--- a/schedule/example_test.go
+++ b/schedule/example_test.go
@@ -12,7 +12,7 @@
 )
 
 func ExampleSnapshot_Pick() {
-	config := &contract.Config{
+	config := contract.Parts{
 		Domains: map[failuredomain.ID]failuredomain.Domain{
 			"lagos-a": {ID: "lagos-a", Region: "lagos", State: failuredomain.StateActive},
 			"lagos-b": {ID: "lagos-b", Region: "lagos", State: failuredomain.StateDrained},
@@ -20,7 +20,7 @@
 		Services: []*contract.Service{{Name: "weft-lm", Versions: []contract.VersionShare{{Version: "v1", Share: 1}}}},
 	}
 	snapshot := schedule.NewSnapshot(schedule.SnapshotInput{
-		Gateway: "gateway-1", Domain: "lagos-a", Config: config,
+		Gateway: "gateway-1", Domain: "lagos-a", Config: contract.NewConfig(config),
 		Endpoints: []endpoint.Endpoint{
 			{ID: "engine-1", Incarnation: 1, Service: "weft-lm", Version: "v1", Domain: "lagos-a"},
 			{ID: "engine-2", Incarnation: 1, Service: "weft-lm", Version: "v1", Domain: "lagos-a"},
--- a/schedule/saturated_test.go
+++ b/schedule/saturated_test.go
@@ -17,11 +17,11 @@
 // saturated forever after it had work of other gateways: it gets no more requests, and they
 // wait until their queue time ends.
 func TestIdleColdEndpointIsNotSaturated(t *testing.T) {
-	config := &contract.Config{
+	config := contract.Parts{
 		Domains:  map[failuredomain.ID]failuredomain.Domain{"a": {ID: "a", State: failuredomain.StateActive}},
 		Services: []*contract.Service{{Name: "s", Versions: []contract.VersionShare{{Version: "1", Share: 1}}}},
 	}
-	s := schedule.NewSnapshot(schedule.SnapshotInput{Config: config.Index(), Endpoints: []endpoint.Endpoint{{ID: "e", Service: "s", Version: "1", Domain: "a"}}})
+	s := schedule.NewSnapshot(schedule.SnapshotInput{Config: contract.NewConfig(config), Endpoints: []endpoint.Endpoint{{ID: "e", Service: "s", Version: "1", Domain: "a"}}})
 	now := time.Unix(1000, 0)
 	c := s.Candidate("s", "e")
 	report := endpoint.Load{Limit: 1, Cold: true, Floor: -1, Running: 1}
--- a/schedule/tooslow_test.go
+++ b/schedule/tooslow_test.go
@@ -16,11 +16,11 @@
 
 // unlikeEndpoints returns a snapshot of endpoints with eight slots and the given loads.
 func unlikeEndpoints(loads []endpoint.Load, now time.Time) *schedule.Snapshot {
-	config := &contract.Config{
+	config := contract.Parts{
 		Domains:  map[failuredomain.ID]failuredomain.Domain{"a": {ID: "a", State: failuredomain.StateActive}},
 		Services: []*contract.Service{{Name: "s", Versions: []contract.VersionShare{{Version: "1", Share: 1}}}},
 	}
-	in := schedule.SnapshotInput{Config: config.Index()}
+	in := schedule.SnapshotInput{Config: contract.NewConfig(config)}
 	for i := range loads {
 		in.Endpoints = append(in.Endpoints, endpoint.Endpoint{ID: endpoint.ID(fmt.Sprint("e", i)), Service: "s", Version: "1", Domain: "a"})
 	}
--- a/systemtest/capacity_test.go
+++ b/systemtest/capacity_test.go
@@ -32,7 +32,7 @@
 )
 
 func designConfig(revision uint64) *contract.Config {
-	c := &contract.Config{Revision: revision, Tiers: make([]contract.Tier, 5), Domains: map[failuredomain.ID]failuredomain.Domain{}}
+	c := contract.Parts{Revision: revision, Tiers: make([]contract.Tier, 5), Domains: map[failuredomain.ID]failuredomain.Domain{}}
 	for i := range designAccounts {
 		name := fmt.Sprintf("account-%d", i)
 		c.Accounts = append(c.Accounts, &account.Account{Name: name, KeyHashes: []string{account.HashKey(name)}})
@@ -45,7 +45,7 @@
 		name := fmt.Sprintf("model-%d", i)
 		c.Services = append(c.Services, &contract.Service{Name: name, Kind: contract.KindModel, Models: []string{name}, Versions: []contract.VersionShare{{Version: "v1", Share: 1}}})
 	}
-	return c.Index()
+	return contract.NewConfig(c)
 }
 
 func designDirectory(revision uint64, endpoints int) *api.Directory {
@@ -77,7 +77,7 @@
 			before := heap()
 			h := distribution.NewHolder(nil)
 			for r := uint64(1); r <= distribution.HistoryKept; r++ {
-				_, err := h.Accept(&api.View{Config: designConfig(r), Directory: designDirectory(r, n)}, uptime.Now())
+				_, err := h.Accept(&api.View{Config: &designConfig(r).Parts, Directory: designDirectory(r, n)}, uptime.Now())
 				assert.NilError(b, err)
 			}
 			s := schedule.NewSnapshot(schedule.SnapshotInput{Gateway: "gateway-1", Domain: "domain-0", Config: h.Config(), Endpoints: h.Directory().Endpoints})
