--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -189,6 +189,7 @@
 		Instance: instance.Instance{ID: "g1", Incarnation: 7, Domain: "a"},
 		View:     w.view, Claims: w.claims, Evidence: w, Network: w.links, Timeline: w.events,
 		StopDelay: w.stopDelay,
+		NewEngine: func(target string, _ int) endpoint.Engine { return httpengine.New(w.network, "http://"+target) },
 	})
 	assert.NilError(w.t, err)
 	w.gateway = g
