--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -333,6 +333,9 @@
 		err = link.ErrSilent
 	}
 	cause := &link.Error{Step: step, Peer: a.endpoint.Address, Err: err}
+	if stopEnds(ctx) {
+		return a.stopResult(err, cause)
+	}
 	if a.callerLeft(ctx) {
 		return attemptResult{problem: newProblem(statusClientClosed, "caller_left", ExecutionUnknown, "the caller closed the connection")}
 	}
@@ -350,7 +353,7 @@
 		return attemptResult{problem: a.unknownProblem(cause)}
 	}
 	wait := time.Until(a.call.deadline) + settleTimeout
-	settling, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(wait, settleTimeout))
+	settling, cancel := context.WithTimeout(a.gateway.answerCtx, max(wait, settleTimeout))
 	defer cancel()
 	stands, answer, _ := a.peer.settle(settling, a.id, a.agent, a.call.needsClaim())
 	if stands == outcomeIncarnationGone {
@@ -366,6 +369,14 @@
 	return attemptResult{problem: a.unknownProblem(cause), unresolved: stands == outcomeUnreachable || stands == outcomeRunning}
 }
 
+// stopResult is the result of a dispatch that a stop of the gateway has ended.
+func (a *attempt) stopResult(err, cause error) attemptResult {
+	if a.neverSent(err) {
+		return a.notRunResult(dispatch.CodeSealed, cause)
+	}
+	return attemptResult{problem: stoppedProblem(), unresolved: true}
+}
+
 // suspend keeps the endpoint from being picked for suspendDuration.
 func (a *attempt) suspend() { a.candidate.Suspend(time.Now().Add(suspendDuration)) }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -269,6 +269,9 @@
 	if p == nil {
 		p = read(c, r)
 	}
+	if p == nil {
+		p = g.refuseBeyondStop(c)
+	}
 	if p != nil {
 		g.metrics.recordProblem(p)
 		p.write(w)
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -63,12 +63,11 @@
 		return inProgressProblem()
 	}
 	defer g.claims.Delete(local)
-	ctx = context.WithoutCancel(ctx)
-	r := g.executeAttempts(ctx, c, out, k)
+	r := g.executeAttempts(g.answerCtx, c, out, k)
 	if r.notRun && !k.requested {
-		r = k.findEarlierOutcome(ctx, r)
+		r = k.findEarlierOutcome(g.answerCtx, r)
 	}
-	return k.finish(ctx, out, r)
+	return k.finish(context.WithoutCancel(ctx), out, r)
 }
 
 // findEarlierOutcome finds the outcome of an earlier call with the key when no endpoint is
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -106,6 +106,9 @@
 
 // directOutcomeUnknown handles a direct call whose outcome is unknown.
 func (a *attempt) directOutcomeUnknown(ctx context.Context, err error) attemptResult {
+	if stopEnds(ctx) {
+		return attemptResult{problem: stoppedProblem()}
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return attemptResult{problem: newProblem(statusClientClosed, "caller_left", ExecutionUnknown, "the caller closed the connection")}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,8 +90,8 @@
 	stopping atomic.Bool
 	// awaitingConfiguration counts the requests that wait for the first configuration.
 	awaitingConfiguration atomic.Int64
-	// stopDeadline is when a stopping gateway cuts the requests still open; nil before it
-	// stops.
+	// stopDeadline is when a stopping gateway ends the requests still open; nil before it
+	// stops, or if it waits for them without a bound.
 	stopDeadline             atomic.Pointer[time.Time]
 	peers                    sync.Map // address -> *peer
 	idle                     *idleLinks
@@ -113,6 +113,9 @@
 	taskSlots   chan struct{}
 	taskCtx     context.Context
 	cancelTasks context.CancelFunc
+	// answerCtx is the parent of all requests' contexts. A stop cancels it with errStopEnds.
+	answerCtx  context.Context
+	endAnswers context.CancelCauseFunc
 }
 
 // maxTasks bounds the background tasks of a gateway.
@@ -137,11 +140,15 @@
 	g.idle = newIdleLinks(&g.peers)
 	g.idPrefix = fmt.Sprintf("%s-%x-", opt.Instance.ID, uint64(opt.Instance.Incarnation))
 	g.taskCtx, g.cancelTasks = context.WithCancel(context.Background())
+	g.answerCtx, g.endAnswers = context.WithCancelCause(context.Background())
 	handler := g.Handler()
 	if opt.Handler != nil {
 		handler = opt.Handler(g)
 	}
-	g.server = &http.Server{Handler: handler, ReadHeaderTimeout: callerReadHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	g.server = &http.Server{
+		Handler: handler, ReadHeaderTimeout: callerReadHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		BaseContext: func(net.Listener) context.Context { return g.answerCtx },
+	}
 	g.server.ErrorLog = stdlog.New(log.NewStdlibAdapter(opt.Logger), "", 0)
 	return g, nil
 }
@@ -154,19 +161,18 @@
 	return nil
 }
 
-// Stop accepts calls for Options.StopDelay, with answers that close their connections. It then
-// closes the listener and waits until ctx ends for open requests, and for the outcomes of
-// claims to be stored. It cuts no request before ctx ends.
+// Stop accepts calls for Options.StopDelay, with answers that close their connections, and
+// refuses those whose deadline is too late. It then closes the listener and waits for open
+// requests, and for the outcomes of claims to be stored. Requests that are still open shortly
+// before ctx ends are answered with problems.
 func (g *Gateway) Stop(ctx context.Context) error {
-	if by, ok := ctx.Deadline(); ok {
-		g.stopDeadline.Store(&by)
-	}
+	g.setStopDeadline(ctx)
 	if !g.stopping.Swap(true) {
 		_ = g.opt.Logger.Log("msg", "stopping", "gateway", g.opt.Instance.ID)
 		g.waitStopDelay(ctx)
 		g.handBack()
 	}
-	err := g.server.Shutdown(ctx)
+	err := g.shutdown(ctx)
 	g.cancelTasks()
 	g.tasks.Wait()
 	g.peers.Range(func(_, p any) bool {
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"toucantiller.dev/account"
-	"toucantiller.dev/admission"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/instance"
@@ -137,9 +136,8 @@
 		timeout = min(timeout, in.Timeout)
 	}
 	c.arrived, c.deadline = now, now.Add(timeout)
-	if by := g.stopDeadline.Load(); by != nil && c.deadline.After(*by) {
-		// The stop could cut the request off halfway, and another gateway can take it.
-		return nil, retryProblem(string(admission.ReasonHandedBack), "the gateway stops before the request's deadline")
+	if p := g.refuseBeyondStop(c); p != nil {
+		return nil, p
 	}
 	if route.Patience > 0 {
 		c.startBy = now.Add(route.Patience)
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -119,6 +119,9 @@
 	case <-deadline.C:
 	case <-ctx.Done():
 		problem = newProblem(statusClientClosed, "caller_left", ExecutionNotRun, "the caller closed the connection")
+		if stopEnds(ctx) {
+			problem = handedBackProblem()
+		}
 	}
 	if !q.dequeue(t) {
 		if got := <-t.result; got.decision.Candidate != nil {
@@ -143,7 +146,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.closed {
-		return nil, retryProblem(string(admission.ReasonHandedBack), "the gateway is stopping")
+		return nil, handedBackProblem()
 	}
 	evicted, refused := q.queue.Push(&t.item, now)
 	q.refuseDropped(evicted)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -126,6 +126,9 @@
 	if time.Until(c.deadline) <= 0 {
 		return attemptResult{problem: deadlineProblem(), notRun: true}, false
 	}
+	if stopEnds(ctx) {
+		return attemptResult{problem: handedBackProblem(), notRun: true}, false
+	}
 	q := g.queue(c)
 	if q == nil {
 		return attemptResult{problem: noEndpointProblem(c, schedule.ReasonUnknownService), notRun: true}, false
