--- a/link/rpc.go
+++ b/link/rpc.go
@@ -95,7 +95,7 @@
 }
 
 func (s *Server) serveConn(c net.Conn) {
-	s.rpc.ServeConn(writeTimeoutConn{c})
+	s.rpc.ServeConn(&limitedConn{Conn: writeTimeoutConn{c}})
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -219,7 +219,7 @@
 	if err != nil {
 		return nil, err
 	}
-	activity := &activityConn{Conn: writeTimeoutConn{nc}, opened: time.Now()}
+	activity := &activityConn{Conn: &limitedConn{Conn: writeTimeoutConn{nc}}, opened: time.Now()}
 	c.conn = &connection{Client: rpc.NewClient(activity), activity: activity, done: make(chan struct{})}
 	go c.probe(c.conn)
 	return c.conn, nil
