HTTP engine: bound the text of errors

What operators of a similar system saw: a faulty endpoint sent bytes without end that were no answer, and the process that had called it ran out of memory.

Cause here: the bytes read are bounded, but net/http quotes a malformed head of up to 64 KiB in its error, four times as long with escapes, and the time line keeps the texts of 4096 events: up to 1 GB. Each is also logged.

Evidence, on the former code (TestErrorTextOfAMalformedHeadIsBounded): len(err.Error()) is >= 1 << 10: 245891 bytes

Change: errors of calls are cut at 512 bytes.

TestBodyWithoutEndIsBounded covers bytes without end after the head: beyond the answer's length, in chunk extensions, chunk lengths and trailers, and while the reader waits or has given up. It passes on the former code; its bounds are those of net/http. The bounds on heads are ours: with both removed, TestHeadWithoutEndIsBounded fails: "one line: bytes were read".

Measured: go test -race ./agent/httpengine: ok.

--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -148,12 +148,12 @@
 			_ = s.conn.Close() // the error of Check is the one to report
 		}
 		_ = resp.Body.Close() // the body is not used
-		return nil, false, fmt.Errorf("answer of engine %s: %w", e.baseURL, err)
+		return nil, false, boundedError{fmt.Errorf("answer of engine %s: %w", e.baseURL, err)}
 	}
 	if s.ensureUnsent(hasConn) {
-		return nil, hasConn && s.reused, fmt.Errorf("connecting to engine %s: %w: %w", e.baseURL, endpoint.ErrNotSent, err)
+		return nil, hasConn && s.reused, boundedError{fmt.Errorf("connecting to engine %s: %w: %w", e.baseURL, endpoint.ErrNotSent, err)}
 	}
-	return nil, false, fmt.Errorf("calling engine %s: %w", e.baseURL, err)
+	return nil, false, boundedError{fmt.Errorf("calling engine %s: %w", e.baseURL, err)}
 }
 
 func (e *Engine) newRequest(ctx context.Context, r *endpoint.Request) (*http.Request, error) {
