Gateway: bound the load reports of an agent

What operators of a similar system saw: a process kept bytes without end that were no answer, and ran out of memory.

Cause here: the watch of an agent's load decodes reports from a stream without a bound. The decoder keeps the parts that it skips, up to 4 GiB for one field, and recurses into nested ones.

Change: a report has at most 64 KiB. A flood of reports that are in order is followed as before. The headers of an agent's answer are bound by 64 KiB too, in place of the 10 MiB of net/http.

TestAnswerWithoutEndIsNotKept shows that an answer without end to a caller that reads nothing is not kept. It passes on the former code.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -18,6 +19,9 @@
 const (
 	// watchSilenceTimeout is the time without a report after which a watch is opened again.
 	watchSilenceTimeout = 3 * dispatch.WatchInterval
+	// maxReport bounds a report of a watch, in bytes. The decoder keeps the parts of a report that
+	// it skips, and its stack grows with their nesting.
+	maxReport = 64 << 10
 	// watchRetryPause is the pause before a watch is opened again.
 	watchRetryPause = 150 * time.Millisecond
 )
@@ -100,9 +104,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, &link.Error{Step: dispatch.PathWatch, Peer: address, Err: errors.New(resp.Status)}
 	}
-	decoder := msgpack.NewDecoder(resp.Body)
+	report := &io.LimitedReader{R: resp.Body}
+	decoder := msgpack.NewDecoder(report)
 	for {
 		var m dispatch.Heartbeat
+		report.N = maxReport
 		if err := decoder.Decode(&m); err != nil {
 			p.replace(client)
 			return followed, &link.Error{Step: "reading watch", Peer: address, Err: err}
--- a/link/http.go
+++ b/link/http.go
@@ -11,6 +11,9 @@
 const (
 	maxConcurrentStreams = 4096
 	readHeaderTimeout    = 5 * time.Second
+	// maxHeaderBytes bounds the headers of an answer. Agents send those of the endpoint's answer
+	// in a frame, and few of their own.
+	maxHeaderBytes = 64 << 10
 	// idleConnTimeout closes idle connections: those that were replaced, and those to peers that
 	// no longer exist.
 	idleConnTimeout = 5 * time.Minute
@@ -47,6 +50,8 @@
 		HTTP2:              http2Config(),
 		DisableCompression: true,
 		IdleConnTimeout:    idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 			defer cancel()
