Close idle connections of callers at the timeout of the configuration

Callers: a gateway under a burst keeps every connection that a caller has opened for two minutes, whatever idle timeout the operator's document states. Their number is what takes the process over its memory.

Cause: the document's idle timeout was not read, and the server of a gateway had a fixed one, which cannot change while it serves.

Evidence, on the unfixed code: callers_test.go:69: assertion failed: 2m0s (time.Duration) != 15s platform_test.go:34: assertion failed: 0s (d.IdleTimeout) != 15s

Change: the timeout is part of the configuration (zero: two minutes, as before). The gateway keeps its callers' connections in the order in which they became idle and closes them when the timeout has passed, by ending the read of the server. Changes of the timeout take effect within a second.

Measured: go test -race ./gateway -run TestIdleCallers, ./contract and ./platform pass.

--- a/contract/config.go
+++ b/contract/config.go
@@ -23,6 +23,9 @@
 	Services []*Service                                `msgpack:"services" json:"services"`
 	// ServeStale is how long a process that has lost contact with control keeps accepting requests.
 	ServeStale time.Duration `msgpack:"serve_stale" json:"serve_stale"`
+	// CallerIdleTimeout is how long a caller's connection may stay idle; 0 means the gateway's
+	// default.
+	CallerIdleTimeout time.Duration `msgpack:"caller_idle_timeout" json:"caller_idle_timeout,omitempty"`
 	// Ingress routes requests by host and path; nil where a bundle is in force.
 	Ingress *Ingress `msgpack:"ingress" json:"ingress,omitempty"`
 
--- a/contract/document.go
+++ b/contract/document.go
@@ -23,6 +23,8 @@
 	Routes   []IngressRoute
 	Services []*Service
 	Accounts []*account.Account
+	// IdleTimeout is how long a caller's connection may stay idle; 0 means the gateway's default.
+	IdleTimeout time.Duration
 }
 
 // RouteKind states whether the requests of a route may be repeated.
@@ -237,7 +239,10 @@
 		Domains:    in.Domains,
 		Accounts:   d.Accounts,
 		ServeStale: DocumentServeStale,
-		Ingress:    &Ingress{Version: d.Version, Routes: d.Routes},
+
+		CallerIdleTimeout: d.IdleTimeout,
+
+		Ingress: &Ingress{Version: d.Version, Routes: d.Routes},
 	}
 	for rank := range tierCount(d) {
 		// No MaxQueueTime: the deadline of each request bounds its wait.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,7 @@
 	stopDeadline             atomic.Pointer[time.Time]
 	peers                    sync.Map // address -> *peer
 	idle                     *idleLinks
+	callers                  *callerConnections
 	sequence                 atomic.Uint64
 	idPrefix                 string // of request IDs made here
 	metrics                  *metrics
@@ -118,11 +119,8 @@
 // maxTasks bounds the background tasks of a gateway.
 const maxTasks = 4096
 
-// Bounds on callers' connections.
-const (
-	callerReadHeaderTimeout = 10 * time.Second
-	callerIdleTimeout       = 2 * time.Minute
-)
+// callerReadHeaderTimeout bounds the time in which a caller sends the head of a request.
+const callerReadHeaderTimeout = 10 * time.Second
 
 // New returns a gateway that is not yet serving.
 func New(opt Options) (*Gateway, error) {
@@ -141,7 +139,9 @@
 	if opt.Handler != nil {
 		handler = opt.Handler(g)
 	}
-	g.server = &http.Server{Handler: handler, ReadHeaderTimeout: callerReadHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	g.callers = newCallerConnections(g.callerIdleTimeout)
+	// The server has no IdleTimeout, which could not change with the configuration.
+	g.server = &http.Server{Handler: handler, ReadHeaderTimeout: callerReadHeaderTimeout, ConnState: g.callers.observe}
 	g.server.ErrorLog = stdlog.New(log.NewStdlibAdapter(opt.Logger), "", 0)
 	return g, nil
 }
