Bound the heap by the memory limit of the instance

Callers: a gateway on an instance of 134 MB ends by memory although less than half of its heap is alive; what it has passed on is lost.

Cause: the collector lets the heap grow to four times what is alive (GOGC=300), whatever memory the instance has.

A malformed limit and one below 32 MB are refused.

Measured: go test -race ./program passes.

--- a/program/agent.go
+++ b/program/agent.go
@@ -109,6 +109,7 @@
 // Start listens, announces the endpoint and serves.
 func (a *Agent) Start(context.Context) error {
 	TuneCollector()
+	a.settings.MemoryLimit.limitCollector()
 	if err := a.listen(); err != nil {
 		return err
 	}
--- a/program/control.go
+++ b/program/control.go
@@ -102,6 +102,7 @@
 
 // Start opens the replicated log, or a relay to the leader, and serves.
 func (c *Control) Start(ctx context.Context) error {
+	c.settings.MemoryLimit.limitCollector()
 	if err := c.admin.Start(c.settings.AdminListen); err != nil {
 		return err
 	}
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -112,6 +112,7 @@
 // the first one has arrived.
 func (g *Gateway) Start(ctx context.Context) error {
 	TuneCollector()
+	g.settings.MemoryLimit.limitCollector()
 	if err := g.listen(); err != nil {
 		return err
 	}
--- a/program/program.go
+++ b/program/program.go
@@ -171,6 +171,7 @@
 	Domain string `help:"Failure domain of this process." env:"TOUCAN_DOMAIN" required:""`
 	// StopTimeout bounds a graceful stop; requests that are still open then are cut off.
 	StopTimeout time.Duration    `help:"How long a stop waits for open requests." env:"TOUCAN_STOP_TIMEOUT" default:"2m"`
+	MemoryLimit MemoryLimit      `help:"Memory that the process may use, in bytes or with the suffix MB or MiB; 0 for no limit." env:"TOUCAN_MEMORY_LIMIT" default:"0"`
 	AdminListen string           `help:"Address of the admin listener, ip:port." env:"TOUCAN_ADMIN_LISTEN" default:"127.0.0.1:9090"`
 	Link        TLSSettings      `embed:"" prefix:"link-"`
 	Version     kong.VersionFlag `help:"Print the version and exit."`
@@ -184,6 +185,9 @@
 	if c.StopTimeout <= 0 {
 		return &SettingError{Flag: "stop-timeout", Err: fmt.Errorf("%s is not above 0s", c.StopTimeout)}
 	}
+	if err := c.MemoryLimit.check(); err != nil {
+		return err
+	}
 	return c.Link.Check()
 }
 
--- a/program/program_test.go
+++ b/program/program_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
@@ -88,6 +89,34 @@
 	assert.ErrorContains(t, s.Check(), "--tick")
 }
 
+// Guards against a heap that grows past the memory limit while little of it is alive, and against
+// limits that are read wrongly or that no process can keep.
+func TestMemoryLimitBoundsTheCollector(t *testing.T) {
+	for text, want := range map[string]MemoryLimit{"": 0, "0": 0, "MB": 0, "134MB": 134_000_000, "128MiB": 128 << 20, "70000000": 70_000_000} {
+		var m MemoryLimit
+		assert.NilError(t, m.UnmarshalText([]byte(text)), text)
+		assert.Equal(t, m, want, text)
+		assert.NilError(t, m.check(), text)
+	}
+	for _, wrong := range []string{"x", "-1", "1.5MB", "134mb", "9223372036854775807MB"} {
+		var m MemoryLimit
+		assert.Assert(t, m.UnmarshalText([]byte(wrong)) != nil, wrong)
+	}
+	common := Common{AdminListen: "127.0.0.1:1", StopTimeout: time.Second, MemoryLimit: 1}
+	assert.ErrorContains(t, common.Check(), "--memory-limit")
+
+	before := debug.SetMemoryLimit(-1)
+	defer debug.SetMemoryLimit(before)
+	t.Setenv("GOMEMLIMIT", "")
+	MemoryLimit(0).limitCollector()
+	assert.Equal(t, debug.SetMemoryLimit(-1), before, "no limit")
+	MemoryLimit(100 * megabyte).limitCollector()
+	assert.Equal(t, debug.SetMemoryLimit(-1), int64(70*megabyte))
+	t.Setenv("GOMEMLIMIT", "50MiB")
+	MemoryLimit(200 * megabyte).limitCollector()
+	assert.Equal(t, debug.SetMemoryLimit(-1), int64(70*megabyte), "GOMEMLIMIT is set")
+}
+
 // blockedWriter blocks every Write until release is closed, like a log reader that hangs.
 type blockedWriter struct {
 	release chan struct{}
