--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -139,6 +142,44 @@
 	}
 }
 
+// BenchmarkCallerConnections reports the memory of a caller's connection that carried one refused
+// request of 18 KB: when it is idle, and while its request waits for the rest of its body.
+func BenchmarkCallerConnections(b *testing.B) {
+	const callers = 1000
+	for range b.N {
+		p := newBenchPath(b, 1)
+		address := strings.TrimSuffix(strings.TrimPrefix(p.url, "http://"), "/services/desk")
+		body := strings.Repeat("x", 18<<10)
+		head := fmt.Sprintf("POST /services/desk/a HTTP/1.1\r\nHost: gateway\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n", len(body))
+		open := make([]net.Conn, callers)
+		defer closeAll(open)
+		before := memoryInUse()
+		for i := range open {
+			c, err := net.Dial("tcp", address)
+			must(err)
+			open[i] = c
+			_, err = io.WriteString(c, head+body)
+			must(err)
+			_, err = c.Read(make([]byte, 1<<10))
+			must(err)
+		}
+		time.Sleep(time.Second)
+		b.ReportMetric((float64(memoryInUse())-float64(before))/callers/1024, "KB/idle-connection")
+		for _, c := range open {
+			_, err := io.WriteString(c, strings.Replace(head, strconv.Itoa(len(body)), "1000", 1))
+			must(err)
+		}
+		time.Sleep(time.Second)
+		b.ReportMetric((float64(memoryInUse())-float64(before))/callers/1024, "KB/request")
+	}
+}
+
+func closeAll(open []net.Conn) {
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
 // BenchmarkIdleAgents measures the cost of connections to agents that a gateway no longer uses,
 // and the latency of the first call after idling.
 func BenchmarkIdleAgents(b *testing.B) {
