Bound the memory that a gateway holds for its callers

Callers: a hot account and a burst take a gateway over the memory of its instance. It ends, what it had passed on is lost, its callers move to the next gateway, and that one ends too.

Cause: nothing bounds what a gateway holds for callers: connections, requests in progress, bodies and answers. A refusal leaves its connection open, while the caller comes back on another one.

Above 0.6 of it idle connections are closed, the one idle longest first, and refused requests close theirs; above 0.8 new requests get 503 memory_short (not run, Retry-After) and are disconnected; a body waits for up to 1 s until it fits; a connection waits in the queue of the system until it fits. What was accepted is answered. A body of known length is read into one allocation on all interfaces. Problems found while decoding a request of an adapter now count in the metric of problems.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -57,7 +57,9 @@
 		return
 	}
 	if len(o.buffer)+len(p) <= o.bufferLimit() {
+		before := cap(o.buffer)
 		o.buffer = append(o.buffer, p...)
+		o.call.memory.hold(int64(cap(o.buffer) - before))
 		return
 	}
 	if o.call.needsClaim() {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -58,6 +57,8 @@
 	// maxAnswerTokens is the bound on the answer that the caller stated, 0 if it stated none.
 	maxAnswerTokens int
 	key             string
+	// memory accounts for the call; nil if nothing does.
+	memory *RequestMemory
 	// passedHeaders holds the caller's headers that are passed to the engine.
 	passedHeaders http.Header
 	// hash selects the version and stays the same for all attempts.
@@ -211,32 +212,16 @@
 	return nil
 }
 
-func (c *call) readBody(r *http.Request, limit int64) *Problem {
-	if r.ContentLength > limit {
-		return newProblem(http.StatusRequestEntityTooLarge, "body_too_large", ExecutionNotRun, "the body exceeds %d bytes", limit)
-	}
-	body, err := readAll(r, limit)
-	if err != nil {
-		return newProblem(http.StatusBadRequest, "body_cut", ExecutionNotRun, "reading the body: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return newProblem(http.StatusRequestEntityTooLarge, "body_too_large", ExecutionNotRun, "the body exceeds %d bytes", limit)
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limit int64) *Problem {
+	body, p := c.memory.ReadBody(w, r, limit)
+	if p != nil {
+		return p
 	}
 	c.body = body
 	c.promptTokens = len(body) / bytesPerToken
 	return nil
 }
 
-// readAll reads a body of known length into one allocation; net/http ends the body there.
-func readAll(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength >= 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	return io.ReadAll(io.LimitReader(r.Body, limit+1))
-}
-
 // modelRequest holds the fields of an OpenAI request that the gateway reads.
 type modelRequest struct {
 	Model               string `json:"model"`
@@ -264,14 +249,20 @@
 }
 
 // readCall reads and checks a call; it answers a refused one and returns nil.
-func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, read func(*call, *http.Request) *Problem) *call {
-	c, p := g.beginCall(w, r)
+// The account of the call that it returns must be released.
+func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, read func(*call, http.ResponseWriter, *http.Request) *Problem) *call {
+	var c *call
+	m, p := g.AdmitRequest(w)
+	if p == nil {
+		c, p = g.beginCall(w, r)
+	}
 	if p == nil {
-		p = read(c, r)
+		c.memory = m
+		p = read(c, w, r)
 	}
 	if p != nil {
-		g.metrics.recordProblem(p)
-		p.write(w)
+		m.Release()
+		g.RefuseUndecoded(w, p, func(w http.ResponseWriter, p *Problem) { p.write(w) })
 		return nil
 	}
 	return c
@@ -282,6 +273,7 @@
 	if c == nil {
 		return
 	}
+	defer c.memory.Release()
 	c.path = r.URL.Path
 	c.route = c.service.RouteFor(c.method, c.path)
 	c.answerTokens = g.estimateAnswerTokens(c)
@@ -289,8 +281,8 @@
 	g.serve(w, r, c)
 }
 
-func (c *call) readModel(r *http.Request) *Problem {
-	if p := c.readBody(r, c.maxModelBody()); p != nil {
+func (c *call) readModel(w http.ResponseWriter, r *http.Request) *Problem {
+	if p := c.readBody(w, r, c.maxModelBody()); p != nil {
 		return p
 	}
 	var m modelRequest
@@ -341,10 +333,11 @@
 	if c == nil {
 		return
 	}
+	defer c.memory.Release()
 	g.serve(w, r, c)
 }
 
-func (c *call) readPlain(r *http.Request) *Problem {
+func (c *call) readPlain(w http.ResponseWriter, r *http.Request) *Problem {
 	name := mux.Vars(r)["service"]
 	s, ok := c.config.ServiceByName(name)
 	if !ok || s.Kind != contract.KindPlain {
@@ -361,7 +354,7 @@
 	if !strings.HasPrefix(c.path, "/") || !printable(c.path, maxPath) {
 		return newProblem(http.StatusBadRequest, "bad_path", ExecutionNotRun, "the path must be at most %d printable ASCII characters", maxPath)
 	}
-	return c.readBody(r, s.MaxBody)
+	return c.readBody(w, r, s.MaxBody)
 }
 
 type modelList struct {
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -2,9 +2,11 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +16,12 @@
 	// maxIdleCheckDelay is the longest time between two checks for idle connections, so that a
 	// shorter timeout in a new configuration takes effect.
 	maxIdleCheckDelay = time.Second
+	// evictionDelay is the time between two evictions while memory is short, and the least time
+	// that a connection has been idle when it is closed: the server starts its read just after it
+	// has reported the connection as idle.
+	evictionDelay = 20 * time.Millisecond
+	// acceptDelay is the time between two checks whether there is memory for a new connection.
+	acceptDelay = 5 * time.Millisecond
 )
 
 // callerIdleTimeout returns how long a caller's connection may stay idle.
@@ -36,16 +44,26 @@
 	idle *list.List
 	// checkScheduled is set while a check is due.
 	checkScheduled bool
+	// closing counts the connections that were made to close and have not closed yet.
+	closing int64
+
+	account *memoryAccount
+	// evictionScheduled is set while an eviction is due.
+	evictionScheduled atomic.Bool
+	// evicted is called with the number of connections that an eviction closes.
+	evicted func(n int)
 }
 
 // idleCaller is a connection of a caller that carries no request.
 type idleCaller struct {
 	conn  net.Conn
 	since time.Time
+	// closing is set once the connection was made to close.
+	closing bool
 }
 
-func newCallerConnections(timeout func() time.Duration) *callerConnections {
-	return &callerConnections{timeout: timeout, open: make(map[net.Conn]*list.Element), idle: list.New()}
+func newCallerConnections(timeout func() time.Duration, account *memoryAccount) *callerConnections {
+	return &callerConnections{timeout: timeout, open: make(map[net.Conn]*list.Element), idle: list.New(), account: account}
 }
 
 // observe is the server's ConnState hook.
@@ -54,6 +72,9 @@
 	defer c.mu.Unlock()
 	if e := c.open[conn]; e != nil {
 		c.idle.Remove(e)
+		if e.Value.(*idleCaller).closing {
+			c.closing--
+		}
 	}
 	switch state {
 	case http.StateNew, http.StateActive:
@@ -61,8 +82,12 @@
 	case http.StateIdle:
 		c.open[conn] = c.idle.PushBack(&idleCaller{conn: conn, since: time.Now()})
 		c.scheduleCheck()
+		if c.account.excess() > 0 {
+			c.scheduleEviction()
+		}
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, conn)
+		c.account.release(callerConnectionCost)
 	}
 }
 
@@ -97,5 +122,81 @@
 	i := e.Value.(*idleCaller)
 	_ = i.conn.SetReadDeadline(now) // fails only if the connection is closed
 	i.since = now
+	if !i.closing {
+		i.closing = true
+		c.closing++
+	}
 	c.idle.MoveToBack(e)
 }
+
+// scheduleEviction schedules the close of idle connections, unless it is scheduled.
+func (c *callerConnections) scheduleEviction() {
+	if !c.evictionScheduled.Load() && c.evictionScheduled.CompareAndSwap(false, true) {
+		time.AfterFunc(evictionDelay, c.evict)
+	}
+}
+
+// evict closes the connections that have been idle longest until enough memory will be free.
+func (c *callerConnections) evict() {
+	c.evictionScheduled.Store(false)
+	n := 0
+	c.mu.Lock()
+	defer func() {
+		c.mu.Unlock()
+		if n > 0 {
+			c.evicted(n)
+		}
+	}()
+	now := time.Now()
+	for e := c.idle.Front(); e != nil && c.account.excess() > c.closing*callerConnectionCost; e = c.idle.Front() {
+		if now.Sub(e.Value.(*idleCaller).since) < evictionDelay {
+			c.scheduleEviction()
+			return
+		}
+		c.closeIdle(e, now)
+		n++
+	}
+}
+
+// recordEviction counts idle connections that are closed because memory is short.
+func (g *Gateway) recordEviction(n int) {
+	g.metrics.callersClosed.Add(context.Background(), int64(n))
+	g.logShortMemory("idle connections are closed", g.memory.held.Load())
+}
+
+// boundedListener accepts a connection only while the budget has room for it. Others wait in the
+// system's queue.
+type boundedListener struct {
+	net.Listener
+	account *memoryAccount
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func newBoundedListener(l net.Listener, a *memoryAccount) *boundedListener {
+	return &boundedListener{Listener: l, account: a, closed: make(chan struct{})}
+}
+
+// Accept accepts a connection and holds its memory, which the server's ConnState hook releases.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	for !l.account.budget.Fits(l.account.held.Load(), callerConnectionCost) {
+		select {
+		case <-l.closed:
+			_ = conn.Close()
+			return nil, net.ErrClosed
+		case <-time.After(acceptDelay):
+		}
+	}
+	l.account.hold(callerConnectionCost)
+	return conn, nil
+}
+
+// Close closes the listener.
+func (l *boundedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/memory"
 	"toucantiller.dev/policy"
 	"toucantiller.dev/quarantine"
 	"toucantiller.dev/schedule"
@@ -79,6 +80,8 @@
 	// Quarantine watches for parts of prompts under which endpoints end; nil means that none are
 	// held back.
 	Quarantine *quarantine.Watcher
+	// MemoryBudget bounds the memory held for callers; 0 means no bound.
+	MemoryBudget memory.Budget
 	// Without is the set of policies that are switched off.
 	Without policy.Off
 }
@@ -92,10 +95,13 @@
 	awaitingConfiguration atomic.Int64
 	// stopDeadline is when a stopping gateway cuts the requests still open; nil before it
 	// stops.
-	stopDeadline             atomic.Pointer[time.Time]
-	peers                    sync.Map // address -> *peer
-	idle                     *idleLinks
-	callers                  *callerConnections
+	stopDeadline atomic.Pointer[time.Time]
+	peers        sync.Map // address -> *peer
+	idle         *idleLinks
+	callers      *callerConnections
+	memory       *memoryAccount
+	// memoryLogged is when short memory was logged last, in Unix nanoseconds.
+	memoryLogged             atomic.Int64
 	sequence                 atomic.Uint64
 	idPrefix                 string // of request IDs made here
 	metrics                  *metrics
@@ -139,7 +145,10 @@
 	if opt.Handler != nil {
 		handler = opt.Handler(g)
 	}
-	g.callers = newCallerConnections(g.callerIdleTimeout)
+	g.memory = &memoryAccount{budget: opt.MemoryBudget}
+	g.callers = newCallerConnections(g.callerIdleTimeout, g.memory)
+	g.callers.evicted = g.recordEviction
+	g.memory.short = g.callers.scheduleEviction
 	// The server has no IdleTimeout, which could not change with the configuration.
 	g.server = &http.Server{Handler: handler, ReadHeaderTimeout: callerReadHeaderTimeout, ConnState: g.callers.observe}
 	g.server.ErrorLog = stdlog.New(log.NewStdlibAdapter(opt.Logger), "", 0)
@@ -148,7 +157,7 @@
 
 // Serve serves callers on the listener until Stop.
 func (g *Gateway) Serve(l net.Listener) error {
-	if err := g.server.Serve(l); err != nil && !eris.Is(err, http.ErrServerClosed) {
+	if err := g.server.Serve(newBoundedListener(l, g.memory)); err != nil && !eris.Is(err, http.ErrServerClosed) {
 		return eris.Wrapf(err, "serving callers on %s", l.Addr())
 	}
 	return nil
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -43,6 +43,8 @@
 	// Header holds the caller's headers that are passed to the endpoint.
 	Header http.Header
 	Body   []byte
+	// Memory accounts for the request; nil if nothing does.
+	Memory *RequestMemory
 }
 
 // anonymousAccount is the account of calls on public routes without a key.
@@ -68,6 +70,7 @@
 	if p != nil {
 		g.metrics.recordProblem(p)
 		g.logRefused(in, began, p)
+		g.closeWhenShort(w)
 		writeProblem(w, p)
 		return
 	}
@@ -121,7 +124,7 @@
 		return nil, newProblem(http.StatusNotFound, "unknown_route", ExecutionNotRun, "no route for %s%s", in.Host, in.Path)
 	}
 	c := &call{
-		config: config, ingress: route, id: in.ID, method: in.Method, host: in.Host, path: in.Target, body: in.Body,
+		config: config, ingress: route, id: in.ID, method: in.Method, host: in.Host, path: in.Target, body: in.Body, memory: in.Memory,
 		passedHeaders: in.Header, sharedParts: in.SharedParts, hash: rand.Uint64(), //nolint:gosec // load balancing needs no secrecy
 		route: contract.Route{Name: route.Name, Idempotent: route.Repeatable()},
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -34,6 +34,7 @@
 	floorsRaised     counter
 	claimFailures    counter
 	tasksDropped     counter
+	callersClosed    counter
 	duration         histogram
 	firstToken       histogram
 }
@@ -62,6 +63,7 @@
 		{&out.floorsRaised, "toucan.gateway.floor.raised", "{floor}", "Times this gateway raised the admission floor."},
 		{&out.claimFailures, "toucan.gateway.claims.failed", "{call}", "Calls to control about claims that failed."},
 		{&out.tasksDropped, "toucan.gateway.tasks.dropped", "{task}", "Background tasks dropped because too many ran."},
+		{&out.callersClosed, "toucan.gateway.callers.closed", "{connection}", "Idle connections of callers closed because memory was short."},
 	} {
 		i, err := m.Int64Counter(c.name, metric.WithUnit(c.unit), metric.WithDescription(c.about))
 		if err != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -53,6 +53,9 @@
 	}
 	g.metrics.recordProblem(p)
 	g.opt.Timeline.Record(timeline.Event{Kind: "request.problem", Request: c.id, Detail: p.Code + " " + string(p.Execution)})
+	if p.Execution == ExecutionNotRun && !out.headerSent {
+		g.closeWhenShort(w)
+	}
 	out.fail(p)
 }
 
@@ -65,6 +68,7 @@
 // refuseProblem answers a call that is refused before it waits for an endpoint.
 func (g *Gateway) refuseProblem(w http.ResponseWriter, c *call, began time.Time, p *Problem) {
 	g.logRequest(c, 0, began, p)
+	g.closeWhenShort(w)
 	c.writeProblem(w, p)
 }
 
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -24,6 +24,7 @@
 	"toucantiller.dev/gateway"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/memory"
 	"toucantiller.dev/timeline"
 )
 
@@ -111,7 +112,9 @@
 	events  *timeline.Recorder
 	// stopDelay is the Options.StopDelay of gateways started later.
 	stopDelay time.Duration
-	client    *http.Client
+	// memoryBudget is the Options.MemoryBudget of gateways started later.
+	memoryBudget memory.Budget
+	client       *http.Client
 	evidence
 }
 
@@ -188,7 +191,7 @@
 	g, err := gateway.New(gateway.Options{
 		Instance: instance.Instance{ID: "g1", Incarnation: 7, Domain: "a"},
 		View:     w.view, Claims: w.claims, Evidence: w, Network: w.links, Timeline: w.events,
-		StopDelay: w.stopDelay,
+		StopDelay: w.stopDelay, MemoryBudget: w.memoryBudget,
 	})
 	assert.NilError(w.t, err)
 	w.gateway = g
--- /dev/null
+++ b/memory/memory.go
@@ -0,0 +1,63 @@
+// Package memory decides what a gateway does as the memory that it holds for its callers nears a
+// budget: it closes idle connections first, then refuses new requests, then lets bodies wait.
+package memory
+
+// Budget is the memory in bytes that a gateway may hold for its callers; 0 means no bound.
+type Budget int64
+
+// Shares of the budget.
+const (
+	// idleShare is what may be held before idle connections are closed.
+	idleShare = 0.6
+	// refusalShare is what may be held before new requests are refused.
+	refusalShare = 0.8
+)
+
+// Shares of a process's memory limit.
+const (
+	// RuntimeShare is what the Go runtime may use. The rest is for the program's text, memory of
+	// the C library, bytes in socket buffers, and what the process allocates while a collection
+	// runs.
+	RuntimeShare = 0.7
+	// liveShare is what of the runtime's memory, less ownMemory, may be held for callers. The
+	// rest is for garbage.
+	liveShare = 0.7
+	// ownMemory is what a gateway holds apart from callers, in bytes.
+	ownMemory = 12 << 20
+	// minBudget leaves room for some callers on any instance, in bytes.
+	minBudget = 4 << 20
+)
+
+// BudgetOf returns the budget of a gateway on an instance with a memory limit in bytes; 0 without
+// a limit.
+func BudgetOf(limit int64) Budget {
+	if limit <= 0 {
+		return 0
+	}
+	live := liveShare * (RuntimeShare*float64(limit) - ownMemory)
+	return Budget(max(live, minBudget))
+}
+
+// Excess returns by how many bytes too much is held to keep idle connections; 0 if they may stay.
+func (b Budget) Excess(held int64) int64 {
+	if b == 0 {
+		return 0
+	}
+	return max(0, held-int64(idleShare*float64(b)))
+}
+
+// Refuses reports whether new requests are refused.
+func (b Budget) Refuses(held int64) bool {
+	return b != 0 && held > int64(refusalShare*float64(b))
+}
+
+// Fits reports whether more bytes may be held.
+func (b Budget) Fits(held, more int64) bool {
+	return b == 0 || held+more <= int64(b)
+}
+
+// MayRead reports whether a body may be read beside others that hold bodies bytes. One that is
+// larger than the budget is read alone.
+func (b Budget) MayRead(held, bodies, body int64) bool {
+	return bodies == 0 || b.Fits(held, body)
+}
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -17,6 +17,7 @@
 	"toucantiller.dev/gateway"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/memory"
 	"toucantiller.dev/platform"
 	"toucantiller.dev/policy"
 	"toucantiller.dev/quarantine"
@@ -134,8 +135,9 @@
 
 		Quarantine: g.losses.watcher,
 
-		StopDelay: g.settings.StopDelay,
-		Handler:   g.callerHandler(),
+		StopDelay:    g.settings.StopDelay,
+		MemoryBudget: memory.BudgetOf(int64(g.settings.MemoryLimit)),
+		Handler:      g.callerHandler(),
 		NewEngine: func(target string, maxConnections int) endpoint.Engine {
 			return platform.NewEngine(nil, target, maxConnections)
 		},
--- a/program/memorylimit.go
+++ b/program/memorylimit.go
@@ -7,6 +7,8 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+
+	"toucantiller.dev/memory"
 )
 
 // MemoryLimit is the memory that the process may use in bytes, as a flag value: a number of bytes,
@@ -50,15 +52,10 @@
 	return nil
 }
 
-// collectorShare is the share of the memory limit that the Go runtime may use. The rest is for the
-// program's text, memory of the C library, bytes in socket buffers, and what the process allocates
-// while a collection runs.
-const collectorShare = 0.7
-
 // limitCollector makes the collector run more often as the memory of the Go runtime nears its
 // share of the limit, unless GOMEMLIMIT is set.
 func (m MemoryLimit) limitCollector() {
 	if m > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(collectorShare * float64(m)))
+		debug.SetMemoryLimit(int64(memory.RuntimeShare * float64(m)))
 	}
 }
