--- a/program/control.go
+++ b/program/control.go
@@ -125,6 +125,7 @@
 // Start logs how the previous process with the data folder ended, opens the replicated log, or a
 // relay to the leader, and serves.
 func (c *Control) Start(ctx context.Context) error {
+	c.settings.MemoryLimit.limitCollector()
 	if !c.settings.Relay {
 		c.run = lastrun.Start(c.settings.Data, c.logger)
 	}
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -17,6 +17,7 @@
 	"toucantiller.dev/gateway"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/memory"
 	"toucantiller.dev/platform"
 	"toucantiller.dev/policy"
 	"toucantiller.dev/quarantine"
@@ -112,6 +113,7 @@
 // the first one has arrived.
 func (g *Gateway) Start(ctx context.Context) error {
 	TuneCollector()
+	g.settings.MemoryLimit.limitCollector()
 	if err := g.listen(); err != nil {
 		return err
 	}
@@ -133,8 +135,9 @@
 
 		Quarantine: g.losses.watcher,
 
-		StopDelay: g.settings.StopDelay,
-		Handler:   g.callerHandler(),
+		StopDelay:    g.settings.StopDelay,
+		MemoryBudget: memory.BudgetOf(int64(g.settings.MemoryLimit)),
+		Handler:      g.callerHandler(),
 		NewEngine: func(target string, maxConnections int) endpoint.Engine {
 			return platform.NewEngine(nil, target, maxConnections)
 		},
