replica: log a save that takes as long as an election timeout

Nothing in the logs told whether the disk or the network was the cause. Change, no change of decisions: event=replica.slow_save with time, entries and bytes for a save of at least 10 ticks, during which a replica sends nothing.

--- a/consensus/replica/group_test.go
+++ b/consensus/replica/group_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"toucantiller.dev/consensus/replica"
@@ -79,6 +80,7 @@
 	threshold uint64
 	addresses []string
 	nodes     map[string]*node
+	logger    log.Logger
 }
 
 func newGroup(t testing.TB, network link.Network, addresses ...string) *group {
@@ -109,7 +111,7 @@
 	go func() { _ = n.server.Serve(l) }()
 	n.Replica, err = replica.Start(replica.WithSeed(replica.Config{
 		DataFolder: g.folder(address), Address: address, InitialMembers: g.addresses,
-		Transport: n.transport, StateMachine: n.journal, FS: g.fs[address], SnapshotThreshold: g.threshold,
+		Transport: n.transport, StateMachine: n.journal, FS: g.fs[address], SnapshotThreshold: g.threshold, Logger: g.logger,
 	}, uint64(len(g.nodes)+1)))
 	assert.NilError(g.t, err)
 	g.nodes[address] = n
--- a/consensus/replica/opened_test.go
+++ b/consensus/replica/opened_test.go
@@ -12,6 +12,7 @@
 
 	"toucantiller.dev/consensus/replica"
 	"toucantiller.dev/link"
+	"toucantiller.dev/wal/faultfs"
 )
 
 // Guards against a start that does not tell how much it loads: a log without a bound is not seen
@@ -47,3 +48,25 @@
 	assert.Assert(t, strings.Contains(second, " snapshot=1 snapshot_bytes=0 entries=4 entry_bytes=3000 disk_bytes="), second)
 	assert.Assert(t, strings.Contains(second, " took_ms="), second)
 }
+
+// Guards against elections for which no log has a cause: a leader that waits for its disk sends no
+// heartbeats.
+func TestSaveLongerThanElectionTimeoutIsLogged(t *testing.T) {
+	withVirtualTimeGroup(t, 0, func(t *testing.T, g *group) {
+		var out bytes.Buffer
+		g.logger = log.NewLogfmtLogger(log.NewSyncWriter(&out))
+		g.kill(g.nodes["a"])
+		slow := g.start("a")
+		g.propose("fast")
+		g.fs["a"].(*faultfs.FS).DelaySync(300 * time.Millisecond)
+		g.propose("bearable")
+		g.waitFor("the bearable command", func() bool { return len(slow.journal.all()) == 2 })
+		assert.Assert(t, !strings.Contains(out.String(), "slow_save"), out.String())
+		g.fs["a"].(*faultfs.FS).DelaySync(700 * time.Millisecond)
+		g.propose("slow")
+		g.waitFor("the slow command", func() bool { return len(slow.journal.all()) == 3 })
+		g.kill(slow)
+		assert.Assert(t, strings.Contains(out.String(), "event=replica.slow_save id="), out.String())
+		assert.Assert(t, strings.Contains(out.String(), " took_ms=700 entries=1 entry_bytes=4\n"), out.String())
+	})
+}
--- a/consensus/replica/process.go
+++ b/consensus/replica/process.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"time"
+
 	"toucantiller.dev/consensus"
 	"toucantiller.dev/wal"
 )
@@ -13,10 +15,12 @@
 			break
 		}
 		r.sendAll(ready.Early)
+		began := time.Now()
 		if err := r.storage.save(&ready); err != nil {
 			r.fail(err)
 			return
 		}
+		r.logSlowSave(time.Since(began), &ready)
 		r.sendAll(ready.Messages)
 		r.install(ready.Snapshot)
 		r.apply(ready.Committed)
@@ -32,6 +36,23 @@
 	r.publish()
 }
 
+// slowSaveTicks is the number of ticks after which a save is logged: the shortest election timeout.
+const slowSaveTicks = 10
+
+// logSlowSave logs a save that took so long that others may have started an election, since the
+// replica sends nothing meanwhile.
+func (r *Replica) logSlowSave(took time.Duration, ready *consensus.Ready) {
+	if took < slowSaveTicks*r.cfg.TickInterval {
+		return
+	}
+	var bytes int
+	for _, e := range ready.Entries {
+		bytes += len(e.Data)
+	}
+	_ = r.cfg.Logger.Log("event", "replica.slow_save", "id", r.storage.id, "took_ms", took.Milliseconds(),
+		"entries", len(ready.Entries), "entry_bytes", bytes)
+}
+
 func (r *Replica) sendAll(messages []consensus.Message) {
 	for i := range messages {
 		m := messages[i]
