--- a/consensus/replica/group_test.go
+++ b/consensus/replica/group_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"toucantiller.dev/consensus/replica"
@@ -88,6 +89,7 @@
 	reserve   int
 	addresses []string
 	nodes     map[string]*node
+	logger    log.Logger
 }
 
 func newGroup(t testing.TB, network link.Network, addresses ...string) *group {
@@ -118,7 +120,7 @@
 	go func() { _ = n.server.Serve(l) }()
 	n.Replica, err = replica.Start(replica.WithSeed(replica.Config{
 		DataFolder: g.folder(address), Address: address, InitialMembers: g.addresses,
-		Transport: n.transport, StateMachine: n.journal, FS: g.fs[address], SnapshotThreshold: g.threshold,
+		Transport: n.transport, StateMachine: n.journal, FS: g.fs[address], SnapshotThreshold: g.threshold, Logger: g.logger,
 		ReserveBytes: g.reserve,
 	}, uint64(len(g.nodes)+1)))
 	assert.NilError(g.t, err)
--- a/consensus/replica/space.go
+++ b/consensus/replica/space.go
@@ -21,7 +21,9 @@
 // persist makes a batch durable. Without space on the disk the batch is kept in blocked, and the
 // replica does nothing else until it is persisted: it neither acknowledges nor applies it.
 func (r *Replica) persist(ready *consensus.Ready) bool {
+	began := time.Now()
 	err := r.storage.save(ready)
+	r.logSlowSave(time.Since(began), ready)
 	switch {
 	case err == nil:
 		r.blocked = nil
