Control: leave odd seeds out and follow the others

What operators of a similar system saw: machines that read a list stopped following it because of one odd entry.

Cause here: one seed that is no address made a replica fall back to the addresses that it was started with, for the whole file. Port 99999 or 0 and address 0.0.0.0 were followed.

Change: each seed is checked after its port is replaced. Odd ones are left out with one log line until the file is in order again.

--- a/program/control.go
+++ b/program/control.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	kitlog "github.com/go-kit/log"
@@ -88,7 +89,9 @@
 	server         *control.Server
 	platformServer *http.Server
 	cancelJoin     context.CancelFunc
-	failed         chan struct{}
+	// oddSeeds are the seeds that were left out when this was last logged.
+	oddSeeds atomic.Pointer[string]
+	failed   chan struct{}
 }
 
 // NewControl builds a replica.
@@ -160,18 +163,41 @@
 }
 
 // seedAddresses returns the link addresses of control in the seeds file, which is read at
-// each call, or those of the members if there is no valid file.
+// each call, or those of the members if the file names no valid one. It leaves out the others.
 func (c *Control) seedAddresses() []string {
 	if c.settings.SeedsFile == "" {
 		return c.memberAddresses()
 	}
 	content, err := os.ReadFile(c.settings.SeedsFile)
-	seeds := strings.Split(strings.TrimSpace(string(content)), ",")
-	if err = cmp.Or(err, CheckAddresses("seeds-file", seeds)); err != nil {
+	if err != nil {
 		_ = c.logger.Log("msg", "seeds not read", "err", err)
 		return c.memberAddresses()
 	}
-	return ReplacePorts(seeds, c.settings.MemberPort)
+	seeds := ReplacePorts(strings.Split(strings.TrimSpace(string(content)), ","), c.settings.MemberPort)
+	if seeds = c.validSeeds(seeds); len(seeds) > 0 {
+		return seeds
+	}
+	return c.memberAddresses()
+}
+
+// validSeeds returns the seeds to which this process can connect and logs the others, each once
+// until the file is valid again.
+func (c *Control) validSeeds(seeds []string) []string {
+	var valid, odd []string
+	for _, s := range seeds {
+		if s != "" && CheckAdvertised("seeds-file", s) == nil {
+			valid = append(valid, s)
+			continue
+		}
+		odd = append(odd, s)
+	}
+	if all := strings.Join(odd, ","); len(odd) > 0 && c.oddSeeds.Swap(&all) == nil {
+		_ = c.logger.Log("msg", "seeds left out", "seeds", fmt.Sprintf("%.256q", odd))
+	}
+	if len(odd) == 0 {
+		c.oddSeeds.Store(nil)
+	}
+	return valid
 }
 
 // foundingMembers returns the replicas with which this one may form a group, or none if it
