systemtest: play the soak with the race detector

The soak had no way to see a value that changes after it was shared: it changed documents only, passed over processes that ended by themselves, and ran programs without the race detector.

-soak.race builds the programs with -race. The operator also evacuates and takes back a failure domain without endpoints after each document, and a fifth of the calls are those of an account beyond its token limit. The soak fails when a process wrote a fatal error, a panic or a data race in any of its starts.

Seed 1000 is a kept seed now.

--- a/systemtest/deployment_test.go
+++ b/systemtest/deployment_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"io/fs"
@@ -47,7 +48,8 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir, "../cmd/toucan-control", "../cmd/toucan-gateway", "../cmd/toucan-agent", "../cmd/toucanctl")
+	flag.Parse()
+	build := exec.Command("go", "build", fmt.Sprintf("-race=%t", *soakRace), "-o", dir, "../cmd/toucan-control", "../cmd/toucan-gateway", "../cmd/toucan-agent", "../cmd/toucanctl")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Printf("building the programs: %v\n%s", err, out)
 		return 1
@@ -81,6 +83,8 @@
 	args []string
 	cmd  *exec.Cmd
 	out  *os.File
+	// logs are the files with the output of each start.
+	logs []string
 }
 
 // start runs the program with its arguments; its output goes to a file that is shown
@@ -90,6 +94,7 @@
 	out, err := os.OpenFile(filepath.Join(p.t.TempDir(), p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600)
 	assert.NilError(p.t, err)
 	p.out = out
+	p.logs = append(p.logs, out.Name())
 	p.cmd = exec.Command(binary(p.args[0]), p.args[1:]...)
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
--- a/systemtest/soak_load_test.go
+++ b/systemtest/soak_load_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +21,11 @@
 const (
 	// soakRevoke is the time after which a key that was taken away must be dead.
 	soakRevoke = 5 * time.Second
+	// soakMetered is the key of an account that sends more than its token limit, so that gateways
+	// draw tokens.
+	soakMetered = "metered"
+	// soakExcerpt is the length of the part of a crash that is shown, in bytes.
+	soakExcerpt = 3000
 	// soakRate is the pause between the calls of one caller.
 	soakRate = 60 * time.Millisecond
 )
@@ -44,7 +51,8 @@
  {"name":"book","host":"h","path_prefix":"/book/","type":"unsafe","timeout_ms":2000,"backend":"desk","max_attempts":1},
  {"name":"chat","host":"h","path_prefix":"/chat/","type":"stream","timeout_ms":5000,"slo_ms":800,"backend":"lm","max_attempts":1}],
  "backends":[{"name":"desk","max_conns":130},{"name":"lm","cold_per_s":200,"engine":{"slots":4,"stride":5}}],
- "tenants":[{"name":"mills","api_keys":[%q,"steady"],"unit":"tokens","plain_tokens":10}]}`, version, o.key(version))
+ "tenants":[{"name":"mills","api_keys":[%q,"steady"],"unit":"tokens","plain_tokens":10},
+  {"name":"looms","api_keys":[%q],"unit":"tokens","rate_per_s":100,"burst":100,"plain_tokens":10}]}`, version, o.key(version), soakMetered)
 }
 
 // put sends the next document until it is acknowledged or ctx ends.
@@ -66,10 +74,14 @@
 	}
 }
 
-// run changes the document and reads it back from each control process by itself.
+// run changes the document, evacuates and takes back a failure domain without endpoints, and
+// reads the document back from each control process by itself.
 func (o *soakOperator) run(ctx context.Context) {
+	evacuate := [...]string{http.MethodPost, http.MethodDelete}
 	for i := 0; ctx.Err() == nil; i++ {
 		o.put(ctx)
+		// The order is sent for its change of the configuration alone; its answer is not checked.
+		_, _ = standin.Order(ctx, o.s.calls, evacuate[i%len(evacuate)], "/evacuate/lagos-z", nil)
 		o.read(ctx, o.s.calls[i%len(o.s.calls)])
 		time.Sleep(2 * soakRate)
 	}
@@ -131,15 +143,18 @@
 }
 
 // run keeps two callers at each gateway; every fifth call uses a key that has been taken
-// away or will be.
+// away or will be, and every fifth one that of the metered account.
 func (c *soakCallers) run(ctx context.Context) {
 	var callers sync.WaitGroup
 	for i := range 2 * soakGateways {
 		callers.Go(func() {
 			for n := i; ctx.Err() == nil; n++ {
 				key := "steady"
-				if n%5 == 0 {
+				switch n % 5 {
+				case 0:
 					key = c.s.operator.key(max(c.s.operator.acked.Load(), 10) - uint64(n%10))
+				case 1:
+					key = soakMetered
 				}
 				c.send(ctx, i%soakGateways, soakPaths[n%len(soakPaths)], key)
 				time.Sleep(soakRate)
@@ -211,3 +226,22 @@
 	s.t.Logf("%d attempts, %d served, %d documents", len(s.callers.outcomes), served, s.operator.acked.Load())
 	assert.Check(s.t, served > 0)
 }
+
+// soakCrashes begin the lines that the Go runtime writes when a process ends by itself or has a
+// data race.
+var soakCrashes = []string{"fatal error: ", "panic: ", "unexpected fault address", "SIGSEGV: ", "WARNING: DATA RACE", "ThreadSanitizer: CHECK failed"}
+
+// checkLogs reads what the processes wrote at each of their starts.
+func (s *soak) checkLogs() {
+	for _, p := range slices.Concat(s.controls, s.agents, s.gateways) {
+		for _, name := range p.logs {
+			content, err := os.ReadFile(name)
+			assert.NilError(s.t, err)
+			for _, crash := range soakCrashes {
+				if at := strings.Index("\n"+string(content), "\n"+crash); at >= 0 {
+					s.t.Errorf("%s:\n%s", p.name, content[at:min(at+soakExcerpt, len(content))])
+				}
+			}
+		}
+	}
+}
--- a/systemtest/soak_test.go
+++ b/systemtest/soak_test.go
@@ -25,10 +25,14 @@
 	soakSeed  = flag.Uint64("soak.seed", 0, "first seed of the soak; 0 plays the seeds that CI plays")
 	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds from the first one on")
 	soakTime  = flag.Duration("soak.time", 8*time.Second, "time in which faults come")
+	soakRace  = flag.Bool("soak.race", false, "build the programs with the race detector")
 )
 
 // soakKept are the seeds that CI plays. Each that ever failed stays, with its cause.
-var soakKept = []uint64{1}
+var soakKept = []uint64{
+	1,
+	1000, // with -soak.race: the index of routes was written to after others had it
+}
 
 const (
 	soakControls = 3
@@ -46,7 +50,8 @@
 // Guards the promises of the platform's pages under random faults from outside the
 // processes: an attempt that may not be repeated runs at most once, one that was refused
 // never runs, a success is the endpoint's whole answer, an acknowledged document is never
-// read back older, a key that was taken away is dead in time, and service returns.
+// read back older, a key that was taken away is dead in time, service returns, and no process
+// ends by itself or has a data race.
 func TestSoak(t *testing.T) {
 	seeds := soakKept
 	if *soakSeed != 0 {
@@ -60,6 +65,7 @@
 			s := startSoak(t, seed)
 			s.play()
 			s.check()
+			s.checkLogs()
 		})
 	}
 }
