Keep requests free of a lock in the account of callers' memory

Change: connections record with atomics when they became idle; a check or an eviction, of which one runs at a time, sorts them. Bodies of up to 64 KiB are counted without waiting. A connection that was made to close while its next request arrived is given its deadline back, so that it is served.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -1,10 +1,11 @@
 package gateway
 
 import (
-	"container/list"
+	"cmp"
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,101 +33,137 @@
 	return defaultCallerIdleTimeout
 }
 
-// callerConnections keeps the open connections of callers, and closes those that have been idle
-// for the timeout.
+// callerConnections keeps the open connections of callers. It closes those that have been idle
+// for the timeout, and while memory is short those that have been idle longest. Requests share
+// no lock here.
 type callerConnections struct {
 	timeout func() time.Duration
-
-	mu sync.Mutex
-	// open holds the open connections with their elements of idle; nil for those in use.
-	open map[net.Conn]*list.Element
-	// idle holds *idleCaller, the connection that has been idle longest first.
-	idle *list.List
-	// checkScheduled is set while a check is due.
-	checkScheduled bool
-	// closing counts the connections that were made to close and have not closed yet.
-	closing int64
-
 	account *memoryAccount
-	// evictionScheduled is set while an eviction is due.
-	evictionScheduled atomic.Bool
 	// evicted is called with the number of connections that an eviction closes.
 	evicted func(n int)
+	epoch   time.Time
+	open    sync.Map // net.Conn -> *callerConnection
+	// closing counts the connections that were made to close and have not closed yet.
+	closing                           atomic.Int64
+	checkScheduled, evictionScheduled atomic.Bool
+	// sweep is held while idle connections are closed.
+	sweep sync.Mutex
 }
 
-// idleCaller is a connection of a caller that carries no request.
-type idleCaller struct {
-	conn  net.Conn
-	since time.Time
+// callerConnection is an open connection of a caller.
+type callerConnection struct {
+	net.Conn
+	// idleSince is when the connection became idle, or was made to close after that, as a
+	// time.Duration since callerConnections.epoch; 0 while it carries a request.
+	idleSince atomic.Int64
 	// closing is set once the connection was made to close.
-	closing bool
+	closing atomic.Bool
 }
 
 func newCallerConnections(timeout func() time.Duration, account *memoryAccount) *callerConnections {
-	return &callerConnections{timeout: timeout, open: make(map[net.Conn]*list.Element), idle: list.New(), account: account}
+	return &callerConnections{timeout: timeout, account: account, epoch: time.Now()}
 }
 
+// now returns the time since the epoch, above 0.
+func (c *callerConnections) now() int64 { return max(int64(time.Since(c.epoch)), 1) }
+
 // observe is the server's ConnState hook.
 func (c *callerConnections) observe(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if e := c.open[conn]; e != nil {
-		c.idle.Remove(e)
-		if e.Value.(*idleCaller).closing {
-			c.closing--
-		}
+	if state == http.StateNew {
+		c.open.Store(conn, &callerConnection{Conn: conn})
+		return
 	}
+	value, ok := c.open.Load(conn)
+	if !ok {
+		return
+	}
+	i := value.(*callerConnection)
 	switch state {
-	case http.StateNew, http.StateActive:
-		c.open[conn] = nil
+	case http.StateActive:
+		c.setInUse(i)
 	case http.StateIdle:
-		c.open[conn] = c.idle.PushBack(&idleCaller{conn: conn, since: time.Now()})
-		c.scheduleCheck()
+		i.idleSince.Store(c.now())
+		c.scheduleCheck(c.timeout())
 		if c.account.excess() > 0 {
 			c.scheduleEviction()
 		}
 	case http.StateClosed, http.StateHijacked:
-		delete(c.open, conn)
+		c.setInUse(i)
+		c.open.Delete(conn)
 		c.account.release(callerConnectionCost)
 	}
 }
 
-// scheduleCheck schedules a check for when the first connection is due, unless one is
-// scheduled. It must be called with mu held.
-func (c *callerConnections) scheduleCheck() {
-	first := c.idle.Front()
-	if c.checkScheduled || first == nil {
-		return
+// setInUse lets a connection carry a request, even if it was made to close in the meantime.
+func (c *callerConnections) setInUse(i *callerConnection) {
+	i.idleSince.Store(0)
+	if i.closing.Swap(false) {
+		c.closing.Add(-1)
+		_ = i.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	}
-	c.checkScheduled = true
-	due := time.Until(first.Value.(*idleCaller).since.Add(c.timeout()))
-	time.AfterFunc(min(due, maxIdleCheckDelay), c.check)
 }
 
-// check closes the connections that are due.
+// scheduleCheck schedules a check, unless one is scheduled.
+func (c *callerConnections) scheduleCheck(delay time.Duration) {
+	if !c.checkScheduled.Load() && c.checkScheduled.CompareAndSwap(false, true) {
+		time.AfterFunc(min(delay, maxIdleCheckDelay), c.check)
+	}
+}
+
+// check closes the connections that are due and schedules the next check.
 func (c *callerConnections) check() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.checkScheduled = false
-	now, timeout := time.Now(), c.timeout()
-	for e := c.idle.Front(); e != nil && now.Sub(e.Value.(*idleCaller).since) >= timeout; e = c.idle.Front() {
-		c.closeIdle(e, now)
+	c.checkScheduled.Store(false)
+	c.sweep.Lock()
+	defer c.sweep.Unlock()
+	now, timeout := c.now(), c.timeout()
+	next, found := timeout, false
+	for _, i := range c.idle() {
+		left := timeout - time.Duration(now-i.since)
+		if left <= 0 {
+			c.closeIdle(i, now)
+			left = timeout
+		}
+		next, found = min(next, left), true
 	}
-	c.scheduleCheck()
+	if found {
+		c.scheduleCheck(next)
+	}
+}
+
+// idleCaller is a connection that was idle when it was found.
+type idleCaller struct {
+	*callerConnection
+	since int64
 }
 
-// closeIdle makes the server close an idle connection: its read fails. A request of which the
-// server has already read a byte is still served. The connection stays in the list, to be closed
-// again should the server not have started that read. It must be called with mu held.
-func (c *callerConnections) closeIdle(e *list.Element, now time.Time) {
-	i := e.Value.(*idleCaller)
-	_ = i.conn.SetReadDeadline(now) // fails only if the connection is closed
-	i.since = now
-	if !i.closing {
-		i.closing = true
-		c.closing++
+// idle returns the idle connections.
+func (c *callerConnections) idle() []idleCaller {
+	var found []idleCaller
+	c.open.Range(func(_, value any) bool {
+		i := value.(*callerConnection)
+		if since := i.idleSince.Load(); since > 0 {
+			found = append(found, idleCaller{i, since})
+		}
+		return true
+	})
+	return found
+}
+
+// closeIdle makes the server close a connection that is still idle: its read fails. If a request
+// arrives at the same time, it is served. Should the server not have begun to read yet, the
+// connection is closed at a later check. It must be called with sweep held.
+func (c *callerConnections) closeIdle(i idleCaller, now int64) {
+	if !i.idleSince.CompareAndSwap(i.since, now) {
+		return
+	}
+	if !i.closing.Swap(true) {
+		c.closing.Add(1)
+	}
+	_ = i.SetReadDeadline(time.Now()) // fails only if the connection is closed
+	if i.idleSince.Load() == 0 {
+		c.setInUse(i.callerConnection)
+		_ = i.SetReadDeadline(time.Time{})
 	}
-	c.idle.MoveToBack(e)
 }
 
 // scheduleEviction schedules the close of idle connections, unless it is scheduled.
@@ -139,23 +176,33 @@
 // evict closes the connections that have been idle longest until enough memory will be free.
 func (c *callerConnections) evict() {
 	c.evictionScheduled.Store(false)
-	n := 0
-	c.mu.Lock()
-	defer func() {
-		c.mu.Unlock()
-		if n > 0 {
-			c.evicted(n)
+	c.sweep.Lock()
+	defer c.sweep.Unlock()
+	if !c.needsEviction() {
+		return
+	}
+	idle := c.idle()
+	slices.SortFunc(idle, func(a, b idleCaller) int { return cmp.Compare(a.since, b.since) })
+	now, closed := c.now(), 0
+	for _, i := range idle {
+		if !c.needsEviction() {
+			break
 		}
-	}()
-	now := time.Now()
-	for e := c.idle.Front(); e != nil && c.account.excess() > c.closing*callerConnectionCost; e = c.idle.Front() {
-		if now.Sub(e.Value.(*idleCaller).since) < evictionDelay {
+		if time.Duration(now-i.since) < evictionDelay {
 			c.scheduleEviction()
-			return
+			break
 		}
-		c.closeIdle(e, now)
-		n++
+		c.closeIdle(i, now)
+		closed++
 	}
+	if closed > 0 {
+		c.evicted(closed)
+	}
+}
+
+// needsEviction reports whether too much is held even without the connections that are closing.
+func (c *callerConnections) needsEviction() bool {
+	return c.account.excess() > c.closing.Load()*callerConnectionCost
 }
 
 // recordEviction counts idle connections that are closed because memory is short.
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -19,6 +19,9 @@
 	callerConnectionCost = 20 << 10
 	// requestCost is held for a request beside its connection, body and buffered answer.
 	requestCost = 16 << 10
+	// smallBody is the size of bodies, in bytes, that are read without waiting for memory and
+	// without a lock.
+	smallBody = 64 << 10
 	// bodyCopies is how often a body is held: as read, and on its way to the endpoint.
 	bodyCopies = 2
 )
@@ -77,18 +80,19 @@
 // holdBody waits until a body may be read and holds its size. It returns false if that takes
 // longer than maxBodyWait or until ctx ends.
 func (a *memoryAccount) holdBody(ctx context.Context, size int64) bool {
-	w := &bodyWait{size: size, ready: make(chan struct{})}
 	a.mu.Lock()
+	if a.waiting.Len() == 0 && a.budget.MayRead(a.held.Load(), a.bodies, size) {
+		a.bodies += size
+		a.hold(size)
+		a.mu.Unlock()
+		return true
+	}
+	w := &bodyWait{size: size, ready: make(chan struct{})}
 	e := a.waiting.PushBack(w)
 	// Stored before grant reads what is held: a release after that finds it.
 	a.waitingCount.Store(int64(a.waiting.Len()))
 	a.grant()
 	a.mu.Unlock()
-	select {
-	case <-w.ready:
-		return true
-	default:
-	}
 	timer := time.NewTimer(maxBodyWait)
 	defer timer.Stop()
 	select {
@@ -203,7 +207,7 @@
 		w.Header().Set("Connection", "close")
 		return nil, memoryProblem()
 	}
-	body, err := readAll(r, http.MaxBytesReader(w, r.Body, limit))
+	body, err := readAll(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, bodyTooLarge(limit)
@@ -228,6 +232,10 @@
 	if m == nil || size == 0 {
 		return true
 	}
+	if size <= smallBody {
+		m.hold(bodyCopies * size)
+		return true
+	}
 	if !m.account.holdBody(r.Context(), bodyCopies*size) {
 		return false
 	}
@@ -244,14 +252,15 @@
 	m.body = bodyCopies * size
 }
 
-// readAll reads a body of known length into one allocation; net/http ends the body there.
-func readAll(r *http.Request, body io.Reader) ([]byte, error) {
+// readAll reads a body of known length into one allocation; net/http ends the body there. A body
+// of unknown length is cut after limit bytes with an error.
+func readAll(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength >= 0 {
-		content := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(body, content)
-		return content, err
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
 	}
-	return io.ReadAll(body)
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 }
 
 // closeWhenShort makes a refusal close its connection while memory is short: the caller may come
