Full disk: a blocked replica does not lead, frees its log, and accepts small commands beside large ones

Proposals are filtered one by one, and batches of claims split. Returns have an ID. headerOf copies all parts but the accounts.

The tests of these are new here.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -16,6 +16,8 @@
 	wallets []*budget.Wallet
 	cut     []bool
 	limit   budget.Limit
+	// returns counts the returns of all gateways.
+	returns uint64
 }
 
 // tolerance is that of the users' platform.
@@ -43,7 +45,11 @@
 		ok, _, _, _ = w.Take(cost, now)
 		return ok
 	}
-	g.pool.Return("a", g.limit, w.Returns(now), now)
+	g.returns++
+	id, returned := budget.ReturnID{Gateway: "g", Number: g.returns}, w.Returns(now)
+	for range 2 { // a call whose answer was lost is repeated
+		g.pool.Return("a", g.limit, id, returned, now)
+	}
 	if got, _ := g.pool.Draw("a", g.limit, want, cost, now); got > 0 {
 		w.Credit(got, now)
 	}
@@ -258,3 +264,19 @@
 	}
 	assert.Equal(t, granted, 50_000.0, "1.4 s of the limit")
 }
+
+// Guards against tokens that come back once for each repeat of a call whose answer was lost.
+func TestRepeatedReturnCountsOnce(t *testing.T) {
+	limit := budget.Limit{Rate: 1000, Burst: 1000}
+	p := budget.NewPool(budget.Tolerance{})
+	now := time.Unix(0, 0)
+	_, _ = p.Draw("a", limit, 1000, 1, now)
+	now = now.Add(500 * time.Millisecond)
+	drawn, _ := p.Draw("a", limit, 1000, 1, now)
+	assert.Equal(t, drawn, 500.0)
+	for range 9 {
+		p.Return("a", limit, budget.ReturnID{Gateway: "g", Number: 1}, []budget.Returned{{Tokens: 100}}, now)
+	}
+	granted, _ := p.Draw("a", limit, 1000, 1, now)
+	assert.Equal(t, granted, 100.0)
+}
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -6,6 +6,8 @@
 import (
 	"sync"
 	"time"
+
+	"toucantiller.dev/instance"
 )
 
 // Limit is a token limit of an account: tokens a second after a burst. A Rate of 0 means
@@ -65,6 +67,8 @@
 	balance float64
 	at      time.Time
 	history history
+	// returned holds the highest number of a return of each gateway.
+	returned map[instance.ID]uint64
 }
 
 // NewPool returns an empty pool.
@@ -88,13 +92,17 @@
 }
 
 // Return takes back tokens that were drawn for requests that did not run, as if they had never been
-// drawn: a bucket that would have overflowed with them gains only what it could have held. A call
-// that is repeated, or one about the grants of an earlier leader, so adds nothing to the limit.
-func (p *Pool) Return(account string, limit Limit, returned []Returned, now time.Time) {
+// drawn: a bucket that would have overflowed with them gains only what it could have held. Tokens
+// that an earlier pool granted are not taken back, and those of an ID that came before neither.
+func (p *Pool) Return(account string, limit Limit, id ReturnID, returned []Returned, now time.Time) {
 	limit = p.tolerance.widen(limit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.refilled(account, limit, now)
+	if id.Number <= b.returned[id.Gateway] {
+		return
+	}
+	b.returned[id.Gateway] = id.Number
 	for _, r := range returned {
 		b.balance += b.history.restore(r.Tokens, limit.Burst, now.Add(-r.Age))
 	}
@@ -105,7 +113,7 @@
 	b := p.accounts[account]
 	if b == nil {
 		balance := p.tolerance.initialBalance(limit)
-		b = &bucket{balance: balance, at: now, history: newHistory(balance, now)}
+		b = &bucket{balance: balance, at: now, history: newHistory(balance, now), returned: make(map[instance.ID]uint64)}
 		p.accounts[account] = b
 	}
 	b.refill(limit, now)
--- a/budget/returns.go
+++ b/budget/returns.go
@@ -1,6 +1,16 @@
 package budget
 
-import "time"
+import (
+	"time"
+
+	"toucantiller.dev/instance"
+)
+
+// ReturnID identifies one return of a gateway. The numbers of a gateway rise, also over its restarts.
+type ReturnID struct {
+	Gateway instance.ID
+	Number  uint64
+}
 
 // Returned is a number of tokens that were drawn and not used, because their requests did not run.
 type Returned struct {
--- a/consensus/replica/full_disk_test.go
+++ b/consensus/replica/full_disk_test.go
@@ -38,6 +38,9 @@
 		assert.Assert(t, old.Status().DiskFull)
 		_, err = old.Propose(timeoutContext(t, 5*time.Second), []byte("refused"))
 		assert.ErrorIs(t, err, replica.ErrDiskFull)
+		assert.Assert(t, !old.Status().IsLeader && old.Status().Leader == "", "a replica that does nothing says that it leads")
+		var notLeader *replica.NotLeaderError
+		assert.Assert(t, errors.As(old.ReadBarrier(timeoutContext(t, time.Second)), &notLeader))
 
 		g.disk(old.address).SetCapacity(0)
 		want := g.leader().journal.all()
@@ -112,3 +115,54 @@
 		old.assertRuns(t)
 	})
 }
+
+// Guards against replicas that wait for space for good although a snapshot would free it: a
+// command that fits neither on the disk nor in the reserve, behind a long log.
+func TestBlockedReplicasFreeTheirLog(t *testing.T) {
+	withVirtualTimeGroup(t, 0, func(t *testing.T, g *group) {
+		startWithReserve(g)
+		for i := range 12 { // less than a snapshot's interval
+			g.propose("%s", largeCommand(i))
+		}
+		for _, a := range g.addresses {
+			g.disk(a).SetCapacity(g.disk(a).Used() + 64<<10)
+		}
+		_, err := g.leader().Propose(timeoutContext(t, 5*time.Second), make([]byte, 2<<20))
+		var unknown *replica.UnknownOutcomeError
+		assert.Assert(t, err == nil || errors.As(err, &unknown), "%v", err)
+		time.Sleep(20 * time.Second)
+		g.propose("small")
+		for _, n := range g.nodes {
+			n.assertRuns(t)
+		}
+	})
+}
+
+// Guards against small commands that are refused on a full disk because a large one came beside
+// them.
+func TestFullDiskRefusesLargeCommandsOnly(t *testing.T) {
+	withVirtualTimeGroup(t, 0, func(t *testing.T, g *group) {
+		startWithReserve(g)
+		for _, a := range g.addresses {
+			g.disk(a).SetCapacity(g.disk(a).Used() - g.reserve/2)
+		}
+		g.propose("makes the replicas give up their reserves")
+		time.Sleep(5 * time.Second)
+		leader := g.leader()
+		small, large := make(chan error, 50), make(chan error, 50)
+		for range cap(small) {
+			go func() {
+				_, err := leader.Propose(timeoutContext(t, 5*time.Second), []byte(largeCommand(0)))
+				large <- err
+			}()
+			go func() {
+				_, err := leader.Propose(timeoutContext(t, 5*time.Second), []byte("small"))
+				small <- err
+			}()
+		}
+		for range cap(small) {
+			assert.NilError(t, <-small)
+			assert.ErrorIs(t, <-large, replica.ErrDiskFull)
+		}
+	})
+}
--- a/consensus/replica/process.go
+++ b/consensus/replica/process.go
@@ -145,7 +145,7 @@
 	if s.Group == 0 || s.Applied == s.Snapshot {
 		return false
 	}
-	if r.storage.log.Full() {
+	if r.storage.log.Full() && s.AppliedBytes > uint64(r.core.SnapshotSize()/snapshotSizeShare) {
 		return true // to free what the log takes on the disk
 	}
 	return s.Applied >= s.Snapshot+r.cfg.SnapshotThreshold || s.AppliedBytes >= r.snapshotDueBytes()
@@ -214,6 +214,9 @@
 		Founders: r.core.Founders(), DiskFull: r.blocked != nil || r.storage.log.Full(),
 		SnapshotBytes: r.core.SnapshotSize(), LogBytes: int(s.LogBytes), DiskBytes: r.storage.log.DiskBytes(),
 	}
+	if r.blocked != nil {
+		now.IsLeader, now.Leader = false, ""
+	}
 	was := r.status.Swap(&now)
 	changed := was == nil || was.Term != now.Term || was.Leader != now.Leader ||
 		was.IsLeader != now.IsLeader || was.Joined != now.Joined
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,7 +53,7 @@
 
 	inbox     *packetQueue
 	proposals chan proposal
-	coreCalls chan func()
+	coreCalls chan coreCall
 	stop      chan struct{}
 	done      chan struct{}
 	stopOnce  sync.Once
@@ -110,7 +109,7 @@
 		cfg: cfg, storage: s,
 		inbox:            newPacketQueue(inboxSize),
 		proposals:        make(chan proposal, proposalQueueSize),
-		coreCalls:        make(chan func()),
+		coreCalls:        make(chan coreCall),
 		stop:             make(chan struct{}),
 		done:             make(chan struct{}),
 		waiters:          make(map[uint64]waiter),
@@ -239,8 +238,9 @@
 			r.handlePackets(p)
 		case p := <-proposals:
 			r.handleProposals(p)
-		case f := <-r.coreCalls:
-			f()
+		case c := <-r.coreCalls:
+			c.run()
+			c.done <- nil
 		case w := <-r.snapshotWrites:
 			r.finishSnapshotWrite(w)
 		}
@@ -399,32 +399,46 @@
 	return r.writingSnapshot && r.core.Status().AppliedBytes > maxLogShare*r.snapshotDueBytes()
 }
 
-func (r *Replica) proposeToCore(commands [][]byte) (first, term uint64, err error) {
-	if r.logFull() {
-		return 0, 0, consensus.ErrBacklogFull
-	}
-	if r.storage.log.Full() && slices.ContainsFunc(commands, needsSpace) {
-		return 0, 0, ErrDiskFull
-	}
-	return r.core.Propose(commands...)
-}
-
 func (r *Replica) handleProposals(p proposal) {
-	batch := []proposal{p}
-	commands := [][]byte{p.command}
-	size := len(p.command)
-	for len(batch) < maxProposalBatch && size < maxProposalBatchBytes {
-		select {
-		case p = <-r.proposals:
+	var batch []proposal
+	var commands [][]byte
+	for size := 0; ; {
+		if err := r.rejects(p.command); err != nil {
+			p.reply <- outcome{err: err}
+		} else {
 			batch = append(batch, p)
 			commands = append(commands, p.command)
 			size += len(p.command)
+		}
+		if len(batch) >= maxProposalBatch || size >= maxProposalBatchBytes {
+			break
+		}
+		select {
+		case p = <-r.proposals:
 			continue
 		default:
 		}
 		break
 	}
-	first, term, err := r.proposeToCore(commands)
+	r.propose(batch, commands)
+}
+
+// rejects returns why a command cannot be proposed at present, or nil.
+func (r *Replica) rejects(command []byte) error {
+	switch {
+	case r.logFull():
+		return consensus.ErrBacklogFull
+	case r.storage.log.Full() && len(command) > maxFullDiskCommand:
+		return ErrDiskFull
+	}
+	return nil
+}
+
+func (r *Replica) propose(batch []proposal, commands [][]byte) {
+	if len(batch) == 0 {
+		return
+	}
+	first, term, err := r.core.Propose(commands...)
 	for i, p := range batch {
 		if err != nil {
 			p.reply <- outcome{err: r.apiError(err)}
@@ -455,14 +469,21 @@
 	return r.learnedAddresses[id]
 }
 
+// coreCall is a function to be run on the goroutine that owns the core. done receives nil once it
+// has run, or why it does not run.
+type coreCall struct {
+	run  func()
+	done chan error
+}
+
 // runOnCore runs f on the goroutine that owns the core, and waits for it. It fails without
-// running f if ctx ends or the replica stops first.
+// running f if ctx ends or the replica stops first, and with a *NotLeaderError while the disk has no
+// space for what the core has to persist.
 func (r *Replica) runOnCore(ctx context.Context, f func()) error {
-	ran := make(chan struct{})
+	done := make(chan error, 1)
 	select {
-	case r.coreCalls <- func() { f(); close(ran) }:
-		<-ran
-		return nil
+	case r.coreCalls <- coreCall{run: f, done: done}:
+		return <-done
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-r.done:
--- a/consensus/replica/space.go
+++ b/consensus/replica/space.go
@@ -15,9 +15,6 @@
 // on the space of its reserve, so that a leader can begin its term and renew what it has granted.
 const maxFullDiskCommand = 64 << 10
 
-// needsSpace reports whether a command has to wait for space on a full disk.
-func needsSpace(command []byte) bool { return len(command) > maxFullDiskCommand }
-
 // persist makes a batch durable. Without space on the disk the batch is kept in blocked, and the
 // replica does nothing else until it is persisted: it neither acknowledges nor applies it.
 func (r *Replica) persist(ready *consensus.Ready) bool {
@@ -30,6 +27,7 @@
 		return true
 	case errors.Is(err, wal.ErrNoSpace):
 		if r.blocked == nil {
+			r.failCalls(ErrDiskFull)
 			_ = r.cfg.Logger.Log("event", "replica.blocked", "id", r.storage.id, "err", err)
 		}
 		r.blocked = ready
@@ -39,30 +37,39 @@
 	return false
 }
 
-// retryBlocked tries again to persist the blocked batch, and continues after it.
+// retryBlocked tries again to persist the blocked batch, and continues after it. If that fails, the
+// log up to the batch is replaced by a snapshot, which may free the space.
 func (r *Replica) retryBlocked() {
 	ready := r.blocked
-	if !r.persist(ready) {
+	if r.persist(ready) {
+		_ = r.cfg.Logger.Log("event", "replica.unblocked", "id", r.storage.id)
+		r.carryOut(*ready)
+		r.processBatches()
 		return
 	}
-	_ = r.cfg.Logger.Log("event", "replica.unblocked", "id", r.storage.id)
-	r.carryOut(*ready)
-	r.processBatches()
+	if r.blocked != nil && ready.Snapshot == nil && !r.writingSnapshot && r.core.Status().AppliedBytes > 0 {
+		r.writeSnapshot()
+	}
 }
 
 // awaitSpace handles one event while a batch is blocked. It returns false once the replica has
-// stopped. Packets are lost and commands are rejected, as on a replica that does not run.
+// stopped. Packets are lost and calls are rejected, as on a replica that does not lead.
 func (r *Replica) awaitSpace(ticks <-chan time.Time) bool {
 	select {
 	case <-r.stop:
 		r.shutDown()
 		return false
 	case <-ticks:
-		r.retryBlocked()
+		if r.spaceTicks--; r.spaceTicks <= 0 {
+			r.spaceTicks = spaceInterval
+			r.retryBlocked()
+		}
 	case p := <-r.inbox.packets:
 		r.inbox.taken(&p)
 	case p := <-r.proposals:
 		p.reply <- outcome{err: ErrDiskFull}
+	case c := <-r.coreCalls:
+		c.done <- &NotLeaderError{}
 	case w := <-r.snapshotWrites:
 		r.finishSnapshotWrite(w)
 	}
--- a/control/api/budget.go
+++ b/control/api/budget.go
@@ -13,8 +13,10 @@
 	Account string
 	// Want is the number of tokens asked for; a grant below Least is of no use to the gateway.
 	Want, Least float64
-	// Returned are tokens, drawn earlier, of requests that did not run.
+	// Returned are tokens, drawn earlier, of requests that did not run. ReturnID identifies them, so
+	// that a call that is repeated returns them once; a gateway's IDs rise.
 	Returned []budget.Returned
+	ReturnID uint64
 }
 
 // BudgetGrant answers a DrawBudget.
--- a/control/budgets.go
+++ b/control/budgets.go
@@ -26,7 +26,7 @@
 	v.s.mu.Unlock()
 	now := time.Now()
 	if len(in.Returned) > 0 {
-		pool.Return(in.Account, limit, in.Returned, now)
+		pool.Return(in.Account, limit, budget.ReturnID{Gateway: in.Gateway, Number: in.ReturnID}, in.Returned, now)
 	}
 	out.Tokens, out.Wait = pool.Draw(in.Account, limit, in.Want, in.Least, now)
 	return nil
--- a/control/claims.go
+++ b/control/claims.go
@@ -107,7 +107,7 @@
 	return b.outcomes[index].reply, b.outcomes[index].err
 }
 
-// commitClaims commits steps in one command. If the log rejects that as too large, nothing
+// commitClaims commits steps in one command. If the log rejects that for its size, nothing
 // was committed, and each step is proposed alone so that only the large ones are refused.
 func (s *Server) commitClaims(steps []state.ClaimStep) []claimOutcome {
 	result, err := s.propose(&state.Command{Claims: steps})
@@ -117,7 +117,7 @@
 	out := make([]claimOutcome, len(steps))
 	for i := range steps {
 		switch {
-		case errors.Is(err, ErrTooLarge) && len(steps) > 1:
+		case (errors.Is(err, ErrTooLarge) || errors.Is(err, ErrNoSpace)) && len(steps) > 1:
 			out[i] = s.commitClaims(steps[i : i+1])[0]
 		case err != nil:
 			out[i].err = err
--- a/control/log.go
+++ b/control/log.go
@@ -74,6 +74,9 @@
 // ErrTooLarge is returned by Propose for a command that exceeds the log's bound.
 var ErrTooLarge = errors.New("the command is too large for the log")
 
+// ErrNoSpace is returned by Propose for a command for which the log's disk has no space now.
+var ErrNoSpace = errors.New("the log has no space for the command")
+
 // ReplicaChangeRefusedError is the error of a change of the replicas that the log does not allow.
 type ReplicaChangeRefusedError struct{ Err error }
 
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -166,6 +166,9 @@
 	if errors.Is(err, replica.ErrCommandTooLarge) {
 		return fmt.Errorf("%w: %w", ErrTooLarge, err)
 	}
+	if errors.Is(err, replica.ErrDiskFull) {
+		return fmt.Errorf("%w: %w", ErrNoSpace, err)
+	}
 	for _, lasting := range []error{replica.ErrBelongsToGroup, consensus.ErrRemoveLeader, consensus.ErrLastVoter} {
 		if errors.Is(err, lasting) {
 			return &ReplicaChangeRefusedError{lasting}
--- a/distribution/delta.go
+++ b/distribution/delta.go
@@ -166,15 +166,9 @@
 
 // headerOf returns a shallow copy of a configuration's content without the accounts.
 func headerOf(c *contract.Parts) contract.Parts {
-	return contract.Parts{
-		Revision:   c.Revision,
-		Bundle:     c.Bundle,
-		Tiers:      c.Tiers,
-		Domains:    c.Domains,
-		Services:   c.Services,
-		ServeStale: c.ServeStale,
-		Ingress:    c.Ingress,
-	}
+	header := *c
+	header.Accounts = nil
+	return header
 }
 
 func accountsByName(list []*account.Account) map[string]*account.Account {
--- a/gateway/wallets.go
+++ b/gateway/wallets.go
@@ -84,7 +84,7 @@
 	defer cancel()
 	now := time.Now()
 	grant, err := g.opt.Budgets.DrawBudget(ctx, &api.DrawBudget{
-		Gateway: g.opt.Instance.ID, Account: c.account.Name, Want: want, Least: float64(c.cost), Returned: w.Returns(now),
+		Gateway: g.opt.Instance.ID, Account: c.account.Name, Want: want, Least: float64(c.cost), Returned: w.Returns(now), ReturnID: uint64(now.UnixNano()), //nolint:gosec // after 1970
 	})
 	if err != nil {
 		_ = g.opt.Logger.Log("msg", "budget not drawn", "request", c.id, "account", c.account.Name, "waited", time.Since(now), "err", err)
--- a/wal/recover.go
+++ b/wal/recover.go
@@ -190,7 +190,14 @@
 			content.entries[0].Index, s.Index)
 	}
 	m := &mark{Index: s.Index, Keep: content.containsLastEntry(s)}
-	if err := l.rotate(m); err != nil {
+	err := l.rotate(m)
+	if errors.Is(err, ErrNoSpace) && m.Keep && !l.reserve.held {
+		// The log goes on from the snapshot's last entry with or without the mark, which the next
+		// start writes. Until then the older segments are needed.
+		content.applyMark(m.Index, m.Keep)
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	content.applyMark(m.Index, m.Keep)
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -82,8 +82,11 @@
 		return noSpace(fmt.Errorf("create %s: %w", temporary, err))
 	}
 	if _, err := f.Write(data); err != nil {
-		err = noSpace(fmt.Errorf("write %s: %w", temporary, errors.Join(err, f.Close())))
-		return errors.Join(err, fsys.Remove(temporary))
+		err = fmt.Errorf("write %s: %w", temporary, errors.Join(err, f.Close()))
+		if undo := fsys.Remove(temporary); undo != nil {
+			return fmt.Errorf("%w; it cannot be undone: %w", err, undo)
+		}
+		return noSpace(err)
 	}
 	if err := f.Sync(); err != nil {
 		return fmt.Errorf("sync %s: %w", temporary, errors.Join(err, f.Close()))
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -177,7 +177,7 @@
 		return l.err
 	}
 	if err := l.useReserve(func() error { return l.rotate(&mark{Index: s.Index, Keep: keep}) }); err != nil {
-		return err
+		return l.discardSnapshot(s.Index, err)
 	}
 	previous := l.snapshotIndex
 	l.snapshotIndex, l.snapshotBytes = s.Index, s.size()
@@ -197,6 +197,19 @@
 	return n
 }
 
+// discardSnapshot removes a snapshot that could not be adopted for want of space, which it would take
+// from the next one. It returns cause, or why the snapshot could not be removed.
+func (l *Log) discardSnapshot(index uint64, cause error) error {
+	if !errors.Is(cause, ErrNoSpace) || index == l.snapshotIndex {
+		return cause
+	}
+	name := filepath.Join(l.folder, snapshotName(index))
+	if err := l.fs.Remove(name); err != nil {
+		return l.fail(fmt.Errorf("remove %s: %w", name, err))
+	}
+	return cause
+}
+
 // Err returns the error that stopped the log, or nil.
 func (l *Log) Err() error { return l.err }
 
@@ -224,10 +237,13 @@
 	name := segmentName(l.current.sequence)
 	if _, err := l.file.Write(frame); err != nil {
 		err = fmt.Errorf("write %s at offset %d: %w", name, l.offset, err)
-		if isNoSpace(err) {
-			return errors.Join(noSpace(err), l.truncateSegment())
+		if !isNoSpace(err) {
+			return err
 		}
-		return err
+		if undo := l.truncateSegment(); undo != nil {
+			return fmt.Errorf("%w; it cannot be undone: %w", err, undo)
+		}
+		return noSpace(err)
 	}
 	if err := l.file.Sync(); err != nil {
 		return fmt.Errorf("sync %s at offset %d: %w", name, l.offset, err)
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -295,6 +295,29 @@
 	}
 }
 
+// Guards against snapshots that stay on a full disk although they could not be adopted, and make
+// every later start fail.
+func TestUnadoptedSnapshotsLeaveNoTrace(t *testing.T) {
+	for free := 0; free < 400; free += 3 {
+		fs := faultfs.New(1)
+		m := fillLog(t, fs, 10)
+		log, _, err := wal.Open(folder, wal.Options{FS: fs})
+		assert.NilError(t, err)
+		fs.SetCapacity(fs.Used() + free)
+		for i := range 3 {
+			index := m.lastIndex() - 3 + uint64(i)
+			err := log.SaveSnapshot(&wal.Snapshot{Index: index, Term: 1, Data: make([]byte, 100)}, true)
+			assert.Assert(t, err == nil || errors.Is(err, wal.ErrNoSpace), "%v", err)
+		}
+		assert.NilError(t, log.Close())
+		for range 2 {
+			log, _, err = wal.Open(folder, wal.Options{FS: fs})
+			assert.NilError(t, err, "%d bytes free", free)
+			assert.NilError(t, log.Close())
+		}
+	}
+}
+
 // Guards against a disk that fills up and leaves no space for the snapshot that would free it,
 // also after a restart on the full disk.
 func TestReserveMakesSpaceForASnapshot(t *testing.T) {
