control: synchronise the seeds that a test replaces

The test replaces the group's seeds while the leader reads them to announce itself. The product reads a file at each call and is not concerned.

The seeds are an atomic pointer now; the test makes the same calls and assertions.

--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -139,8 +139,9 @@
 	servers map[string]*control.Server
 	folders map[string]string
 	decider func(api.Move) control.Decider
-	// seeds are the control addresses in the settings.
-	seeds []string
+	// seeds are the control addresses in the settings, which servers read while a test replaces
+	// them.
+	seeds atomic.Pointer[[]string]
 	// selfRepair and founders are options of the replicas that start after they are set.
 	selfRepair bool
 	founders   []string
@@ -174,7 +175,7 @@
 		}),
 		NewDecider: g.decider,
 		SelfRepair: g.selfRepair,
-		Seeds:      func() []string { return g.seeds },
+		Seeds:      g.seedAddresses,
 	})
 	assert.NilError(t, err)
 	assert.NilError(t, s.Start(t.Context()))
@@ -182,6 +183,13 @@
 	t.Cleanup(func() { g.stop(t, addr) })
 }
 
+func (g *group) seedAddresses() []string {
+	if seeds := g.seeds.Load(); seeds != nil {
+		return *seeds
+	}
+	return nil
+}
+
 func (g *group) stop(t *testing.T, addr string) {
 	t.Helper()
 	if s, ok := g.servers[addr]; ok {
--- a/control/repair_test.go
+++ b/control/repair_test.go
@@ -309,12 +309,13 @@
 		for _, addr := range replicas {
 			g.stop(t, addr)
 		}
-		g.seeds = []string{"relay-0", "relay-1"}
+		seeds := []string{"relay-0", "relay-1"}
+		g.seeds.Store(&seeds)
 		var relays []*control.Server
-		for _, addr := range g.seeds {
+		for _, addr := range seeds {
 			relays = append(relays, newControl(t, g.network, control.Options{
 				Self:    instance.Instance{ID: instance.ID(addr), Role: instance.RoleControl, LinkAddress: addr},
-				OpenLog: control.RelayLog(control.RelayOptions{Seeds: g.seeds, Network: g.network, Logger: log.NewNopLogger()}),
+				OpenLog: control.RelayLog(control.RelayOptions{Seeds: seeds, Network: g.network, Logger: log.NewNopLogger()}),
 			}))
 		}
 		time.Sleep(2 * time.Second)
@@ -322,17 +323,18 @@
 			g.start(t, addr)
 		}
 		time.Sleep(4 * time.Second)
-		c := control.NewClient(g.network, g.seeds)
+		c := control.NewClient(g.network, seeds)
 		defer c.Close()
 		leader := g.leader(t, c)
 		for _, r := range relays {
 			assert.Equal(t, r.Leader(), leader)
 		}
 		// The seeds are replaced, while the replicas run, by a relay that knows no replica.
-		g.seeds = []string{"relay-2"}
+		replaced := []string{"relay-2"}
+		g.seeds.Store(&replaced)
 		late := newControl(t, g.network, control.Options{
 			Self:    instance.Instance{ID: "relay-2", Role: instance.RoleControl, LinkAddress: "relay-2"},
-			OpenLog: control.RelayLog(control.RelayOptions{Seeds: g.seeds, Network: g.network, Logger: log.NewNopLogger()}),
+			OpenLog: control.RelayLog(control.RelayOptions{Seeds: replaced, Network: g.network, Logger: log.NewNopLogger()}),
 		})
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, late.Leader(), leader)
