wal, consensus/replica: give up the identity of a replica that was removed

A replica that its group removed while it was cut off belongs to a group for good by its log, so that AddReplica refuses it (ErrBelongsToGroup) until an operator empties its folder.

A replica on such a folder never founds a group, so that founders that all discarded their logs form no second one. Status shows the group.

--- a/consensus/replica/api.go
+++ b/consensus/replica/api.go
@@ -88,8 +88,10 @@
 
 // Status is a replica's view of itself and its group.
 type Status struct {
-	ID   consensus.ID
-	Term uint64
+	ID consensus.ID
+	// Group is 0 while the replica belongs to no group.
+	Group consensus.GroupID
+	Term  uint64
 	// Leader is the address of the leader, empty while unknown.
 	Leader   string
 	IsLeader bool
@@ -99,6 +101,8 @@
 	// Joined is true once the replica belongs to a group. Before that it waits to form a
 	// group or to be added to one.
 	Joined bool
+	// Discarded is true if an earlier log in the data folder was discarded.
+	Discarded bool
 	// SnapshotIndex is the index of the last snapshot.
 	SnapshotIndex uint64
 	// Founders is the number of members with which the group was formed.
--- a/consensus/replica/process.go
+++ b/consensus/replica/process.go
@@ -153,10 +153,10 @@
 func (r *Replica) publish() {
 	s := r.core.Status()
 	now := Status{
-		ID: s.ID, Term: s.Term, Leader: r.addressOf(s.Leader),
+		ID: s.ID, Group: s.Group, Term: s.Term, Leader: r.addressOf(s.Leader),
 		IsLeader: s.Role == consensus.Leader, Commit: s.Commit, Applied: s.Applied,
 		Members: r.core.Members(), Joined: s.Group != 0, SnapshotIndex: s.Snapshot,
-		Founders: r.core.Founders(),
+		Founders: r.core.Founders(), Discarded: r.storage.discarded,
 	}
 	was := r.status.Swap(&now)
 	changed := was == nil || was.Term != now.Term || was.Leader != now.Leader ||
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -147,7 +147,11 @@
 		return err
 	}
 	if recovered.Snapshot == nil {
-		r.founder = newFounder(r.storage.id, r.cfg.Address, r.cfg.InitialMembers)
+		initial := r.cfg.InitialMembers
+		if r.storage.discarded {
+			initial = nil // its former group exists
+		}
+		r.founder = newFounder(r.storage.id, r.cfg.Address, initial)
 		return nil
 	}
 	return r.restore(recovered.Snapshot)
--- a/consensus/replica/storage.go
+++ b/consensus/replica/storage.go
@@ -14,6 +14,8 @@
 	log *wal.Log
 	// id is the replica's identity, which was created with the data folder.
 	id consensus.ID
+	// discarded is true if the data folder held a log that was discarded.
+	discarded bool
 }
 
 // snapshotMeta is the core's part of a stored snapshot.
@@ -36,7 +38,7 @@
 	if err != nil {
 		return nil, consensus.Recovered{}, err
 	}
-	s := &storage{log: log, id: consensus.ID(found.Owner)}
+	s := &storage{log: log, id: consensus.ID(found.Owner), discarded: found.Discarded}
 	r, err := decodeRecovered(found)
 	if err != nil {
 		_ = log.Close()
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -55,6 +55,8 @@
 	Snapshot *Snapshot
 	// Entries follow the snapshot without a gap.
 	Entries []Entry
+	// Discarded is true if an earlier log in the folder was removed by Discard.
+	Discarded bool
 	// TruncatedBytes is the number of bytes of a torn tail that were truncated.
 	TruncatedBytes int64
 }
@@ -104,11 +106,15 @@
 		return nil, nil, fmt.Errorf("lock data folder %s: %w", folder, err)
 	}
 	l := &Log{fs: o.FS, folder: folder, lock: lock, segmentSize: o.SegmentSize}
+	discarded, err := completeDiscard(o.FS, folder)
+	if err != nil {
+		return nil, nil, errors.Join(err, lock.Close())
+	}
 	r, err := l.recover(o.NewOwner)
 	if err != nil {
 		return nil, nil, errors.Join(err, lock.Close())
 	}
-	l.owner = r.Owner
+	l.owner, r.Discarded = r.Owner, discarded
 	return l, r, nil
 }
 
