control: take a frozen replica back, and add a newcomer before one is removed

The acknowledged configuration never comes back.

Cause: a replica that asked to join had a voter of 1.5 s of silence removed in its favour, before it was added, and nothing took that voter back: Join ended for good once the log said that the replica had joined.

Change: - The leader adds the replica that asks, then removes the voter that was silent longest, if the group is above its target size. A newcomer that cannot be added costs no voter. The same rule restores the size after a planned stop; the silence for it is 1.5 s, was 3 s, since it is undone by itself. - A replica that belongs to a group and knows no leader, or is no voter in its own view, asks the leader ("Control.Member") whether it was removed. If so it gives up its log and identity, with an empty state, and joins as a new one. After a crash in between, the mark in its folder makes it ask to join. - Join goes on until the replica votes, so that one whose leader ended while it was a learner is promoted.

--- a/control/api/replica.go
+++ b/control/api/replica.go
@@ -20,3 +20,19 @@
 	// Replicas are the link addresses of the control replicas.
 	Replicas []string
 }
+
+// MemberQuery is "Control.Member": a replica that hears from no leader asks whether it still
+// belongs to its group.
+type MemberQuery struct {
+	// Group and ID are the identities of the group and of the replica.
+	Group, ID uint64
+}
+
+// MemberReply answers a MemberQuery.
+type MemberReply struct {
+	Leader string
+	// Group and ID repeat the query.
+	Group, ID uint64
+	// Removed is true if the committed membership of the group does not name the replica.
+	Removed bool
+}
--- a/control/control.go
+++ b/control/control.go
@@ -171,6 +171,9 @@
 	s.runInBackground(s.publishChanges)
 	s.runInBackground(s.decideMoves)
 	s.runInBackground(s.placeAgents)
+	if s.opts.SelfRepair {
+		s.runInBackground(s.watchMembership)
+	}
 	if s.opts.SelfRepair && s.opts.Seeds != nil {
 		s.runInBackground(s.announceLeader)
 	}
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -136,6 +136,8 @@
 // group is three control replicas on the replicated log.
 type group struct {
 	network *link.Memory
+	// links are the connections of the replicas, by their address.
+	links   map[string]*replicaLink
 	servers map[string]*control.Server
 	folders map[string]string
 	decider func(api.Move) control.Decider
@@ -155,7 +157,7 @@
 // startGroupWith starts the replicas of a group whose options are set.
 func startGroupWith(t *testing.T, g *group) *group {
 	t.Helper()
-	g.network = link.NewMemory()
+	g.network, g.links = link.NewMemory(), map[string]*replicaLink{}
 	g.servers, g.folders, g.founders = map[string]*control.Server{}, map[string]string{}, replicas
 	for _, addr := range replicas {
 		g.folders[addr] = t.TempDir()
@@ -167,11 +169,12 @@
 
 func (g *group) start(t *testing.T, addr string) {
 	t.Helper()
+	network := &replicaLink{Memory: g.network, address: addr}
 	s, err := control.New(control.Options{
 		Self:    instance.Instance{ID: instance.ID(addr), Role: instance.RoleControl, LinkAddress: addr},
-		Network: g.network,
+		Network: network,
 		OpenLog: control.ReplicaLog(control.ReplicaOptions{
-			DataFolder: g.folders[addr], Address: addr, Members: g.founders, Network: g.network,
+			DataFolder: g.folders[addr], Address: addr, Members: g.founders, Network: network,
 		}),
 		NewDecider: g.decider,
 		SelfRepair: g.selfRepair,
@@ -179,7 +182,7 @@
 	})
 	assert.NilError(t, err)
 	assert.NilError(t, s.Start(t.Context()))
-	g.servers[addr] = s
+	g.servers[addr], g.links[addr] = s, network
 	t.Cleanup(func() { g.stop(t, addr) })
 }
 
--- a/control/log.go
+++ b/control/log.go
@@ -34,6 +34,13 @@
 	// *ReplicaChangeRefusedError if a repeated call cannot succeed.
 	AddReplica(ctx context.Context, address string) error
 	RemoveReplica(ctx context.Context, address string) error
+	// IsMember reports, on the leader, whether the committed membership of a group names a
+	// replica. It fails if the log belongs to another group.
+	IsMember(ctx context.Context, group, id uint64) (bool, error)
+	// Discard gives up the replica's identity, log and state for good and goes on as a new
+	// replica without a group. It must be called only for a replica that was removed from its
+	// group. After a failure the log has ended, unless ctx ended first.
+	Discard(ctx context.Context) error
 	// Handover passes the leadership to another replica, if this one leads.
 	Handover(ctx context.Context) error
 	// Done closes when the log has ended, by Stop or by a failure that Err names.
@@ -49,8 +56,14 @@
 	// Leader is the link address of the leader, empty when none is known.
 	Leader string
 	Term   uint64
+	// ID is the replica's identity, 0 if it holds no log.
+	ID uint64
+	// Group is the identity of the replica's group, 0 while it belongs to none.
+	Group uint64
 	// Joined is false while the replica belongs to no group.
 	Joined bool
+	// Discarded is true if the replica has given up an earlier identity.
+	Discarded bool
 }
 
 // NotLeaderError is the error of calls on a replica that does not lead.
@@ -132,6 +145,10 @@
 
 func (l *memoryLog) RemoveReplica(context.Context, string) error { return errSingleReplica }
 
+func (l *memoryLog) IsMember(context.Context, uint64, uint64) (bool, error) { return true, nil }
+
+func (l *memoryLog) Discard(context.Context) error { return errSingleReplica }
+
 func (l *memoryLog) Handover(context.Context) error { return nil }
 
 func (l *memoryLog) Done() <-chan struct{} { return l.done }
--- a/control/relay.go
+++ b/control/relay.go
@@ -110,6 +110,12 @@
 
 func (l *relayLog) RemoveReplica(context.Context, string) error { return errRelayHasNoLog }
 
+func (l *relayLog) IsMember(context.Context, uint64, uint64) (bool, error) {
+	return false, l.notLeader()
+}
+
+func (l *relayLog) Discard(context.Context) error { return errRelayHasNoLog }
+
 func (l *relayLog) Handover(context.Context) error { return nil }
 
 func (l *relayLog) Done() <-chan struct{} { return l.done }
--- a/control/repair.go
+++ b/control/repair.go
@@ -13,11 +13,9 @@
 const (
 	// repairInterval is the time between checks of the control group.
 	repairInterval = 500 * time.Millisecond
-	// silentVoterTimeout is the silence after which a voter is replaced by a replica that asks to
-	// join. A frozen or cut-off voter is removed only if a replacement is available.
+	// silentVoterTimeout is the silence after which a voter beyond the group's size is removed.
+	// If it is alive, it learns of its removal and joins again.
 	silentVoterTimeout = 1500 * time.Millisecond
-	// surplusVoterTimeout is the silence after which a voter beyond the group's size is removed.
-	surplusVoterTimeout = 3 * time.Second
 	// joinInterval is the time between two requests to join.
 	joinInterval = 300 * time.Millisecond
 	// joinTimeout bounds one request to join; it covers the catch-up of a small log.
@@ -26,9 +24,8 @@
 
 var errSelfRepairOff = errors.New("operators change the control replicas of this deployment")
 
-// JoinReplica adds a replica that lost its disk, or that is new, to the control group. The
-// joining replica calls it. A silent voter is removed, so that the group keeps its size and a
-// second loss right after the repair leaves a quorum.
+// JoinReplica adds a replica that lost its disk, that is new, or that was removed from the
+// control group. The joining replica calls it.
 func (v *service) JoinReplica(in *api.JoinReplica, out *api.JoinReply) error {
 	if err := v.s.checkLeading(); err != nil {
 		out.Leader, err = redirect(err)
@@ -50,18 +47,16 @@
 	return err
 }
 
-// addJoiningReplica adds a replica in place of a silent voter; a founding replica enlarges the group.
+// addJoiningReplica adds a replica and then removes a silent voter that is surplus with it; a
+// founding replica enlarges the group.
 func (s *Server) addJoiningReplica(ctx context.Context, in *api.JoinReplica) error {
-	if !in.Founding {
-		if err := s.removeSilentVoter(ctx, in.Address); err != nil {
-			return err
-		}
-		return s.log.AddReplica(ctx, in.Address)
-	}
 	if err := s.log.AddReplica(ctx, in.Address); err != nil {
 		return err
 	}
-	s.recordGroup(s.log.Members(), countVoters(s.log.Members()))
+	if in.Founding {
+		s.recordGroup(s.log.Members(), countVoters(s.log.Members()))
+	}
+	s.removeSurplusVoter(ctx)
 	return nil
 }
 
@@ -72,22 +67,19 @@
 	return max(recorded, s.log.FoundingVoters())
 }
 
-// removeSilentVoter removes the voter that has been silent longest if the group has its full size
-// without the replica that joins.
-func (s *Server) removeSilentVoter(ctx context.Context, joining string) error {
+// removeSurplusVoter removes the voter that has been silent longest if the group is larger than
+// it should be. The group never becomes smaller than its target size.
+func (s *Server) removeSurplusVoter(ctx context.Context) {
 	members := s.log.Members()
-	if slices.ContainsFunc(members, func(m api.Replica) bool { return m.Address == joining }) {
-		return nil // it replaces its former identity
-	}
-	if countVoters(members) < s.targetSize() {
-		return nil
+	if countVoters(members) <= s.targetSize() {
+		return
 	}
 	silent, since := longestSilent(members, s.log.Silence())
 	if since < silentVoterTimeout {
-		return nil
+		return
 	}
-	_ = s.opts.Logger.Log("msg", "removing a silent replica", "address", silent.Address, "silent", since)
-	return s.log.RemoveReplica(ctx, silent.Address)
+	err := s.log.RemoveReplica(ctx, silent.Address)
+	_ = s.opts.Logger.Log("msg", "removed a silent replica", "address", silent.Address, "silent", since, "err", err)
 }
 
 // repairGroup removes a silent voter beyond the group's size, and records the members so
@@ -95,18 +87,13 @@
 func (s *Server) repairGroup() {
 	members := s.log.Members()
 	s.recordGroup(members, 0)
-	if !s.opts.SelfRepair || countVoters(members) <= s.targetSize() {
-		return
-	}
-	silent, since := longestSilent(members, s.log.Silence())
-	if since < surplusVoterTimeout || !s.replicaChangeMu.TryLock() {
+	if !s.opts.SelfRepair || countVoters(members) <= s.targetSize() || !s.replicaChangeMu.TryLock() {
 		return
 	}
 	defer s.replicaChangeMu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, replicasTimeout)
 	defer cancel()
-	err := s.log.RemoveReplica(ctx, silent.Address)
-	_ = s.opts.Logger.Log("msg", "removed a silent replica", "address", silent.Address, "silent", since, "err", err)
+	s.removeSurplusVoter(ctx)
 }
 
 // recordGroup records the members, and size as the number of voters if the group has grown.
@@ -150,16 +137,28 @@
 	return worst, since
 }
 
-// Join asks the control replicas to add this one until it belongs to a group. seeds are
-// the link addresses to ask; founding is set while the deployment starts for the first time.
+// Join asks the control replicas to add this one until it votes in a group. seeds are the link
+// addresses to ask; founding is set while the deployment starts for the first time.
 func (s *Server) Join(ctx context.Context, seeds []string, founding bool) {
 	client := NewClient(s.opts.Network, seeds)
 	defer client.Close()
-	for ctx.Err() == nil && !s.log.Status().Joined {
-		attempt, cancel := context.WithTimeout(ctx, joinTimeout)
-		_, err := call(attempt, client, "JoinReplica", &api.JoinReplica{Address: s.opts.Self.LinkAddress, Founding: founding}, func(r *api.JoinReply) (string, bool) { return r.Leader, true })
-		cancel()
-		_ = s.opts.Logger.Log("msg", "asked to join the control group", "seeds", len(seeds), "err", err)
+	for ctx.Err() == nil && !s.isVoter() {
+		s.askToJoin(ctx, client, founding)
 		_ = sleep(ctx, joinInterval) // the loop ends with ctx
 	}
 }
+
+// askToJoin asks once to be added to the group.
+func (s *Server) askToJoin(ctx context.Context, client *Client, founding bool) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	_, err := call(ctx, client, "JoinReplica", &api.JoinReplica{Address: s.opts.Self.LinkAddress, Founding: founding}, func(r *api.JoinReply) (string, bool) { return r.Leader, true })
+	_ = s.opts.Logger.Log("msg", "asked to join the control group", "seeds", len(client.addresses()), "err", err)
+}
+
+// isVoter reports whether the replica is a voter as far as it knows. A replica that was removed
+// may not know of it.
+func (s *Server) isVoter() bool {
+	id := s.log.Status().ID
+	return slices.ContainsFunc(s.log.Members(), func(m api.Replica) bool { return m.ID == id && m.Voter })
+}
--- a/control/replicalog.go
+++ b/control/replicalog.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -14,6 +16,7 @@
 	"toucantiller.dev/consensus/replica"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/link"
+	"toucantiller.dev/wal"
 )
 
 // handoverTimeout bounds the transfer of leadership at a stop; after it the followers elect a
@@ -38,49 +41,131 @@
 // ReplicaLog returns an OpenLog for the replicated log.
 func ReplicaLog(opts ReplicaOptions) OpenLog {
 	return func(sm StateMachine, server *link.Server) (Log, error) {
-		transport, err := replica.NewLinkTransport(opts.Network, server)
+		initial, err := sm.Snapshot()
 		if err != nil {
 			return nil, err
 		}
-		r, err := replica.Start(replica.Config{
-			DataFolder:     opts.DataFolder,
-			Address:        opts.Address,
-			InitialMembers: opts.Members,
-			Transport:      transport,
-			StateMachine:   sm,
-			TickInterval:   opts.Tick,
-			Logger:         opts.Logger,
-		})
+		transport, err := replica.NewLinkTransport(opts.Network, server)
 		if err != nil {
+			return nil, err
+		}
+		l := &replicaLog{
+			opts: opts, transport: transport, sm: sm, initial: initial,
+			done: make(chan struct{}), busy: make(chan struct{}, 1),
+		}
+		if err := l.startReplica(); err != nil {
 			transport.Close()
 			return nil, err
 		}
-		return &replicaLog{replica: r, transport: transport}, nil
+		return l, nil
 	}
 }
 
+// replicaLog is a Log on a replica, which Discard replaces by another one.
 type replicaLog struct {
-	replica   *replica.Replica
+	opts      ReplicaOptions
 	transport *replica.LinkTransport
+	sm        StateMachine
+	// initial is a snapshot of the state before the first command.
+	initial []byte
+	replica atomic.Pointer[replica.Replica]
+	// done is closed when the log has ended, for the reason err.
+	done chan struct{}
+	err  error
+
+	// busy holds a value while a replica is discarded or stopped. It guards ended, after which
+	// Discard does nothing.
+	busy  chan struct{}
+	ended bool
+}
+
+// startReplica starts a replica on the data folder.
+func (l *replicaLog) startReplica() error {
+	r, err := replica.Start(replica.Config{
+		DataFolder:     l.opts.DataFolder,
+		Address:        l.opts.Address,
+		InitialMembers: l.opts.Members,
+		Transport:      l.transport,
+		StateMachine:   l.sm,
+		TickInterval:   l.opts.Tick,
+		Logger:         l.opts.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	l.replica.Store(r)
+	go l.awaitEnd(r)
+	return nil
+}
+
+// awaitEnd ends the log when its replica has stopped other than by Discard.
+func (l *replicaLog) awaitEnd(r *replica.Replica) {
+	<-r.Done()
+	l.busy <- struct{}{}
+	defer func() { <-l.busy }()
+	if r == l.replica.Load() {
+		l.end(r.Err())
+	}
+}
+
+// end closes done. The caller holds busy.
+func (l *replicaLog) end(err error) {
+	if l.ended {
+		return
+	}
+	l.ended, l.err = true, err
+	close(l.done)
+}
+
+// Discard stops the replica, discards its data folder and starts a new replica there, with the
+// state machine in its initial state.
+func (l *replicaLog) Discard(ctx context.Context) error {
+	l.busy <- struct{}{}
+	defer func() { <-l.busy }()
+	if l.ended {
+		return replica.ErrStopped
+	}
+	err := l.replaceReplica(ctx)
+	if err != nil && ctx.Err() == nil {
+		l.end(fmt.Errorf("discard replica: %w", err))
+	}
+	return err
+}
+
+func (l *replicaLog) replaceReplica(ctx context.Context) error {
+	if err := l.replica.Load().Stop(ctx); err != nil {
+		return err
+	}
+	if err := wal.Discard(l.opts.DataFolder, nil); err != nil {
+		return err
+	}
+	// The log of a new replica begins with the first command.
+	if err := l.sm.Restore(l.initial); err != nil {
+		return err
+	}
+	return l.startReplica()
 }
 
 func (l *replicaLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	out, err := l.replica.Propose(ctx, command)
+	out, err := l.replica.Load().Propose(ctx, command)
 	return out, fromReplicaError(err)
 }
 
 func (l *replicaLog) ReadBarrier(ctx context.Context) error {
-	return fromReplicaError(l.replica.ReadBarrier(ctx))
+	return fromReplicaError(l.replica.Load().ReadBarrier(ctx))
 }
 
 func (l *replicaLog) Status() LogStatus {
-	s := l.replica.Status()
-	return LogStatus{Leading: s.IsLeader, Leader: s.Leader, Term: s.Term, Joined: s.Joined}
+	s := l.replica.Load().Status()
+	return LogStatus{
+		Leading: s.IsLeader, Leader: s.Leader, Term: s.Term,
+		ID: uint64(s.ID), Group: uint64(s.Group), Joined: s.Joined, Discarded: s.Discarded,
+	}
 }
 
 func (l *replicaLog) Members() []api.Replica {
 	var out []api.Replica
-	for _, m := range l.replica.Status().Members {
+	for _, m := range l.replica.Load().Status().Members {
 		out = append(out, api.Replica{Address: m.Address, ID: uint64(m.ID), Voter: !m.Learner})
 	}
 	slices.SortFunc(out, func(a, b api.Replica) int {
@@ -91,47 +176,63 @@
 
 func (l *replicaLog) Silence() map[uint64]time.Duration {
 	out := make(map[uint64]time.Duration)
-	for id, silent := range l.replica.Silence() {
+	for id, silent := range l.replica.Load().Silence() {
 		out[uint64(id)] = silent
 	}
 	return out
 }
 
-func (l *replicaLog) FoundingVoters() int { return l.replica.Status().Founders }
+func (l *replicaLog) FoundingVoters() int { return l.replica.Load().Status().Founders }
 
 func (l *replicaLog) AddReplica(ctx context.Context, address string) error {
-	return fromReplicaError(l.replica.AddReplica(ctx, replica.Member{Address: address}))
+	return fromReplicaError(l.replica.Load().AddReplica(ctx, replica.Member{Address: address}))
 }
 
 func (l *replicaLog) RemoveReplica(ctx context.Context, address string) error {
-	return fromReplicaError(l.replica.RemoveReplica(ctx, replica.Member{Address: address}))
+	return fromReplicaError(l.replica.Load().RemoveReplica(ctx, replica.Member{Address: address}))
+}
+
+func (l *replicaLog) IsMember(ctx context.Context, group, id uint64) (bool, error) {
+	member, err := l.replica.Load().IsMember(ctx, consensus.GroupID(group), consensus.ID(id))
+	return member, fromReplicaError(err)
 }
 
 func (l *replicaLog) Handover(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	return l.replica.TransferLeadership(ctx)
+	return l.replica.Load().TransferLeadership(ctx)
 }
 
-func (l *replicaLog) Done() <-chan struct{} { return l.replica.Done() }
+func (l *replicaLog) Done() <-chan struct{} { return l.done }
 
-func (l *replicaLog) Err() error { return l.replica.Err() }
+func (l *replicaLog) Err() error {
+	select {
+	case <-l.done:
+		return l.err
+	default:
+		return nil
+	}
+}
 
 // Stop stops the replica. A replica that believes it leads first transfers the leadership;
 // handoverTimeout bounds this, since the transfer cannot complete during a network partition.
 func (l *replicaLog) Stop(ctx context.Context) error {
+	l.busy <- struct{}{}
+	defer func() { <-l.busy }()
 	bounded, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	err := l.replica.Stop(bounded)
+	r := l.replica.Load()
+	err := r.Stop(bounded)
 	if bounded.Err() != nil {
 		select {
-		case <-l.replica.Done():
-			err = l.replica.Err()
+		case <-r.Done():
+			err = r.Err()
 		case <-ctx.Done():
 			err = ctx.Err()
 		}
 	}
 	l.transport.Close()
+	l.end(err)
 	return err
 }
 
