lastrun: late figures for processes that end within two seconds

What callers saw: in a trial whose replicas were killed at 134 MB and started again after 0.4 s, most lines read "end=unknown ... uptime=1ms resident_bytes= ... log_bytes=0": the record was renewed only after 2 s, and the processes that matter end before. Change: the record is renewed once the log is open, and then after 125 ms, doubling up to 2 s.

Evidence: TestKilledRunIsUnknownAndItsFolderInUseBefore failed with "uptime=0s resident_bytes=5398528 peak_bytes=5398528 log_bytes=0". go test -race ./lastrun ./program passes (arm64).

--- a/lastrun/lastrun.go
+++ b/lastrun/lastrun.go
@@ -17,8 +17,12 @@
 	"toucantiller.dev/wal"
 )
 
-// refreshInterval is the time between two updates of the record of a running process.
-const refreshInterval = 2 * time.Second
+// Times between two updates of the record of a running process: the first one, which doubles up to
+// the last one, so that the record of a process that soon ends has late figures too.
+const (
+	firstRefreshInterval = 125 * time.Millisecond
+	refreshInterval      = 2 * time.Second
+)
 
 // lockName is the file whose lock the process holds, so that a second process with the same
 // folder leaves the record alone.
@@ -67,14 +71,15 @@
 	return r
 }
 
-// SetLogBytes sets the source of the size of the log in the record, in bytes.
+// SetLogBytes sets the source of the size of the log in the record, in bytes, and updates the record.
 func (r *Run) SetLogBytes(logBytes func() int64) {
 	if r == nil {
 		return
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.logBytes = logBytes
+	r.mu.Unlock()
+	_ = r.refresh() // the next one may succeed
 }
 
 // Fail records that the process failed with an error, and keeps the record at that.
@@ -111,13 +116,11 @@
 
 func (r *Run) refreshUntilEnd() {
 	defer close(r.done)
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
+	for interval := firstRefreshInterval; ; interval = min(2*interval, refreshInterval) {
 		select {
 		case <-r.stop:
 			return
-		case <-ticker.C:
+		case <-time.After(interval):
 			_ = r.refresh() // the next one may succeed
 		}
 	}
--- a/lastrun/lastrun_test.go
+++ b/lastrun/lastrun_test.go
@@ -107,6 +107,8 @@
 	_ = c.Wait()
 	line := previousRun(t, folder)
 	assert.Assert(t, strings.HasPrefix(line, fmt.Sprintf(`msg="previous run" end=unknown err= pid=%d`, c.Process.Pid)), line)
+	// A process that ends soon after its start, again and again, is the one whose figures matter.
+	assert.Assert(t, strings.Contains(line, "log_bytes=4711 "), line)
 }
 
 func TestCrashTextIsKeptAndBounded(t *testing.T) {
