Gateway: leave odd endpoints of the directory out

What operators of a similar system saw: machines that read a list with one odd entry ended again and again, or stopped following it.

Cause here: gateways followed a list with odd entries and did not end, but gave them requests: an endpoint with a large number of slots has always room, and each request tried several before it was refused.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,14 +92,16 @@
 	awaitingConfiguration atomic.Int64
 	// stopDeadline is when a stopping gateway ends the requests still open; nil before it
 	// stops, or if it waits for them without a bound.
-	stopDeadline             atomic.Pointer[time.Time]
-	peers                    sync.Map // address -> *peer
-	idle                     *idleLinks
-	sequence                 atomic.Uint64
-	idPrefix                 string // of request IDs made here
-	metrics                  *metrics
-	routing                  atomic.Pointer[routing]
-	rebuildMu                sync.Mutex
+	stopDeadline atomic.Pointer[time.Time]
+	peers        sync.Map // address -> *peer
+	idle         *idleLinks
+	sequence     atomic.Uint64
+	idPrefix     string // of request IDs made here
+	metrics      *metrics
+	routing      atomic.Pointer[routing]
+	rebuildMu    sync.Mutex
+	// oddEndpoints names the endpoints that are left out at present; guarded by rebuildMu.
+	oddEndpoints             string
 	accounts                 admission.AccountLimits
 	wallets                  wallets
 	watches                  watches
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"cmp"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,7 +59,7 @@
 	now := time.Now()
 	in := schedule.SnapshotInput{Profile: schedule.ProfileWithout(g.opt.Without), Gateway: g.opt.Instance.ID, Domain: g.opt.Instance.Domain, Config: config}
 	if directory != nil {
-		in.Endpoints = directory.Endpoints
+		in.Endpoints = g.usableEndpoints(directory.Endpoints)
 	}
 	next := &routing{config: config, directory: directory, queues: make(map[string]*serviceQueue)}
 	if old != nil {
@@ -102,6 +105,31 @@
 	return out
 }
 
+// usableEndpoints returns the endpoints without odd ones, which an earlier version or a peer may
+// have registered. It logs those, each set of them once; rebuildMu must be held.
+func (g *Gateway) usableEndpoints(endpoints []endpoint.Endpoint) []endpoint.Endpoint {
+	usable := make([]endpoint.Endpoint, 0, len(endpoints))
+	var first error
+	var odd strings.Builder
+	for i := range endpoints {
+		e := &endpoints[i]
+		err := e.Check()
+		if err == nil {
+			usable = append(usable, *e)
+			continue
+		}
+		first = cmp.Or(first, err)
+		odd.WriteString(string(e.ID) + " ")
+	}
+	if all := odd.String(); all != g.oddEndpoints {
+		g.oddEndpoints = all
+		if all != "" {
+			_ = g.opt.Logger.Log("msg", "endpoints left out", "count", len(endpoints)-len(usable), "endpoints", fmt.Sprintf("%.256q", all), "err", first)
+		}
+	}
+	return usable
+}
+
 // dropPeers closes the links to agents that are no longer registered.
 func (g *Gateway) dropPeers(endpoints []endpoint.Endpoint) {
 	known := make(map[string]bool, len(endpoints))
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"toucantiller.dev/account"
@@ -112,6 +113,8 @@
 	// stopDelay is the Options.StopDelay of gateways started later.
 	stopDelay time.Duration
 	client    *http.Client
+	// logger is the Options.Logger of gateways started later.
+	logger log.Logger
 	evidence
 }
 
@@ -188,7 +191,7 @@
 	g, err := gateway.New(gateway.Options{
 		Instance: instance.Instance{ID: "g1", Incarnation: 7, Domain: "a"},
 		View:     w.view, Claims: w.claims, Evidence: w, Network: w.links, Timeline: w.events,
-		StopDelay: w.stopDelay,
+		StopDelay: w.stopDelay, Logger: w.logger,
 		NewEngine: func(target string, _ int) endpoint.Engine { return httpengine.New(w.network, "http://"+target) },
 	})
 	assert.NilError(w.t, err)
