HTTP engine: tell the ends of event streams in all their forms

What callers saw: a stream that ended inside an event with its connection looked complete if its media type was not in lower case, and it was held back until its end. A whole stream whose last event ended with two different line ends, or that had only empty lines, was broken off.

Evidence, on the former code (TestEndOfAnAnswerWithoutLength): "...Content-Type: Text/Event-Stream; charset=utf-8\r\n\r\ndata: a\n": "data: a\n", <nil> "...Content-Type: text/event-stream\r\n\r\ndata: a\n\r\n": unexpected EOF and the same for "\r\r\n", "\r\n\r" and streams of "\n" and "\r\n".

Change: dispatch.IsEventStream compares the media type without case, and all pairs of line ends end an event.

TestResetIsNoEndOfAnAnswer passes on the former code; it fails if an error of the connection is taken for its end: "a reset looks like an end". TestCallerSeesHowAStreamWithoutLengthEnds shows the same at a caller.

Measured: go test -race ./agent/httpengine ./dispatch, go test -race ./platform -run Stream, go test ./gateway: ok.

--- a/agent/httpengine/events.go
+++ b/agent/httpengine/events.go
@@ -5,14 +5,15 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
+
+	"toucantiller.dev/dispatch"
 )
 
-// Ends of the last event of a stream.
-var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")}
+// Ends of the last event of a stream: the end of a line, CR, LF or both, and an empty line.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\n\r"), []byte("\r\r"), []byte("\r\r\n")}
 
 // tailLength is the length of the longest of eventEnds.
-const tailLength = 4
+const tailLength = 3
 
 // eventBody is the body of an event stream. It reports a stream that ends inside an event as
 // broken off: one that ends with its connection looks complete otherwise.
@@ -21,11 +22,13 @@
 	// tail holds the last bytes that were read, length of them.
 	tail   [tailLength]byte
 	length int
+	// begun is set once anything but empty lines was read.
+	begun bool
 }
 
 // checkEvents wraps the body of an answer that is an event stream.
 func checkEvents(resp *http.Response) io.ReadCloser {
-	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	if !dispatch.IsEventStream(resp.Header) {
 		return resp.Body
 	}
 	return &eventBody{ReadCloser: resp.Body}
@@ -34,6 +37,7 @@
 // Read reads the stream.
 func (b *eventBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.begun = b.begun || len(bytes.Trim(p[:n], "\r\n")) > 0
 	b.remember(p[max(0, n-tailLength):n])
 	if errors.Is(err, io.EOF) && !b.atEventEnd() {
 		return n, io.ErrUnexpectedEOF
@@ -49,12 +53,15 @@
 	b.length = kept + len(p)
 }
 
-// atEventEnd reports whether the stream is empty or its last bytes end an event.
+// atEventEnd reports whether the stream has no event or its last bytes end one.
 func (b *eventBody) atEventEnd() bool {
+	if !b.begun {
+		return true
+	}
 	for _, end := range eventEnds {
 		if bytes.HasSuffix(b.tail[:b.length], end) {
 			return true
 		}
 	}
-	return b.length == 0
+	return false
 }
--- a/dispatch/header.go
+++ b/dispatch/header.go
@@ -104,6 +104,13 @@
 // AnswerHeaders names the engine's headers that are passed to the caller, in canonical form.
 var AnswerHeaders = []string{"Cache-Control", "Content-Disposition", "Content-Language", "Content-Type", "Etag", "Last-Modified", "Location"}
 
+// IsEventStream reports whether the headers of an answer are those of an event stream. Media types
+// are compared without case.
+func IsEventStream(h http.Header) bool {
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // SelectHeaders returns the named headers of h; names and h are in canonical form.
 func SelectHeaders(h http.Header, names []string) http.Header {
 	out := make(http.Header, len(names))
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"toucantiller.dev/contract"
@@ -47,7 +46,7 @@
 	}
 	o.status = status
 	o.header = header
-	o.streaming = !o.call.needsClaim() && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+	o.streaming = !o.call.needsClaim() && dispatch.IsEventStream(header)
 }
 
 func (o *answerWriter) writeData(p []byte) {
