--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,12 +101,14 @@
 	callers      *callerConnections
 	memory       *memoryAccount
 	// memoryLogged is when short memory was logged last, in Unix nanoseconds.
-	memoryLogged             atomic.Int64
-	sequence                 atomic.Uint64
-	idPrefix                 string // of request IDs made here
-	metrics                  *metrics
-	routing                  atomic.Pointer[routing]
-	rebuildMu                sync.Mutex
+	memoryLogged atomic.Int64
+	sequence     atomic.Uint64
+	idPrefix     string // of request IDs made here
+	metrics      *metrics
+	routing      atomic.Pointer[routing]
+	rebuildMu    sync.Mutex
+	// oddEndpoints names the endpoints that are left out at present; guarded by rebuildMu.
+	oddEndpoints             string
 	accounts                 admission.AccountLimits
 	wallets                  wallets
 	watches                  watches
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"toucantiller.dev/account"
@@ -114,6 +115,8 @@
 	// memoryBudget is the Options.MemoryBudget of gateways started later.
 	memoryBudget memory.Budget
 	client       *http.Client
+	// logger is the Options.Logger of gateways started later.
+	logger log.Logger
 	evidence
 }
 
@@ -190,7 +193,7 @@
 	g, err := gateway.New(gateway.Options{
 		Instance: instance.Instance{ID: "g1", Incarnation: 7, Domain: "a"},
 		View:     w.view, Claims: w.claims, Evidence: w, Network: w.links, Timeline: w.events,
-		StopDelay: w.stopDelay, MemoryBudget: w.memoryBudget,
+		StopDelay: w.stopDelay, MemoryBudget: w.memoryBudget, Logger: w.logger,
 		NewEngine: func(target string, _ int) endpoint.Engine { return httpengine.New(w.network, "http://"+target) },
 	})
 	assert.NilError(w.t, err)
