Gateway: test that a stopped agent leaves no request unanswered

Report: a planned stop cut requests that were passed on. It cannot happen to a caller when an agent stops: the gateway settles the dispatch and answers 502.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -101,3 +101,22 @@
 		assert.NilError(t, <-stopped)
 	})
 }
+
+// Guards against callers without an answer when an agent is stopped with their requests open: the
+// gateway answers what the agent no longer can, and what runs is not run again.
+func TestStoppedAgentLeavesNoRequestUnanswered(t *testing.T) {
+	runInBubble(t, func(t *testing.T, w *testCluster) {
+		engine := slowEngine(time.Hour)
+		a := w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		result := make(chan answer, 1)
+		go func() { result <- w.post("/services/desk/a", "{}") }()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		assert.Assert(t, a.Stop(ctx) != nil, "the agent ended with no work open")
+		got := <-result
+		got.expect(t, http.StatusBadGateway, executionField("unknown"))
+		assert.Equal(t, engine.runs.Load(), int64(1))
+	})
+}
