--- a/consensus/replica/queue.go
+++ b/consensus/replica/queue.go
@@ -16,19 +16,17 @@
 	return &packetQueue{packets: make(chan Packet, length)}
 }
 
-// add queues a packet, or drops it and returns false if the queue is full.
-func (q *packetQueue) add(p Packet) bool {
+// add queues a packet, or drops it if the queue is full.
+func (q *packetQueue) add(p Packet) {
 	if q.bytes.Load() >= maxQueuedBytes {
-		return false
+		return
 	}
 	size := int64(p.size())
 	q.bytes.Add(size)
 	select {
 	case q.packets <- p:
-		return true
 	default:
 		q.bytes.Add(-size)
-		return false
 	}
 }
 
--- a/wal/reserve.go
+++ b/wal/reserve.go
@@ -14,9 +14,6 @@
 // reserveBlock is the size in bytes of one write of the reserve.
 const reserveBlock = 256 << 10
 
-// reserveMargin is kept beside a snapshot for its mark, a term and small entries, in bytes.
-const reserveMargin = 256 << 10
-
 // ErrNoSpace is returned by writes for which the disk has no space. The log is as it was before
 // the write, and accepts further ones.
 var ErrNoSpace = errors.New("no space on the disk of the log")
@@ -73,10 +70,11 @@
 // grow enlarges the reserve so that a snapshot of the given size fits in it, with a quarter to spare.
 // Without space for that the reserve is given up, as on a full disk.
 func (r *reserve) grow(snapshot int64) error {
-	if r.size == 0 || snapshot <= r.size {
+	need := snapshot + snapshot/4
+	if r.size == 0 || need <= r.size {
 		return nil
 	}
-	r.size = snapshot + snapshot/4
+	r.size = need
 	if _, err := r.release(); err != nil {
 		return err
 	}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -190,6 +190,9 @@
 	if err := l.removeObsoleteFiles(previous); err != nil {
 		return l.fail(err)
 	}
+	if err := l.reserve.grow(l.snapshotBytes); err != nil {
+		return l.fail(err)
+	}
 	return nil
 }
 
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -295,6 +295,23 @@
 	}
 }
 
+// Guards against a reserve that is smaller than the snapshot for which it keeps space.
+func TestReserveGrowsWithTheSnapshot(t *testing.T) {
+	fs := faultfs.New(1)
+	options := wal.Options{FS: fs, ReserveBytes: 1000}
+	m := fillLog(t, fs, 20)
+	log, _, err := wal.Open(folder, options)
+	assert.NilError(t, err)
+	state := make([]byte, 5000)
+	index := m.lastIndex() - 10
+	assert.NilError(t, log.SaveSnapshot(&wal.Snapshot{Index: index, Term: 1, Data: state}, true))
+	assert.Assert(t, !log.Full())
+	fs.SetCapacity(fs.Used() + 500) // for the next segment
+	assert.NilError(t, log.SaveSnapshot(&wal.Snapshot{Index: index + 1, Term: 1, Data: state}, true))
+	assert.NilError(t, log.RestoreReserve())
+	assert.NilError(t, log.Close())
+}
+
 // Guards against snapshots that stay on a full disk although they could not be adopted, and make
 // every later start fail.
 func TestUnadoptedSnapshotsLeaveNoTrace(t *testing.T) {
