toucan-dev: decide on the bundle in force behind the leader's barrier

Cause: it asked for the status, which a replica that has not opened its term answers from its log as far as that is applied, without a bundle; the example was applied once more. Change: it asks for the bundle, which the leader reads behind its barrier. The other caller of the status is the operator's command line, which shows it. TestRestartDoesNotApplyTheExampleAgain fails before: 'applying the example bundle'.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -210,17 +210,18 @@
 }
 
 // applyBundle applies the example bundle unless a bundle is already in force, as after a restart on
-// the same data folder.
+// the same data folder. Bundle is read behind the leader's barrier; a status may be that of a replica
+// that has not applied its log yet.
 func (d *Deployment) applyBundle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
 	client := control.NewClient(link.TCP{}, d.ControlAddresses())
 	defer client.Close()
-	status, err := client.Status(ctx)
+	inForce, err := client.Bundle(ctx)
 	if err != nil {
 		return err
 	}
-	if status.Bundle != (contract.BundleRef{}) {
+	if inForce.Ref != (contract.BundleRef{}) {
 		return nil
 	}
 	return d.example.apply(ctx, client)
