Bound the answers of claims that were granted below the bound

Change: beyond twice the bound the leader stores that the request ran, with its status, and not its answer (as for one that is too large). TestAnswersOfGrantedClaimsAreBounded without the change: 5120000 bytes where 2048000 are allowed.

--- a/control/claims.go
+++ b/control/claims.go
@@ -6,6 +6,7 @@
 
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
+	"toucantiller.dev/dispatch"
 )
 
 const (
@@ -92,6 +93,26 @@
 	return nil
 }
 
+// answerShare is the multiple of MaxClaimBytes that claims take with the answers of those that were
+// granted before the bound was reached.
+const answerShare = 2
+
+// boundAnswer returns a completion without the body of its answer if the claims have no space for it.
+// A repeat of the request then learns that it ran, but not its answer.
+func (s *Server) boundAnswer(in *api.CompleteClaim) *api.CompleteClaim {
+	if in.Answer == nil {
+		return in
+	}
+	held := 0
+	s.machine.read(func(st *state.State) { held = st.ClaimBytes() })
+	if held+len(in.Answer.Body) <= answerShare*s.opts.MaxClaimBytes {
+		return in
+	}
+	out := *in
+	out.Answer = &dispatch.StoredAnswer{Status: in.Answer.Status, TooLarge: true}
+	return &out
+}
+
 // proposeClaim commits one step, batched with other waiting steps, and returns the
 // reply to a claim. It returns only after the commit, so a granted claim is durable.
 func (s *Server) proposeClaim(step state.ClaimStep) (*api.ClaimReply, error) {
--- a/control/claims_test.go
+++ b/control/claims_test.go
@@ -53,3 +53,38 @@
 		assert.NilError(t, err)
 	})
 }
+
+// Guards against answers of claims that were granted below the bound and grow far beyond it: they
+// are stored as too large.
+func TestAnswersOfGrantedClaimsAreBounded(t *testing.T) {
+	runInSynctest(t, func(t *testing.T) {
+		const answerBytes, claims = 100 << 10, 50
+		g := startGroupWith(t, &group{maxClaimBytes: 10 * answerBytes})
+		c := control.NewClient(g.network, replicas)
+		defer c.Close()
+		claim := func(i int) *api.ClaimReply {
+			reply, err := c.Claim(t.Context(), &api.Claim{
+				Account: "mill", Key: fmt.Sprint(i), TTL: time.Hour, Dispatch: dispatch.ID{Request: fmt.Sprint(i)},
+			})
+			assert.NilError(t, err)
+			return reply
+		}
+		for i := range claims {
+			assert.Equal(t, claim(i).State, api.ClaimGranted)
+		}
+		for i := range claims {
+			assert.NilError(t, c.CompleteClaim(t.Context(), &api.CompleteClaim{
+				Account: "mill", Key: fmt.Sprint(i), Dispatch: dispatch.ID{Request: fmt.Sprint(i)},
+				State: api.ClaimDone, Answer: &dispatch.StoredAnswer{Status: 200, Body: make([]byte, answerBytes)},
+			}))
+		}
+		stored := 0
+		for i := range claims {
+			reply := claim(i)
+			assert.Equal(t, reply.State, api.ClaimDone)
+			assert.Equal(t, reply.Answer.TooLarge, len(reply.Answer.Body) == 0)
+			stored += len(reply.Answer.Body)
+		}
+		assert.Assert(t, stored > 10*answerBytes && stored <= 20*answerBytes, "%d bytes", stored)
+	})
+}
--- a/control/service.go
+++ b/control/service.go
@@ -265,7 +265,7 @@
 
 // CompleteClaim stores the outcome of a claim.
 func (v *service) CompleteClaim(in *api.CompleteClaim, out *api.CompleteReply) error {
-	_, err := v.s.proposeClaim(state.ClaimStep{Complete: in})
+	_, err := v.s.proposeClaim(state.ClaimStep{Complete: v.s.boundAnswer(in)})
 	out.Leader, err = redirect(err)
 	return err
 }
