--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -57,23 +57,37 @@
 	return ok
 }
 
+// spent is the cost of a request that ran.
+type spent struct {
+	at      time.Time
+	gateway int
+	cost    float64
+}
+
+// assertWithinLimit fails the test if the requests of any 8 s cost more than the limit and its
+// tolerance allow. They are in order of time.
+func assertWithinLimit(t *rapid.T, limit budget.Limit, all []spent) {
+	const window = 8 * time.Second
+	bound := (limit.Rate*window.Seconds()+limit.Burst)*(1+tolerance.Overrun) + tolerance.Slack
+	sum, from := 0.0, 0
+	for _, s := range all {
+		sum += s.cost
+		for s.at.Sub(all[from].at) >= window {
+			sum -= all[from].cost
+			from++
+		}
+		assert.Assert(t, sum <= bound, "%.0f tokens in %s, allowed are %.0f", sum, window, bound)
+	}
+}
+
 // Guards against gateways that together admit more tokens in any 8 s than the limit, its
 // overrun and its slack allow, while traffic moves between them, up to three of eight are
 // cut off and a new leader starts with an empty pool.
 func TestLimitHoldsOverAllGateways(t *testing.T) {
-	const (
-		window  = 8 * time.Second
-		overrun = 0.1
-		slack   = 110_000
-	)
 	rapid.Check(t, func(t *rapid.T) {
 		limit := budget.Limit{Rate: 100_000, Burst: 100_000}
 		now := time.Unix(0, 0)
 		g := newGateways(limit, now)
-		type spent struct {
-			at   time.Time
-			cost float64
-		}
 		var all []spent
 		leaderLost := rapid.IntRange(0, 2000).Draw(t, "leader lost at step")
 		hot := 0
@@ -95,35 +109,17 @@
 				}
 				cost := float64(rapid.IntRange(100, 6000).Draw(t, "cost"))
 				if g.spend(i, cost, now) {
-					all = append(all, spent{now, cost})
+					all = append(all, spent{at: now, cost: cost})
 				}
 			}
 		}
-		bound := (limit.Rate*window.Seconds()+limit.Burst)*(1+overrun) + slack
-		sum, from := 0.0, 0
-		for _, s := range all {
-			sum += s.cost
-			for s.at.Sub(all[from].at) >= window {
-				sum -= all[from].cost
-				from++
-			}
-			assert.Assert(t, sum <= bound, "%.0f tokens in %s, allowed are %.0f", sum, window, bound)
-		}
+		assertWithinLimit(t, limit, all)
 	})
 }
 
 // Guards against gateways that spend refunds of requests that hung for seconds beside what the pool
 // refilled meanwhile, with cut-off gateways and a new leader in between.
 func TestRefundsStayWithinTheLimit(t *testing.T) {
-	const (
-		window = 8 * time.Second
-		slack  = 110_000
-	)
-	type request struct {
-		at      time.Time
-		gateway int
-		cost    float64
-	}
 	rapid.Check(t, func(t *rapid.T) {
 		limit := budget.Limit{Rate: 100_000, Burst: 100_000}
 		now := time.Unix(0, 0)
@@ -131,7 +127,7 @@
 		hang := time.Duration(rapid.IntRange(500, 7000).Draw(t, "hang ms")) * time.Millisecond
 		from := rapid.IntRange(0, 500).Draw(t, "hangs from step")
 		lost := rapid.IntRange(0, 2000).Draw(t, "leader lost at step")
-		var hanging, ran []request
+		var hanging, ran []spent
 		for step := range 2000 {
 			now = now.Add(10 * time.Millisecond)
 			if step == lost {
@@ -148,7 +144,7 @@
 			}
 			hangs := step >= from && step < from+int(hang/(10*time.Millisecond))
 			for i := range g.wallets {
-				r := request{now, i, 2000}
+				r := spent{at: now, gateway: i, cost: 2000}
 				switch {
 				case !g.spend(i, r.cost, now):
 				case hangs:
@@ -158,16 +154,7 @@
 				}
 			}
 		}
-		bound := (limit.Rate*window.Seconds()+limit.Burst)*1.1 + slack
-		sum, first := 0.0, 0
-		for _, r := range ran {
-			sum += r.cost
-			for r.at.Sub(ran[first].at) >= window {
-				sum -= ran[first].cost
-				first++
-			}
-			assert.Assert(t, sum <= bound, "%.0f tokens in %s, allowed are %.0f", sum, window, bound)
-		}
+		assertWithinLimit(t, limit, ran)
 	})
 }
 
