--- a/dev/apply_test.go
+++ b/dev/apply_test.go
@@ -45,7 +45,7 @@
 	assert.NilError(t, server.Register(control.ServiceName, r))
 	go func() { _ = server.Serve(l) }()
 	defer server.Close()
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	d, err := New(&Settings{
 		Listen: "127.0.0.1:0", Control: l.Addr().(*net.TCPAddr).Port, Data: t.TempDir(), Deployment: "weavers",
 	})
