replica: rejected proposals count towards a batch

On a full disk the loop that collects a batch counted accepted commands only, so callers that try again at once could hold the replica from its ticks for as long as they keep coming. Found by reading the change once more; no test shows it.

--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -406,7 +406,7 @@
 func (r *Replica) handleProposals(p proposal) {
 	var batch []proposal
 	var commands [][]byte
-	for size := 0; ; {
+	for taken, size := 1, 0; ; taken++ {
 		if err := r.rejects(p.command); err != nil {
 			p.reply <- outcome{err: err}
 		} else {
@@ -414,7 +414,7 @@
 			commands = append(commands, p.command)
 			size += len(p.command)
 		}
-		if len(batch) >= maxProposalBatch || size >= maxProposalBatchBytes {
+		if taken >= maxProposalBatch || size >= maxProposalBatchBytes {
 			break
 		}
 		select {
