dispatch: messages are checked for nesting and counts before they are decoded

What callers would see: a message between agent, gateway and control of 1 MiB that consists of nested arrays, in a field that the reader does not know, took 256 MiB of stack in the process that read it; one of 19 bytes that says that its headers are 4,294,967,295 took 98 MB. Either ends a process of 134 MB (processes that end by themselves, LOST).

Cause: the msgpack decoder skips unknown fields by calling itself for each array and map, without a bound, and makes room for up to a million entries of a map before it has read one.

Change: frames, seals, orders and load reports are scanned, without recursion, before they are decoded: at most 32 arrays and maps in one another, and never more values to come than bytes. Watches stay as they are: a report is at most 64 KiB and has no map.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -197,7 +197,7 @@
 // decodeRequest decodes the body into the value. For a malformed request it writes the error
 // response and returns false.
 func decodeRequest(w http.ResponseWriter, r *http.Request, into any) bool {
-	if err := msgpack.NewDecoder(io.LimitReader(r.Body, dispatch.MaxFrame)).Decode(into); err != nil {
+	if err := dispatch.ReadMessage(r.Body, into); err != nil {
 		http.Error(w, "decoding request: "+err.Error(), http.StatusBadRequest)
 		return false
 	}
--- a/control/agents.go
+++ b/control/agents.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"toucantiller.dev/control/hosting"
 	"toucantiller.dev/control/state"
@@ -237,7 +236,7 @@
 	}
 	defer resp.Body.Close()
 	var report dispatch.Heartbeat
-	err = msgpack.NewDecoder(http.MaxBytesReader(nil, resp.Body, dispatch.MaxFrame)).Decode(&report)
+	err = dispatch.ReadMessage(resp.Body, &report)
 	if ctx.Err() != nil {
 		return hosting.Unknown
 	}
--- a/dispatch/frame.go
+++ b/dispatch/frame.go
@@ -179,6 +179,9 @@
 // Decode unmarshals the msgpack payload of a frame other than a data frame. The result does
 // not alias the payload.
 func Decode(payload []byte, into any) error {
+	if err := checkShape(payload); err != nil {
+		return fmt.Errorf("decoding frame: %w", err)
+	}
 	d := decoders.Get().(*decoder)
 	defer decoders.Put(d)
 	d.payload.Reset(payload)
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"sync/atomic"
@@ -120,7 +119,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return &link.Error{Step: path, Peer: p.address, Err: errors.New(resp.Status)}
 	}
-	if err := msgpack.NewDecoder(io.LimitReader(resp.Body, dispatch.MaxFrame)).Decode(out); err != nil {
+	if err := dispatch.ReadMessage(resp.Body, out); err != nil {
 		return &link.Error{Step: "decoding " + path, Peer: p.address, Err: err}
 	}
 	return nil
