--- a/control/service.go
+++ b/control/service.go
@@ -53,6 +53,10 @@
 	return nil
 }
 
+// CheckLeading returns a *NotLeaderError on a replica that does not lead, and another error on a
+// leader that serves no calls yet.
+func (s *Server) CheckLeading() error { return s.checkLeading() }
+
 // ApplyBundle makes a signed bundle the configuration.
 func (v *service) ApplyBundle(in *api.ApplyBundle, out *api.ChangeReply) error {
 	if reason := v.validationProblem(in); reason != "" {
