link: a server accepts again after a shortage of descriptors

What operators would see: a control replica, relay, gateway or agent that runs and is ready, and that no other process can reach any more, until it is restarted.

Cause: Server.Serve returned at the first failed accept; accept fails with EMFILE, ENFILE, ENOBUFS or ENOMEM while the process or the system is short of them, and with ECONNABORTED for a caller that has left. The callers of Serve log one line or drop the error. Servers of HTTP go on after these errors.

Change: Serve waits 50 ms and accepts again. Any other error is returned as before.

--- a/link/rpc.go
+++ b/link/rpc.go
@@ -5,8 +5,10 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +25,10 @@
 	CallTimeout = 5 * time.Second
 )
 
+// acceptPause is the time between attempts to accept a connection while the system is short of
+// descriptors or memory.
+const acceptPause = 50 * time.Millisecond
+
 // Ping is the argument and reply of a probe.
 type Ping struct{ Seq uint64 }
 
@@ -54,15 +60,19 @@
 // Register adds a service under a name; its methods follow the rules of net/rpc.
 func (s *Server) Register(name string, service any) error { return s.rpc.RegisterName(name, service) }
 
-// Serve accepts connections until the listener closes and then returns nil. Another failure to
-// accept is returned as *Error.
+// Serve accepts connections until the listener closes and then returns nil. While descriptors or
+// memory are short it waits. Another failure to accept is returned as *Error.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		c, err := l.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
+		switch {
+		case err == nil:
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case isPassing(err):
+			time.Sleep(acceptPause)
+			continue
+		default:
 			return &Error{Step: "accept", Peer: l.Addr().String(), Err: err}
 		}
 		if s.trackConn(c) {
@@ -71,6 +81,14 @@
 	}
 }
 
+// isPassing reports whether accepting failed for the one connection or for a shortage of the system,
+// so that it may succeed later.
+func isPassing(err error) bool {
+	return slices.ContainsFunc([]error{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED,
+	}, func(passing error) bool { return errors.Is(err, passing) })
+}
+
 // Close closes the open connections and those accepted later. Close the listener first.
 func (s *Server) Close() {
 	s.mu.Lock()
