control: a joining replica asks the seeds that the settings name now

What operators would see: a new replica asks the seeds that its settings named when it started. If these were replaced before one of them answered, it never joined, although the seeds file names the present ones and the other tasks of the process read it; the group went on without a lost voter's replacement, and did not bear the next lost disk.

Cause: Join kept the addresses of its start. Now it asks, beside these, the addresses that the replica knows at that moment: those of the seeds file, of its members and of its records, as the check of its membership does.

Evidence: the test failed before with "the voters are [control-0 control-1 control-2] after a minute".

--- a/control/repair.go
+++ b/control/repair.go
@@ -8,6 +8,7 @@
 
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
+	"toucantiller.dev/distribution"
 )
 
 const (
@@ -138,11 +139,13 @@
 }
 
 // Join asks the control replicas to add this one until it votes in a group. seeds are the link
-// addresses to ask; founding is set while the deployment starts for the first time.
+// addresses to ask, beside those that the settings name later; founding is set while the deployment
+// starts for the first time.
 func (s *Server) Join(ctx context.Context, seeds []string, founding bool) {
 	client := NewClient(s.opts.Network, seeds)
 	defer client.Close()
 	for ctx.Err() == nil && !s.isVoter() {
+		client.SetAddresses(distribution.WithSeeds(s.peerAddresses(), seeds))
 		s.askToJoin(ctx, client, founding)
 		_ = sleep(ctx, joinInterval) // the loop ends with ctx
 	}
