program: a start that takes long is no failure

What an operator would see: a control replica on a slow or stalled disk ends with status 1 and "context deadline exceeded" 15 s after each start, whatever it had loaded by then; the restart loads the same log from the same disk and ends again (the system doesn't start).

Cause: the library that runs the programs bounds a start by 15 s unless told otherwise; only a stop had a bound of ours.

Change: a start may take an hour.

--- a/program/app.go
+++ b/program/app.go
@@ -33,6 +33,7 @@
 func Module[S any, P Process](settings S, common *Common, build func(S, link.Network, kitlog.Logger) (P, error)) fx.Option {
 	return fx.Options(
 		fx.Supply(settings),
+		fx.StartTimeout(StartTimeout),
 		fx.StopTimeout(common.StopTimeout),
 		fx.Provide(
 			common.Link.Network,
--- a/program/program.go
+++ b/program/program.go
@@ -37,6 +37,10 @@
 // Daemons override it with Common.StopTimeout.
 const StopTimeout = 2 * time.Minute
 
+// StartTimeout bounds a start. A replica that loads its log from a slow disk needs its time: after
+// a restart it would load the same log again.
+const StartTimeout = time.Hour
+
 // Checker is implemented by settings with rules that kong's tags cannot express.
 type Checker interface {
 	// Check returns an error that names the flag it concerns.
@@ -70,6 +74,7 @@
 func Run(name string, options ...fx.Option) {
 	defaults := []fx.Option{
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(StartTimeout),
 		fx.StopTimeout(StopTimeout),
 	}
 	app := fx.New(append(defaults, options...)...)
