replica: bound the bytes of proposals that wait

Operators would have seen a control replica end for want of memory when many large changes arrive while its disk is slow: 256 proposals of up to 4 MiB wait in the queue, and any number of callers for a place in it.

Cause: the queue was bounded by number only, and callers that wait for a place were not counted.

Now the bytes of both are counted from the call until the replica takes the proposal. Beyond 16 MiB a command is refused with consensus.ErrBacklogFull, the error of commands beyond what may wait for a quorum: nothing was proposed. A command that waits alone is always taken.

--- a/consensus/replica/calls.go
+++ b/consensus/replica/calls.go
@@ -17,12 +17,17 @@
 	if len(command) > MaxCommandBytes {
 		return nil, fmt.Errorf("%w: %d bytes, at most %d are allowed", ErrCommandTooLarge, len(command), MaxCommandBytes)
 	}
+	if !r.proposals.reserve(command) {
+		return nil, consensus.ErrBacklogFull
+	}
 	reply := make(chan outcome, 1)
 	select {
-	case r.proposals <- proposal{command: command, reply: reply}:
+	case r.proposals.waiting <- proposal{command: command, reply: reply}:
 	case <-ctx.Done():
+		r.proposals.release(command)
 		return nil, ctx.Err()
 	case <-r.done:
+		r.proposals.release(command)
 		return nil, ErrStopped
 	}
 	o := r.awaitOutcome(ctx, reply)
--- a/consensus/replica/queue.go
+++ b/consensus/replica/queue.go
@@ -47,3 +47,30 @@
 	}
 	return n
 }
+
+// maxQueuedProposalBytes bounds the commands that wait to be proposed.
+const maxQueuedProposalBytes = 16 << 20
+
+// proposalQueue holds proposals up to a number, and counts the bytes of those that wait in it or
+// for a place in it.
+type proposalQueue struct {
+	waiting chan proposal
+	bytes   atomic.Int64
+}
+
+func newProposalQueue(length int) *proposalQueue {
+	return &proposalQueue{waiting: make(chan proposal, length)}
+}
+
+// reserve counts a command and reports whether it may wait. A command that waits alone may.
+func (q *proposalQueue) reserve(command []byte) bool {
+	size := int64(len(command))
+	if sum := q.bytes.Add(size); sum > size && sum > maxQueuedProposalBytes {
+		q.release(command)
+		return false
+	}
+	return true
+}
+
+// release must be called for each reserved command once it no longer waits.
+func (q *proposalQueue) release(command []byte) { q.bytes.Add(-int64(len(command))) }
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -52,7 +52,7 @@
 	storage *storage
 
 	inbox     *packetQueue
-	proposals chan proposal
+	proposals *proposalQueue
 	coreCalls chan coreCall
 	stop      chan struct{}
 	done      chan struct{}
@@ -108,7 +108,7 @@
 	r := &Replica{
 		cfg: cfg, storage: s,
 		inbox:            newPacketQueue(inboxSize),
-		proposals:        make(chan proposal, proposalQueueSize),
+		proposals:        newProposalQueue(proposalQueueSize),
 		coreCalls:        make(chan coreCall),
 		stop:             make(chan struct{}),
 		done:             make(chan struct{}),
@@ -228,7 +228,7 @@
 			}
 			continue
 		}
-		proposals := r.proposals
+		proposals := r.proposals.waiting
 		if len(r.waiters) >= maxPendingProposals {
 			proposals = nil
 		}
@@ -241,6 +241,7 @@
 		case p := <-r.inbox.packets:
 			r.handlePackets(p)
 		case p := <-proposals:
+			r.proposals.release(p.command)
 			r.handleProposals(p)
 		case c := <-r.coreCalls:
 			c.run()
@@ -418,7 +419,8 @@
 			break
 		}
 		select {
-		case p = <-r.proposals:
+		case p = <-r.proposals.waiting:
+			r.proposals.release(p.command)
 			continue
 		default:
 		}
--- a/consensus/replica/space.go
+++ b/consensus/replica/space.go
@@ -66,7 +66,8 @@
 		}
 	case p := <-r.inbox.packets:
 		r.inbox.taken(&p)
-	case p := <-r.proposals:
+	case p := <-r.proposals.waiting:
+		r.proposals.release(p.command)
 		p.reply <- outcome{err: ErrDiskFull}
 	case c := <-r.coreCalls:
 		c.done <- &NotLeaderError{}
