distribution: bound the bytes of past configurations and directories

Operators would have seen processes of all kinds hold eight configurations of any size, beside the one in force: the bases from which deltas are made.

Cause: the history was bounded by the number of its values only.

Now the bases and the newest value are bounded to 8 MiB of encoded size, each kind for itself; the newest is kept whatever its size. The size is counted once, when a value is accepted, by encoding it to a writer that keeps nothing. A subscriber whose base is gone gets the whole value, as for an unknown base.

--- a/distribution/delta.go
+++ b/distribution/delta.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"toucantiller.dev/account"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
@@ -15,27 +17,48 @@
 	"toucantiller.dev/instance"
 )
 
-// history keeps the latest HistoryKept values by revision and caches the deltas from them to
-// the newest one.
+// history keeps the latest values by revision, up to HistoryKept and HistoryBytes but always the
+// newest, and caches the deltas from them to the newest one.
 type history[T, D any] struct {
 	revisions []uint64
-	values    map[uint64]*T
-	deltas    map[uint64]*D
+	// sizes holds the encoded size of each value, in the order of revisions, and bytes their sum.
+	sizes  []int
+	bytes  int
+	values map[uint64]*T
+	deltas map[uint64]*D
 }
 
-func (h *history[T, D]) add(revision uint64, value *T) {
+// add adds the newest value; size is its encoded size in bytes.
+func (h *history[T, D]) add(revision uint64, value *T, size int) {
 	if h.values == nil {
 		h.values = make(map[uint64]*T)
 	}
 	h.revisions = append(h.revisions, revision)
 	h.values[revision] = value
+	h.sizes = append(h.sizes, size)
+	h.bytes += size
 	h.deltas = make(map[uint64]*D)
-	if len(h.revisions) > HistoryKept {
+	for len(h.revisions) > HistoryKept || (len(h.revisions) > 1 && h.bytes > HistoryBytes) {
 		delete(h.values, h.revisions[0])
-		h.revisions = h.revisions[1:]
+		h.bytes -= h.sizes[0]
+		h.revisions, h.sizes = h.revisions[1:], h.sizes[1:]
 	}
 }
 
+// encodedSize returns about how many bytes a value takes when it is sent, without keeping them.
+func encodedSize(v any) (int, error) {
+	var n byteCounter
+	err := msgpack.NewEncoder(&n).Encode(v)
+	return int(n), err
+}
+
+type byteCounter int
+
+func (n *byteCounter) Write(p []byte) (int, error) {
+	*n += byteCounter(len(p))
+	return len(p), nil
+}
+
 // delta returns the change from a revision to the newest value, or nil when the revision
 // is not kept. Revision 0 stands for a subscriber that has no value yet.
 func (h *history[T, D]) delta(from uint64, diff func(old, new *T) *D) *D {
