agent: answers of claimed dispatches are bounded in bytes

What operators would see: an agent kept the answer of each claimed dispatch, of up to 512 KiB, until it was confirmed or for 10 minutes, and every answer being recorded beside it. 100 unconfirmed answers of that size a minute are 500 MB. An agent without new work kept them for ever, since only a new dispatch dropped what had expired.

Cause: the ledger was bounded by its retention alone.

Confirmed and expired answers free their bytes. Identities stay for the retention, because dropping one earlier could let a copy run; their doc comment says what bounds them.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,6 +22,7 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/memory"
 	"toucantiller.dev/timeline"
 )
 
@@ -44,6 +45,9 @@
 	Meter    metric.Meter
 	// MaxBody bounds a request body, in bytes.
 	MaxBody int64
+	// MaxAnswers bounds the answers of claimed dispatches that the agent holds, in bytes; 0
+	// selects memory.AgentOf without a limit.
+	MaxAnswers int64
 	// DataFolder, when set, stores the highest fencing token so that it survives restarts.
 	DataFolder string
 	// Pace bounds the starts per second at an endpoint that announces itself; the zero value
@@ -86,10 +90,13 @@
 	if opt.MaxBody == 0 {
 		opt.MaxBody = defaultMaxBody
 	}
+	if opt.MaxAnswers == 0 {
+		opt.MaxAnswers = memory.AgentOf(0).Answers
+	}
 	if opt.Pace == (Pace{}) {
 		opt.Pace = DefaultPace
 	}
-	a := &Agent{opt: opt, ledger: NewLedger(), gate: newGate(opt.Pace)}
+	a := &Agent{opt: opt, ledger: NewLedger(opt.MaxAnswers), gate: newGate(opt.Pace)}
 	var err error
 	if a.metrics, err = newMetrics(opt.Meter, a.Load); err != nil {
 		return nil, eris.Wrap(err, "creating agent metrics")
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -143,7 +143,8 @@
 // breaks off, it is resumed at the engine where the engine supports that.
 func (d *dispatchRun) forward(ctx context.Context, answer *endpoint.Answer) {
 	a := d.agent
-	k := newAnswerRecorder(d.header, answer)
+	k := newAnswerRecorder(a.ledger, d.header, answer)
+	defer k.release()
 	live := answer.Header.Get("Content-Length") == ""
 	var count tokenCounter
 	for resumes := 0; ; resumes++ {
@@ -165,7 +166,9 @@
 		d.recordEvent("dispatch.resumed", err.Error())
 		answer = next
 	}
-	a.ledger.Finish(d.header.ID, k.answer(), a.now())
+	stored := k.answer()
+	k.release()
+	a.ledger.Finish(d.header.ID, stored, a.now())
 	tokens := d.answerTokens(&count)
 	d.slot.finish(outcome{answerTokens: d.decodedTokens(&count, tokens), failed: answer.Status >= 500})
 	d.recordEvent("dispatch.done", "")
@@ -224,30 +227,60 @@
 	}
 }
 
-// answerRecorder collects the answer of a claimed request; a nil recorder discards it.
-type answerRecorder struct{ stored dispatch.StoredAnswer }
+// answerRecorder collects the answer of a claimed request; a nil recorder discards it. Its bytes
+// count in the ledger's bound until release.
+type answerRecorder struct {
+	ledger *Ledger
+	stored dispatch.StoredAnswer
+	// held is what counts in the ledger, in bytes.
+	held int64
+	// dropped is set once the ledger had no room for the answer.
+	dropped bool
+}
 
-func newAnswerRecorder(h *dispatch.Header, answer *endpoint.Answer) *answerRecorder {
+func newAnswerRecorder(l *Ledger, h *dispatch.Header, answer *endpoint.Answer) *answerRecorder {
 	if h.Claim == "" {
 		return nil
 	}
-	return &answerRecorder{stored: dispatch.StoredAnswer{Status: answer.Status, Header: dispatch.SelectHeaders(answer.Header, dispatch.AnswerHeaders)}}
+	return &answerRecorder{ledger: l, stored: dispatch.StoredAnswer{Status: answer.Status, Header: dispatch.SelectHeaders(answer.Header, dispatch.AnswerHeaders)}}
 }
 
 func (k *answerRecorder) add(p []byte) {
-	if k == nil || k.stored.TooLarge {
+	if k == nil || k.stored.TooLarge || k.dropped {
 		return
 	}
 	if len(k.stored.Body)+len(p) > dispatch.MaxStoredAnswer {
 		k.stored.TooLarge = true
 		k.stored.Body = nil
+		k.release()
 		return
 	}
 	k.stored.Body = append(k.stored.Body, p...)
+	grown := int64(cap(k.stored.Body)) - k.held
+	if grown == 0 {
+		return
+	}
+	if !k.ledger.holdRecording(grown) {
+		k.dropped = true
+		k.stored.Body = nil
+		k.release()
+		return
+	}
+	k.held += grown
+}
+
+// release ends the count of the answer; later calls do nothing.
+func (k *answerRecorder) release() {
+	if k == nil || k.held == 0 {
+		return
+	}
+	k.ledger.releaseRecording(k.held)
+	k.held = 0
 }
 
+// answer returns the complete answer, nil if it was not recorded.
 func (k *answerRecorder) answer() *dispatch.StoredAnswer {
-	if k == nil {
+	if k == nil || k.dropped {
 		return nil
 	}
 	return &k.stored
--- a/agent/ledger.go
+++ b/agent/ledger.go
@@ -33,17 +33,26 @@
 
 // Ledger records every dispatch identity that this incarnation of the agent has seen. It is the
 // only place where a dispatch is committed. Entries are dropped dispatch.SealRetention after
-// they ended.
+// they ended, and not before: a copy of the dispatch could run a second time. They are bounded by
+// the rate of dispatches and seals times the retention, at some 200 bytes and the identity's
+// text each. Answers are bounded in bytes: beyond that, those that ended first are dropped, and
+// their dispatches are reported as ended without an answer.
 type Ledger struct {
 	mu      sync.Mutex
 	entries map[dispatch.ID]entry
 	// endings is ordered by time, so that the cost of dropping does not depend on the number of
 	// entries.
 	endings []ending
+	// answerless is the number of endings at the front without a stored answer.
+	answerless int
+	// held is the size of the answers stored and being recorded; maxHeld bounds it. In bytes.
+	held, maxHeld int64
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{entries: make(map[dispatch.ID]entry)} }
+// NewLedger returns an empty ledger that holds at most maxAnswers bytes of answers.
+func NewLedger(maxAnswers int64) *Ledger {
+	return &Ledger{entries: make(map[dispatch.ID]entry), maxHeld: maxAnswers}
+}
 
 // Admit adds a new identity as queued. It returns false if the identity is already known.
 func (l *Ledger) Admit(id dispatch.ID, now time.Time) bool {
@@ -97,7 +106,8 @@
 	l.endCommitted(id, entry{state: stateSealed}, now)
 }
 
-// Finish records the end of a committed dispatch, with its answer when it is claimed.
+// Finish records the end of a committed dispatch, with its answer when it is claimed. An answer
+// for which there is no room is not stored.
 func (l *Ledger) Finish(id dispatch.ID, answer *dispatch.StoredAnswer, now time.Time) {
 	l.endCommitted(id, entry{state: stateDone, answer: answer}, now)
 }
@@ -107,8 +117,61 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.entries[id]; e.state == stateDone {
-		l.entries[id] = entry{state: stateDone}
+		l.dropAnswer(id, e)
+	}
+}
+
+// holdRecording counts bytes of an answer that is being recorded. Stored answers make room for
+// it. It returns false, and counts nothing, if there is no room.
+func (l *Ledger) holdRecording(n int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.makeRoom(n) {
+		return false
+	}
+	l.held += n
+	return true
+}
+
+// releaseRecording ends the count of an answer that was being recorded.
+func (l *Ledger) releaseRecording(n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held -= n
+}
+
+// makeRoom drops the answers that ended first until n more bytes may be held; it returns false
+// if they may not.
+func (l *Ledger) makeRoom(n int64) bool {
+	for ; l.held+n > l.maxHeld && l.answerless < len(l.endings); l.answerless++ {
+		id := l.endings[l.answerless].id
+		l.dropAnswer(id, l.entries[id])
 	}
+	return l.held+n <= l.maxHeld
+}
+
+// dropAnswer drops the answer of an entry, if it has one.
+func (l *Ledger) dropAnswer(id dispatch.ID, e entry) {
+	if e.answer == nil {
+		return
+	}
+	l.held -= answerBytes(e.answer)
+	l.entries[id] = entry{state: e.state}
+}
+
+// answerCost is held for a stored answer beside its body and headers, in bytes.
+const answerCost = 256
+
+// answerBytes returns what a stored answer holds, in bytes.
+func answerBytes(a *dispatch.StoredAnswer) int64 {
+	n := answerCost + cap(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return int64(n)
 }
 
 func (l *Ledger) endCommitted(id dispatch.ID, to entry, now time.Time) {
@@ -120,6 +183,15 @@
 }
 
 func (l *Ledger) recordEnd(id dispatch.ID, to entry, now time.Time) {
+	l.dropExpired(now)
+	if to.answer != nil {
+		size := answerBytes(to.answer)
+		if l.makeRoom(size) {
+			l.held += size
+		} else {
+			to.answer = nil
+		}
+	}
 	l.entries[id] = to
 	l.endings = append(l.endings, ending{id: id, at: now})
 }
@@ -128,8 +200,11 @@
 func (l *Ledger) dropExpired(now time.Time) {
 	n := 0
 	for n < len(l.endings) && now.Sub(l.endings[n].at) > dispatch.SealRetention {
-		delete(l.entries, l.endings[n].id)
+		id := l.endings[n].id
+		l.dropAnswer(id, l.entries[id])
+		delete(l.entries, id)
 		n++
 	}
 	l.endings = l.endings[n:]
+	l.answerless = max(0, l.answerless-n)
 }
--- a/agent/ledger_test.go
+++ b/agent/ledger_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -23,7 +24,7 @@
 // reports a committed dispatch as not run. Any order of calls must agree with the model.
 func TestLedgerAgreesWithNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l, n := agent.NewLedger(), newReferenceLedger()
+		l, n := agent.NewLedger(1<<20), newReferenceLedger()
 		now := time.Unix(0, 0)
 		for range rapid.IntRange(1, 60).Draw(t, "calls") {
 			id := dispatch.ID{Request: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")}
@@ -70,10 +71,51 @@
 // Guards against a ledger that grows without bound, and against one that forgets an identity
 // while a copy of the dispatch may still arrive.
 func TestLedgerRetention(t *testing.T) {
-	l := agent.NewLedger()
+	l := agent.NewLedger(1 << 20)
 	now := time.Unix(0, 0)
 	id := dispatch.ID{Request: "a"}
 	l.Seal(id, now)
 	assert.Assert(t, !l.Admit(id, now.Add(dispatch.SealRetention)))
 	assert.Assert(t, l.Admit(id, now.Add(dispatch.SealRetention+time.Second)))
 }
+
+// Guards against answers that no gateway confirms and that fill the agent's memory for the
+// retention, and against a dispatch that ran and is reported as not run once its answer is gone.
+func TestStoredAnswersAreBoundedInBytes(t *testing.T) {
+	const bodies, bound = 40, 10 * dispatch.MaxStoredAnswer
+	l := agent.NewLedger(bound)
+	now := time.Unix(0, 0)
+	store := func(name string) dispatch.ID {
+		id := dispatch.ID{Request: name}
+		assert.Assert(t, l.Admit(id, now) && l.Commit(id))
+		l.Finish(id, &dispatch.StoredAnswer{Status: 200, Body: make([]byte, dispatch.MaxStoredAnswer)}, now)
+		return id
+	}
+	var ids []dispatch.ID
+	for i := range bodies {
+		ids = append(ids, store(strconv.Itoa(i)))
+	}
+	held := 0
+	for i, id := range ids {
+		r := l.Seal(id, now)
+		assert.Equal(t, r.State == dispatch.SealCommitted, r.Ended, "%d is reported as running or not run", i)
+		assert.Equal(t, r.State == dispatch.SealDone, i >= bodies-9, "answer %d", i)
+		if r.Answer != nil {
+			held += len(r.Answer.Body)
+		}
+		assert.Assert(t, !l.Admit(id, now), "%d may run again", i)
+	}
+	assert.Assert(t, held <= bound, "%d bytes are held", held)
+
+	// Confirmed answers make room, so that no other is dropped for the next ones.
+	oldest, confirmed := ids[bodies-9], ids[bodies-8:]
+	for _, id := range confirmed {
+		l.Confirm(id)
+	}
+	for i := range confirmed {
+		store("later " + strconv.Itoa(i))
+	}
+	assert.Equal(t, l.Seal(oldest, now).State, dispatch.SealDone)
+	store("one more")
+	assert.Equal(t, l.Seal(oldest, now), dispatch.SealReply{State: dispatch.SealCommitted, Ended: true})
+}
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -1,5 +1,6 @@
 // Package memory decides what a gateway does as the memory that it holds for its callers nears a
-// budget: it closes idle connections first, then refuses new requests, then lets bodies wait.
+// budget: it closes idle connections first, then refuses new requests, then lets bodies wait. It
+// also bounds what an agent holds.
 package memory
 
 // Budget is the memory in bytes that a gateway may hold for its callers; 0 means no bound.
@@ -61,3 +62,26 @@
 func (b Budget) MayRead(held, bodies, body int64) bool {
 	return bodies == 0 || b.Fits(held, body)
 }
+
+const (
+	// agentAnswerShare is the part of an agent's budget for answers of claimed dispatches.
+	agentAnswerShare = 0.25
+	// defaultAgentBudget is the budget of an agent without a memory limit, in bytes.
+	defaultAgentBudget = 256 << 20
+)
+
+// Agent bounds what an agent holds, in bytes.
+type Agent struct {
+	// Answers is for answers of claimed dispatches, stored and being recorded.
+	Answers int64
+}
+
+// AgentOf returns the bounds of an agent on an instance with a memory limit in bytes; 0 for no
+// limit.
+func AgentOf(limit int64) Agent {
+	b := BudgetOf(limit)
+	if b == 0 {
+		b = defaultAgentBudget
+	}
+	return Agent{Answers: int64(agentAnswerShare * float64(b))}
+}
--- a/program/agent.go
+++ b/program/agent.go
@@ -15,6 +15,7 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/memory"
 	"toucantiller.dev/platform"
 )
 
@@ -116,14 +117,15 @@
 	e := a.endpoint()
 	var err error
 	a.agent, err = agent.New(agent.Options{
-		Endpoint: e,
-		Engine:   a.engine(),
-		Pace:     a.settings.pace(),
-		View:     a.member,
-		Network:  a.member.network,
-		Logger:   a.logger,
-		Timeline: a.admin.Timeline,
-		Meter:    a.admin.Telemetry.Meter("toucantiller.dev/agent"),
+		Endpoint:   e,
+		Engine:     a.engine(),
+		Pace:       a.settings.pace(),
+		View:       a.member,
+		Network:    a.member.network,
+		Logger:     a.logger,
+		Timeline:   a.admin.Timeline,
+		Meter:      a.admin.Telemetry.Meter("toucantiller.dev/agent"),
+		MaxAnswers: memory.AgentOf(int64(a.settings.MemoryLimit)).Answers,
 	})
 	if err != nil {
 		return err
