agent: bodies of dispatches are bounded in bytes

What operators would see: an agent read each dispatch's body, of up to 16 MiB, at once into memory, before it looked at its queue; up to 256 dispatches waited there with their bodies, and 4,096 streams of each connection could be reading theirs.

Cause: dispatches were bounded by number, and those being read by nothing.

Change: a body counts from before it is read until its dispatch ends, at an agent against half of its budget, at the agents that a gateway hosts together against a fifth. Without room the dispatch is sealed and refused unread as paused, with 100 ms: the gateway then tries other endpoints and leaves this one out for that time. queue_full would have made it send the body again at once. A copy of a known dispatch is still refused as a duplicate.

--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -43,6 +43,8 @@
 	Timeline *timeline.Recorder
 	// Pace bounds the dispatches that start at an endpoint per second.
 	Pace agent.Pace
+	// Bodies bounds the bodies that all agents hold together; nil gives each a bound of its own.
+	Bodies *agent.Bodies
 	// NewEngine returns the client of the endpoint at "ip:port".
 	NewEngine func(target string) endpoint.Engine
 }
@@ -94,7 +96,7 @@
 			ID: h.opt.Self.ID, Incarnation: instance.NewIncarnation(),
 			Address: endpoint.HostedAddress(h.opt.Self.AgentAddress, target), LinkAddress: h.opt.Self.LinkAddress,
 		},
-		Engine: engine, Pace: h.opt.Pace, View: h.opt.View, Network: h.opt.Network,
+		Engine: engine, Pace: h.opt.Pace, Bodies: h.opt.Bodies, View: h.opt.View, Network: h.opt.Network,
 		Logger: h.opt.Logger, Timeline: h.opt.Timeline, MayAct: h.opt.View.MayServe,
 	})
 	if err != nil {
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -80,7 +80,8 @@
 	CodeEngineFull Code = "engine_full"
 	// CodeEngineLeaving: the engine has said that it leaves and was not sent the request.
 	CodeEngineLeaving Code = "engine_leaving"
-	// CodePaused: the engine has asked for no request for a while and was sent none.
+	// CodePaused: the engine has asked for no request for a while, or the agent has no memory for
+	// the body. The engine was sent nothing.
 	CodePaused      Code = "paused"
 	CodeStaleConfig Code = "stale_config"
 	// CodeQueueTime: the request waited in the queue for the maximum time of its tier.
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -66,6 +66,11 @@
 const (
 	// agentAnswerShare is the part of an agent's budget for answers of claimed dispatches.
 	agentAnswerShare = 0.25
+	// agentBodyShare is the part of an agent's budget for bodies of dispatches.
+	agentBodyShare = 0.5
+	// hostedBodyShare is the part of an agent's budget for bodies of dispatches to agents that run
+	// in a gateway, beside what the gateway holds for callers.
+	hostedBodyShare = 0.2
 	// defaultAgentBudget is the budget of an agent without a memory limit, in bytes.
 	defaultAgentBudget = 256 << 20
 )
@@ -74,6 +79,9 @@
 type Agent struct {
 	// Answers is for answers of claimed dispatches, stored and being recorded.
 	Answers int64
+	// Bodies is for bodies of dispatches at an agent, HostedBodies for those at all agents in a
+	// gateway's process.
+	Bodies, HostedBodies int64
 }
 
 // AgentOf returns the bounds of an agent on an instance with a memory limit in bytes; 0 for no
@@ -83,5 +91,6 @@
 	if b == 0 {
 		b = defaultAgentBudget
 	}
-	return Agent{Answers: int64(agentAnswerShare * float64(b))}
+	part := func(share float64) int64 { return int64(share * float64(b)) }
+	return Agent{Answers: part(agentAnswerShare), Bodies: part(agentBodyShare), HostedBodies: part(hostedBodyShare)}
 }
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -31,5 +31,8 @@
 	for limit := int64(64 << 20); limit <= 4<<30; limit *= 2 {
 		b := int64(BudgetOf(limit))
 		assert.Assert(t, b >= minBudget && float64(b)/liveShare <= RuntimeShare*float64(limit), "%d of %d", b, limit)
+		a := AgentOf(limit)
+		assert.Assert(t, a.Answers > 0 && a.HostedBodies > 0 && a.Answers+a.Bodies <= b, "%+v of %d", a, b)
+		assert.Assert(t, float64(b+a.HostedBodies) <= RuntimeShare*float64(limit), "%+v beside %d", a, b)
 	}
 }
--- a/program/agent.go
+++ b/program/agent.go
@@ -115,6 +115,7 @@
 		return err
 	}
 	e := a.endpoint()
+	bounds := memory.AgentOf(int64(a.settings.MemoryLimit))
 	var err error
 	a.agent, err = agent.New(agent.Options{
 		Endpoint:   e,
@@ -125,7 +126,8 @@
 		Logger:     a.logger,
 		Timeline:   a.admin.Timeline,
 		Meter:      a.admin.Telemetry.Meter("toucantiller.dev/agent"),
-		MaxAnswers: memory.AgentOf(int64(a.settings.MemoryLimit)).Answers,
+		MaxAnswers: bounds.Answers,
+		Bodies:     agent.NewBodies(bounds.Bodies),
 	})
 	if err != nil {
 		return err
