gateway: the memory held for callers and its budget are metrics

What operators saw: a gateway that neared its memory showed nothing until it closed connections or refused requests. Cause: the memory account was read only by the gateway itself and written to a log line at most once in 10 s.

Change: observable gauges toucan.gateway.memory.held and toucan.gateway.memory.budget, in bytes.

--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -177,3 +177,17 @@
 		assert.Equal(t, most.Load(), int64(2))
 	})
 }
+
+// Guards against a gateway that nears its memory without any sign of it before it refuses.
+func TestHeldMemoryIsVisible(t *testing.T) {
+	runInBubble(t, func(t *testing.T, w *testCluster) {
+		w.memoryBudget = 1 << 20
+		w.addAgent("e1", "desk", slowEngine(10*time.Millisecond))
+		w.startGateway()
+		assert.Equal(t, w.gauge("toucan.gateway.memory.budget"), int64(1<<20))
+		before := w.gauge("toucan.gateway.memory.held")
+		status, _ := w.connect().call("/services/desk/a", "{}")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, w.gauge("toucan.gateway.memory.held")-before, int64(20<<10), "an idle connection")
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,6 +152,9 @@
 		handler = opt.Handler(g)
 	}
 	g.memory = &memoryAccount{budget: opt.MemoryBudget}
+	if err := registerMemory(opt.Meter, g.memory); err != nil {
+		return nil, eris.Wrap(err, "creating gateway metrics")
+	}
 	g.callers = newCallerConnections(g.callerIdleTimeout, g.memory)
 	g.callers.evicted = g.recordEviction
 	g.memory.short = g.callers.scheduleEviction
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -91,6 +91,29 @@
 	return nil
 }
 
+// registerMemory registers the gauges of the memory held for callers.
+func registerMemory(m metric.Meter, a *memoryAccount) error {
+	if m == nil {
+		return nil
+	}
+	for _, g := range []struct {
+		name, about string
+		value       func() int64
+	}{
+		{"toucan.gateway.memory.held", "Memory that the gateway counts as held for its callers.", a.held.Load},
+		{"toucan.gateway.memory.budget", "Memory that the gateway may hold for its callers; 0 for no bound.", func() int64 { return int64(a.budget) }},
+	} {
+		observe := func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(g.value())
+			return nil
+		}
+		if _, err := m.Int64ObservableGauge(g.name, metric.WithUnit("By"), metric.WithDescription(g.about), metric.WithInt64Callback(observe)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (m *metrics) recordProblem(p *Problem) {
 	m.problems.increment(metric.WithAttributes(attribute.String("code", p.Code), attribute.String("execution", string(p.Execution))))
 }
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-kit/log"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 	"gotest.tools/v3/assert"
 
 	"toucantiller.dev/account"
@@ -117,6 +119,8 @@
 	client       *http.Client
 	// logger is the Options.Logger of gateways started later.
 	logger log.Logger
+	// metrics reads the metrics of gateways started later.
+	metrics *sdk.ManualReader
 	evidence
 }
 
@@ -137,6 +141,7 @@
 	t.Cleanup(func() { time.Sleep(time.Minute) })
 	w.links = &countingNetwork{Network: w.network}
 	w.claims = newClaimTable()
+	w.metrics = sdk.NewManualReader()
 	w.view.config.Store(testConfig())
 	w.view.directory.Store(&api.Directory{})
 	w.events = timeline.NewRecorder("test", nil, 0)
@@ -194,6 +199,7 @@
 		Instance: instance.Instance{ID: "g1", Incarnation: 7, Domain: "a"},
 		View:     w.view, Claims: w.claims, Evidence: w, Network: w.links, Timeline: w.events,
 		StopDelay: w.stopDelay, MemoryBudget: w.memoryBudget, Logger: w.logger,
+		Meter:     sdk.NewMeterProvider(sdk.WithReader(w.metrics)).Meter("test"),
 		NewEngine: func(target string, _ int) endpoint.Engine { return httpengine.New(w.network, "http://"+target) },
 	})
 	assert.NilError(w.t, err)
@@ -208,6 +214,20 @@
 	})
 }
 
+// gauge returns the value of a gauge of the gateway, -1 if there is none.
+func (w *testCluster) gauge(name string) int64 {
+	var all metricdata.ResourceMetrics
+	assert.NilError(w.t, w.metrics.Collect(context.Background(), &all))
+	for _, scope := range all.ScopeMetrics {
+		for _, m := range scope.Metrics {
+			if g, ok := m.Data.(metricdata.Gauge[int64]); ok && m.Name == name {
+				return g.DataPoints[0].Value
+			}
+		}
+	}
+	return -1
+}
+
 // answer is what a caller got.
 type answer struct {
 	status int
