gateway: answers in background tasks are counted and bounded in bytes

What operators would see: while control did not store outcomes, each keyed call left a task for up to 10 minutes with its answer, of up to 512 KiB, and there may be 4,096 tasks: 2 GB that the memory account did not know, so no connection was closed and no request refused before memory ended. Tasks that settle or confirm a dispatch also kept the whole call, with its body and the buffered answer, after the account had released both.

Cause: tasks were bounded by number, and referred to the attempt of their call.

That tasks no longer keep their calls is read from the code; no test shows it.

Change: an answer in a task counts in the memory account until the task ends, and answers in tasks may hold a fifth of the budget, 64 MiB without one. Beyond it the claim is completed as done with the status, and the answer as too large, as control does when it has no room; the detail of answer_too_large says so. Tasks refer to the agent and the identity only.

--- a/agent/ledger.go
+++ b/agent/ledger.go
@@ -155,25 +155,10 @@
 	if e.answer == nil {
 		return
 	}
-	l.held -= answerBytes(e.answer)
+	l.held -= e.answer.MemoryBytes()
 	l.entries[id] = entry{state: e.state}
 }
 
-// answerCost is held for a stored answer beside its body and headers, in bytes.
-const answerCost = 256
-
-// answerBytes returns what a stored answer holds, in bytes.
-func answerBytes(a *dispatch.StoredAnswer) int64 {
-	n := answerCost + cap(a.Body)
-	for name, values := range a.Header {
-		n += len(name)
-		for _, v := range values {
-			n += len(v)
-		}
-	}
-	return int64(n)
-}
-
 func (l *Ledger) endCommitted(id dispatch.ID, to entry, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -185,7 +170,7 @@
 func (l *Ledger) recordEnd(id dispatch.ID, to entry, now time.Time) {
 	l.dropExpired(now)
 	if to.answer != nil {
-		size := answerBytes(to.answer)
+		size := to.answer.MemoryBytes()
 		if l.makeRoom(size) {
 			l.held += size
 		} else {
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -159,6 +159,24 @@
 	TooLarge bool `msgpack:"too_large"`
 }
 
+// storedAnswerCost is what a stored answer holds beside its body and headers, in bytes.
+const storedAnswerCost = 256
+
+// MemoryBytes returns the memory that the answer holds, in bytes; 0 for nil.
+func (a *StoredAnswer) MemoryBytes() int64 {
+	if a == nil {
+		return 0
+	}
+	n := storedAnswerCost + cap(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return int64(n)
+}
+
 // MaxStoredAnswer bounds the body of a stored answer, in bytes.
 const MaxStoredAnswer = MaxFrame / 2
 
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -113,7 +113,7 @@
 // deliver passes a complete answer to the caller, or returns the problem that replaces it.
 func (o *answerWriter) deliver(a *dispatch.StoredAnswer) *Problem {
 	if a.TooLarge {
-		return newProblem(http.StatusBadGateway, "answer_too_large", ExecutionFailed, "the answer exceeds the %d bytes that are stored for an Idempotency-Key", dispatch.MaxStoredAnswer)
+		return newProblem(http.StatusBadGateway, "answer_too_large", ExecutionFailed, "the answer could not be stored for its Idempotency-Key: it exceeds %d bytes, or memory for answers was short", dispatch.MaxStoredAnswer)
 	}
 	if a.Status >= http.StatusInternalServerError && o.call.service.Kind == contract.KindModel && !o.call.verbatim() {
 		return newProblem(http.StatusBadGateway, "engine_failed", ExecutionFailed, "the engine answered %d", a.Status)
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -227,7 +227,28 @@
 
 // completeLater stores an outcome in the background and retries until it succeeds.
 func (g *Gateway) completeLater(in api.CompleteClaim) {
-	g.background(func(ctx context.Context) { g.retryComplete(ctx, in) })
+	held := g.holdTaskAnswer(&in)
+	started := g.background(func(ctx context.Context) {
+		defer g.memory.releaseTaskAnswer(held)
+		g.retryComplete(ctx, in)
+	})
+	if !started {
+		g.memory.releaseTaskAnswer(held)
+	}
+}
+
+// holdTaskAnswer counts the answer of an outcome for a background task and returns its bytes. If
+// there is no room, it removes the answer: what is stored then is that the dispatch ran, with its
+// status, and that its answer was too large to be kept.
+func (g *Gateway) holdTaskAnswer(in *api.CompleteClaim) int64 {
+	if in.Answer == nil {
+		return 0
+	}
+	if n := in.Answer.MemoryBytes(); g.memory.holdTaskAnswer(n) {
+		return n
+	}
+	in.Answer = &dispatch.StoredAnswer{Status: in.Answer.Status, TooLarge: true}
+	return 0
 }
 
 func (g *Gateway) retryComplete(ctx context.Context, in api.CompleteClaim) {
@@ -244,16 +265,18 @@
 
 // settleLater keeps settling a claimed dispatch whose agent could not be reached in time.
 func (g *Gateway) settleLater(k *claim) {
-	a := k.attempt
+	agent, id, incarnation := k.attempt.peer, k.attempt.id, k.attempt.endpoint.Incarnation
 	in := api.CompleteClaim{Account: k.call.account.Name, Key: k.call.key, Dispatch: *k.heldDispatch}
 	g.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, backgroundSettleTimeout)
 		defer cancel()
 		for {
-			stands, answer, _ := a.peer.settle(ctx, a.id, a.endpoint.Incarnation, true)
+			stands, answer, _ := agent.settle(ctx, id, incarnation, true)
 			if state, final := claimStateOf(stands); final {
 				in.State = state
 				in.Answer = answer
+				held := g.holdTaskAnswer(&in)
+				defer g.memory.releaseTaskAnswer(held)
 				g.retryComplete(ctx, in)
 				return
 			}
@@ -278,8 +301,9 @@
 
 // confirmLater tells the agent that it may drop its copy of a stored answer.
 func (g *Gateway) confirmLater(a *attempt) {
+	agent, in := a.peer, &dispatch.SealRequest{ID: a.id, Agent: a.endpoint.Incarnation, Confirm: true}
 	g.background(func(ctx context.Context) {
-		_, _ = a.peer.seal(ctx, &dispatch.SealRequest{ID: a.id, Agent: a.endpoint.Incarnation, Confirm: true})
+		_, _ = agent.seal(ctx, in)
 	})
 }
 
--- a/gateway/claims_test.go
+++ b/gateway/claims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -233,3 +234,39 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err
 }
+
+// Guards against answers that wait for control and fill the gateway's memory unseen, and against
+// a dispatch that ran and whose key is free again once its answer was given up.
+func TestAnswersInTasksAreBoundedInBytes(t *testing.T) {
+	runInBubble(t, func(t *testing.T, w *testCluster) {
+		const size, calls = 300 << 10, 20
+		w.memoryBudget = 8 << 20
+		engine := &countingEngine{serve: func(rw http.ResponseWriter, _ *http.Request, _ int64) {
+			w.claims.set(func() { w.claims.failCalls = true })
+			_, _ = rw.Write(make([]byte, size))
+		}}
+		w.addAgent("e1", "desk", engine)
+		w.startGateway()
+		for i := range calls {
+			w.claims.set(func() { w.claims.failCalls = false })
+			w.post(booking, "{}", "Idempotency-Key", strconv.Itoa(i)).expect(t, 502, "answer_not_stored")
+		}
+		w.claims.set(func() { w.claims.failCalls = true })
+		held := w.gauge("toucan.gateway.memory.held")
+		assert.Assert(t, held >= size && held <= 8<<20/5, "%d bytes are held", held)
+		w.claims.set(func() { w.claims.failCalls = false })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, w.gauge("toucan.gateway.memory.held"), int64(0))
+		whole := 0
+		for i := range calls {
+			a := w.post(booking, "{}", "Idempotency-Key", strconv.Itoa(i))
+			if a.status == http.StatusOK {
+				whole++
+				continue
+			}
+			a.expect(t, 502, "answer_too_large")
+		}
+		assert.Assert(t, whole > 0)
+		assert.Equal(t, engine.runs.Load(), int64(calls))
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -227,16 +227,18 @@
 }
 
 // background runs a task outside the request path. It drops the task when too many run: tasks
-// are repairs that another process can make too.
-func (g *Gateway) background(task func(ctx context.Context)) {
+// are repairs that another process can make too. It reports whether the task was started. A task
+// must not refer to its call, whose body and answer are counted only until the call ends.
+func (g *Gateway) background(task func(ctx context.Context)) bool {
 	select {
 	case g.taskSlots <- struct{}{}:
 	default:
 		g.metrics.tasksDropped.increment()
-		return
+		return false
 	}
 	g.tasks.Go(func() {
 		defer func() { <-g.taskSlots }()
 		task(g.taskCtx)
 	})
+	return true
 }
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -36,10 +36,12 @@
 )
 
 // memoryAccount counts the memory that a gateway holds for its callers: connections, requests in
-// progress and in queues, their bodies and their buffered answers.
+// progress and in queues, their bodies and their buffered answers, and answers in background tasks.
 type memoryAccount struct {
 	budget memory.Budget
 	held   atomic.Int64
+	// taskAnswers is the part of held for answers in background tasks.
+	taskAnswers atomic.Int64
 	// short is called when more is held than idle connections may keep.
 	short func()
 
@@ -142,6 +144,22 @@
 	a.grant()
 }
 
+// holdTaskAnswer holds an answer for a background task. It returns false, and holds nothing, if the
+// answers of tasks hold too much.
+func (a *memoryAccount) holdTaskAnswer(n int64) bool {
+	if a.taskAnswers.Add(n) > a.budget.TaskAnswers() {
+		a.taskAnswers.Add(-n)
+		return false
+	}
+	a.hold(n)
+	return true
+}
+
+func (a *memoryAccount) releaseTaskAnswer(n int64) {
+	a.taskAnswers.Add(-n)
+	a.release(n)
+}
+
 // RequestMemory is the memory that the gateway accounts for one request. Its methods are called
 // by one goroutine at a time. A nil value accounts for nothing.
 type RequestMemory struct {
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -12,6 +12,10 @@
 	idleShare = 0.6
 	// refusalShare is what may be held before new requests are refused.
 	refusalShare = 0.8
+	// taskAnswerShare is what the answers in background tasks may hold.
+	taskAnswerShare = 0.2
+	// defaultTaskAnswers is what they may hold without a budget, in bytes.
+	defaultTaskAnswers = 64 << 20
 )
 
 // Shares of a process's memory limit.
@@ -57,6 +61,14 @@
 	return b == 0 || held+more <= int64(b)
 }
 
+// TaskAnswers returns how many bytes the answers in background tasks may hold.
+func (b Budget) TaskAnswers() int64 {
+	if b == 0 {
+		return defaultTaskAnswers
+	}
+	return int64(taskAnswerShare * float64(b))
+}
+
 // MayRead reports whether a body may be read beside others that hold bodies bytes. One that is
 // larger than the budget is read alone.
 func (b Budget) MayRead(held, bodies, body int64) bool {
