platform: requests refused before they are decoded are logged

What operators saw: a request refused for short memory wrote no line msg=request, while other refused requests do: its caller had a 503 that the logs of no gateway explained. The same held for bad headers and bodies that were cut or too large.

Cause: the adapter refused them without the request log, which began with the decoded request.

Change: the platform's handler refuses through RefuseIngressRequest, which logs attempt, host, path and outcome as for a request refused for its route. The gateway's own interface has no request log, as before.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -67,16 +67,20 @@
 	g.awaitConfiguration(r.Context(), in)
 	c, p := g.beginIngressRequest(in)
 	if p != nil {
-		g.metrics.recordProblem(p)
-		g.logRefused(in, began, p)
-		g.closeWhenShort(w)
-		writeProblem(w, p)
+		g.RefuseIngressRequest(w, in, began, p, writeProblem)
 		return
 	}
 	c.problemWriter = writeProblem
 	g.serve(w, r, c)
 }
 
+// RefuseIngressRequest answers a request that is refused before it has a route, an account or a
+// service, and logs it. Only ID, Host and Path of the request need to be set.
+func (g *Gateway) RefuseIngressRequest(w http.ResponseWriter, in *IngressRequest, began time.Time, p *Problem, writeProblem func(http.ResponseWriter, *Problem)) {
+	g.logRefused(in, began, p)
+	g.RefuseUndecoded(w, p, writeProblem)
+}
+
 const (
 	// maxConfigurationWait is how long a request waits for the first configuration of a gateway
 	// that has just started. After a restart of all processes a leader is elected within 0.5 s.
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -181,8 +181,8 @@
 	return m, nil
 }
 
-// RefuseUndecoded answers a request that was refused before all of it was decoded. writeProblem
-// writes the problem in the adapter's format.
+// RefuseUndecoded answers a request that was refused before all of it was decoded, without a line
+// in the request log. writeProblem writes the problem in the caller's format.
 func (g *Gateway) RefuseUndecoded(w http.ResponseWriter, p *Problem, writeProblem func(http.ResponseWriter, *Problem)) {
 	g.metrics.recordProblem(p)
 	g.closeWhenShort(w)
