--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -80,7 +80,8 @@
 	CodeEngineFull Code = "engine_full"
 	// CodeEngineLeaving: the engine has said that it leaves and was not sent the request.
 	CodeEngineLeaving Code = "engine_leaving"
-	// CodePaused: the engine has asked for no request for a while and was sent none.
+	// CodePaused: the engine has asked for no request for a while, or the agent has no memory for
+	// the body. The engine was sent nothing.
 	CodePaused      Code = "paused"
 	CodeStaleConfig Code = "stale_config"
 	// CodeQueueTime: the request waited in the queue for the maximum time of its tier.
@@ -158,6 +159,24 @@
 	TooLarge bool `msgpack:"too_large"`
 }
 
+// storedAnswerCost is what a stored answer holds beside its body and headers, in bytes.
+const storedAnswerCost = 256
+
+// MemoryBytes returns the memory that the answer holds, in bytes; 0 for nil.
+func (a *StoredAnswer) MemoryBytes() int64 {
+	if a == nil {
+		return 0
+	}
+	n := storedAnswerCost + cap(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return int64(n)
+}
+
 // MaxStoredAnswer bounds the body of a stored answer, in bytes.
 const MaxStoredAnswer = MaxFrame / 2
 
