--- a/consensus/replica/bootstrap.go
+++ b/consensus/replica/bootstrap.go
@@ -54,7 +54,9 @@
 	answers         map[string]*helloAnswer
 	ticksSinceHello int
 	groupExists     bool
-	loggedWaiting   bool
+	// spaceTicks counts the ticks until the first snapshot is tried again on a full disk.
+	spaceTicks    int
+	loggedWaiting bool
 }
 
 func newFounder(id consensus.ID, address string, initial []string) *founder {
@@ -71,6 +73,7 @@
 	for _, a := range f.answers {
 		a.age++
 	}
+	f.spaceTicks = max(0, f.spaceTicks-1)
 	f.ticksSinceHello++
 	if f.ticksSinceHello < helloIntervalTicks {
 		return nil
--- a/consensus/replica/full_disk_test.go
+++ b/consensus/replica/full_disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -166,3 +167,21 @@
 		}
 	})
 }
+
+// Guards against a group that a full disk of one founder keeps from forming, or that founder
+// from joining it, since its process ends.
+func TestFullDiskOfAFounderDelaysItsJoining(t *testing.T) {
+	for _, full := range []string{"a", "b"} {
+		synctest.Test(t, func(t *testing.T) {
+			g, disks := startSmallDisks(t)
+			defer g.stop()
+			disks[full].SetCapacity(1)
+			time.Sleep(10 * time.Second)
+			g.nodes[full].assertRuns(t)
+			assert.Assert(t, !g.nodes[full].Status().Joined)
+			disks[full].SetCapacity(0)
+			g.waitFor("the group", func() bool { return g.nodes[full].Status().Joined })
+			g.propose("after")
+		})
+	}
+}
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -328,10 +328,20 @@
 }
 
 // joinGroup persists the first snapshot of a group with the founding membership and
-// reloads the replica from it.
+// reloads the replica from it. Without space on the disk the replica stays a founder, and
+// joinGroup is called again for the next Hello or tick.
 func (r *Replica) joinGroup(members consensus.Membership) {
+	if r.founder.spaceTicks > 0 {
+		return
+	}
 	s := foundingSnapshot(members)
-	if err := r.storage.saveSnapshot(s, false); err != nil {
+	err := r.storage.saveSnapshot(s, false)
+	if errors.Is(err, wal.ErrNoSpace) {
+		r.founder.spaceTicks = spaceInterval
+		r.giveUpReserve(err)
+		return
+	}
+	if err != nil {
 		r.fail(err)
 		return
 	}
