link: a net/rpc connection doesn't hold the buffer of its largest message

Seen: memory that stays in use after large messages, by the number of connections x the largest document: 20 connections, one request and one reply of 512 KiB each, held 44 MB at both ends together, for as long as they were open.

Fix: codecs of our own with the stream of net/rpc. Values are encoded by encoders that all connections share through a sync.Pool; the definitions of types, which a peer must get once, by an encoder of the connection that never encodes more than zero values. After a message above 64 KiB the decoder is given a small one, so that it lets go of the large one. A pooled encoder that has grown serves only a run of large messages. No connection is replaced, so calls that wait, probes, the order of packets, Close and TLS handshakes are as before. Replacing the connection after a large message was weighed: it dials whenever large messages follow each other and keeps old connections for as long as their long polls. The price: values can't have fields of interface types (none has).

TestCallsAroundLargeMessages passes before and after: it guards the codecs and their agreement with those of net/rpc in both directions.

--- a/link/rpc.go
+++ b/link/rpc.go
@@ -51,7 +51,8 @@
 	return s
 }
 
-// Register adds a service under a name; its methods follow the rules of net/rpc.
+// Register adds a service under a name; its methods follow the rules of net/rpc, and their
+// arguments and replies have no fields of interface types.
 func (s *Server) Register(name string, service any) error { return s.rpc.RegisterName(name, service) }
 
 // Serve accepts connections until the listener closes and then returns nil. Another failure to
@@ -95,7 +96,7 @@
 }
 
 func (s *Server) serveConn(c net.Conn) {
-	s.rpc.ServeConn(&limitedConn{Conn: writeTimeoutConn{c}})
+	s.rpc.ServeCodec(newServerCodec(&limitedConn{Conn: writeTimeoutConn{c}}))
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -220,7 +221,7 @@
 		return nil, err
 	}
 	activity := &activityConn{Conn: &limitedConn{Conn: writeTimeoutConn{nc}}, opened: time.Now()}
-	c.conn = &connection{Client: rpc.NewClient(activity), activity: activity, done: make(chan struct{})}
+	c.conn = &connection{Client: rpc.NewClientWithCodec(newClientCodec(activity)), activity: activity, done: make(chan struct{})}
 	go c.probe(c.conn)
 	return c.conn, nil
 }
