replica: a founder stays one after a restart until the group is formed

What callers saw: the system doesn't start.

Cause: that a replica founds was known to its command line only, not to its data folder.

Change: a founder stores the addresses of the founders in the place of the core's state, before it sends anything; the first state of the group replaces it. A folder that was lost or discarded has none, and asks to be added, as before. With a full disk nothing is stored, and the replica founds while this process runs.

Evidence: the test failed before with "timed out waiting for the group".

--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -177,9 +177,9 @@
 		return err
 	}
 	if recovered.Snapshot == nil {
-		initial := r.cfg.InitialMembers
-		if r.storage.discarded {
-			initial = nil // its former group exists
+		initial, err := r.initialMembers()
+		if err != nil {
+			return err
 		}
 		r.founder = newFounder(r.storage.id, r.cfg.Address, initial)
 		return nil
@@ -187,6 +187,22 @@
 	return r.restore(recovered.Snapshot)
 }
 
+// initialMembers returns the addresses with which the replica may form a group, if any. A founder
+// whose process ends before the group is formed is one after a restart too: the others wait for it.
+func (r *Replica) initialMembers() ([]string, error) {
+	switch {
+	case r.storage.discarded:
+		return nil, nil // its former group exists
+	case len(r.cfg.InitialMembers) == 0:
+		return r.storage.founders, nil
+	}
+	err := r.storage.saveFounders(r.cfg.InitialMembers)
+	if errors.Is(err, wal.ErrNoSpace) {
+		err = nil // joinGroup needs more space than this, and waits for it
+	}
+	return r.cfg.InitialMembers, err
+}
+
 func (r *Replica) restore(s *consensus.Snapshot) error {
 	if len(s.Data) == 0 {
 		return nil
--- a/consensus/replica/replica_test.go
+++ b/consensus/replica/replica_test.go
@@ -152,6 +152,24 @@
 	})
 }
 
+// Guards against a group that never forms because the founder that decides on it ended before it had
+// met the others, and was told after its restart to join a group.
+func TestFounderThatEndedBeforeTheFormationFormsTheGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, link.NewMemory())
+		defer g.stop()
+		g.addresses = []string{"a", "b", "c"}
+		g.kill(g.start("a"))
+		g.start("b")
+		g.start("c")
+		time.Sleep(time.Second)
+		g.addresses = nil
+		g.start("a")
+		g.waitFor("the group", func() bool { return g.nodes["a"].joined() && g.nodes["b"].joined() && g.nodes["c"].joined() })
+		g.propose("command")
+	})
+}
+
 func (n *node) joined() bool { return n.Status().Joined }
 
 // Guards against a membership call that reports success before the change is committed, and
--- a/consensus/replica/storage.go
+++ b/consensus/replica/storage.go
@@ -16,6 +16,14 @@
 	id consensus.ID
 	// discarded is true if the data folder held a log that was discarded.
 	discarded bool
+	// founders are the addresses with which the replica was to form a group that it did not join
+	// before its process ended.
+	founders []string
+}
+
+// foundingState is stored in the place of the core's state until the replica belongs to a group.
+type foundingState struct {
+	Founders []string `msgpack:"founders"`
 }
 
 // snapshotMeta is the core's part of a stored snapshot.
@@ -40,6 +48,9 @@
 	}
 	s := &storage{log: log, id: consensus.ID(found.Owner), discarded: found.Discarded}
 	r, err := decodeRecovered(found)
+	if err == nil {
+		s.founders, err = decodeFounders(found)
+	}
 	if err != nil {
 		_ = log.Close()
 		return nil, r, fmt.Errorf("data folder %s: %w", folder, err)
@@ -47,6 +58,26 @@
 	return s, r, nil
 }
 
+func decodeFounders(found *wal.Recovered) ([]string, error) {
+	var f foundingState
+	if found.Snapshot != nil || found.State == nil {
+		return nil, nil
+	}
+	if err := msgpack.Unmarshal(found.State, &f); err != nil {
+		return nil, fmt.Errorf("decode founders: %w", err)
+	}
+	return f.Founders, nil
+}
+
+// saveFounders records the addresses with which the replica is to form a group.
+func (s *storage) saveFounders(addresses []string) error {
+	state, err := msgpack.Marshal(&foundingState{Founders: addresses})
+	if err != nil {
+		return fmt.Errorf("encode founders: %w", err)
+	}
+	return s.log.Append(state, nil)
+}
+
 func decodeRecovered(found *wal.Recovered) (consensus.Recovered, error) {
 	var r consensus.Recovered
 	if found.State != nil {
