consensus: a large entry on its way is not sent again with every second heartbeat

Cause: a leader took entries for lost when a follower's log had not grown between two answers to heartbeats, 120 ms apart, whatever the size of the entries, and sent them again. A document of 0.4 MB or more that takes longer than that to send, encode and store was queued again and again for each follower, and the copies filled link and processor. The incident's class: what is bounded by a count (rounds of heartbeats), not by bytes.

Change: entries are sent again only once a connection of 16 KiB a tick would have carried them.

Evidence: the test failed before with "62 (sent int) != 2 (int): one for each follower" in 60 ticks.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -11,6 +11,7 @@
 	DefaultElectionTicks    = 10
 	DefaultHeartbeatTicks   = 2
 	DefaultAppendBytes      = 1 << 20
+	DefaultResendBytes      = 16 << 10
 	DefaultWindow           = 4096
 	DefaultWindowBytes      = 8 << 20
 	DefaultPieceBytes       = 256 << 10
@@ -50,6 +51,9 @@
 	// WindowBytes is the size of the entries sent to a follower and not yet acknowledged beyond
 	// which no further append is sent.
 	WindowBytes int
+	// ResendBytes is the size of the entries that a slow connection carries in one tick. Entries on
+	// their way are not assumed lost, and sent again, before that time.
+	ResendBytes int
 	// PieceBytes is the maximum size of one piece of a snapshot.
 	PieceBytes int
 	// Trailing is the number of entries before a snapshot that stay in memory, so that a
@@ -75,6 +79,7 @@
 	set(&c.ElectionTicks, DefaultElectionTicks)
 	set(&c.HeartbeatTicks, DefaultHeartbeatTicks)
 	set(&c.AppendBytes, DefaultAppendBytes)
+	set(&c.ResendBytes, DefaultResendBytes)
 	set(&c.PieceBytes, DefaultPieceBytes)
 	set(&c.WindowBytes, DefaultWindowBytes)
 	set(&c.TrailingBytes, DefaultTrailingBytes)
@@ -187,6 +192,7 @@
 func (c *Core) tickLeader() {
 	for _, p := range c.peers {
 		p.silentTicks++
+		p.sentTicks++
 	}
 	if !c.hasActiveQuorum() {
 		c.becomeFollower(c.state.Term, 0)
--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -17,6 +17,8 @@
 	cores       map[consensus.ID]*consensus.Core
 	partitioned map[consensus.ID]bool
 	inFlight    []consensus.Message
+	// lost, if set, reports whether a message is lost.
+	lost func(m *consensus.Message) bool
 	// sent counts the messages by type; tests may clear it.
 	sent map[consensus.MessageType]int
 }
@@ -87,6 +89,9 @@
 		messages := c.inFlight
 		c.inFlight = nil
 		for _, m := range messages {
+			if c.lost != nil && c.lost(&m) {
+				continue
+			}
 			if core := c.cores[m.To]; core != nil && !c.partitioned[m.To] && !c.partitioned[m.From] {
 				core.Step(m)
 			}
@@ -328,6 +333,27 @@
 	assert.Equal(t, c.cores[1].Status().Commit, uint64(1))
 }
 
+// Guards against a leader that sends a large entry again with each second heartbeat while the first
+// copy is still on its way, until the copies fill the connection.
+func TestLargeEntryOnItsWayIsSentOnce(t *testing.T) {
+	c := newThreeVoterCluster(t)
+	leader := c.elect(1)
+	sent := 0
+	c.lost = func(m *consensus.Message) bool {
+		if len(m.Entries) > 0 {
+			sent++
+		}
+		return len(m.Entries) > 0
+	}
+	_, _, err := leader.Propose(make([]byte, 1<<20))
+	assert.NilError(t, err)
+	c.deliverAll()
+	c.tick(60, 1)
+	assert.Equal(t, sent, 2, "one for each follower")
+	c.tick(30, 1)
+	assert.Equal(t, sent, 4, "a lost entry is sent again")
+}
+
 // Guards against a read served by a leader that no quorum has confirmed since the read began.
 func TestReadWaitsForAQuorum(t *testing.T) {
 	c := newThreeVoterCluster(t)
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -24,6 +24,10 @@
 	next  uint64
 	// silentTicks is the number of ticks since the last message from the peer.
 	silentTicks int
+	// sentTicks is the number of ticks since entries were last sent to the peer, sentBytes the size
+	// of those that were.
+	sentTicks int
+	sentBytes int
 	// probePending is true while an append sent in the probing state is unanswered.
 	probePending bool
 	// ackedRound is the latest heartbeat round that the peer answered.
@@ -150,6 +154,12 @@
 	}
 	c.send(m)
 	p.sentCommit = c.commit
+	if len(m.Entries) > 0 {
+		p.sentTicks, p.sentBytes = 0, 0
+		for _, e := range m.Entries {
+			p.sentBytes += len(e.Data)
+		}
+	}
 	if p.state == probing {
 		p.probePending = true
 		return
@@ -188,6 +198,7 @@
 	case p.state == installing:
 		p.resent = true
 		c.sendPiece(p)
+	case c.mayBeOnTheWay(p):
 	case p.match < c.log.last() && p.state == replicating:
 		p.next = p.match + 1
 	case p.state == probing:
@@ -195,6 +206,16 @@
 	}
 }
 
+// mayBeOnTheWay reports whether the entries last sent to a peer may not have arrived yet because of
+// their size.
+func (c *Core) mayBeOnTheWay(p *peer) bool {
+	size := uint64(p.sentBytes)
+	if p.state == replicating {
+		size = max(size, c.log.bytesBetween(p.match, p.next-1))
+	}
+	return uint64(p.sentTicks) < size/uint64(c.cfg.ResendBytes)
+}
+
 // onAppendRejected goes back to probing, from the last entry that both logs may share.
 func (c *Core) onAppendRejected(p *peer, m *Message) {
 	if p.state == installing || m.Index > c.log.last() {
