replica: heartbeats do not wait behind the log

Cause: one queue and one call at a time for each follower carried heartbeats, votes and the log. A heartbeat that waits behind a document of 0.4 MB on a link of 100 Mbit/s, beside four other followers, comes after the election timeout (0.3 s); a call that took longer than 0.5 s was given up, and its packets were lost. So the leader was deposed in calm while it served the very change, and the next one began again.

The core tolerates any order between the two.

--- a/consensus/replica/transport.go
+++ b/consensus/replica/transport.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"toucantiller.dev/consensus"
 	"toucantiller.dev/link"
 )
 
@@ -20,34 +21,50 @@
 	// exceed maxSendBytes.
 	maxSendPackets = 256
 	maxSendBytes   = 4 << 20
-	sendTimeout    = 500 * time.Millisecond
+	// signalTimeout and bulkTimeout bound one call.
+	signalTimeout = 500 * time.Millisecond
+	bulkTimeout   = 5 * time.Second
 )
 
 // Delivery is the argument of the RPC method "Consensus.Deliver".
 type Delivery struct{ Packets []Packet }
 
-// LinkTransport sends packets over net/rpc. Each peer has one client and one queue. One call
-// at a time carries the queued packets; packets for a full queue are dropped.
+// LinkTransport sends packets over net/rpc. Each peer has a queue and a client for packets that
+// carry the log or a snapshot, and others for all the rest: a heartbeat that waited behind a large
+// document would come after the election timeout. One call at a time carries the queued packets of
+// a queue; packets for a full queue are dropped.
 type LinkTransport struct {
 	network link.Network
 	receive atomic.Pointer[func(Packet)]
 
 	mu      sync.Mutex
-	peers   map[string]*peerQueue
+	queues  map[lane]*peerQueue
 	closed  bool
 	senders sync.WaitGroup
 	stop    context.CancelFunc
 	ctx     context.Context
 }
 
+// lane names one of the two queues of a peer.
+type lane struct {
+	address string
+	bulk    bool
+}
+
 type peerQueue struct {
-	client *link.Client
-	queue  *packetQueue
+	client  *link.Client
+	queue   *packetQueue
+	timeout time.Duration
+}
+
+// isBulk reports whether a packet carries the log or a snapshot. Packets of these kinds stay in order.
+func (p *Packet) isBulk() bool {
+	return p.Message != nil && (p.Message.Type == consensus.MsgAppend || p.Message.Type == consensus.MsgSnapshot)
 }
 
 // NewLinkTransport returns a transport and registers its service on the server.
 func NewLinkTransport(network link.Network, server *link.Server) (*LinkTransport, error) {
-	t := &LinkTransport{network: network, peers: make(map[string]*peerQueue)}
+	t := &LinkTransport{network: network, queues: make(map[lane]*peerQueue)}
 	t.ctx, t.stop = context.WithCancel(context.Background())
 	if err := server.Register(serviceName, &deliveryService{t}); err != nil {
 		return nil, err
@@ -81,23 +98,26 @@
 
 // Send queues a packet for an address, or drops it if the queue is full.
 func (t *LinkTransport) Send(address string, p Packet) {
-	peer := t.queueFor(address)
+	peer := t.queueFor(lane{address: address, bulk: p.isBulk()})
 	if peer == nil {
 		return
 	}
 	peer.queue.add(p)
 }
 
-func (t *LinkTransport) queueFor(address string) *peerQueue {
+func (t *LinkTransport) queueFor(to lane) *peerQueue {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
 		return nil
 	}
-	peer := t.peers[address]
+	peer := t.queues[to]
 	if peer == nil {
-		peer = &peerQueue{client: link.NewClient(t.network, address), queue: newPacketQueue(sendQueueSize)}
-		t.peers[address] = peer
+		peer = &peerQueue{client: link.NewClient(t.network, to.address), queue: newPacketQueue(sendQueueSize), timeout: signalTimeout}
+		if to.bulk {
+			peer.timeout = bulkTimeout
+		}
+		t.queues[to] = peer
 		t.senders.Add(1)
 		go t.sendQueued(peer)
 	}
@@ -115,7 +135,7 @@
 			return
 		case p := <-peer.queue.packets:
 			peer.queue.taken(&p)
-			ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
+			ctx, cancel := context.WithTimeout(t.ctx, peer.timeout)
 			_ = peer.client.Call(ctx, serviceName+".Deliver", &Delivery{peer.nextBatch(p)}, &struct{}{})
 			cancel()
 		}
