replica: the start of a founder does not replace a stored term and vote

Change: a replica that has stored a term or a vote keeps it, and stores no founders; it founds while this process runs, as before saveFounders.

Evidence: the test failed before with Term 0 and Vote 0 in the place of 3 and 7; the tests of consensus pass.

--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -177,7 +177,7 @@
 		return err
 	}
 	if recovered.Snapshot == nil {
-		initial, err := r.initialMembers()
+		initial, err := r.initialMembers(recovered.State)
 		if err != nil {
 			return err
 		}
@@ -189,12 +189,14 @@
 
 // initialMembers returns the addresses with which the replica may form a group, if any. A founder
 // whose process ends before the group is formed is one after a restart too: the others wait for it.
-func (r *Replica) initialMembers() ([]string, error) {
+func (r *Replica) initialMembers(stored consensus.State) ([]string, error) {
 	switch {
 	case r.storage.discarded:
 		return nil, nil // its former group exists
 	case len(r.cfg.InitialMembers) == 0:
 		return r.storage.founders, nil
+	case stored != consensus.State{}:
+		return r.cfg.InitialMembers, nil // a term or vote must not be replaced by the founders
 	}
 	err := r.storage.saveFounders(r.cfg.InitialMembers)
 	if errors.Is(err, wal.ErrNoSpace) {
--- a/consensus/replica/schedule_test.go
+++ b/consensus/replica/schedule_test.go
@@ -120,6 +120,23 @@
 	assert.DeepEqual(t, found.State, want)
 }
 
+// Guards against a replica without a snapshot whose start as a founder replaces its vote and term.
+func TestVoteSurvivesTheStartOfAFounder(t *testing.T) {
+	disk := faultfs.New(1)
+	s, _, err := openStorage("/data", wal.Options{FS: disk})
+	assert.NilError(t, err)
+	want := consensus.State{Term: 3, Vote: 7}
+	assert.NilError(t, s.save(&consensus.Ready{State: &want}))
+	disk.Restart()
+	h := &host{}
+	_, err = open(Config{DataFolder: "/data", Address: "a", InitialMembers: []string{"a", "b"}, Transport: h, StateMachine: h, FS: disk})
+	assert.NilError(t, err)
+	disk.Restart()
+	_, found, err := openStorage("/data", wal.Options{FS: disk})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, found.State, want)
+}
+
 // Guards against the same faults as TestSchedules, with schedules that rapid generates and
 // shrinks.
 func TestRapidSchedules(t *testing.T) {
