memory: one type counts bytes up to a bound

The change had the same counter twice: agent.Bodies and the proposals of a replica both count bytes up to a limit and hold what is larger than it alone. memory.Bound serves both; the gateway's account stays apart, since it holds nothing alone and counts into a second sum.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -48,9 +48,10 @@
 	// MaxAnswers bounds the answers of claimed dispatches that the agent holds, in bytes; 0
 	// selects memory.AgentOf without a limit.
 	MaxAnswers int64
-	// Bodies bounds the bodies that the agent holds, together with the other agents that have the
-	// same value; nil selects a bound of its own, memory.AgentOf without a limit.
-	Bodies *Bodies
+	// Bodies bounds the bodies of dispatches that the agent holds, from before they are read until
+	// their dispatches end, together with the other agents that have the same value; nil selects a
+	// bound of its own, memory.AgentOf without a limit.
+	Bodies *memory.Bound
 	// DataFolder, when set, stores the highest fencing token so that it survives restarts.
 	DataFolder string
 	// Pace bounds the starts per second at an endpoint that announces itself; the zero value
@@ -97,7 +98,7 @@
 		opt.MaxAnswers = memory.AgentOf(0).Answers
 	}
 	if opt.Bodies == nil {
-		opt.Bodies = NewBodies(memory.AgentOf(0).Bodies)
+		opt.Bodies = memory.NewBound(memory.AgentOf(0).Bodies)
 	}
 	if opt.Pace == (Pace{}) {
 		opt.Pace = DefaultPace
--- a/agent/bodies_test.go
+++ b/agent/bodies_test.go
@@ -14,6 +14,7 @@
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/link"
+	"toucantiller.dev/memory"
 )
 
 // sendBody sends a dispatch with a body of 1 MiB.
@@ -34,7 +35,7 @@
 	network := link.NewMemory()
 	a, err := agent.New(agent.Options{
 		Endpoint: endpoint.Endpoint{ID: "e", Incarnation: 2, Service: "s", Version: "1"},
-		Engine:   &blockedEngine{}, View: noView{}, Bodies: agent.NewBodies(3 << 20),
+		Engine:   &blockedEngine{}, View: noView{}, Bodies: memory.NewBound(3 << 20),
 	})
 	assert.NilError(t, err)
 	l, err := network.Listen("agent")
--- a/agent/host/host.go
+++ b/agent/host/host.go
@@ -19,6 +19,7 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
+	"toucantiller.dev/memory"
 	"toucantiller.dev/timeline"
 )
 
@@ -44,7 +45,7 @@
 	// Pace bounds the dispatches that start at an endpoint per second.
 	Pace agent.Pace
 	// Bodies bounds the bodies that all agents hold together; nil gives each a bound of its own.
-	Bodies *agent.Bodies
+	Bodies *memory.Bound
 	// NewEngine returns the client of the endpoint at "ip:port".
 	NewEngine func(target string) endpoint.Engine
 }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -27,17 +27,17 @@
 	}
 	arrived := a.now()
 	size := a.heldFor(r)
-	if !a.opt.Bodies.hold(size) {
+	if !a.opt.Bodies.Hold(size) {
 		a.refuseBody(w, h)
 		return
 	}
-	defer func() { a.opt.Bodies.release(size) }()
+	defer func() { a.opt.Bodies.Release(size) }()
 	body, err := a.readBody(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	a.opt.Bodies.release(size - int64(len(body)))
+	a.opt.Bodies.Release(size - int64(len(body)))
 	size = int64(len(body))
 	a.open.Add(1)
 	defer a.open.Add(-1)
--- a/consensus/replica/queue.go
+++ b/consensus/replica/queue.go
@@ -1,6 +1,10 @@
 package replica
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"toucantiller.dev/memory"
+)
 
 // packetOverhead is counted for each packet in addition to its entries and pieces, in bytes.
 const packetOverhead = 100
@@ -55,22 +59,15 @@
 // for a place in it.
 type proposalQueue struct {
 	waiting chan proposal
-	bytes   atomic.Int64
+	bytes   *memory.Bound
 }
 
 func newProposalQueue(length int) *proposalQueue {
-	return &proposalQueue{waiting: make(chan proposal, length)}
+	return &proposalQueue{waiting: make(chan proposal, length), bytes: memory.NewBound(maxQueuedProposalBytes)}
 }
 
 // reserve counts a command and reports whether it may wait. A command that waits alone may.
-func (q *proposalQueue) reserve(command []byte) bool {
-	size := int64(len(command))
-	if sum := q.bytes.Add(size); sum > size && sum > maxQueuedProposalBytes {
-		q.release(command)
-		return false
-	}
-	return true
-}
+func (q *proposalQueue) reserve(command []byte) bool { return q.bytes.Hold(int64(len(command))) }
 
 // release must be called for each reserved command once it no longer waits.
-func (q *proposalQueue) release(command []byte) { q.bytes.Add(-int64(len(command))) }
+func (q *proposalQueue) release(command []byte) { q.bytes.Release(int64(len(command))) }
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -1,6 +1,6 @@
 // Package memory decides what a gateway does as the memory that it holds for its callers nears a
 // budget: it closes idle connections first, then refuses new requests, then lets bodies wait. It
-// also bounds what an agent holds.
+// also bounds what an agent holds, and counts bytes up to a bound for others.
 package memory
 
 // Budget is the memory in bytes that a gateway may hold for its callers; 0 means no bound.
--- a/program/agent.go
+++ b/program/agent.go
@@ -127,7 +127,7 @@
 		Timeline:   a.admin.Timeline,
 		Meter:      a.admin.Telemetry.Meter("toucantiller.dev/agent"),
 		MaxAnswers: bounds.Answers,
-		Bodies:     agent.NewBodies(bounds.Bodies),
+		Bodies:     memory.NewBound(bounds.Bodies),
 	})
 	if err != nil {
 		return err
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -10,7 +10,6 @@
 
 	kitlog "github.com/go-kit/log"
 
-	"toucantiller.dev/agent"
 	"toucantiller.dev/agent/host"
 	"toucantiller.dev/control"
 	"toucantiller.dev/control/api"
@@ -171,7 +170,7 @@
 	g.host, err = host.New(host.Options{
 		Self: g.member.self, View: g.member, Network: g.member.network, Logger: g.logger, Timeline: g.admin.Timeline,
 		Pace:      g.settings.pace(),
-		Bodies:    agent.NewBodies(memory.AgentOf(int64(g.settings.MemoryLimit)).HostedBodies),
+		Bodies:    memory.NewBound(memory.AgentOf(int64(g.settings.MemoryLimit)).HostedBodies),
 		NewEngine: func(target string) endpoint.Engine { return platform.NewEngine(nil, target, 0) },
 	})
 	return err
