dispatch: one count of an answer's bytes

The change counted headers and body of a stored answer twice: in StoredAnswer.MemoryBytes, for agents and gateways, and in the size of a record of an Idempotency-Key. Both call ContentBytes now. It counts lengths, not capacities, so that replicas agree on the size of the claims as before; MemoryBytes adds the spare capacity of the body as before.

Tests of dispatch, idempotency, agent, gateway and control/state pass unchanged.

--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -167,14 +167,23 @@
 	if a == nil {
 		return 0
 	}
-	n := storedAnswerCost + cap(a.Body)
+	return int64(storedAnswerCost + a.ContentBytes() + cap(a.Body) - len(a.Body))
+}
+
+// ContentBytes returns the size of the headers and the body, in bytes; 0 for nil. It is the same
+// wherever the answer was decoded.
+func (a *StoredAnswer) ContentBytes() int {
+	if a == nil {
+		return 0
+	}
+	n := len(a.Body)
 	for name, values := range a.Header {
 		n += len(name)
 		for _, v := range values {
 			n += len(v)
 		}
 	}
-	return int64(n)
+	return n
 }
 
 // MaxStoredAnswer bounds the body of a stored answer, in bytes.
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -41,17 +41,7 @@
 
 // size estimates the size of a record in bytes.
 func (r *Record) size() int {
-	n := recordOverhead + len(r.BodyDigest) + len(r.Owner) + len(r.Target.ID) + len(r.Target.Address)
-	if r.Answer == nil {
-		return n
-	}
-	for name, values := range r.Answer.Header {
-		n += len(name)
-		for _, v := range values {
-			n += len(v)
-		}
-	}
-	return n + len(r.Answer.Body)
+	return recordOverhead + len(r.BodyDigest) + len(r.Owner) + len(r.Target.ID) + len(r.Target.Address) + r.Answer.ContentBytes()
 }
 
 // Measure computes the size of a table whose Records were decoded.
