distribution: count the size of a configuration without encoding it

What was wrong, in this change: each process encoded each new configuration and directory to msgpack only to count its bytes for the bound on past ones, and an encoding that failed would have kept the value from being accepted.

Change: history.add counts what the value holds by its exported fields, without encoding or allocating; Accept is as it was before the bound.

TestKeptBasesAreBoundedInBytes passes unchanged.

--- a/distribution/delta.go
+++ b/distribution/delta.go
@@ -7,8 +7,6 @@
 	"slices"
 	"strings"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"toucantiller.dev/account"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
@@ -21,20 +19,20 @@
 // newest, and caches the deltas from them to the newest one.
 type history[T, D any] struct {
 	revisions []uint64
-	// sizes holds the encoded size of each value, in the order of revisions, and bytes their sum.
+	// sizes holds the size of each value in bytes, in the order of revisions, and bytes their sum.
 	sizes  []int
 	bytes  int
 	values map[uint64]*T
 	deltas map[uint64]*D
 }
 
-// add adds the newest value; size is its encoded size in bytes.
-func (h *history[T, D]) add(revision uint64, value *T, size int) {
+func (h *history[T, D]) add(revision uint64, value *T) {
 	if h.values == nil {
 		h.values = make(map[uint64]*T)
 	}
 	h.revisions = append(h.revisions, revision)
 	h.values[revision] = value
+	size := contentSize(value)
 	h.sizes = append(h.sizes, size)
 	h.bytes += size
 	h.deltas = make(map[uint64]*D)
@@ -45,18 +43,41 @@
 	}
 }
 
-// encodedSize returns about how many bytes a value takes when it is sent, without keeping them.
-func encodedSize(v any) (int, error) {
-	var n byteCounter
-	err := msgpack.NewEncoder(&n).Encode(v)
-	return int(n), err
-}
+// contentSize returns about how many bytes the content of v takes. It neither encodes nor allocates,
+// since every process counts each new configuration and directory.
+func contentSize[T any](v *T) int { return heldSize(reflect.ValueOf(v).Elem()) }
 
-type byteCounter int
+// heldSize returns the memory in bytes that a value takes with everything its exported fields refer to,
+// each as often as they do. Unexported fields are indexes over the others.
+func heldSize(v reflect.Value) int { return int(v.Type().Size()) + referredSize(v) }
 
-func (n *byteCounter) Write(p []byte) (int, error) {
-	*n += byteCounter(len(p))
-	return len(p), nil
+// referredSize is heldSize without the value itself.
+func referredSize(v reflect.Value) int {
+	n := 0
+	switch v.Kind() {
+	case reflect.String:
+		n = v.Len()
+	case reflect.Pointer:
+		if !v.IsNil() {
+			n = heldSize(v.Elem())
+		}
+	case reflect.Slice:
+		n = v.Len() * int(v.Type().Elem().Size())
+		for i := range v.Len() {
+			n += referredSize(v.Index(i))
+		}
+	case reflect.Map:
+		for pairs := v.MapRange(); pairs.Next(); {
+			n += heldSize(pairs.Key()) + heldSize(pairs.Value())
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if f := v.Field(i); f.CanInterface() {
+				n += referredSize(f)
+			}
+		}
+	}
+	return n
 }
 
 // delta returns the change from a revision to the newest value, or nil when the revision
--- a/distribution/holder.go
+++ b/distribution/holder.go
@@ -31,8 +31,8 @@
 // HistoryKept is the number of latest revisions that a Holder keeps as bases of deltas.
 const HistoryKept = 8
 
-// HistoryBytes bounds the encoded sizes of the configurations that a Holder keeps as bases of
-// deltas, and those of the directories. The newest is kept whatever its size.
+// HistoryBytes bounds the sizes of the configurations that a Holder keeps as bases of deltas, and
+// those of the directories. The newest is kept whatever its size.
 const HistoryBytes = 8 << 20
 
 // NeverFresh is the age that Freshness returns before the first beacon.
@@ -155,17 +155,13 @@
 	if err != nil {
 		return false, err
 	}
-	configSize, directorySize, err := viewSizes(config, directory)
-	if err != nil {
-		return false, err
-	}
 	if config != nil {
-		h.configs.add(config.Revision, config, configSize)
+		h.configs.add(config.Revision, config)
 		h.config.Store(config)
 		h.recorder.Record(timeline.Event{Kind: "config.accepted", Revision: config.Revision})
 	}
 	if directory != nil {
-		h.directories.add(directory.Revision, directory, directorySize)
+		h.directories.add(directory.Revision, directory)
 		h.directory.Store(directory)
 	}
 	changed = config != nil || directory != nil
@@ -179,19 +175,6 @@
 	return changed, nil
 }
 
-// viewSizes returns the encoded sizes of the values that are not nil.
-func viewSizes(config *contract.Config, directory *api.Directory) (configSize, directorySize int, err error) {
-	if config != nil {
-		if configSize, err = encodedSize(&config.Parts); err != nil {
-			return 0, 0, err
-		}
-	}
-	if directory != nil {
-		directorySize, err = encodedSize(directory)
-	}
-	return configSize, directorySize, err
-}
-
 // nextConfig returns the configuration in the view, or nil when it contains none that is
 // newer than the present one.
 func (h *Holder) nextConfig(v *api.View) (*contract.Config, error) {
