consensus: the log counts the entries that were sent

The change summed the data of the entries of an append by a loop of its own, beside entryLog.bytesBetween, which counts the same entries for the window and for what waits for a quorum. Now both sides of mayBeOnTheWay are measured alike.

Effect: the 64 bytes that the log counts for each entry count here too. A probe with many small entries waits longer before it is sent again, by one tick for each 256 of them. TestLargeEntryOnItsWayIsSentOnce and the schedules pass unchanged.

--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -27,7 +27,7 @@
 	// sentTicks is the number of ticks since entries were last sent to the peer, sentBytes the size
 	// of those that were.
 	sentTicks int
-	sentBytes int
+	sentBytes uint64
 	// probePending is true while an append sent in the probing state is unanswered.
 	probePending bool
 	// ackedRound is the latest heartbeat round that the peer answered.
@@ -155,10 +155,7 @@
 	c.send(m)
 	p.sentCommit = c.commit
 	if len(m.Entries) > 0 {
-		p.sentTicks, p.sentBytes = 0, 0
-		for _, e := range m.Entries {
-			p.sentBytes += len(e.Data)
-		}
+		p.sentTicks, p.sentBytes = 0, c.log.bytesBetween(m.Index, m.Index+uint64(len(m.Entries)))
 	}
 	if p.state == probing {
 		p.probePending = true
@@ -209,7 +206,7 @@
 // mayBeOnTheWay reports whether the entries last sent to a peer may not have arrived yet because of
 // their size.
 func (c *Core) mayBeOnTheWay(p *peer) bool {
-	size := uint64(p.sentBytes)
+	size := p.sentBytes
 	if p.state == replicating {
 		size = max(size, c.log.bytesBetween(p.match, p.next-1))
 	}
