--- a/consensus/replica/transport.go
+++ b/consensus/replica/transport.go
@@ -14,7 +14,7 @@
 const (
 	serviceName   = "Consensus"
 	sendQueueSize = 1024
-	// maxQueuedBytes bounds the packets that wait for one peer, and those that a replica has
+	// maxQueuedBytes bounds the packets in one queue for a peer, and those that a replica has
 	// received and not yet processed. The last packet may exceed it.
 	maxQueuedBytes = 8 << 20
 	// maxSendPackets and maxSendBytes bound the packets in one call. The last packet may
