--- a/control/client.go
+++ b/control/client.go
@@ -134,6 +134,12 @@
 	return call(ctx, c, "DrawBudget", in, func(r *api.BudgetGrant) (string, bool) { return r.Leader, true })
 }
 
+// ReportUsage reports what a gateway has counted. The reply's time belongs to the last attempt, so
+// the sender takes the time only from calls that were short.
+func (c *Client) ReportUsage(ctx context.Context, in *api.ReportUsage) (*api.UsageReply, error) {
+	return call(ctx, c, "ReportUsage", in, func(r *api.UsageReply) (string, bool) { return r.Leader, true })
+}
+
 // NextToken issues a fencing token.
 func (c *Client) NextToken(ctx context.Context) (uint64, error) {
 	r, err := call(ctx, c, "NextToken", &api.Empty{}, func(r *api.TokenReply) (string, bool) { return r.Leader, true })
--- a/control/control.go
+++ b/control/control.go
@@ -24,6 +24,7 @@
 	"toucantiller.dev/link"
 	"toucantiller.dev/quarantine"
 	"toucantiller.dev/timeline"
+	"toucantiller.dev/usage"
 )
 
 // ServiceName is the net/rpc name of the control service.
@@ -102,6 +103,9 @@
 	evidence  *evidenceCollector
 	// budgets holds the token limits that gateways draw from.
 	budgets *budget.Pool
+	// usage adds up what gateways count in windows of usageWindow; 0 counts nothing.
+	usage       *usage.Collector
+	usageWindow time.Duration
 	// detector counts the endpoints that ended under parts of prompts in this term.
 	detector *quarantine.Detector
 	// lastHeartbeats holds the last heartbeat of each endpoint that announces itself.
@@ -148,6 +152,7 @@
 		leases:         lease.NewTable(lease.TTL),
 		evidence:       newEvidenceCollector(),
 		budgets:        budget.NewPool(opts.TokenTolerance),
+		usage:          usage.NewCollector(0),
 		detector:       quarantine.NewDetector(),
 		lastHeartbeats: make(map[endpoint.ID]lastHeartbeat),
 	}
--- a/control/leader.go
+++ b/control/leader.go
@@ -16,6 +16,7 @@
 	"toucantiller.dev/quarantine"
 	"toucantiller.dev/timeline"
 	"toucantiller.dev/uptime"
+	"toucantiller.dev/usage"
 )
 
 // Timing of the leader.
@@ -120,6 +121,7 @@
 	s.admission = lease.NewAdmission(s.opts.RegistrationsPerSecond, s.opts.RegistrationBurst)
 	s.evidence = newEvidenceCollector()
 	s.budgets = budget.NewPool(s.opts.TokenTolerance)
+	s.usage = usage.NewCollector(s.usageWindow)
 	s.detector = quarantine.NewDetector()
 	clear(s.lastHeartbeats)
 	s.mu.Unlock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -55,6 +55,8 @@
 	released bool
 	// connected is set once net/http has a connection for the dispatch.
 	connected atomic.Bool
+	// begun is set once the run has been counted.
+	begun bool
 	// silent is set when no frame arrived within dispatch.SilenceTimeout.
 	silent atomic.Bool
 	trace  httptrace.ClientTrace
@@ -221,6 +223,7 @@
 		var m dispatch.Started
 		if err = dispatch.Decode(payload, &m); err == nil {
 			a.out.start(a.endpoint, m.Status, m.Header)
+			a.recordStarted()
 		}
 	case dispatch.FrameEnd:
 		var m dispatch.End
@@ -233,6 +236,7 @@
 			err = errNotStarted
 		}
 		if err == nil {
+			a.recordBegun()
 			a.recordSuccess(&m)
 			return true, attemptResult{}, nil
 		}
@@ -262,6 +266,7 @@
 )
 
 func (a *attempt) handleData(p []byte) {
+	a.recordBegun()
 	a.lastByte = time.Now()
 	if a.firstByte.IsZero() {
 		a.firstByte = a.lastByte
@@ -319,6 +324,9 @@
 
 func (a *attempt) handleLost(m *dispatch.Lost) attemptResult {
 	a.recordEndpointLost(m.Code)
+	if m.Code == dispatch.CodeEngineLost {
+		a.recordBegun()
+	}
 	a.recordFailure(m.Code != dispatch.CodeDeadline && m.Code != dispatch.CodeCancelled)
 	if m.Code == dispatch.CodeDeadline {
 		return attemptResult{problem: newProblem(http.StatusGatewayTimeout, string(m.Code), ExecutionUnknown, "endpoint %s had not finished by the deadline", a.endpoint.ID)}
@@ -362,7 +370,10 @@
 	switch stands {
 	case outcomeSealed:
 		return a.notRunResult(dispatch.CodeSealed, cause)
+	case outcomeRunning, outcomeEnded:
+		a.recordBegun()
 	case outcomeDone:
+		a.recordBegun()
 		return attemptResult{stored: answer}
 	}
 	a.recordFailure(true)
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -68,6 +68,7 @@
 	}
 	defer answer.Body.Close()
 	a.out.start(a.endpoint, answer.Status, answer.Header)
+	a.recordStarted()
 	buffer := make([]byte, directBufferSize)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -76,6 +77,7 @@
 			a.out.flush()
 		}
 		if errors.Is(err, io.EOF) {
+			a.recordBegun()
 			a.recordSuccess(&dispatch.End{})
 			return attemptResult{}
 		}
@@ -112,6 +114,9 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return attemptResult{problem: newProblem(statusClientClosed, "caller_left", ExecutionUnknown, "the caller closed the connection")}
 	}
+	if ctx.Err() == nil {
+		a.recordBegun()
+	}
 	a.recordFailure(ctx.Err() == nil)
 	a.gateway.opt.Timeline.Record(timeline.Event{Kind: "dispatch.lost", Request: a.call.id, Endpoint: string(a.endpoint.ID), Detail: err.Error()})
 	if ctx.Err() != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,8 @@
 	// Quarantine watches for parts of prompts under which endpoints end; nil means that none are
 	// held back.
 	Quarantine *quarantine.Watcher
+	// Usage counts the requests that begin to run; nil means that none are counted.
+	Usage Usage
 	// MemoryBudget bounds the memory held for callers; 0 means no bound.
 	MemoryBudget memory.Budget
 	// Without is the set of policies that are switched off.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,7 @@
 	claimFailures    counter
 	tasksDropped     counter
 	callersClosed    counter
+	usageCounted     counter
 	duration         histogram
 	firstToken       histogram
 }
@@ -63,6 +64,7 @@
 		{&out.floorsRaised, "toucan.gateway.floor.raised", "{floor}", "Times this gateway raised the admission floor."},
 		{&out.claimFailures, "toucan.gateway.claims.failed", "{call}", "Calls to control about claims that failed."},
 		{&out.tasksDropped, "toucan.gateway.tasks.dropped", "{task}", "Background tasks dropped because too many ran."},
+		{&out.usageCounted, "toucan.gateway.usage.counted", "{request}", "Requests counted as begun for reports of usage."},
 		{&out.callersClosed, "toucan.gateway.callers.closed", "{connection}", "Idle connections of callers closed because memory was short."},
 	} {
 		i, err := m.Int64Counter(c.name, metric.WithUnit(c.unit), metric.WithDescription(c.about))
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -34,6 +34,7 @@
 	Interface     string    `help:"Interface for callers: openai, or that of the users' platform." env:"TOUCAN_INTERFACE" enum:"openai,platform" default:"openai"`
 	AgentListen   PortRange `help:"Address for dispatches to endpoints without an agent, whose agents this gateway runs: ip:port, or ip:first-last for the highest port that is free; empty for none." env:"TOUCAN_AGENT_LISTEN"`
 	PaceSettings  `embed:""`
+	UsageWindow   OptionalFloat `help:"Length of the windows in which the requests of each client account are counted, in s; empty counts none." env:"TOUCAN_USAGE_WINDOW"`
 	// StopDelay covers two health checks a second apart.
 	StopDelay time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
 	// Without is for experiments.
@@ -51,6 +52,7 @@
 		CheckPort("control-port", s.ControlPort),
 		checkStopDelay(s.StopDelay, s.StopTimeout),
 		checkWithout(s.Without),
+		checkUsageWindow(s.UsageWindow),
 	)
 }
 
@@ -70,13 +72,15 @@
 
 // Gateway is a running gateway process.
 type Gateway struct {
-	settings       *GatewaySettings
-	logger         kitlog.Logger
-	admin          *Admin
-	member         *member
-	gateway        *gateway.Gateway
-	evidence       *evidenceReporter
-	losses         *lossReporter
+	settings *GatewaySettings
+	logger   kitlog.Logger
+	admin    *Admin
+	member   *member
+	gateway  *gateway.Gateway
+	evidence *evidenceReporter
+	losses   *lossReporter
+	// usage is nil if --usage-window is empty.
+	usage          *usageReporter
 	callerListener net.Listener
 	// host runs agents for endpoints without one and dispatchListener is its listener; both
 	// are nil if --agent-listen is empty.
@@ -94,6 +98,14 @@
 	m := newMember(s.Instance(instance.RoleGateway), network, ReplacePorts(s.Control, s.ControlPort), admin.Timeline, logger)
 	g := &Gateway{settings: s, logger: logger, admin: admin, member: m}
 	g.evidence = &evidenceReporter{gateway: m.self.ID, underMove: g.underMove, report: m.control.ReportEvidence}
+	length, err := usageWindowOf(s.UsageWindow)
+	if err != nil {
+		return nil, err
+	}
+	g.usage, err = newUsageReporter(m.self, length, m.control.ReportUsage, admin.Telemetry.Meter("toucantiller.dev/gateway"), logger)
+	if err != nil {
+		return nil, err
+	}
 	g.losses = &lossReporter{gateway: m.self.ID, watcher: quarantine.NewWatcher(time.Now()), report: m.control.ReportLosses, logger: logger}
 	return g, nil
 }
@@ -134,6 +146,7 @@
 		Meter:    g.admin.Telemetry.Meter("toucantiller.dev/gateway"),
 
 		Quarantine: g.losses.watcher,
+		Usage:      g.usageCounter(),
 
 		StopDelay:    g.settings.StopDelay,
 		MemoryBudget: memory.BudgetOf(int64(g.settings.MemoryLimit)),
@@ -154,6 +167,9 @@
 	g.member.start(nil)
 	g.member.goroutines.Go(func() { g.evidence.run(run) })
 	g.member.goroutines.Go(func() { g.losses.run(run) })
+	if g.usage != nil {
+		g.member.goroutines.Go(func() { g.usage.run(run) })
+	}
 	g.member.goroutines.Go(func() { g.followDirectory(run, g.losses.publish) })
 	g.member.goroutines.Go(func() { g.member.logChanges(run) })
 	g.member.goroutines.Go(func() { _ = g.gateway.Serve(g.callerListener) })
@@ -162,6 +178,14 @@
 	return nil
 }
 
+// usageCounter returns what counts requests that begin to run, nil if nothing does.
+func (g *Gateway) usageCounter() gateway.Usage {
+	if g.usage == nil {
+		return nil
+	}
+	return g.usage.counter
+}
+
 // newHost builds the host of agents, if there is a listener for it.
 func (g *Gateway) newHost() (err error) {
 	if g.dispatchListener == nil {
@@ -276,6 +300,9 @@
 	if g.host != nil {
 		err = cmp.Or(err, g.host.Stop(ctx))
 	}
+	if g.usage != nil {
+		g.usage.finish(ctx)
+	}
 	_ = g.member.leave(ctx) // if control cannot be reached, the lease expires
 	g.cancel()
 	g.member.stop()
--- /dev/null
+++ b/usage/usage_test.go
@@ -0,0 +1,431 @@
+package usage
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"toucantiller.dev/instance"
+	"toucantiller.dev/uptime"
+)
+
+const (
+	testLength = 5 * time.Second
+	testStep   = 50 * time.Millisecond
+	// testStart is the true time of a fleet's beginning, in nanoseconds since 1970.
+	testStart = int64(1_700_000_001_000_000_000)
+)
+
+// testProcess is one incarnation of a gateway.
+type testProcess struct {
+	counter *Counter
+	id      instance.ID
+	// jump is how far its wall clock is ahead of true time.
+	jump     time.Duration
+	begun    map[int64]Counts
+	replay   *Report
+	failures int
+	gone     bool
+}
+
+// fleet is a set of gateways, a control leader and the log, in fake time.
+type fleet struct {
+	t           rapid.TB
+	now         time.Duration
+	processes   []*testProcess
+	collector   *Collector
+	incarnation instance.Incarnation
+	// leaderJump is how far the leader's wall clock is ahead.
+	leaderJump time.Duration
+	fixed      []Window
+	first      int64
+	roundTrip  time.Duration
+}
+
+func newFleet(t rapid.TB, processes int) *fleet {
+	f := &fleet{t: t, collector: NewCollector(testLength)}
+	for i := range processes {
+		f.start(instance.ID(rune('a' + i)))
+	}
+	return f
+}
+
+func (f *fleet) start(id instance.ID) *testProcess {
+	f.incarnation++
+	p := &testProcess{id: id, counter: NewCounter(id, f.incarnation, testLength, f.at()), begun: make(map[int64]Counts)}
+	f.processes = append(f.processes, p)
+	return p
+}
+
+// at returns the present moment on the clock that never jumps.
+func (f *fleet) at() uptime.Instant {
+	none := func() (time.Duration, bool) { return 0, false }
+	return uptime.At(time.Unix(0, 1), none).Add(f.now)
+}
+
+func (f *fleet) trueTime() time.Time { return time.Unix(0, testStart).Add(f.now) }
+
+func (f *fleet) wall(jump time.Duration) time.Time { return f.trueTime().Add(jump) }
+
+// inWindow returns how far the present is into its window.
+func (f *fleet) inWindow() time.Duration {
+	return time.Duration((testStart + int64(f.now)) % int64(testLength))
+}
+
+// begin starts a request, away from the boundaries where a bucket of 100 ms may be off.
+func (f *fleet) begin(p *testProcess, account string) {
+	if in := f.inWindow(); in < unassignedLength || in > testLength-unassignedLength {
+		return
+	}
+	n := windowAt(f.trueTime().UnixNano(), testLength)
+	if p.begun[n] == nil {
+		p.begun[n] = make(Counts)
+	}
+	p.begun[n][account]++
+	p.counter.Begin(account, f.at())
+}
+
+// deliver passes a report to the leader.
+func (f *fleet) deliver(r *Report) Reply {
+	return f.collector.Report(r, f.at(), f.wall(f.leaderJump), f.first)
+}
+
+// report sends a report of a process; it arrives after half of the round trip.
+func (f *fleet) report(p *testProcess) {
+	r, sent := p.counter.Report(f.at(), f.wall(p.jump)), f.at()
+	f.now += f.roundTrip / 2
+	reply := f.deliver(r)
+	f.now += f.roundTrip - f.roundTrip/2
+	assert.Assert(f.t, p.counter.Replied(r, &reply, sent, f.at()))
+}
+
+func (f *fleet) live() (out []*testProcess) {
+	for _, p := range f.processes {
+		if !p.gone {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (f *fleet) expected() (out []instance.ID) {
+	for _, p := range f.live() {
+		out = append(out, p.id)
+	}
+	return out
+}
+
+// fix writes the windows that are due to the log.
+func (f *fleet) fix() {
+	for _, w := range f.collector.Due(f.at(), f.first, f.expected()) {
+		if f.first != 0 {
+			assert.Equal(f.t, w.Number, f.first, "the numbers have a gap")
+		}
+		f.fixed = append(f.fixed, w)
+		f.first = w.Number + 1
+	}
+}
+
+// run lets time pass with reports every ReportInterval.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.now += ReportInterval
+		for _, p := range f.live() {
+			f.report(p)
+		}
+		f.fix()
+	}
+}
+
+// truth returns what began in a window.
+func (f *fleet) truth(number int64) Counts {
+	out := make(Counts)
+	for _, p := range f.processes {
+		for account, n := range p.begun[number] {
+			out[account] += n
+		}
+	}
+	return out
+}
+
+// errorOf returns how far agreed time is ahead of true time.
+func (f *fleet) errorOf(now time.Time) time.Duration { return now.Sub(f.trueTime()) }
+
+// agreedError returns the largest error of any agreed time, which all must have.
+func (f *fleet) agreedError() time.Duration {
+	now, known := f.collector.Now(f.at())
+	assert.Assert(f.t, known)
+	worst := f.errorOf(now).Abs()
+	for _, p := range f.live() {
+		now, known := p.counter.Now(f.at())
+		assert.Assert(f.t, known)
+		worst = max(worst, f.errorOf(now).Abs())
+	}
+	return worst
+}
+
+// replaceLeader elects a leader that knows nothing. What only the old one knew of processes that
+// are gone is lost.
+func (f *fleet) replaceLeader() {
+	f.collector = NewCollector(testLength)
+	for _, p := range f.processes {
+		for n := range p.begun {
+			if p.gone && (f.first == 0 || n >= f.first) {
+				delete(p.begun, n)
+			}
+		}
+	}
+}
+
+// faultyReport sends a report over a link that loses requests and replies, repeats them and
+// delivers old ones. At most three in a row fail.
+func (f *fleet) faultyReport(p *testProcess, fault int) {
+	if p.replay != nil && fault == 0 {
+		f.deliver(p.replay)
+		p.replay = nil
+	}
+	r, at := p.counter.Report(f.at(), f.wall(p.jump)), f.at()
+	if fault <= 2 && p.failures < 3 {
+		p.failures++
+		p.replay = r // the request is lost for now
+		if fault == 2 {
+			f.deliver(r) // only the reply is lost
+		}
+		return
+	}
+	p.failures = 0
+	reply := f.deliver(r)
+	if fault == 3 {
+		f.deliver(r)
+	}
+	p.counter.Replied(r, &reply, at, f.at())
+}
+
+// Guards against counts that are lost, taken twice or put into another window when reports and
+// replies are lost, repeated or late, processes restart, leaders change and a third of the clocks
+// jump.
+func TestCountsAreExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 7)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)) //nolint:gosec // a test repeats it
+		var lastChange time.Duration
+		for step := range 1200 {
+			f.now += testStep
+			f.requestsAndReports(random, step)
+			f.disrupt(random, &lastChange)
+		}
+		for range 400 {
+			f.now += testStep
+			for _, p := range f.live() {
+				f.faultyReport(p, 9)
+			}
+		}
+		f.fix()
+		assert.Assert(t, len(f.fixed) >= 9, "%d windows", len(f.fixed))
+		for _, w := range f.fixed {
+			assert.DeepEqual(t, w.Counts, f.truth(w.Number))
+		}
+	})
+}
+
+func (f *fleet) requestsAndReports(random *rand.Rand, step int) {
+	for i, p := range f.live() {
+		if random.IntN(8) == 0 {
+			f.begin(p, []string{"mill", "loom"}[random.IntN(2)])
+		}
+		if (step+i)%10 == 0 {
+			f.faultyReport(p, random.IntN(10))
+		}
+	}
+	if step%10 == 0 {
+		f.fix()
+	}
+}
+
+// disrupt moves a clock, restarts a process or replaces the leader, at times.
+func (f *fleet) disrupt(random *rand.Rand, lastChange *time.Duration) {
+	switch random.IntN(200) {
+	case 0:
+		f.processes[random.IntN(2)].jump = time.Duration(random.IntN(3)-1) * 2 * time.Second
+	case 1:
+		f.restart(f.live()[2])
+	case 2:
+		if f.now-*lastChange > 8*time.Second {
+			*lastChange = f.now
+			f.replaceLeader()
+		}
+	}
+}
+
+// restart ends a process after its last report and starts it again.
+func (f *fleet) restart(p *testProcess) {
+	if _, known := p.counter.Now(f.at()); !known {
+		return // it cannot have told anybody what it counted
+	}
+	for range 2 {
+		f.report(p)
+	}
+	p.gone = true
+	f.start(p.id)
+}
+
+// Guards against windows that follow the clocks of a few machines, at the first agreement and
+// later, under one leader and the next.
+func TestAgreedTimeIgnoresJumps(t *testing.T) {
+	for _, jump := range []time.Duration{2 * time.Second, -2 * time.Second} {
+		f := newFleet(t, 9)
+		f.roundTrip = 4 * time.Millisecond
+		jumpThird := func(d time.Duration) {
+			for _, p := range f.processes[:3] {
+				p.jump = d
+			}
+		}
+		jumpThird(jump)
+		f.run(10 * time.Second)
+		assert.Assert(t, f.agreedError() < 50*time.Millisecond, "at the start: %s", f.agreedError())
+		jumpThird(0)
+		f.run(30 * time.Second)
+		jumpThird(-jump)
+		f.leaderJump = jump
+		f.run(30 * time.Second)
+		f.replaceLeader()
+		f.run(30 * time.Second)
+		assert.Assert(t, f.agreedError() < 50*time.Millisecond, "after a new leader: %s", f.agreedError())
+	}
+}
+
+// Guards against agreed time that jumps with the clocks of a majority, under one leader or with a
+// new one.
+func TestAgreedTimeNeverJumps(t *testing.T) {
+	f := newFleet(t, 9)
+	f.run(10 * time.Second)
+	for _, p := range f.processes {
+		p.jump = 2 * time.Second
+	}
+	f.leaderJump = 2 * time.Second
+	f.run(10 * time.Second)
+	f.replaceLeader()
+	f.run(10 * time.Second)
+	bound := 20*slewPerSecond + time.Millisecond
+	assert.Assert(t, f.agreedError() <= bound, "%s", f.agreedError())
+	assert.Assert(t, f.agreedError() >= 10*slewPerSecond, "it does not follow: %s", f.agreedError())
+}
+
+// Guards against a new leader that takes the time from reports that were repeated for seconds
+// until it was elected.
+func TestLateReportsDoNotMoveTime(t *testing.T) {
+	f := newFleet(t, 9)
+	f.run(10 * time.Second)
+	var reports []*Report
+	for _, p := range f.processes {
+		reports = append(reports, p.counter.Report(f.at(), f.wall(0)))
+	}
+	f.now += 3 * time.Second
+	f.replaceLeader()
+	for i, p := range f.processes {
+		reply := f.deliver(reports[i])
+		p.counter.Replied(reports[i], &reply, f.at().Add(-3*time.Second), f.at())
+	}
+	f.run(5 * time.Second)
+	assert.Assert(t, f.agreedError() < 10*time.Millisecond, "%s", f.agreedError())
+}
+
+// Guards against taking the time from a slow exchange while a quick one is known, and against an
+// exchange of any length.
+func TestTheShortestExchangeCounts(t *testing.T) {
+	f := newFleet(t, 1)
+	p := f.processes[0]
+	f.run(10 * time.Second)
+	slow := func(request, reply time.Duration) {
+		r, sent := p.counter.Report(f.at(), f.wall(0)), f.at()
+		f.now += request
+		out := f.deliver(r)
+		f.now += reply
+		p.counter.Replied(r, &out, sent, f.at())
+	}
+	slow(0, 200*time.Millisecond)
+	assert.Assert(t, f.agreedError() < time.Millisecond, "%s", f.agreedError())
+	f.replaceLeader()
+	slow(0, 3*time.Second)
+	f.run(10 * time.Second)
+	assert.Assert(t, f.agreedError() < 10*time.Millisecond, "%s", f.agreedError())
+}
+
+// Guards against a window that is fixed before a process has reported it, and against one that
+// waits for a lost process beyond Patience.
+func TestWindowsWaitForProcesses(t *testing.T) {
+	f := newFleet(t, 2)
+	f.run(10 * time.Second)
+	for f.inWindow() != testLength-ReportInterval {
+		f.run(ReportInterval)
+	}
+	silent := f.processes[1]
+	f.begin(silent, "mill")
+	f.now += ReportInterval
+	end := f.now
+	last := f.first
+	for f.now < end+Patience-3*ReportInterval {
+		f.now += ReportInterval
+		f.report(f.processes[0])
+		f.fix()
+	}
+	assert.Equal(t, f.first, last, "fixed without the count of a process that is expected")
+	f.run(2 * ReportInterval)
+	assert.Equal(t, f.first, last+1)
+	assert.DeepEqual(t, f.fixed[len(f.fixed)-1], Window{Number: last, Counts: f.truth(last), Processes: 2})
+	f.processes[1].gone = true
+	f.processes = append(f.processes, &testProcess{id: "lost", gone: false, counter: NewCounter("lost", 99, testLength, f.at())})
+	lost := f.processes[2]
+	for f.now < end+testLength+Patience {
+		f.now += ReportInterval
+		f.report(f.processes[0])
+		f.fix()
+	}
+	assert.Equal(t, f.first, last+2, "waits for %s", lost.id)
+}
+
+// Guards against memory that grows while control fixes no window or cannot be reached.
+func TestMemoryIsBounded(t *testing.T) {
+	f := newFleet(t, 2)
+	p, cut := f.processes[0], f.processes[1]
+	for range 3000 {
+		f.now += ReportInterval
+		p.counter.Begin("mill", f.at())
+		cut.counter.Begin("mill", f.at())
+		f.report(p)
+		f.collector.Due(f.at(), 0, nil)
+	}
+	assert.Assert(t, len(p.counter.windows) <= MaxWindows+1)
+	assert.Assert(t, len(cut.counter.unassigned) <= maxUnassigned)
+	assert.Assert(t, cut.counter.Late() > 0)
+	for _, q := range f.collector.processes {
+		assert.Assert(t, len(q.windows) <= MaxWindows+1, "%d", len(q.windows))
+	}
+	for range 100 {
+		q := f.start("passing")
+		f.report(q)
+		f.now += 2 * time.Second
+		f.report(p)
+		f.collector.Due(f.at(), 0, nil)
+	}
+	assert.Assert(t, len(f.collector.processes) <= 40, "%d processes", len(f.collector.processes))
+	assert.Assert(t, len(f.collector.readings) <= 10, "%d readings", len(f.collector.readings))
+}
+
+// Guards against counting at a leader that does not, or that has windows of another length.
+func TestOtherLengthsAreNotCounted(t *testing.T) {
+	for _, length := range []time.Duration{0, time.Minute} {
+		f := newFleet(t, 1)
+		f.collector = NewCollector(length)
+		p := f.processes[0]
+		p.counter.Begin("mill", f.at())
+		r := p.counter.Report(f.at(), f.wall(0))
+		reply := f.deliver(r)
+		assert.Assert(t, !p.counter.Replied(r, &reply, f.at(), f.at()))
+		assert.Equal(t, len(f.collector.processes), 0)
+		assert.Assert(t, f.collector.Due(f.at(), 0, nil) == nil)
+	}
+}
