--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -143,6 +143,8 @@
 	decider func(api.Move) control.Decider
 	// maxClaimBytes is an option of the replicas.
 	maxClaimBytes int
+	// usageWindow is the length of the windows in which usage is counted; 0 counts nothing.
+	usageWindow time.Duration
 	// seeds are the control addresses in the settings, which servers read while a test replaces
 	// them.
 	seeds atomic.Pointer[[]string]
@@ -183,6 +185,7 @@
 		Seeds: g.seedAddresses,
 	})
 	assert.NilError(t, err)
+	s.SetUsageWindow(g.usageWindow)
 	assert.NilError(t, s.Start(t.Context()))
 	g.servers[addr], g.links[addr] = s, network
 	t.Cleanup(func() { g.stop(t, addr) })
