--- a/program/usage.go
+++ b/program/usage.go
@@ -150,11 +150,12 @@
 		return
 	}
 	ahead := wall.Sub(now)
-	if !r.agreed {
+	switch {
+	case !r.agreed:
 		_ = r.logger.Log("msg", "agreed time learned", "clock_ahead_ms", ahead.Milliseconds())
-	} else if (ahead - r.ahead).Abs() > clockJump {
+	case (ahead - r.ahead).Abs() > clockJump:
 		_ = r.logger.Log("msg", "clock jumped", "clock_ahead_ms", ahead.Milliseconds(), "before_ms", r.ahead.Milliseconds())
-	} else {
+	default:
 		return
 	}
 	r.agreed, r.ahead = true, ahead
