duty: one holder at a time, and its state in the control log

Cause: the platform takes some calls from one machine at a time, and nothing in the product held such a duty.

Change: package duty judges from instants alone when an instance may call: calls end within half a lease of the start of a quorum's confirmation, and a holder with a token new to its process waits a lease and a sixteenth. The control state assigns a duty with a token that grows by one at each change of holder (name or link address), fixes the counts of usage windows once, and drops them when their report has ended.

--- a/control/state/command.go
+++ b/control/state/command.go
@@ -46,6 +46,10 @@
 	SetControl    *SetControl        `msgpack:",omitempty"`
 	SetHostings   *SetHostings       `msgpack:",omitempty"`
 	SetQuarantine *SetQuarantine     `msgpack:",omitempty"`
+
+	AssignDuty *AssignDuty `msgpack:",omitempty"`
+	FixUsage   *FixUsage   `msgpack:",omitempty"`
+	EndUsage   *EndUsage   `msgpack:",omitempty"`
 }
 
 // SetEvacuated drains a failure domain, or makes it active again.
@@ -138,7 +142,7 @@
 	Claims []*api.ClaimReply
 	// Register answers Register.
 	Register *Registration
-	// Token is the token issued by NextToken or Lead.
+	// Token is the token issued by NextToken or Lead, or the holder's after AssignDuty.
 	Token uint64
 	// Refused says why a command other than an operator's change had no effect.
 	Refused string
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -7,6 +7,7 @@
 
 	"toucantiller.dev/contract"
 	"toucantiller.dev/control/api"
+	"toucantiller.dev/duty"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/failuredomain"
 	"toucantiller.dev/idempotency"
@@ -70,6 +71,9 @@
 	// until lately.
 	Quarantined quarantined
 	Probation   quarantined
+	// Duties holds who acts for the deployment at the outside system.
+	Duties map[duty.Name]*Duty
+	Usage  UsageReports
 }
 
 // Ended records the end of an endpoint. Announcements with Incarnation or an earlier one are
@@ -176,6 +180,12 @@
 		return s.setHostings(c.SetHostings)
 	case c.SetQuarantine != nil:
 		return s.setQuarantine(c.SetQuarantine)
+	case c.AssignDuty != nil:
+		return s.assignDuty(c.AssignDuty)
+	case c.FixUsage != nil:
+		return s.fixUsage(c.FixUsage)
+	case c.EndUsage != nil:
+		return s.endUsage(c.EndUsage)
 	case c.NextToken != nil:
 		s.data.Token++
 		return &Result{Token: s.data.Token}
@@ -251,6 +261,7 @@
 	initMap(&d.Lost)
 	initMap(&d.Ended)
 	initMap(&d.Hostings)
+	initMap(&d.Duties)
 	if d.Quarantined == nil {
 		d.Quarantined = make(quarantined)
 	}
