control: the leader holds the duty to report usage

Cause: reports of usage must come from one machine at a time and be the same at every repeat, over changes of leader.

Change: a loop on the leader assigns itself the duty, commits the counts of windows that are due before any call, confirms its quorum, and sends the oldest window with what is left of its right as the timeout. Failures back off, a busy platform's pause is kept, and a window is given up when its time is over. Metrics, log lines and Control.Duties for operators. Off unless a window length and a sender are set.

Tests over cut-off leaders, lost answers, a platform that is down, busy, slow, and a leader without a quorum. Removing a rule fails them each time, rule put back after: no confirmation before a call; no wait of a new holder; no backoff; Retry-After ignored; no timeout; nothing given up.

--- a/control/client.go
+++ b/control/client.go
@@ -152,6 +152,11 @@
 	return r.Moves, nil
 }
 
+// Duties returns who holds the duties and how the last reports went.
+func (c *Client) Duties(ctx context.Context) (*api.DutiesReply, error) {
+	return call(ctx, c, "Duties", &api.Empty{}, func(r *api.DutiesReply) (string, bool) { return r.Leader, true })
+}
+
 // Bundle returns the bundle in force.
 func (c *Client) Bundle(ctx context.Context) (*api.BundleReply, error) {
 	return call(ctx, c, "Bundle", &api.Empty{}, func(r *api.BundleReply) (string, bool) { return r.Leader, true })
--- a/control/control.go
+++ b/control/control.go
@@ -24,6 +24,7 @@
 	"toucantiller.dev/link"
 	"toucantiller.dev/quarantine"
 	"toucantiller.dev/timeline"
+	"toucantiller.dev/usage"
 )
 
 // ServiceName is the net/rpc name of the control service.
@@ -76,6 +77,8 @@
 	// RegistrationsPerSecond and RegistrationBurst replace the constants when set.
 	RegistrationsPerSecond float64
 	RegistrationBurst      int
+	// Duties are the calls to an outside system that the leader makes.
+	Duties DutyOptions
 }
 
 // Server is one control replica.
@@ -107,6 +110,11 @@
 	// lastHeartbeats holds the last heartbeat of each endpoint that announces itself.
 	lastHeartbeats map[endpoint.ID]lastHeartbeat
 
+	// usage gathers the counts of the term; nil where usage is not reported.
+	usage *usage.Collector
+
+	duties *dutyKeeper
+
 	// replicaChangeMu is held while the leader changes the control group.
 	replicaChangeMu sync.Mutex
 }
@@ -150,6 +158,7 @@
 		budgets:        budget.NewPool(opts.TokenTolerance),
 		detector:       quarantine.NewDetector(),
 		lastHeartbeats: make(map[endpoint.ID]lastHeartbeat),
+		duties:         newDutyKeeper(&opts.Duties),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s, nil
@@ -179,6 +188,12 @@
 	s.runInBackground(s.publishChanges)
 	s.runInBackground(s.decideMoves)
 	s.runInBackground(s.placeAgents)
+	if s.opts.Duties.enabled() {
+		if err := s.observeDuties(); err != nil {
+			return err
+		}
+		s.runInBackground(s.runDuties)
+	}
 	if s.opts.SelfRepair {
 		s.runInBackground(s.watchMembership)
 	}
--- a/control/counters.go
+++ b/control/counters.go
@@ -19,6 +19,12 @@
 	observationsDropped metric.Int64Counter
 	moveStages          metric.Int64Counter
 	claimsRefused       metric.Int64Counter
+	usageSent           metric.Int64Counter
+	usageAccepted       metric.Int64Counter
+	usageBusy           metric.Int64Counter
+	usageFailed         metric.Int64Counter
+	usageRejected       metric.Int64Counter
+	usageGivenUp        metric.Int64Counter
 }
 
 func newCounters(m metric.Meter) (*counters, error) {
@@ -38,6 +44,12 @@
 		{&c.observationsDropped, "control.observations_dropped", "observations dropped at the buffer's bound"},
 		{&c.moveStages, "control.move_stages", "stage changes of moves"},
 		{&c.claimsRefused, "control.claims_refused", "claims refused because the claims have their full size"},
+		{&c.usageSent, "control.usage_reports", "calls that reported usage"},
+		{&c.usageAccepted, "control.usage_accepted", "usage reports accepted"},
+		{&c.usageBusy, "control.usage_busy", "usage reports put off by a platform that is busy"},
+		{&c.usageFailed, "control.usage_failed", "usage reports that failed and are repeated"},
+		{&c.usageRejected, "control.usage_rejected", "usage reports that the platform rejected"},
+		{&c.usageGivenUp, "control.usage_given_up", "usage reports not accepted in time"},
 	} {
 		counter, err := m.Int64Counter(d.name, metric.WithDescription(d.usage))
 		if err != nil {
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -149,6 +149,8 @@
 	// selfRepair and founders are options of the replicas that start after they are set.
 	selfRepair bool
 	founders   []string
+	// duties returns an option of the replica at an address; nil for none.
+	duties func(addr string) control.DutyOptions
 }
 
 func startGroup(t *testing.T, decider func(api.Move) control.Decider) *group {
@@ -172,7 +174,12 @@
 func (g *group) start(t *testing.T, addr string) {
 	t.Helper()
 	network := &replicaLink{Memory: g.network, address: addr}
+	var duties control.DutyOptions
+	if g.duties != nil {
+		duties = g.duties(addr)
+	}
 	s, err := control.New(control.Options{
+		Duties:  duties,
 		Self:    instance.Instance{ID: instance.ID(addr), Role: instance.RoleControl, LinkAddress: addr},
 		Network: network,
 		OpenLog: control.ReplicaLog(control.ReplicaOptions{
--- a/control/leader.go
+++ b/control/leader.go
@@ -16,6 +16,7 @@
 	"toucantiller.dev/quarantine"
 	"toucantiller.dev/timeline"
 	"toucantiller.dev/uptime"
+	"toucantiller.dev/usage"
 )
 
 // Timing of the leader.
@@ -122,6 +123,9 @@
 	s.budgets = budget.NewPool(s.opts.TokenTolerance)
 	s.detector = quarantine.NewDetector()
 	clear(s.lastHeartbeats)
+	if s.opts.Duties.UsageWindow > 0 {
+		s.usage = usage.NewCollector(s.opts.Duties.UsageWindow)
+	}
 	s.mu.Unlock()
 	s.extendLeases(now)
 	s.machine.notifyChanged()
