--- a/program/control.go
+++ b/program/control.go
@@ -45,6 +45,7 @@
 	SelfRepair   bool          `help:"The leader adds replicas that ask to join and removes silent ones in their favour, without an operator." env:"TOUCAN_SELF_REPAIR"`
 	CallListen   string        `help:"Address for operators and endpoints of the users' platform, ip:port; empty for none." env:"TOUCAN_CALL_LISTEN"`
 	AgentPort    int           `help:"Port of the agents beside model endpoints on the users' platform." env:"TOUCAN_AGENT_PORT"`
+	Duties       DutySettings  `embed:""`
 }
 
 // Check checks the settings.
@@ -60,6 +61,7 @@
 		CheckPort("member-port", s.MemberPort),
 		CheckPort("agent-port", s.AgentPort),
 		CheckAdvertised("call-listen", s.CallListen),
+		s.Duties.Check(),
 	)
 }
 
@@ -146,6 +148,10 @@
 	self := c.settings.Instance(instance.RoleControl)
 	self.LinkAddress = c.settings.memberAddress()
 	self.AdminAddress = c.admin.Address()
+	duties, err := c.settings.Duties.options(c.settings.ID)
+	if err != nil {
+		return err
+	}
 	server, err := control.New(control.Options{
 		Self:       self,
 		Listen:     c.settings.Listen,
@@ -154,6 +160,7 @@
 		OpenLog:    c.openLog(),
 		SelfRepair: c.settings.SelfRepair,
 
+		Duties:        duties,
 		MaxClaimBytes: c.settings.maxClaimBytes(),
 		Seeds:         c.seedAddresses,
 		TokenTolerance: budget.Tolerance{
