--- a/operator/cli.go
+++ b/operator/cli.go
@@ -44,6 +44,7 @@
 	Domain    domainCommands  `cmd:"" help:"Take failure domains out of service and back."`
 	Replica   replicaCommands `cmd:"" help:"Show, add and remove control replicas."`
 	Endpoints endpointsCmd    `cmd:"" help:"List the registered endpoints."`
+	Duties    dutiesCmd       `cmd:"" help:"Show who makes the calls that one instance at a time makes, and how they go."`
 	Timeline  timelineCmd     `cmd:"" help:"Show the events of all processes in one order."`
 	Losses    lossesCmd       `cmd:"" help:"Say from gateways' logs for which reasons requests were late or not served."`
 	Key       keyCommands     `cmd:"" help:"Generate keys."`
--- a/operator/control.go
+++ b/operator/control.go
@@ -19,6 +19,7 @@
 	ChangeReplicas(ctx context.Context, change *api.ChangeReplicas) (*api.ChangeReply, error)
 	Status(ctx context.Context) (*api.Status, error)
 	Bundle(ctx context.Context) (*api.BundleReply, error)
+	Duties(ctx context.Context) (*api.DutiesReply, error)
 }
 
 var _ Control = (*control.Client)(nil)
--- a/operator/session_test.go
+++ b/operator/session_test.go
@@ -35,6 +35,7 @@
 	results map[string]*api.ChangeReply
 	signed  map[string]string
 	status  api.Status
+	duties  api.DutiesReply
 	// script holds the moves that following calls of Status show.
 	script []api.Move
 	// live is a move that goes on as time passes.
@@ -144,6 +145,10 @@
 	return &api.BundleReply{Content: f.content, Author: f.bundle.Author, AppliedBy: f.by, AppliedAt: start, Signatures: []api.Signature{{Operator: "bashir"}}}, nil
 }
 
+func (f *fakeControl) Duties(context.Context) (*api.DutiesReply, error) {
+	return &f.duties, nil
+}
+
 func (f *fakeControl) Status(context.Context) (*api.Status, error) {
 	if f.live != nil {
 		f.live.advance(f.now(), f.status.Domains)
