--- a/control/duties_reports.go
+++ b/control/duties_reports.go
@@ -67,11 +67,17 @@
 	}
 	var first int64
 	var expected []instance.ID
+	var room int
 	s.machine.read(func(st *state.State) {
 		first = st.NextUsageWindow()
 		expected = st.Gateways()
+		room = st.UsageRoom()
 	})
-	for _, w := range source.Due(uptime.Now(), first, expected) {
+	if room == 0 {
+		return
+	}
+	due := source.Due(uptime.Now(), first, expected)
+	for _, w := range due[:min(len(due), room)] {
 		if !s.fixWindow(w) {
 			return
 		}
--- a/control/state/duties.go
+++ b/control/state/duties.go
@@ -93,7 +93,7 @@
 		switch {
 		case w.Number < u.Next || w.Number <= 0:
 			return &Result{Refused: fmt.Sprintf("window %d is fixed or over", w.Number)}
-		case len(u.Unsent) >= MaxUnsentWindows:
+		case s.UsageRoom() <= 0:
 			return &Result{Refused: fmt.Sprintf("%d windows wait for their reports", len(u.Unsent))}
 		}
 		u.Unsent = append(u.Unsent, w)
@@ -117,6 +117,9 @@
 // NextUsageWindow returns the first window that is not fixed yet, 0 if none ever was.
 func (s *State) NextUsageWindow() int64 { return s.data.Usage.Next }
 
+// UsageRoom returns how many more windows may be fixed now.
+func (s *State) UsageRoom() int { return MaxUnsentWindows - len(s.data.Usage.Unsent) }
+
 // Duty returns the assignment of a duty; its Token is 0 if it was never assigned.
 func (s *State) Duty(name duty.Name) Duty {
 	if d, ok := s.data.Duties[name]; ok {
