--- a/control/control.go
+++ b/control/control.go
@@ -77,6 +77,8 @@
 	// RegistrationsPerSecond and RegistrationBurst replace the constants when set.
 	RegistrationsPerSecond float64
 	RegistrationBurst      int
+	// Duties are the calls to an outside system that the leader makes.
+	Duties DutyOptions
 }
 
 // Server is one control replica.
@@ -103,14 +105,15 @@
 	evidence  *evidenceCollector
 	// budgets holds the token limits that gateways draw from.
 	budgets *budget.Pool
-	// usage adds up what gateways count in windows of usageWindow; 0 counts nothing.
-	usage       *usage.Collector
-	usageWindow time.Duration
+	// usage adds up what gateways count in this term; nil before the first term.
+	usage *usage.Collector
 	// detector counts the endpoints that ended under parts of prompts in this term.
 	detector *quarantine.Detector
 	// lastHeartbeats holds the last heartbeat of each endpoint that announces itself.
 	lastHeartbeats map[endpoint.ID]lastHeartbeat
 
+	duties *dutyKeeper
+
 	// replicaChangeMu is held while the leader changes the control group.
 	replicaChangeMu sync.Mutex
 }
@@ -155,6 +158,7 @@
 		usage:          usage.NewCollector(0),
 		detector:       quarantine.NewDetector(),
 		lastHeartbeats: make(map[endpoint.ID]lastHeartbeat),
+		duties:         newDutyKeeper(&opts.Duties),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s, nil
@@ -184,6 +188,12 @@
 	s.runInBackground(s.publishChanges)
 	s.runInBackground(s.decideMoves)
 	s.runInBackground(s.placeAgents)
+	if s.opts.Duties.enabled() {
+		if err := s.observeDuties(); err != nil {
+			return err
+		}
+		s.runInBackground(s.runDuties)
+	}
 	if s.opts.SelfRepair {
 		s.runInBackground(s.watchMembership)
 	}
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -1,13 +1,6 @@
 package control
 
-import (
-	"time"
-
-	"toucantiller.dev/usage"
-)
-
-// SetUsageWindow sets the length of windows before Start.
-func (s *Server) SetUsageWindow(length time.Duration) { s.usageWindow = length }
+import "toucantiller.dev/usage"
 
 // Usage returns the collector of the present term.
 func (s *Server) Usage() *usage.Collector {
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -143,14 +143,14 @@
 	decider func(api.Move) control.Decider
 	// maxClaimBytes is an option of the replicas.
 	maxClaimBytes int
-	// usageWindow is the length of the windows in which usage is counted; 0 counts nothing.
-	usageWindow time.Duration
 	// seeds are the control addresses in the settings, which servers read while a test replaces
 	// them.
 	seeds atomic.Pointer[[]string]
 	// selfRepair and founders are options of the replicas that start after they are set.
 	selfRepair bool
 	founders   []string
+	// duties returns an option of the replica at an address; nil for none.
+	duties func(addr string) control.DutyOptions
 }
 
 func startGroup(t *testing.T, decider func(api.Move) control.Decider) *group {
@@ -174,7 +174,12 @@
 func (g *group) start(t *testing.T, addr string) {
 	t.Helper()
 	network := &replicaLink{Memory: g.network, address: addr}
+	var duties control.DutyOptions
+	if g.duties != nil {
+		duties = g.duties(addr)
+	}
 	s, err := control.New(control.Options{
+		Duties:  duties,
 		Self:    instance.Instance{ID: instance.ID(addr), Role: instance.RoleControl, LinkAddress: addr},
 		Network: network,
 		OpenLog: control.ReplicaLog(control.ReplicaOptions{
@@ -185,7 +190,6 @@
 		Seeds: g.seedAddresses,
 	})
 	assert.NilError(t, err)
-	s.SetUsageWindow(g.usageWindow)
 	assert.NilError(t, s.Start(t.Context()))
 	g.servers[addr], g.links[addr] = s, network
 	t.Cleanup(func() { g.stop(t, addr) })
--- a/control/leader.go
+++ b/control/leader.go
@@ -121,7 +121,7 @@
 	s.admission = lease.NewAdmission(s.opts.RegistrationsPerSecond, s.opts.RegistrationBurst)
 	s.evidence = newEvidenceCollector()
 	s.budgets = budget.NewPool(s.opts.TokenTolerance)
-	s.usage = usage.NewCollector(s.usageWindow)
+	s.usage = usage.NewCollector(s.opts.Duties.UsageWindow)
 	s.detector = quarantine.NewDetector()
 	clear(s.lastHeartbeats)
 	s.mu.Unlock()
--- a/control/usage_test.go
+++ b/control/usage_test.go
@@ -27,7 +27,9 @@
 func TestUsageIsReportedAgainToANewLeader(t *testing.T) {
 	runInSynctest(t, func(t *testing.T) {
 		const length = 5 * time.Second
-		g := startGroupWith(t, &group{usageWindow: length})
+		g := startGroupWith(t, &group{duties: func(string) control.DutyOptions {
+			return control.DutyOptions{UsageWindow: length}
+		}})
 		c := control.NewClient(g.network, replicas)
 		defer c.Close()
 		counters := []*usage.Counter{
