--- a/control/duties_reports.go
+++ b/control/duties_reports.go
@@ -39,8 +39,13 @@
 	RetryAfter time.Duration
 }
 
-// Error names the pause.
-func (e *ReportBusyError) Error() string { return "busy, retry after " + e.RetryAfter.String() }
+// Error names the pause, if one was asked for.
+func (e *ReportBusyError) Error() string {
+	if e.RetryAfter == 0 {
+		return "busy"
+	}
+	return "busy, retry after " + e.RetryAfter.String()
+}
 
 // ReportRejectedError is the error of a report that is refused at every attempt.
 type ReportRejectedError struct {
