--- a/control/duties_test.go
+++ b/control/duties_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -246,3 +247,47 @@
 		p.check(t, first+6, windowAt(time.Now().Add(-usageLate)))
 	})
 }
+
+// Guards against counts that are lost or doubled on their way from gateways to the platform, over
+// a change of leader.
+func TestCountsOfGatewaysReachThePlatform(t *testing.T) {
+	runInSynctest(t, func(t *testing.T) {
+		p := &fakePlatform{}
+		g := startGroupWith(t, &group{duties: func(addr string) control.DutyOptions {
+			return control.DutyOptions{
+				UsageWindow: usageWindow, UsageLate: usageLate, Lease: dutyLease, CallsPerSecond: 50,
+				Holder: instance.ID("machine-of-" + addr), Sender: p,
+			}
+		}})
+		c := control.NewClient(g.network, replicas)
+		defer c.Close()
+		counters := []*usage.Counter{
+			usage.NewCounter("g1", 1, usageWindow, uptime.Now()),
+			usage.NewCounter("g2", 2, usageWindow, uptime.Now()),
+		}
+		began := map[int64]uint64{}
+		run := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(usage.ReportInterval) {
+				for _, counter := range counters {
+					counter.Begin("mill", uptime.Now())
+					began[windowAt(time.Now())]++
+					assert.Assert(t, reportUsage(t, c, counter))
+				}
+			}
+		}
+		run(23 * time.Second)
+		first := windowAt(time.Now())
+		old := g.leader(t, c)
+		g.network.SetFault(old, link.FaultPartition)
+		run(20 * time.Second)
+		g.network.SetFault(old, link.FaultNone)
+		run(20 * time.Second)
+		last := windowAt(time.Now().Add(-usageLate))
+		p.check(t, first-2, last)
+		for _, call := range p.taken() {
+			if call.window >= first-2 && call.window < last {
+				assert.Equal(t, call.content, fmt.Sprintf(`{"mill":%d}`, began[call.window]), "window %d", call.window)
+			}
+		}
+	})
+}
--- a/control/state/duties.go
+++ b/control/state/duties.go
@@ -46,7 +46,7 @@
 type Duty struct {
 	Holder  instance.ID
 	Address string
-	// Token grows by one at each change of holder.
+	// Token grows at each change of holder.
 	Token uint64
 	// Since is when the holder was assigned.
 	Since time.Time
@@ -82,11 +82,18 @@
 		s.data.Duties[c.Duty] = d
 	}
 	if d.Holder != c.Holder || d.Address != c.Address {
-		*d = Duty{Holder: c.Holder, Address: c.Address, Token: d.Token + 1, Since: s.data.Now}
+		*d = Duty{Holder: c.Holder, Address: c.Address, Token: s.nextDutyToken(d), Since: s.data.Now}
 	}
 	return &Result{Token: d.Token}
 }
 
+// nextDutyToken returns a token above those of the duty so far. It is at least the time in
+// milliseconds, so that a group that was formed anew without its log goes on above the tokens that
+// are out.
+func (s *State) nextDutyToken(d *Duty) uint64 {
+	return max(d.Token+1, uint64(max(0, s.data.Now.UnixMilli()))) //nolint:gosec // not negative
+}
+
 func (s *State) fixUsage(c *FixUsage) *Result {
 	u := &s.data.Usage
 	for _, w := range c.Windows {
--- a/control/state/duties_test.go
+++ b/control/state/duties_test.go
@@ -18,16 +18,20 @@
 		c := &AssignDuty{Duty: duty.UsageReports, Holder: holder, Address: address}
 		return applyCommand(t, s, &Command{At: at, AssignDuty: c}).Token
 	}
-	assert.Equal(t, assign("a", "1"), uint64(1))
-	assert.Equal(t, assign("a", "1"), uint64(1))
-	assert.Equal(t, assign("b", "2"), uint64(2))
+	first := assign("a", "1")
+	assert.Equal(t, first, uint64(at.UnixMilli()))
+	assert.Equal(t, assign("a", "1"), first)
+	assert.Equal(t, assign("b", "2"), first+1)
 	snapshot, err := s.Snapshot()
 	assert.NilError(t, err)
 	s = New()
 	assert.NilError(t, s.Restore(snapshot))
-	assert.DeepEqual(t, s.Duty(duty.UsageReports), Duty{Holder: "b", Address: "2", Token: 2, Since: at})
-	assert.Equal(t, assign("a", "1"), uint64(3))
-	assert.Equal(t, assign("a", "9"), uint64(4), "a machine that replaces another one under its name")
+	assert.DeepEqual(t, s.Duty(duty.UsageReports), Duty{Holder: "b", Address: "2", Token: first + 1, Since: at})
+	assert.Equal(t, assign("a", "1"), first+2)
+	last := assign("a", "9")
+	assert.Equal(t, last, first+3, "a machine that replaces another one under its name")
+	s, at = New(), at.Add(time.Second)
+	assert.Assert(t, assign("b", "2") > last, "a group that was formed anew without its log")
 	assert.Assert(t, applyCommand(t, s, &Command{At: at, AssignDuty: &AssignDuty{Duty: duty.UsageReports}}).Refused != "")
 }
 
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -69,9 +69,12 @@
 // Token returns the fencing token, 0 before the first assignment.
 func (h *Hold) Token() uint64 { return h.token }
 
+// NewHolderWait returns how long a new holder waits after its assignment.
+func NewHolderWait(lease time.Duration) time.Duration { return lease + lease/marginShare }
+
 // Wait returns how long the holder waits before its first call.
 func (h *Hold) Wait(now uptime.Instant) time.Duration {
-	return max(0, h.lease+h.lease/marginShare-now.Sub(h.assigned))
+	return max(0, NewHolderWait(h.lease)-now.Sub(h.assigned))
 }
 
 // Left returns the time within which a call that begins now must have ended; 0 if none may begin.
--- a/program/duties.go
+++ b/program/duties.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"toucantiller.dev/control"
+	"toucantiller.dev/duty"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/link"
 	"toucantiller.dev/platform"
+	"toucantiller.dev/usage"
 )
 
 // DutySettings are the settings of the calls to the platform's API that one instance at a time
@@ -26,9 +28,11 @@
 
 // Bounds of the settings.
 const (
-	// minDutyLease leaves time for a call within half of the lease.
-	minDutyLease = 100 * time.Millisecond
+	// minDutyLease leaves time for a confirmation and a call within half of the lease.
+	minDutyLease = time.Second
 	maxDutyTime  = 24 * time.Hour
+	// callTime is the time that a late report leaves for its call.
+	callTime = time.Second
 	// defaultDutyRate is in calls per second.
 	defaultDutyRate = 1
 )
@@ -55,6 +59,7 @@
 	}{
 		{"usage-window", inUnits(s.UsageWindow, time.Second), time.Second},
 		{"duty-lease-ms", inUnits(s.DutyLeaseMS, time.Millisecond), minDutyLease},
+		{"usage-late", s.usageLate(), s.leastUsageLate()},
 	} {
 		if d.value == 0 {
 			return &SettingError{Flag: d.flag, Err: errNotSet}
@@ -63,9 +68,27 @@
 			return &SettingError{Flag: d.flag, Err: fmt.Errorf("%s is not between %s and %s", d.value, d.least, maxDutyTime)}
 		}
 	}
+	if rate := s.DutyRate.Or(defaultDutyRate); rate <= 0 {
+		return &SettingError{Flag: "duty-rate", Err: fmt.Errorf("%g is not above 0", rate)}
+	}
 	return nil
 }
 
+// usageLate returns how long after the end of its window a report is wanted.
+func (s *DutySettings) usageLate() time.Duration {
+	if s.UsageLate.Or(0) == 0 {
+		return 2 * inUnits(s.UsageWindow, time.Second)
+	}
+	return inUnits(s.UsageLate, time.Second)
+}
+
+// leastUsageLate returns the time in which a report can be made although a gateway is silent and
+// the holder changes.
+func (s *DutySettings) leastUsageLate() time.Duration {
+	lease := inUnits(s.DutyLeaseMS, time.Millisecond)
+	return usage.Patience + duty.NewHolderWait(lease) + callTime
+}
+
 // inUnits returns a number of units, 0 if it is unset.
 func inUnits(f OptionalFloat, unit time.Duration) time.Duration {
 	return time.Duration(min(f.Or(0)*float64(unit), math.MaxInt64/2))
@@ -82,15 +105,12 @@
 	}
 	o := control.DutyOptions{
 		UsageWindow:    inUnits(s.UsageWindow, time.Second),
-		UsageLate:      inUnits(s.UsageLate, time.Second),
+		UsageLate:      s.usageLate(),
 		Lease:          inUnits(s.DutyLeaseMS, time.Millisecond),
 		CallsPerSecond: s.DutyRate.Or(defaultDutyRate),
 		Holder:         instance.ID(s.DutyHolder),
 		Sender:         sender,
 	}
-	if o.UsageLate == 0 {
-		o.UsageLate = 2 * o.UsageWindow
-	}
 	if o.Holder == "" {
 		o.Holder = instance.ID(id)
 	}
--- a/program/duties_test.go
+++ b/program/duties_test.go
@@ -38,13 +38,13 @@
 	assert.Equal(t, o.UsageLate, 10*time.Second)
 	assert.Equal(t, o.Lease, 3*time.Second)
 	assert.Equal(t, string(o.Holder), "c")
-	o, err = parseDuties(t, append(on, "--duty-holder=front-1", "--usage-late=7.5", "--duty-rate=50")...).options("c")
+	o, err = parseDuties(t, append(on, "--duty-holder=front-1", "--usage-late=9.5", "--duty-rate=50")...).options("c")
 	assert.NilError(t, err)
 	assert.Equal(t, string(o.Holder), "front-1")
-	assert.Equal(t, o.UsageLate, 7500*time.Millisecond)
+	assert.Equal(t, o.UsageLate, 9500*time.Millisecond)
 	assert.Equal(t, o.CallsPerSecond, 50.0)
 	assert.ErrorContains(t, parseDuties(t, on[:3]...).Check(), "--duty-lease-ms: needed to report usage")
-	for flag, bad := range map[string]string{"platform-api": "--platform-api=x", "usage-window": "--usage-window=0.1", "duty-lease-ms": "--duty-lease-ms=0"} {
+	for flag, bad := range map[string]string{"platform-api": "--platform-api=x", "usage-window": "--usage-window=0.1", "duty-lease-ms": "--duty-lease-ms=0", "usage-late": "--usage-late=8", "duty-rate": "--duty-rate=0"} {
 		err := parseDuties(t, append(on, bad)...).Check()
 		assert.ErrorContains(t, err, "--"+flag+": ")
 	}
