usage: no window is fixed again after the log was lost or restored

Cause: with an empty log the collector began with the window in which the oldest gateway had started, and with an older one with its next: windows that had been sent would have been fixed again, with counts that nobody holds any more. Change: reports state the first window that is not fixed as the process knows it; Due leaves out those before it and those older than MaxWindows.

--- a/usage/collector.go
+++ b/usage/collector.go
@@ -75,6 +75,8 @@
 	position := c.position(at)
 	c.fixedBefore(next)
 	if r.Length == c.length {
+		// A log that was lost or restored may know less than the processes.
+		c.fixedBefore(r.Next)
 		c.readClocks(r, position, wall)
 		c.agreement.look(c.readings, position)
 		c.add(r, position)
@@ -103,7 +105,7 @@
 		// Other reports leave out what only an earlier leader has seen.
 		p.final = p.final || r.Final
 		p.through = max(p.through, r.Through)
-		p.since = r.Since
+		p.since = max(p.since, r.Since)
 	}
 	for _, w := range r.Windows {
 		if c.keeps(p, w.Number, position) {
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -79,7 +79,8 @@
 	windows    map[int64]*window
 	// session is the one that has acknowledged counts.
 	session uint64
-	// since and through are those of the last report; next is the first window that is not fixed.
+	// since is the first window that was counted from its beginning, through that of the last
+	// report, and next the first window that is not fixed.
 	since, through, next int64
 }
 
--- a/usage/due.go
+++ b/usage/due.go
@@ -11,7 +11,8 @@
 // gap: they have ended in agreed time, a process has reported past them, and either all processes
 // have, or Patience has passed. expected are the processes that should report. With first 0 the
 // earliest window that has counts, or that a process has counted from its beginning, is the first.
-// There are none while agreed time is unknown.
+// There are none while agreed time is unknown. Windows that a process knows to be fixed, and those
+// older than MaxWindows, are left out: their counts are gone, and others must not be sent.
 func (c *Collector) Due(at uptime.Instant, first int64, expected []instance.ID) []Window {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -25,6 +26,9 @@
 		first = c.earliest()
 	}
 	current := c.windowAt(position)
+	if first != 0 {
+		first = max(first, c.next, current-MaxWindows+1)
+	}
 	var out []Window
 	for n := first; n != 0 && n < current && len(out) < MaxWindows; n++ {
 		if !c.mayFix(n, position, expected) {
--- a/usage/report.go
+++ b/usage/report.go
@@ -20,7 +20,7 @@
 	r := &Report{Process: c.process, Incarnation: c.incarnation, Length: c.length, Base: c.session}
 	c.clock.describe(r, position, wall)
 	c.through = max(c.through, c.closedThrough(current, position))
-	r.Since, r.Through = c.since, c.through
+	r.Since, r.Through, r.Next = c.since, c.through, c.next
 	for _, number := range slices.Sorted(maps.Keys(c.windows)) {
 		if changed := c.windows[number].unacknowledged(); len(changed) > 0 {
 			r.Windows = append(r.Windows, WindowCounts{Number: number, Counts: changed})
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -56,6 +56,8 @@
 	// Since is the first window that the process has counted from its beginning, and Through the
 	// first that may still grow at it; both are 0 while agreed time is unknown.
 	Since, Through int64
+	// Next is the first window that is not fixed as far as the process was told.
+	Next int64
 	// Final is set in the last report of a process that stops.
 	Final bool
 	// Windows holds the counts that Base has not acknowledged.
