--- a/usage/bench_test.go
+++ b/usage/bench_test.go
@@ -28,8 +28,9 @@
 // reportBytes returns the size of a report with a number of accounts, on a connection that has
 // carried one before.
 func reportBytes(b *testing.B, accounts int) int {
-	counter := NewCounter("gateway-lagos-a-1", 1, testLength, uptime.Now())
-	counter.clock.zero, counter.clock.known = testStart, true
+	counter := NewCounter("gateway-lagos-a-1", 1<<63, testLength, uptime.Now())
+	at := uptime.Now()
+	counter.Replied(&Report{}, &Reply{Session: 1 << 63, Length: testLength, Agreed: testStart, Next: windowAt(testStart, testLength)}, at, at)
 	for i := range accounts {
 		for range 10 {
 			counter.Begin(fmt.Sprintf("account-%04d", i), uptime.Now())
