usage: the collector forgets old windows also while nobody asks for those that are due

Cause: only Due dropped what is too old, and control doesn't call it while reports wait for room (a review held 301 windows, 24 are meant). Change: reports drop it too, once a second. Result: go test -race ./usage passes; TestMemoryIsBounded fails without it.

--- a/usage/collector.go
+++ b/usage/collector.go
@@ -14,6 +14,8 @@
 	recentlyHeard = 3 * ReportInterval
 	// forgetAfter is how long a process without counts is kept after its last report.
 	forgetAfter = time.Minute
+	// forgetInterval is the time between two searches for what is too old to be kept.
+	forgetInterval = time.Second
 	// maxNames bounds the account names that are kept once for all processes.
 	maxNames = 1 << 14
 )
@@ -51,6 +53,8 @@
 	names     map[string]string
 	// next is the first window that is not fixed; 0 if none is fixed yet.
 	next int64
+	// forgotten is the position of the last search for what is too old.
+	forgotten time.Duration
 }
 
 // NewCollector returns an empty collector of windows of a length; length 0 counts nothing.
@@ -80,6 +84,7 @@
 		c.readClocks(r, position, wall)
 		c.agreement.look(c.readings, position)
 		c.add(r, position)
+		c.forgetOld(position)
 	}
 	reply := Reply{Session: c.session, Length: c.length, Position: position, Next: c.next}
 	if c.agreement.known {
@@ -201,8 +206,16 @@
 	}
 }
 
+// forgetOld bounds what is held although nobody asks for windows that are due.
+func (c *Collector) forgetOld(position time.Duration) {
+	if position-c.forgotten >= forgetInterval {
+		c.forget(position)
+	}
+}
+
 // forget drops processes that are gone, and what is too old to be kept.
 func (c *Collector) forget(position time.Duration) {
+	c.forgotten = position
 	c.dropBefore(c.windowAt(position) - MaxWindows + 1)
 	for key, p := range c.processes {
 		if len(p.windows) == 0 && position-p.heard > forgetAfter {
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -233,14 +233,26 @@
 
 // Guards against memory that grows while control fixes no window or cannot be reached.
 func TestMemoryIsBounded(t *testing.T) {
+	for _, asked := range []bool{true, false} {
+		testMemoryIsBounded(t, asked)
+	}
+}
+
+// testMemoryIsBounded runs without a look for windows that are due unless asked is set.
+func testMemoryIsBounded(t *testing.T, asked bool) {
 	f := newFleet(t, 2)
+	look := func() {
+		if asked {
+			f.collector.Due(f.at(), 0, nil)
+		}
+	}
 	p, cut := f.processes[0], f.processes[1]
 	for range 3000 {
 		f.now += ReportInterval
 		p.counter.Begin("mill", f.at())
 		cut.counter.Begin("mill", f.at())
 		f.report(p)
-		f.collector.Due(f.at(), 0, nil)
+		look()
 	}
 	assert.Assert(t, len(p.counter.windows) <= MaxWindows+1)
 	assert.Assert(t, len(cut.counter.unassigned) <= maxUnassigned)
@@ -254,7 +266,7 @@
 		f.report(q)
 		f.now += 2 * time.Second
 		f.report(p)
-		f.collector.Due(f.at(), 0, nil)
+		look()
 	}
 	assert.Assert(t, len(f.collector.processes) <= 40, "%d processes", len(f.collector.processes))
 	assert.Assert(t, len(f.collector.readings) <= 10, "%d readings", len(f.collector.readings))
