admission: accounts share the room of a service by weight while they wait for it

Cause: with the order by worth an account does not count, so that a surge of one account is paid for by all. Change: accountShares scales the worth of waiting items by the account's fair share over what it was served in the last two seconds; an account below a quarter of its share goes first. Shares are kept per gateway.

--- a/admission/flow.go
+++ b/admission/flow.go
@@ -6,6 +6,8 @@
 type flow struct {
 	account string
 	weight  float64
+	// factor scales the worth of the account's items.
+	factor  float64
 	deficit float64
 	cost    float64
 	head    *Item
@@ -47,6 +49,7 @@
 	turn   int
 	length int
 	cost   float64
+	shares accountShares
 }
 
 // quantum is the deficit an account of weight 1 gains per round, in tokens.
@@ -58,7 +61,7 @@
 		if b.flows == nil {
 			b.flows = make(map[string]*flow)
 		}
-		f = &flow{account: it.Account}
+		f = &flow{account: it.Account, factor: 1}
 		b.flows[it.Account] = f
 		b.ring = append(b.ring, f)
 	}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -27,6 +27,9 @@
 	// ByWorth serves the items of a tier by descending Density instead of sharing the tier
 	// among accounts. It is for deployments whose accounts have token limits.
 	ByWorth bool
+	// ShareByAccount scales the Density of items by how much of its fair share, by weight, each
+	// account of the tier was served lately. It has no effect without ByWorth.
+	ShareByAccount bool
 	// NoEarlyRefusal keeps items that cannot be served in time until that time is over.
 	NoEarlyRefusal bool
 }
@@ -180,11 +183,19 @@
 // firstOfTier returns the item of a tier that is served next.
 func (q *Queue) firstOfTier(rank int, now time.Time) *Item {
 	if q.opt.ByWorth {
+		q.updateShares(rank, now)
 		return q.tiers[rank].densest(now, anyItem)
 	}
 	return q.tiers[rank].peek()
 }
 
+// updateShares takes in what the accounts of a tier were served.
+func (q *Queue) updateShares(rank int, now time.Time) {
+	if q.opt.ShareByAccount {
+		q.tiers[rank].shares.update(q.tiers[rank].ring, now)
+	}
+}
+
 // Pop removes the next item: highest tier first, within a tier accounts by weighted
 // round robin or items by density. Items found on the way that can no longer be served come back in dropped.
 func (q *Queue) Pop(now time.Time) (head *Item, dropped []Dropped) {
@@ -288,14 +299,17 @@
 		q.workRate.restart(now)
 		q.arrived.startOverload(now)
 	}
-	if q.opt.ByWorth && !it.Requeued {
-		q.arrived.add(it, now)
-	}
 	q.seq++
 	it.seq = q.seq
 	it.queued = now
 	it.queue = q
 	q.tiers[it.Tier].push(it)
+	if q.opt.ShareByAccount && it.flow.head == it {
+		it.flow.factor = q.tiers[it.Tier].shares.factor(it.flow, now)
+	}
+	if q.opt.ByWorth && !it.Requeued {
+		q.arrived.add(it, now)
+	}
 	q.length++
 	q.cost += it.cost()
 }
--- a/admission/worth.go
+++ b/admission/worth.go
@@ -13,9 +13,13 @@
 // minWork is the least work, in seconds, that Density divides by; it keeps it finite.
 const minWork = 1e-3
 
-// Density is the worth of an item per second of its work, if it is placed now.
+// Density is the worth of an item per second of its work, if it is placed now. Where accounts share
+// their tier, the worth of a waiting item is scaled by what its account was served.
 func (it *Item) Density(now time.Time) float64 {
 	worth := it.Worth
+	if it.flow != nil {
+		worth *= it.flow.factor
+	}
 	if !it.Objective.IsZero() && now.Add(it.StartTime).After(it.Objective) {
 		worth *= lateWorthFactor
 	}
@@ -68,6 +72,9 @@
 // Take removes an item that is dispatched to an endpoint and counts it as served.
 func (q *Queue) Take(it *Item, now time.Time) {
 	it.flow.deficit -= it.cost()
+	if q.opt.ShareByAccount {
+		q.tiers[it.Tier].shares.add(it.Account, it.flow.weight, it.Work, now)
+	}
 	q.unlink(it)
 	q.arrived.seen = now
 	q.tokenRate.add(it.cost(), now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,9 @@
 	MemoryBudget memory.Budget
 	// Without is the set of policies that are switched off.
 	Without policy.Off
+	// ShareByAccount shares the room of a service among the accounts that wait for it, by weight or,
+	// where none is set, by token limit.
+	ShareByAccount bool
 }
 
 // Gateway serves callers.
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -50,6 +50,8 @@
 	lastWantRound time.Time
 	// closed is set when the gateway stops; from then on no request may wait.
 	closed bool
+	// meanLimit is the mean token limit of the accounts that have one, 0 if none has.
+	meanLimit float64
 }
 
 // queuedRequest is a request that waits in the queue. Exactly one value arrives on result.
@@ -83,10 +85,12 @@
 	off := q.gateway.opt.Without
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.meanLimit = meanTokenLimit(c.Accounts)
 	q.queue.SetOptions(admission.ServiceOptions{
 		QueueOptions: admission.QueueOptions{
 			Capacity: s.QueueLength, MaxQueueTime: times, Tiers: len(c.Tiers), FairEviction: true,
 			ByWorth: c.Ingress != nil && off.InForce(policy.WorthOrder), NoEarlyRefusal: !off.InForce(policy.EarlyRefusal),
+			ShareByAccount: q.gateway.opt.ShareByAccount,
 		},
 	})
 }
@@ -148,6 +152,9 @@
 	if q.closed {
 		return nil, handedBackProblem()
 	}
+	if q.gateway.opt.ShareByAccount {
+		t.item.Weight = shareWeight(c.account, q.meanLimit)
+	}
 	evicted, refused := q.queue.Push(&t.item, now)
 	q.refuseDropped(evicted)
 	if refused == nil {
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -35,7 +35,8 @@
 	AgentListen   PortRange `help:"Address for dispatches to endpoints without an agent, whose agents this gateway runs: ip:port, or ip:first-last for the highest port that is free; empty for none." env:"TOUCAN_AGENT_LISTEN"`
 	PaceSettings  `embed:""`
 	// StopDelay covers two health checks a second apart.
-	StopDelay time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
+	StopDelay      time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
+	ShareByAccount bool          `help:"Share the room of a service among the client accounts that wait for it, by weight or, where none is set, by token limit." env:"TOUCAN_SHARE_BY_ACCOUNT"`
 	// Without is for experiments.
 	Without []string `help:"Policies to switch off for an experiment, comma separated." env:"TOUCAN_WITHOUT"`
 }
@@ -122,7 +123,10 @@
 		return err
 	}
 	g.gateway, err = gateway.New(gateway.Options{
-		Without:  off,
+		Without: off,
+
+		ShareByAccount: g.settings.ShareByAccount,
+
 		Instance: g.member.self,
 		View:     g.member,
 		Claims:   claims{g.member.control},
