gateway: a followed agent's endpoints are free at once, also for a pick that read its clock before

Cause of the known red TestStreamThroughAgent, traced: the first report of a watch ended the suspension by suspending until now; a pick whose clock was read a moment earlier found its only endpoint suspended and refused with no_endpoint. Change: Candidate.Resume ends a suspension whatever the pick's clock.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -117,7 +117,7 @@
 		p.incarnation.Store(uint64(m.Incarnation))
 		if !followed {
 			followed = true
-			g.suspendEndpoints(address, time.Now())
+			g.resumeEndpoints(address)
 			_ = g.opt.Logger.Log("msg", "agent followed", "agent", address, "incarnation", uint64(m.Incarnation))
 		}
 		g.observeAgent(address, &m)
@@ -133,6 +133,15 @@
 	}
 }
 
+// resumeEndpoints ends the suspension of the endpoints behind an agent that can be reached again.
+func (g *Gateway) resumeEndpoints(address string) {
+	if r := g.routing.Load(); r != nil {
+		for _, c := range r.snapshot.CandidatesOfAgent(address) {
+			c.Resume()
+		}
+	}
+}
+
 // observeAgent records a load report and places waiting requests at the agent's endpoints.
 func (g *Gateway) observeAgent(address string, m *dispatch.Heartbeat) {
 	r := g.routing.Load()
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -199,6 +199,9 @@
 	c.state.flags.Or(uint32(flagSuspended))
 }
 
+// Resume ends a suspension, also for picks that have read their clock before.
+func (c *Candidate) Resume() { c.state.suspended.Store(&time.Time{}) }
+
 // Load returns the latest report and when it was made; ok is false before the
 // first.
 func (c *Candidate) Load() (load endpoint.Load, made time.Time, ok bool) {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -364,6 +364,9 @@
 	next.Candidate("model-0", "endpoint-1").Suspend(start.Add(time.Second))
 	assert.Equal(t, next.Pick(r, start, rng).Reason, ReasonUnreachable)
 	assert.Assert(t, next.Pick(r, start.Add(time.Second), rng).Candidate != nil)
+	// A pick that read its clock before the end of the suspension must not find it in force.
+	next.Candidate("model-0", "endpoint-1").Resume()
+	assert.Equal(t, next.Pick(r, start.Add(-time.Millisecond), rng).Candidate.Endpoint.ID, endpoint.ID("endpoint-1"))
 	in.Endpoints[1].Leaving, in.Endpoints[3].Leaving = true, true
 	assert.Equal(t, NewSnapshot(in).Pick(r, start, rng).Reason, ReasonDomainDrained)
 	assert.Equal(t, next.Pick(&Request{Service: "other"}, start, rng).Reason, ReasonUnknownService)
