Endpoints' own load reports reach the agent; load reports carry a slowdown

Cause: answers state running, waiting and slots of their endpoint and, at some endpoints, how long work takes there now. No code read it.

--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -61,6 +61,8 @@
 	Check func(resp *http.Response, r *endpoint.Request, reused bool) error
 	// Wishes reads what an answer asks for; nil if the server asks for nothing.
 	Wishes func(resp *http.Response) Wishes
+	// Report reads what an answer says of the endpoint's load; nil if the server says nothing.
+	Report func(resp *http.Response) endpoint.SelfReport
 }
 
 // New returns an engine at a base URL such as "http://127.0.0.1:9000". network may be
@@ -136,7 +138,7 @@
 		wishes := e.wishes(resp)
 		if err = e.checkAnswer(resp, r, s.reused); err == nil {
 			e.restraints.record(r, wishes, time.Now())
-			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: checkEvents(resp)}, false, nil
+			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: checkEvents(resp), Report: e.report(resp)}, false, nil
 		}
 		var refused *endpoint.RefusedError
 		if errors.As(err, &refused) && !refused.Misdirected {
@@ -183,6 +185,13 @@
 	return e.opt.Wishes(resp)
 }
 
+func (e *Engine) report(resp *http.Response) endpoint.SelfReport {
+	if e.opt.Report == nil {
+		return endpoint.SelfReport{}
+	}
+	return e.opt.Report(resp)
+}
+
 func (e *Engine) checkAnswer(resp *http.Response, r *endpoint.Request, reused bool) error {
 	if e.opt.Check == nil {
 		return nil
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -64,11 +64,10 @@
 	return dial, "/" + target
 }
 
-// Load is an agent's report on its endpoint. Dispatch frames carry it.
+// Load is an agent's report on its endpoint. Dispatch frames carry it as an array (see
+// EncodeMsgpack), since each agent reports to each gateway and field names would take most of the
+// bytes.
 type Load struct {
-	// Each agent reports to each gateway, and field names would take most of the bytes.
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
-
 	// Limit is the number of requests that the endpoint can run at once at present.
 	Limit int `msgpack:"limit" json:"limit"`
 	// Running and Queued count requests in the engine and in the agent's queue.
@@ -99,4 +98,7 @@
 	Leaving bool `msgpack:"leaving" json:"leaving"`
 	// Age is how old the report was when it was sent.
 	Age time.Duration `msgpack:"age" json:"age"`
+	// Slowdown is how long work takes on the endpoint's machine now, in hundredths of the time
+	// that the rates contain; 0 if the endpoint does not say.
+	Slowdown uint16 `msgpack:"slowdown" json:"slowdown,omitempty"`
 }
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -74,8 +74,25 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Report is what the endpoint said of its load when the answer began.
+	Report SelfReport
 }
 
+// SelfReport is what an endpoint says of its own load. The zero value says nothing.
+type SelfReport struct {
+	// Running and Waiting count all requests at the endpoint, whoever sent them.
+	Running, Waiting int
+	// Slots is the number of requests that it says it runs at once; at least 1 in a report that
+	// says something.
+	Slots int
+	// Slowdown is the factor by which work takes longer on its machine than usual, 0 if it does
+	// not say.
+	Slowdown float64
+}
+
+// Stated reports whether the endpoint said anything.
+func (r SelfReport) Stated() bool { return r.Slots > 0 }
+
 // Order asks an engine to change what it serves.
 type Order struct {
 	// Token is the fencing token; an order with a token below the highest seen is refused.
