Endpoint speed: learn how much endpoints take well, and place work by it

Cause: endpoints of one service differ in speed, machines are disturbed by their neighbours, and some endpoints slow down long before their slots are full. Plain services were spread by the gateway's own requests alone. Change: package capacity learns the time of work by concurrency, the knee of an endpoint and the slowdown that it states. Gateways learn from the answers of plain endpoints without agents; agents put the stated slowdown in their load reports. The pick counts both.

--- a/agent/execute.go
+++ b/agent/execute.go
@@ -43,6 +43,7 @@
 		return
 	}
 	d.started = a.now()
+	d.slot.recordSelfReport(answer.Report, d.started)
 	d.slot.recordFirstByte(d.started)
 	d.stream.writeStarted(answer)
 	d.forward(ctx, answer)
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"toucantiller.dev/admission"
+	"toucantiller.dev/capacity"
 	"toucantiller.dev/contract"
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
@@ -52,9 +53,11 @@
 // gate bounds the number of requests in the engine by an adaptive limit and queues the rest
 // by tier.
 type gate struct {
-	mu       sync.Mutex
-	queue    *admission.Queue
-	limiter  *limit.Limiter
+	mu      sync.Mutex
+	queue   *admission.Queue
+	limiter *limit.Limiter
+	// slowdown is what the endpoint says of its machine.
+	slowdown capacity.Slowdown
 	config   *contract.Config
 	running  int
 	tokens   int
@@ -177,6 +180,7 @@
 		// another, so the ID alternates between old and new for a while, and each change would
 		// otherwise clear the starts.
 		g.limiter.Restart()
+		g.slowdown = capacity.Slowdown{}
 	}
 	g.engine = e
 	g.limiter.SetDeclaredLimit(e.Slots)
@@ -341,6 +345,16 @@
 	w.gate.limiter.FirstToken(w.ticket, now)
 }
 
+// recordSelfReport records what the endpoint said of its machine with the start of an answer.
+func (w *waiter) recordSelfReport(r endpoint.SelfReport, now time.Time) {
+	if r.Slowdown <= 0 {
+		return
+	}
+	w.gate.mu.Lock()
+	defer w.gate.mu.Unlock()
+	w.gate.slowdown.Observe(r.Slowdown, now)
+}
+
 // finish records the outcome at the engine and frees the slot. Later calls do nothing.
 func (w *waiter) finish(o outcome) {
 	g := w.gate
@@ -444,6 +458,6 @@
 		Running: g.running, RunningTokens: g.tokens,
 		Queued: g.queue.Len(), QueuedTokens: g.queue.Tokens(),
 		PrefillRate: prefill, DecodeRate: decode, SpeedAge: g.limiter.SpeedAge(now),
-		Floor: g.queue.Floor(now),
+		Floor: g.queue.Floor(now), Slowdown: capacity.Percent(g.slowdown.Relative(now)),
 	}
 }
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -68,6 +68,7 @@
 		{"toucan.agent.limit", "{request}", "Requests that the endpoint can bear.", func(l endpoint.Load) int { return l.Limit }},
 		{"toucan.agent.requests.running", "{request}", "Requests in the engine.", func(l endpoint.Load) int { return l.Running }},
 		{"toucan.agent.requests.queued", "{request}", "Requests in the agent's queue.", func(l endpoint.Load) int { return l.Queued }},
+		{"toucan.agent.slowdown", "%", "How long work takes on the endpoint's machine now, in hundredths of its mean; 0 if it is as usual or not stated.", func(l endpoint.Load) int { return int(l.Slowdown) }},
 	} {
 		observe := func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(int64(g.value(load())))
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"toucantiller.dev/contract"
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
+	"toucantiller.dev/policy"
+	"toucantiller.dev/schedule"
 	"toucantiller.dev/timeline"
 )
 
@@ -67,6 +71,7 @@
 		return a.submitFailed(ctx, err)
 	}
 	defer answer.Body.Close()
+	a.observeDirectAnswer(answer)
 	a.out.start(a.endpoint, answer.Status, answer.Header)
 	buffer := make([]byte, directBufferSize)
 	for {
@@ -85,6 +90,32 @@
 	}
 }
 
+// observeDirectAnswer learns from what the endpoint says of its load, and from the time to the
+// start of its answer: the rest depends on the caller, too.
+func (a *attempt) observeDirectAnswer(answer *endpoint.Answer) {
+	if !a.followsLoad(answer.Report) {
+		return
+	}
+	now := time.Now()
+	limit, changed := a.candidate.ObserveAnswer(schedule.Answered{
+		Kind: a.call.route.Name, Took: now.Sub(a.began), Report: answer.Report, Failed: answer.Status/100 != 2,
+	}, now)
+	if changed {
+		a.gateway.opt.Timeline.Record(timeline.Event{
+			Kind: "endpoint.limit", Request: a.call.id, Endpoint: string(a.endpoint.ID),
+			Detail: fmt.Sprintf("takes %d of %d requests at once well", limit, answer.Report.Slots),
+		})
+	}
+}
+
+// followsLoad reports whether placement follows what the endpoint of a plain service states. One
+// that states no slowdown is followed only if the settings ask for it.
+func (a *attempt) followsLoad(r endpoint.SelfReport) bool {
+	opt := &a.gateway.opt
+	return opt.Without.InForce(policy.EndpointSpeed) && a.call.service.Kind == contract.KindPlain &&
+		r.Stated() && (opt.FollowLoad || r.Slowdown > 0)
+}
+
 // submitFailed handles a direct call that got no answer.
 func (a *attempt) submitFailed(ctx context.Context, err error) attemptResult {
 	var refused *endpoint.RefusedError
@@ -113,6 +144,9 @@
 		return attemptResult{problem: newProblem(statusClientClosed, "caller_left", ExecutionUnknown, "the caller closed the connection")}
 	}
 	a.recordFailure(ctx.Err() == nil)
+	if now := time.Now(); ctx.Err() != nil && a.firstByte.IsZero() {
+		a.candidate.ObserveOverdue(a.call.route.Name, now.Sub(a.began), now)
+	}
 	a.gateway.opt.Timeline.Record(timeline.Event{Kind: "dispatch.lost", Request: a.call.id, Endpoint: string(a.endpoint.ID), Detail: err.Error()})
 	if ctx.Err() != nil {
 		return attemptResult{problem: newProblem(http.StatusGatewayTimeout, "deadline", ExecutionUnknown, "%v", err)}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,9 @@
 	MemoryBudget memory.Budget
 	// Without is the set of policies that are switched off.
 	Without policy.Off
+	// FollowLoad makes placement follow the load that endpoints without an agent state in their
+	// answers, also where they do not say how long work takes on their machine.
+	FollowLoad bool
 }
 
 // Gateway serves callers.
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -113,6 +113,8 @@
 	agents  map[endpoint.ID]*agent.Agent
 	events  *timeline.Recorder
 	// stopDelay is the Options.StopDelay of gateways started later.
+	// report reads what endpoints without agents say of their load; nil if they say nothing.
+	report    func(*http.Response) endpoint.SelfReport
 	stopDelay time.Duration
 	// memoryBudget is the Options.MemoryBudget of gateways started later.
 	memoryBudget memory.Budget
@@ -199,8 +201,10 @@
 		Instance: instance.Instance{ID: "g1", Incarnation: 7, Domain: "a"},
 		View:     w.view, Claims: w.claims, Evidence: w, Network: w.links, Timeline: w.events,
 		StopDelay: w.stopDelay, MemoryBudget: w.memoryBudget, Logger: w.logger,
-		Meter:     sdk.NewMeterProvider(sdk.WithReader(w.metrics)).Meter("test"),
-		NewEngine: func(target string, _ int) endpoint.Engine { return httpengine.New(w.network, "http://"+target) },
+		Meter: sdk.NewMeterProvider(sdk.WithReader(w.metrics)).Meter("test"),
+		NewEngine: func(target string, _ int) endpoint.Engine {
+			return httpengine.NewWithOptions(w.network, "http://"+target, httpengine.Options{Report: w.report})
+		},
 	})
 	assert.NilError(w.t, err)
 	w.gateway = g
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,6 +23,9 @@
 	// SpeedFilter keeps requests off endpoints that are too slow for them. It answers endpoints
 	// of unlike speed.
 	SpeedFilter Name = "speed-filter"
+	// EndpointSpeed places work by what endpoints state of their load and by how long work has
+	// taken at each. It answers endpoints of unlike and changing speed.
+	EndpointSpeed Name = "endpoint-speed"
 	// SlotReserve makes long work of low worth leave slots free. It answers dense requests that
 	// arrive while long ones hold all slots.
 	SlotReserve Name = "slot-reserve"
@@ -45,7 +48,7 @@
 
 // Names lists all policies in the order of a request's way.
 func Names() []Name {
-	return []Name{ReturningCallers, WorthOrder, FinishChance, SlotReserve, ClassFloor, EarlyRefusal, SpeedFilter, FailingEndpoints, OwnDomain}
+	return []Name{ReturningCallers, WorthOrder, FinishChance, SlotReserve, ClassFloor, EarlyRefusal, SpeedFilter, EndpointSpeed, FailingEndpoints, OwnDomain}
 }
 
 // Off is a set of policies that are switched off. The zero value leaves all in force.
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -35,7 +35,8 @@
 	AgentListen   PortRange `help:"Address for dispatches to endpoints without an agent, whose agents this gateway runs: ip:port, or ip:first-last for the highest port that is free; empty for none." env:"TOUCAN_AGENT_LISTEN"`
 	PaceSettings  `embed:""`
 	// StopDelay covers two health checks a second apart.
-	StopDelay time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
+	StopDelay  time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
+	FollowLoad bool          `help:"Follow the load that endpoints of plain services state in their answers, and learn how much each takes well, also where they do not state how long work takes on their machine." env:"TOUCAN_FOLLOW_LOAD"`
 	// Without is for experiments.
 	Without []string `help:"Policies to switch off for an experiment, comma separated." env:"TOUCAN_WITHOUT"`
 }
@@ -122,7 +123,9 @@
 		return err
 	}
 	g.gateway, err = gateway.New(gateway.Options{
-		Without:  off,
+		Without:    off,
+		FollowLoad: g.settings.FollowLoad,
+
 		Instance: g.member.self,
 		View:     g.member,
 		Claims:   claims{g.member.control},
--- a/schedule/candidate.go
+++ b/schedule/candidate.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"toucantiller.dev/capacity"
 	"toucantiller.dev/endpoint"
 )
 
@@ -35,6 +36,10 @@
 	cache     prefixCache
 	history   history
 	base      *timeBase
+	// capacity is what the endpoint's answers taught, for an endpoint without an agent. It is
+	// guarded by answers.mu and nil before the first answer.
+	capacity *capacity.Endpoint
+	answers  *serviceAnswers
 }
 
 // report is an immutable load report with what was known when it arrived. It holds
@@ -66,6 +71,10 @@
 type detail struct {
 	load   endpoint.Load
 	madeAt time.Time
+	// excess is the share by which the stated slowdown exceeded its mean at madeNanos.
+	excess float64
+	// work is nil if the endpoint's answers taught nothing to this gateway.
+	work *workTimes
 }
 
 // newReport prepares what picks read from a load report.
@@ -99,6 +108,9 @@
 	if load.Floor >= 0 {
 		r.flags |= flagFloor
 	}
+	if r.excess = excessOf(load.Slowdown); r.excess != 0 {
+		r.flags |= flagSlowdown
+	}
 	return r
 }
 
@@ -131,7 +143,10 @@
 
 // Observe stores a load report that arrived now. Reports older than the one
 // known are ignored.
-func (c *Candidate) Observe(load endpoint.Load, now time.Time) {
+func (c *Candidate) Observe(load endpoint.Load, now time.Time) { c.observe(load, nil, now) }
+
+// observe stores a load report with the times of work that the endpoint's answers taught, if any.
+func (c *Candidate) observe(load endpoint.Load, work *workTimes, now time.Time) {
 	made := now.Add(-load.Age)
 	old := c.state.report.Load()
 	if old != nil && made.Before(old.madeAt) {
@@ -139,6 +154,7 @@
 	}
 	own := c.state.ownRequestsAt(c.state.base.nanos(made), c.state.base.nanos(now))
 	r := newReport(load)
+	r.setWork(work)
 	r.madeNanos = c.state.base.nanos(made)
 	r.speedExpires = r.madeNanos + (speedLifetime - load.SpeedAge).Nanoseconds()
 	r.madeAt = made
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -55,6 +55,8 @@
 	firstToken   [maxPositions]float64
 	finish       [maxPositions]float64
 	score        [maxPositions]float64
+	// leastWork is the least known time of work among the live candidates, 0 if none is known.
+	leastWork float64
 	// assumed holds the reports of endpoints without learned speeds, with the speeds that
 	// they are assumed to have.
 	assumed [maxPositions]report
@@ -93,6 +95,10 @@
 	flagNoDecode
 	// flagFailing flags candidates whose answers fail often.
 	flagFailing
+	// flagSlowdown flags reports of machines that are slower or faster than they usually are.
+	flagSlowdown
+	// flagWork flags reports with times of work.
+	flagWork
 )
 
 // estimateLoads estimates the requests at each candidate: own outstanding work is exact;
@@ -124,7 +130,11 @@
 		occupancy := requests * r.perLimit
 		x.occupancy[i] = occupancy
 		used += occupancy
-		spare := float64(r.capacity) + estimateSlack - (requests + 1)
+		held := requests
+		if r.flags&flagWork != 0 {
+			held = own + ageWeight(statedLoadAging*(x.nanos-r.madeNanos))*float64(r.otherRequests)
+		}
+		spare := float64(r.capacity) + estimateSlack - (held + 1)
 		x.spare[i] = spare
 		signs |= math.Float64bits(spare)
 	}
@@ -219,6 +229,7 @@
 func (x *scratch) estimateTimes(i uint8, prompt, answer float64) (first, finish float64) {
 	rep := x.reports[i]
 	c := x.candidates[i]
+	plain := prompt == 0
 	prompt -= x.cachedTokens[i]
 	waiting := float64(x.states[i].outstandingPrompt.Load()) + float64(rep.otherQueuedTokens)*x.reportWeight[i]
 	first = (waiting+prompt)*rep.perPrefill + 2*c.distance
@@ -229,7 +240,15 @@
 	if !rep.exact {
 		crowd += crowdingSlowdown * x.occupancy[i] * x.occupancy[i]
 	}
-	return first, first + answer*rep.perDecode*crowd
+	if plain && x.flags&flagWork != 0 {
+		first += x.workTime(i)
+	}
+	finish = first + answer*rep.perDecode*crowd
+	if rep.flags&x.flags&flagSlowdown != 0 {
+		excess := rep.excessAt(x.nanos)
+		first, finish = first+spellTime(excess, first), finish+spellTime(excess, finish)
+	}
+	return first, finish
 }
 
 // callTime is the mean remaining time of the calls at the endpoint.
--- a/schedule/pick.go
+++ b/schedule/pick.go
@@ -139,6 +139,7 @@
 	x.now = now
 	x.nanos = s.base.nanos(now)
 	x.estimateLoads()
+	x.flags &^= s.profile.ignored
 	s.profile.run(x, r, &d, rng)
 	x.candidates, x.states, x.hashes = nil, nil, nil
 	scratchPool.Put(x)
@@ -150,6 +151,8 @@
 	Filters []Filter
 	Scorers []WeightedScorer
 	Picker  Picker
+	// ignored holds the flags of reports that no plugin acts on.
+	ignored flagSet
 }
 
 // Weights and bounds of the default profile.
@@ -174,6 +177,9 @@
 		}
 		return false
 	})
+	if !off.InForce(policy.EndpointSpeed) {
+		p.ignored = flagSlowdown | flagWork
+	}
 	p.Picker = twoChoices{share: nearShare, slack: nearSlack, anyDomain: !off.InForce(policy.OwnDomain)}
 	return p
 }
--- a/schedule/scorer.go
+++ b/schedule/scorer.go
@@ -17,6 +17,9 @@
 
 func (firstTokenScorer) Score(x *scratch, r *Request, weight float64) {
 	prompt, answer := float64(r.PromptTokens), float64(max(r.AnswerTokens, 1))
+	if x.flags&flagWork != 0 {
+		x.findLeastWork()
+	}
 	for _, i := range x.live {
 		x.firstToken[i], x.finish[i] = x.estimateTimes(i, prompt, answer)
 		x.score[i] += weight * x.firstToken[i]
--- a/schedule/snapshot.go
+++ b/schedule/snapshot.go
@@ -52,6 +52,8 @@
 	byAgent map[string][]*Candidate
 	// states holds the load of every known endpoint, for the next snapshot.
 	states map[stateKey]*state
+	// answers holds what the answers of each service taught, for the next snapshot.
+	answers map[string]*serviceAnswers
 }
 
 // stateKey identifies an endpoint and its agent. The reports of one agent do not apply to its
@@ -92,6 +94,7 @@
 		states:   make(map[stateKey]*state),
 		byAgent:  make(map[string][]*Candidate),
 		base:     &timeBase{},
+		answers:  make(map[string]*serviceAnswers, len(in.Config.Services)),
 	}
 	if in.Previous != nil {
 		s.base = in.Previous.base
@@ -101,6 +104,7 @@
 	}
 	for _, c := range in.Config.Services {
 		s.services[c.Name] = &service{shares: c.Versions}
+		s.answers[c.Name] = answersOf(in.Previous, c.Name)
 	}
 	byService := s.eligible(in)
 	for name, list := range byService {
@@ -169,7 +173,7 @@
 		st = previous.states[key]
 	}
 	if st == nil {
-		st = &state{base: s.base}
+		st = &state{base: s.base, answers: s.answers[e.Service]}
 		if e.Slots > 0 {
 			// The endpoint declares its concurrency; its agent, if any, reports later.
 			st.report.Store(newReport(endpoint.Load{Limit: e.Slots, Exact: e.Address != "", Floor: admission.NoFloor}))
