capacity: try fewer requests at a steady load, and take the throughput for the judge

Cause: an endpoint that is always full shows no time at fewer requests, so its knee stayed unknown; and a limit that was lowered rose by one step after the evidence had faded, although it showed that more requests gave more. Change: where work at the limit takes 1.5 times the least seen, fewer are tried, with pauses that double while that finds nothing; the limit goes to the knee at once.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -22,8 +22,12 @@
 	// knee is the number of requests from which the endpoint slows down so that it gets no more
 	// done, 0 for none.
 	knee int
+	// batching makes all work slower with each request, though more is done.
+	batching bool
 	// noise makes the machine 2.5 times slower in one second of four; it says so if stated is set.
 	noise, stated bool
+	// full keeps as many requests there as the limit allows, at all times, and quiet only one.
+	full, quiet bool
 }
 
 func newFakeEndpoint(slots int) *fakeEndpoint {
@@ -34,10 +38,19 @@
 func (f *fakeEndpoint) serve(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		running := 1 + f.rng.IntN(f.e.Limit())
+		switch {
+		case f.quiet:
+			running = 1
+		case f.full:
+			running = f.e.Limit()
+		}
 		took := 0.03 / f.speed
 		if f.knee > 0 {
 			took *= math.Pow(max(1, float64(running)/float64(f.knee)), 1.5)
 		}
+		if f.batching {
+			took *= math.Pow(float64(running), 0.6)
+		}
 		factor := 1.0
 		if f.noise && f.now.Unix()%4 == 0 {
 			factor = 2.5
@@ -64,6 +77,45 @@
 	assert.Equal(t, f.e.Limit(), 6)
 }
 
+// Load: an endpoint that gets a little less done with its last slot. Guards against a limit that falls
+// for great slowdowns alone.
+func TestLastSlotWithoutGainIsLeftFree(t *testing.T) {
+	f := newFakeEndpoint(6)
+	f.knee = 5
+	f.serve(20 * time.Second)
+	assert.Equal(t, f.e.Limit(), 5)
+}
+
+// Load: an endpoint that slows down from the fourth request on and is filled from the first second of
+// the load on. Guards against a limit that stays, as nothing is ever known of fewer requests.
+func TestKneeIsFoundUnderSteadyLoad(t *testing.T) {
+	f := newFakeEndpoint(6)
+	f.knee = 3
+	f.quiet = true
+	f.serve(time.Second)
+	f.quiet, f.full = false, true
+	f.serve(30 * time.Second)
+	assert.Assert(t, f.e.Limit() == 3 || f.e.Limit() == 4, "limit %d", f.e.Limit())
+}
+
+// Load: an endpoint at which each request slows the others and which still gets more done with each,
+// filled from the first second of the load on. Guards against a limit by times alone.
+func TestLimitFollowsThroughput(t *testing.T) {
+	f := newFakeEndpoint(6)
+	f.batching, f.quiet = true, true
+	f.serve(time.Second)
+	f.quiet, f.full = false, true
+	const seconds = 600
+	lowered := 0
+	for range seconds {
+		f.serve(time.Second)
+		if f.e.Limit() < 6 {
+			lowered++
+		}
+	}
+	assert.Assert(t, lowered <= seconds/50, "lowered for %d of %d s", lowered, seconds)
+}
+
 // Load: an endpoint that runs all its slots well, on a slow machine, and with neighbours that slow it
 // down for a second at a time. Guards against a limit that falls for either.
 func TestHealthyEndpointKeepsItsSlots(t *testing.T) {
--- a/capacity/endpoint.go
+++ b/capacity/endpoint.go
@@ -30,6 +30,10 @@
 	// leastRise is the share by which the least time rises with each answer, so that it is
 	// forgotten after some thousand.
 	leastRise = 1e-4
+	// minTrialPause and maxTrialPause bound the pause between two trials of fewer requests. It
+	// doubles as long as they find that more requests give more throughput.
+	minTrialPause = 15 * time.Second
+	maxTrialPause = 4 * time.Minute
 	// probeInterval is the least time between two rises of the limit by one.
 	probeInterval = 3 * time.Second
 )
@@ -62,6 +66,8 @@
 	// raisedAt is when the limit last rose or was confirmed, loweredAt when it was lowered
 	// without evidence of the throughput at the lower one.
 	raisedAt, loweredAt time.Time
+	// trialPause is the least time until the limit is lowered so again.
+	trialPause time.Duration
 	// least is the least mean ratio seen at any level, which rises slowly.
 	least  float64
 	window window
@@ -197,29 +203,29 @@
 	switch {
 	case e.slowsDown(now):
 		e.lower(now)
-	case above:
-		if knee < e.limit {
-			e.raisedAt = now
-		}
-		if knee <= e.limit || now.Sub(e.raisedAt) >= probeInterval {
-			e.setLimit(knee, now)
-		}
-	case e.limit < e.declared && now.Sub(e.raisedAt) >= probeInterval && !e.knownAbove(now):
-		// Nothing is known of more requests any longer, so one more is tried. Its callers wait a
-		// little longer at worst, and each further step needs evidence of its own.
-		e.setLimit(e.limit+1, now)
+	case above && knee < e.limit:
+		e.limit, e.raisedAt, e.trialPause = knee, now, 0
+	case now.Sub(e.raisedAt) < probeInterval || e.limit == e.declared:
+	case knee > e.limit:
+		e.limit, e.raisedAt = knee, now
+	case !e.knownAbove(now):
+		// Where nothing is known of more requests any longer, one more is tried. Its callers wait
+		// a little longer at worst, and each further step needs evidence of its own.
+		e.limit, e.raisedAt = e.limit+1, now
 	}
 }
 
 // slowsDown reports whether work at the limit takes far longer than the least that was seen, and
-// nothing is known of the throughput with clearly fewer requests.
+// nothing is known of the throughput between the number of requests that the least time would bear
+// and the limit.
 func (e *Endpoint) slowsDown(now time.Time) bool {
 	at := e.levelOf(e.limit)
 	present := e.levels[at].decayed(now)
-	if at == 1 || present.weight < minKneeWeight || now.Sub(e.loweredAt) < probeInterval {
+	if at == 1 || present.weight < minKneeWeight || now.Sub(e.loweredAt) < e.trialPause {
 		return false
 	}
-	for i := 1; i <= at*2/3; i++ {
+	target := e.levelOf(e.bearable(&present))
+	for i := target; i <= max(target, at*2/3); i++ {
 		if l := e.levels[i].decayed(now); l.weight >= minKneeWeight {
 			return false
 		}
@@ -227,11 +233,18 @@
 	return present.lower() > slowRatio*e.least
 }
 
-// lower lowers the limit towards the number of requests that the least time seen would bear.
+// bearable is the number of requests below the limit that the least time seen would bear.
+func (e *Endpoint) bearable(present *level) int {
+	requests := int(math.Ceil(float64(e.limit) * e.least / present.mean()))
+	return max(1, min(e.limit-1, requests))
+}
+
+// lower lowers the limit, so that the throughput with fewer requests becomes known.
 func (e *Endpoint) lower(now time.Time) {
 	present := e.levels[e.levelOf(e.limit)].decayed(now)
-	e.limit = max(1, min(e.limit-1, int(math.Ceil(float64(e.limit)*e.least/present.mean()))))
+	e.limit = e.bearable(&present)
 	e.loweredAt, e.raisedAt = now, now
+	e.trialPause = min(max(2*e.trialPause, minTrialPause), maxTrialPause)
 }
 
 // recordLeast takes the mean at a level as the least one if it is lower.
@@ -256,8 +269,9 @@
 }
 
 // knee is the lowest number of requests beyond which no level with evidence gives clearly more
-// throughput. By Little's law the throughput at a level is the number of requests over their
-// time. above is false if there is no evidence beyond it, so that the throughput may still rise.
+// throughput, 0 if there is no evidence. By Little's law the throughput at a level is the number of
+// requests over their time. above is false if there is no evidence beyond the knee, so that the
+// throughput may still rise.
 func (e *Endpoint) knee(now time.Time) (requests int, above bool) {
 	var known [MaxLevels]int
 	var levels [MaxLevels + 1]level
@@ -274,7 +288,7 @@
 			return min(low*e.step(), e.declared), at < n-1
 		}
 	}
-	return e.declared, false
+	return 0, false
 }
 
 // knownAbove reports whether there is evidence, even if faded, at a level above the limit.
