--- a/gateway/followload_test.go
+++ b/gateway/followload_test.go
@@ -34,9 +34,12 @@
 			for range calls {
 				w.post("/services/desk/a", "{}").expect(t, 200)
 			}
+			limit := w.gauge("toucan.gateway.endpoint.limit")
 			if slowdown > 0 {
+				assert.Equal(t, limit, int64(4))
 				assert.Assert(t, slow.Load() < calls/4, "%d of %d calls went to the slow endpoint", slow.Load(), calls)
 			} else {
+				assert.Equal(t, limit, int64(-1))
 				assert.Assert(t, slow.Load() > calls/4, "%d of %d calls went to the slow endpoint", slow.Load(), calls)
 			}
 		})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -158,6 +158,9 @@
 	if err := registerMemory(opt.Meter, g.memory); err != nil {
 		return nil, eris.Wrap(err, "creating gateway metrics")
 	}
+	if err := registerLearned(opt.Meter, g.learned); err != nil {
+		return nil, eris.Wrap(err, "creating gateway metrics")
+	}
 	g.callers = newCallerConnections(g.callerIdleTimeout, g.memory)
 	g.callers.evicted = g.recordEviction
 	g.memory.short = g.callers.scheduleEviction
--- a/schedule/work.go
+++ b/schedule/work.go
@@ -111,6 +111,49 @@
 	}
 }
 
+// Learned is what a gateway has learned of an endpoint without an agent.
+type Learned struct {
+	Endpoint endpoint.ID
+	Service  string
+	// Limit is the number of requests that the endpoint takes well, of Slots that it says it runs.
+	Limit, Slots int
+	// Slowness is the time of work beside no other, as a multiple of that at the fastest endpoint
+	// of the service; 0 if it isn't known.
+	Slowness float64
+}
+
+// Learned returns what this gateway has learned from the answers of endpoints without agents.
+func (s *Snapshot) Learned(now time.Time) []Learned {
+	var out []Learned
+	for name, svc := range s.services {
+		out = append(out, svc.learned(name, s.answers[name], now)...)
+	}
+	return out
+}
+
+func (svc *service) learned(name string, a *serviceAnswers, now time.Time) []Learned {
+	var out []Learned
+	least := math.Inf(1)
+	a.mu.Lock()
+	for _, c := range svc.candidates {
+		e := c.state.capacity
+		if e == nil {
+			continue
+		}
+		l := Learned{Endpoint: c.Endpoint.ID, Service: name, Limit: e.Limit(), Slots: e.Declared()}
+		if ratio, known := e.RelativeTime(1, now); known {
+			l.Slowness = ratio
+			least = min(least, ratio)
+		}
+		out = append(out, l)
+	}
+	a.mu.Unlock()
+	for i := range out {
+		out[i].Slowness /= least
+	}
+	return out
+}
+
 // workTimes must be called with mu held.
 func (s *serviceAnswers) workTimes(e *capacity.Endpoint, now time.Time) *workTimes {
 	w := &workTimes{declared: e.Declared()}
