--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -144,6 +144,7 @@
 		if errors.As(err, &refused) && !refused.Misdirected {
 			// Another endpoint at the address speaks for itself only.
 			refused.RetryAfter = wishes.RetryAfter
+			refused.Report = e.report(resp)
 			e.restraints.record(r, wishes, time.Now())
 		}
 		if !errors.Is(err, endpoint.ErrNotSent) && s.conn != nil {
--- a/capacity/endpoint.go
+++ b/capacity/endpoint.go
@@ -259,15 +259,6 @@
 	e.least *= 1 + leastRise
 }
 
-func (e *Endpoint) setLimit(limit int, now time.Time) {
-	limit = min(max(limit, 1), e.declared)
-	if limit > e.limit {
-		limit = e.limit + 1
-		e.raisedAt = now
-	}
-	e.limit = limit
-}
-
 // knee is the lowest number of requests beyond which no level with evidence gives clearly more
 // throughput, 0 if there is no evidence. By Little's law the throughput at a level is the number of
 // requests over their time. above is false if there is no evidence beyond the knee, so that the
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -52,6 +52,8 @@
 	// RetryAfter is how long the endpoint wants no further request from this process, 0 if it did
 	// not say.
 	RetryAfter time.Duration
+	// Report is what the endpoint said of its load with the refusal.
+	Report SelfReport
 }
 
 // Error returns a message with the status.
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -71,7 +71,7 @@
 		return a.submitFailed(ctx, err)
 	}
 	defer answer.Body.Close()
-	a.observeDirectAnswer(answer)
+	a.observeSelfReport(answer.Report, answer.Status/100 != 2)
 	a.out.start(a.endpoint, answer.Status, answer.Header)
 	buffer := make([]byte, directBufferSize)
 	for {
@@ -90,20 +90,20 @@
 	}
 }
 
-// observeDirectAnswer learns from what the endpoint says of its load, and from the time to the
-// start of its answer: the rest depends on the caller, too.
-func (a *attempt) observeDirectAnswer(answer *endpoint.Answer) {
-	if !a.followsLoad(answer.Report) {
+// observeSelfReport learns from what the endpoint says of its load, and from the time to the start
+// of its answer unless it failed or is a refusal: the rest depends on the caller, too.
+func (a *attempt) observeSelfReport(r endpoint.SelfReport, failed bool) {
+	if !a.followsLoad(r) {
 		return
 	}
 	now := time.Now()
 	limit, changed := a.candidate.ObserveAnswer(schedule.Answered{
-		Kind: a.call.route.Name, Took: now.Sub(a.began), Report: answer.Report, Failed: answer.Status/100 != 2,
+		Kind: a.call.route.Name, Took: now.Sub(a.began), Report: r, Failed: failed,
 	}, now)
 	if changed {
 		a.gateway.opt.Timeline.Record(timeline.Event{
 			Kind: "endpoint.limit", Request: a.call.id, Endpoint: string(a.endpoint.ID),
-			Detail: fmt.Sprintf("takes %d of %d requests at once well", limit, answer.Report.Slots),
+			Detail: fmt.Sprintf("takes %d of %d requests at once well", limit, r.Slots),
 		})
 	}
 }
@@ -121,6 +121,7 @@
 	var refused *endpoint.RefusedError
 	switch {
 	case errors.As(err, &refused):
+		a.observeSelfReport(refused.Report, true)
 		a.suspendFor(refused.RetryAfter)
 		if refused.Misdirected || refused.Leaving {
 			a.suspend()
