capacity: chance does not lower the limit of a healthy endpoint

Cause: in a trial, limits of healthy endpoints with 20 to 100 slots drifted to two thirds, since a further request there gives less than 5 in 100 and few windows agree by chance. Change: a rise of throughput counts in proportion to the rise of requests, windows are given a least spread, and endpoints that state no slowdown need twice the confidence. Left: 100 slots under strong unstated disturbances (design note). Result: go test ./capacity passes; without each rule TestChanceDoesNotLowerTheLimit, TestUsualTimeDoesNotMoveWithLoad or TestLimitFollowsThroughput fails (mutations run).

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -132,6 +132,49 @@
 	}
 }
 
+// Load: healthy endpoints of few and of many slots, whose work varies by half and whose machines are
+// disturbed for tenths of a second. Guards against a limit that drifts down by chance.
+func TestChanceDoesNotLowerTheLimit(t *testing.T) {
+	for _, stated := range []bool{true, false} {
+		for _, slots := range []int{2, 6, 20, 100} {
+			if slots > 20 && !stated {
+				continue // a limit of the method, named in docs/design/endpoint-speed.md
+			}
+			rng := rand.New(rand.NewPCG(1, 1))
+			e, kinds, now, until := NewEndpoint(slots), &Kinds{}, start, start
+			factor, sum := 1.0, 0
+			const answers = 20000
+			for range answers {
+				if !now.Before(until) {
+					factor = []float64{1, 1, 1, 2.5}[rng.IntN(4)]
+					until = now.Add(time.Duration(rng.ExpFloat64() * 0.3e9))
+				}
+				if stated {
+					e.Slowdown.Observe(factor, now)
+				}
+				running := 1 + rng.IntN(e.Limit())
+				seconds := 0.03 * factor * (0.5 + rng.Float64())
+				now = now.Add(time.Duration(seconds / float64(running) * 1e9))
+				e.Observe(Answer{Kind: "k", Took: time.Duration(seconds * 1e9), Running: running}, kinds, now)
+				sum += e.Limit()
+			}
+			assert.Check(t, float64(sum) >= 0.9*float64(slots)*answers, "mean limit %d of %d, stated %v", sum/answers, slots, stated)
+		}
+	}
+}
+
+// Guards against the usual time of a kind that moves with the load, after which evidence from before
+// points the wrong way.
+func TestUsualTimeDoesNotMoveWithLoad(t *testing.T) {
+	f := newFakeEndpoint(6)
+	f.batching, f.quiet = true, true
+	f.serve(10 * time.Second)
+	before := f.kinds.Time("k").Seconds()
+	f.quiet, f.full = false, true
+	f.serve(20 * time.Second)
+	assert.Assert(t, math.Abs(f.kinds.Time("k").Seconds()-before) < 0.1*before, "%s, %f s before", f.kinds.Time("k"), before)
+}
+
 // Guards against noise that is learned as the endpoint's own speed although the endpoint states it,
 // and against a lasting slowdown that isn't learned.
 func TestStatedNoiseIsNotTheSpeed(t *testing.T) {
--- a/capacity/endpoint.go
+++ b/capacity/endpoint.go
@@ -19,11 +19,14 @@
 	minTimeWeight = 0.5
 	// minKneeWeight is the same for a decision on the limit.
 	minKneeWeight = 3.0
-	// minGain is the relative rise of throughput below which a further request is not worth
-	// the longer time of all.
-	minGain = 0.05
-	// confidence is the number of standard errors by which the limit's evidence must stand.
-	confidence = 1.0
+	// minGain is the least rise of throughput, as a share of the rise of requests, for which more
+	// requests are worth the longer time of all.
+	minGain = 0.25
+	// confidence is the number of standard errors by which the limit's evidence must stand where the
+	// endpoint states its slowdown, and unstatedConfidence elsewhere: an unknown disturbance lasts
+	// for many windows.
+	confidence         = 1.0
+	unstatedConfidence = 2.0
 	// slowRatio is the multiple of the least time at which work at the limit is so slow that fewer
 	// requests are tried.
 	slowRatio = 1.5
@@ -34,6 +37,9 @@
 	// doubles as long as they find that more requests give more throughput.
 	minTrialPause = 15 * time.Second
 	maxTrialPause = 4 * time.Minute
+	// minSpread is the least standard deviation of windows, as a share of their mean, that is
+	// assumed. The spread of a few windows alone may be small by chance.
+	minSpread = 0.2
 	// probeInterval is the least time between two rises of the limit by one.
 	probeInterval = 3 * time.Second
 )
@@ -230,7 +236,14 @@
 			return false
 		}
 	}
-	return present.lower() > slowRatio*e.least
+	return present.lower(e.confidence()) > slowRatio*e.least
+}
+
+func (e *Endpoint) confidence() float64 {
+	if e.Slowdown.Known() {
+		return confidence
+	}
+	return unstatedConfidence
 }
 
 // bearable is the number of requests below the limit that the least time seen would bear.
@@ -249,7 +262,7 @@
 
 // recordLeast takes the mean at a level as the least one if it is lower.
 func (e *Endpoint) recordLeast(l *level) {
-	if l.weight < minTimeWeight {
+	if l.weight < minKneeWeight {
 		return
 	}
 	if mean := l.mean(); e.least == 0 || mean < e.least {
@@ -275,7 +288,7 @@
 		}
 	}
 	for at, low := range known[:n] {
-		if !gains(&levels, low, known[at+1:n]) {
+		if !gains(&levels, low, known[at+1:n], e.confidence()) {
 			return min(low*e.step(), e.declared), at < n-1
 		}
 	}
@@ -294,10 +307,11 @@
 
 // gains reports whether one of the higher levels may give clearly more throughput than the low one.
 // The doubt is the higher levels': less work at once than an endpoint takes costs throughput.
-func gains(levels *[MaxLevels + 1]level, low int, higher []int) bool {
-	least := float64(low) / levels[low].upper()
+func gains(levels *[MaxLevels + 1]level, low int, higher []int, confidence float64) bool {
+	least := float64(low) / levels[low].upper(confidence)
 	for _, i := range higher {
-		if float64(i)/levels[i].lower() > (1+minGain)*least {
+		more := float64(i-low) / float64(low)
+		if float64(i)/levels[i].lower(confidence) > (1+minGain*more)*least {
 			return true
 		}
 	}
@@ -325,10 +339,13 @@
 // deviation is the standard error of the mean.
 func (l *level) deviation() float64 {
 	mean := l.mean()
-	return math.Sqrt(max(0, l.squares/l.weight-mean*mean) / l.weight)
+	spread := max(minSpread*mean, math.Sqrt(max(0, l.squares/l.weight-mean*mean)))
+	return spread / math.Sqrt(l.weight)
 }
 
-// lower and upper bound the true mean; the lower one is above 0.
-func (l *level) lower() float64 { return max(l.mean()-confidence*l.deviation(), l.mean()/4) }
+// lower and upper bound the true mean by so many standard errors; the lower one is above 0.
+func (l *level) lower(errors float64) float64 {
+	return max(l.mean()-errors*l.deviation(), l.mean()/4)
+}
 
-func (l *level) upper() float64 { return l.mean() + confidence*l.deviation() }
+func (l *level) upper(errors float64) float64 { return l.mean() + errors*l.deviation() }
