--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/bits"
 	"net/http"
+	"strconv"
 	"time"
 
 	"toucantiller.dev/contract"
@@ -98,7 +100,7 @@
 	}
 	now := time.Now()
 	limit, changed := a.candidate.ObserveAnswer(schedule.Answered{
-		Kind: a.call.route.Name, Took: now.Sub(a.began), Report: r, Failed: failed,
+		Kind: a.workKind(), Took: now.Sub(a.began), Report: r, Failed: failed,
 	}, now)
 	if changed {
 		a.gateway.opt.Timeline.Record(timeline.Event{
@@ -116,6 +118,18 @@
 		r.Stated() && (opt.FollowLoad || r.Slowdown > 0)
 }
 
+// largeBody is the size of a body in bytes from which the kind of work depends on it.
+const largeBody = 4 << 10
+
+// workKind names the requests that take about as long: those of one route, by size if large.
+func (a *attempt) workKind() string {
+	class := bits.Len(uint(len(a.call.body) / largeBody))
+	if class == 0 {
+		return a.call.route.Name
+	}
+	return a.call.route.Name + "/" + strconv.Itoa(class)
+}
+
 // submitFailed handles a direct call that got no answer.
 func (a *attempt) submitFailed(ctx context.Context, err error) attemptResult {
 	var refused *endpoint.RefusedError
@@ -146,7 +160,7 @@
 	}
 	a.recordFailure(ctx.Err() == nil)
 	if now := time.Now(); ctx.Err() != nil && a.firstByte.IsZero() {
-		a.candidate.ObserveOverdue(a.call.route.Name, now.Sub(a.began), now)
+		a.candidate.ObserveOverdue(a.workKind(), now.Sub(a.began), now)
 	}
 	a.gateway.opt.Timeline.Record(timeline.Event{Kind: "dispatch.lost", Request: a.call.id, Endpoint: string(a.endpoint.ID), Detail: err.Error()})
 	if ctx.Err() != nil {
