Endpoint speed: no endpoint is starved, and cut links and absurd figures count little

Cause, found by a review: learned times never grew old at a pick, so a slow endpoint got no work for good while others had room; an overdue call counted also where the link was cut or the gateway frozen; one absurd figure moved an endpoint's time far. Change: times older than 15 s are unknown to a pick, and stated load fades to 0; an overdue call counts only if another was answered there meanwhile; ratios, statements and steps of a kind's mean are bounded; an excess below 0.2 is ignored. Result: go test ./capacity ./schedule ./gateway passes. Without each rule TestSlowEndpointIsTriedAgain, TestOverdueCallsCountIfOthersAreAnswered or TestOneAbsurdFigureChangesLittle fails (mutations run); the bounds of statements are not shown by a mutation.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -285,3 +285,24 @@
 	assert.Assert(t, len(k.means) <= maxKinds+1)
 	assert.Equal(t, k.Time("unheard"), time.Second)
 }
+
+// Guards against one absurd time or statement that makes an endpoint look many times as fast or as slow.
+func TestOneAbsurdFigureChangesLittle(t *testing.T) {
+	for _, absurd := range []struct {
+		took     time.Duration
+		slowdown float64
+	}{{time.Microsecond, 1}, {time.Hour, 1}, {30 * time.Millisecond, 1000}, {30 * time.Millisecond, 0.001}} {
+		f := newFakeEndpoint(6)
+		f.stated = true
+		f.serve(20 * time.Second)
+		f.e.Slowdown.Observe(absurd.slowdown, f.now)
+		f.e.Observe(Answer{Kind: "k", Took: absurd.took, Running: 1}, f.kinds, f.now)
+		f.e.Slowdown.Observe(1, f.now)
+		for range windowAnswers - 1 {
+			f.e.Observe(Answer{Kind: "k", Took: 30 * time.Millisecond, Running: 1}, f.kinds, f.now)
+		}
+		ratio, _ := f.e.RelativeTime(1, f.now)
+		seconds := ratio * f.kinds.Time("k").Seconds()
+		assert.Check(t, seconds > 0.02 && seconds < 0.045, "%v: %f s", absurd, seconds)
+	}
+}
--- a/capacity/endpoint.go
+++ b/capacity/endpoint.go
@@ -11,6 +11,9 @@
 	MaxLevels = 32
 	// levelMemory is the time in which evidence at a level loses two thirds of its weight.
 	levelMemory = 30 * time.Second
+	// minRatio and maxRatio bound what one answer says of its endpoint.
+	minRatio = 0.1
+	maxRatio = 10.0
 	// windowAnswers is the number of answers whose means are one piece of evidence, and maxWindow
 	// the longest time between the first and the last of them.
 	windowAnswers = 4
@@ -147,7 +150,7 @@
 	}
 	seconds /= e.Slowdown.During(a.Took)
 	if usual := kinds.Time(a.Kind).Seconds(); usual > 0 {
-		e.window.add(seconds/usual, a.Running, now)
+		e.window.add(boundRatio(seconds/usual), a.Running, now)
 		if ratio, running, ok := e.window.take(); ok {
 			l := &e.levels[e.levelOf(running)]
 			l.add(ratio, now)
@@ -168,14 +171,15 @@
 	if usual == 0 {
 		return
 	}
-	ratio := a.seconds() / e.Slowdown.During(a.Took) / usual
-	known, ok := e.RelativeTime(a.Running, now)
-	if !ok || ratio > known {
+	ratio := boundRatio(a.seconds() / e.Slowdown.During(a.Took) / usual)
+	if known, ok := e.RelativeTime(a.Running, now); ok && ratio > known {
 		e.levels[e.levelOf(a.Running)].add(ratio, now)
 		e.follow(now)
 	}
 }
 
+func boundRatio(ratio float64) float64 { return min(max(ratio, minRatio), maxRatio) }
+
 // RelativeTime is the expected time of work beside which so many requests run, itself included,
 // on the undisturbed machine, as a multiple of its kind's usual time. It is that of the next
 // level below with evidence, otherwise of the next above.
--- a/capacity/kinds.go
+++ b/capacity/kinds.go
@@ -11,6 +11,8 @@
 	minKindSamples = 4
 	// kindMemory is the number of answers over which the time of a kind is a mean.
 	kindMemory = 256
+	// maxKindStep is the factor by which one answer may differ from the mean and count as it is.
+	maxKindStep = 4.0
 )
 
 // Kinds learns how long each kind of work takes, over all endpoints of a service. An endpoint is
@@ -49,6 +51,9 @@
 }
 
 func (m *kindMean) add(seconds float64) {
+	if m.samples >= minKindSamples {
+		seconds = min(max(seconds, m.seconds/maxKindStep), m.seconds*maxKindStep)
+	}
 	m.samples = min(m.samples+1, kindMemory)
 	m.seconds += (seconds - m.seconds) / float64(m.samples)
 }
--- a/capacity/slowdown.go
+++ b/capacity/slowdown.go
@@ -17,8 +17,8 @@
 	// slowdownGain is the least share of the mean that a later statement replaces.
 	slowdownGain = 0.02
 	// minFactor and maxFactor bound the statements that count.
-	minFactor = 0.01
-	maxFactor = 1000.0
+	minFactor = 0.1
+	maxFactor = 10.0
 	// percentSlack is the share by which a factor may differ from 1 and count as usual.
 	percentSlack = 0.05
 )
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -130,11 +130,10 @@
 		occupancy := requests * r.perLimit
 		x.occupancy[i] = occupancy
 		used += occupancy
-		held := requests
 		if r.flags&flagWork != 0 {
-			held = own + ageWeight(statedLoadAging*(x.nanos-r.madeNanos))*float64(r.otherRequests)
+			requests = own + ageWeight(statedLoadAging*(x.nanos-r.madeNanos))*float64(r.otherRequests)
 		}
-		spare := float64(r.capacity) + estimateSlack - (held + 1)
+		spare := float64(r.capacity) + estimateSlack - (requests + 1)
 		x.spare[i] = spare
 		signs |= math.Float64bits(spare)
 	}
--- a/schedule/work.go
+++ b/schedule/work.go
@@ -15,7 +15,7 @@
 	slowdownFadeNanos = float64(capacity.SlowdownFade)
 	// minExcess is the share by which a machine must be slower or faster than it usually is for
 	// a pick to count it.
-	minExcess = 0.05
+	minExcess = 0.2
 	// maxExcess bounds what a pick believes.
 	maxExcess = 9.0
 	// usualSlowdown is endpoint.Load.Slowdown of a machine that is as fast as it usually is.
@@ -26,6 +26,10 @@
 	statedLoadAging = 8
 )
 
+// workLifetimeNanos is the age from which learned times count as unknown. An endpoint that was slow
+// gets no work while others are fast, so no answer would ever show that it has recovered.
+const workLifetimeNanos = int64(15 * time.Second)
+
 // Answered is a request that an endpoint without an agent has answered.
 type Answered struct {
 	// Kind names requests that take alike.
@@ -100,14 +104,17 @@
 	return e.Limit(), e.Limit() != before
 }
 
-// ObserveOverdue learns from a call that had no answer when its deadline passed.
+// ObserveOverdue learns from a call that had no answer when its deadline passed. It counts only if the
+// endpoint answered another call meanwhile: otherwise the link may be cut, or this process was frozen.
 func (c *Candidate) ObserveOverdue(kind string, took time.Duration, now time.Time) {
 	s := c.state.answers
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := c.state.capacity; e != nil {
-		load, _, _ := c.Load()
+	load, made, ok := c.Load()
+	if e := c.state.capacity; e != nil && ok && made.After(now.Add(-took)) {
 		e.ObserveOverdue(capacity.Answer{Kind: kind, Took: took, Running: load.Running, Waiting: load.Queued}, &s.kinds, now)
+		load.Limit, load.Age = e.Limit(), now.Sub(made)
+		c.observe(load, s.workTimes(e, now), now)
 	}
 }
 
@@ -210,22 +217,25 @@
 // workTime is the expected time of the service's mean work at a candidate, in seconds. One whose
 // time isn't known counts as the fastest, so that work finds it out.
 func (x *scratch) workTime(i uint8) float64 {
-	if w := x.reports[i].work; w != nil {
-		if seconds := w.at(x.requests[i]); seconds > 0 {
-			return seconds
-		}
+	if seconds := x.knownWorkTime(i); seconds > 0 {
+		return seconds
 	}
 	return x.leastWork
 }
 
+// knownWorkTime is the same, 0 if the time isn't known or is outdated.
+func (x *scratch) knownWorkTime(i uint8) float64 {
+	r := x.reports[i]
+	if r.work == nil || x.nanos-r.madeNanos >= workLifetimeNanos {
+		return 0
+	}
+	return r.work.at(x.requests[i])
+}
+
 func (x *scratch) findLeastWork() {
 	x.leastWork = 0
 	for _, i := range x.live {
-		w := x.reports[i].work
-		if w == nil {
-			continue
-		}
-		if seconds := w.at(x.requests[i]); seconds > 0 && (x.leastWork == 0 || seconds < x.leastWork) {
+		if seconds := x.knownWorkTime(i); seconds > 0 && (x.leastWork == 0 || seconds < x.leastWork) {
 			x.leastWork = seconds
 		}
 	}
--- a/schedule/work_test.go
+++ b/schedule/work_test.go
@@ -112,3 +112,40 @@
 	assert.Assert(t, next.Candidates("model-0")[0].state.answers == next.answers["model-0"])
 	assert.Assert(t, next.answers["model-0"].kinds.MeanTime() > 0)
 }
+
+// Load: an endpoint that was slow recovers while the others are never full. Guards against one that gets
+// no work for good, since no answer shows its recovery.
+func TestSlowEndpointIsTriedAgain(t *testing.T) {
+	s := plainFleet(2)
+	list := s.Candidates("model-0")
+	idle := endpoint.SelfReport{Running: 1, Slots: 6}
+	observeAnswers(list[0], 51*time.Millisecond, idle, start)
+	for age := time.Duration(0); age <= 20*time.Second; age += time.Second {
+		now := start.Add(age)
+		observeAnswers(list[1], 17*time.Millisecond, idle, now)
+		share := pickShare(s, Request{Service: "model-0"}, list[0], now)
+		assert.Assert(t, (share > 0) == (age >= 15*time.Second), "share %f after %s", share, age)
+	}
+}
+
+// Load: calls without an answer. Guards against a cut link or a frozen gateway that makes an endpoint look
+// slow, and against one that answers few calls in time and looks as fast as before.
+func TestOverdueCallsCountIfOthersAreAnswered(t *testing.T) {
+	s := plainFleet(1)
+	c := s.Candidates("model-0")[0]
+	idle := endpoint.SelfReport{Running: 1, Slots: 6}
+	expected := func() float64 { return c.state.report.Load().work.at(0) }
+	observeAnswers(c, 20*time.Millisecond, idle, start)
+	before := expected()
+	for i := range 50 {
+		c.ObserveOverdue("k", time.Second, start.Add(2*time.Second+time.Duration(i)*time.Millisecond))
+	}
+	assert.Equal(t, expected(), before)
+	now := start.Add(3 * time.Second)
+	for range 50 {
+		c.ObserveAnswer(Answered{Report: idle, Failed: true}, now)
+		c.ObserveOverdue("k", time.Second, now.Add(10*time.Millisecond))
+		now = now.Add(100 * time.Millisecond)
+	}
+	assert.Assert(t, expected() > 2*before, "%f, %f before", expected(), before)
+}
