Slowdown goes to gateways that read it; load reports are encoded by type

Cause, found by a review: a gateway of an earlier version refuses a report with a further field, so a rolling update lost running requests; encoding a report in one call for all fields allocated more than before. Agents dropped what a refusal says. Change: a gateway asks for the slowdown with its watch request, and an agent writes it to no other; typed encoding; agents read the statement of refusals. Result: go test ./agent ./endpoint ./gateway ./dispatch passes; without the check TestSlowdownIsSentToThoseWhoReadIt fails (mutation run).

--- a/agent/execute.go
+++ b/agent/execute.go
@@ -106,6 +106,7 @@
 	var refused *endpoint.RefusedError
 	if errors.As(err, &refused) {
 		r.code, r.retryAfter = dispatch.RefusalCode(refused), refused.RetryAfter
+		d.slot.recordSelfReport(refused.Report, a.now())
 		d.slot.finish(outcome{cancelled: true})
 		d.stream.writeRefused(r)
 		return
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -440,9 +440,29 @@
 	l := g.loadReport(now)
 	all, own := g.offers.held(gateway, now)
 	l.Running += all - own
+	if l.Slowdown > 0 && !g.readsSlowdown(gateway) {
+		l.Slowdown = 0
+	}
 	return l
 }
 
+// sendSlowdownTo makes the reports to the watcher's gateway contain the slowdown.
+func (g *gate) sendSlowdownTo(w *watcher) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w.readsSlowdown = true
+}
+
+// readsSlowdown reports whether a gateway has asked for the slowdown. It must be called with mu held.
+func (g *gate) readsSlowdown(gateway instance.Incarnation) bool {
+	for w := range g.watchers {
+		if w.gateway == gateway && w.readsSlowdown {
+			return true
+		}
+	}
+	return false
+}
+
 // load returns the load report without the slots held for gateways.
 func (g *gate) load(now time.Time) endpoint.Load {
 	g.mu.Lock()
--- a/agent/selfreport_test.go
+++ b/agent/selfreport_test.go
@@ -32,3 +32,21 @@
 	g.declare(dispatch.Engine{ID: "other", Slots: 4})
 	assert.Equal(t, g.load(now).Slowdown, uint16(0))
 }
+
+// Guards against a report with a field that a gateway of an earlier version cannot read.
+func TestSlowdownIsSentToThoseWhoReadIt(t *testing.T) {
+	g := newGate(Pace{})
+	now := time.Now()
+	g.slowdown.Observe(1, now.Add(-time.Second))
+	g.slowdown.Observe(3, now)
+	earlier, stopEarlier := g.watch(1)
+	defer stopEarlier()
+	later, stopLater := g.watch(2)
+	defer stopLater()
+	g.sendSlowdownTo(later)
+	assert.Equal(t, g.loadReportTo(earlier, now).Slowdown, uint16(0))
+	assert.Equal(t, g.loadFor(1, now).Slowdown, uint16(0))
+	assert.Equal(t, g.loadFor(3, now).Slowdown, uint16(0))
+	assert.Assert(t, g.loadReportTo(later, now).Slowdown > 150)
+	assert.Assert(t, g.loadFor(2, now).Slowdown > 150)
+}
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -199,7 +199,9 @@
 }
 
 func (a *Agent) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	_ = msgpack.NewEncoder(w).Encode(a.heartbeat(a.Load()))
+	l := a.Load()
+	l.Slowdown = 0 // whoever asks may be of an earlier version
+	_ = msgpack.NewEncoder(w).Encode(a.heartbeat(l))
 }
 
 // decodeRequest decodes the body into the value. For a malformed request it writes the error
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -26,6 +26,8 @@
 // watcher is one gateway that follows the load.
 type watcher struct {
 	gateway instance.Incarnation
+	// readsSlowdown is set if the gateway reads endpoint.Load.Slowdown; guarded by gate.mu.
+	readsSlowdown bool
 	// reportedRoom is whether the last report showed room; guarded by gate.mu.
 	reportedRoom bool
 	// roomChanged is signalled after a change of whether there is room, loadChanged after other
@@ -74,6 +76,9 @@
 	gateway := instance.Incarnation(id)
 	follower, stop := a.gate.watch(gateway)
 	defer stop()
+	if r.Header.Get(dispatch.HeaderReadsSlowdown) != "" {
+		a.gate.sendSlowdownTo(follower)
+	}
 	flusher, _ := w.(http.Flusher)
 	encoder := msgpack.NewEncoder(w)
 	for {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -31,6 +31,10 @@
 // in hexadecimal.
 const HeaderGateway = "Toucan-Gateway"
 
+// HeaderReadsSlowdown is set in a watch request of a gateway that reads endpoint.Load.Slowdown. One of
+// an earlier version refuses a load report that has it.
+const HeaderReadsSlowdown = "Toucan-Reads-Slowdown"
+
 // Timing of the dispatch protocol.
 const (
 	HeartbeatInterval = 500 * time.Millisecond
--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 
@@ -22,8 +23,18 @@
 	if err := enc.EncodeArrayLen(n); err != nil {
 		return err
 	}
-	err := enc.EncodeMulti(l.Limit, l.Running, l.Queued, l.QueuedTokens, l.RunningTokens, l.PrefillRate, l.DecodeRate,
-		l.SpeedAge, l.Floor, l.Exact, l.Full, l.Cold, l.Leaving, l.Age)
+	// The calls for each type allocate less than one call for all.
+	for _, v := range [...]int{l.Limit, l.Running, l.Queued, l.QueuedTokens, l.RunningTokens} {
+		if err := enc.EncodeInt(int64(v)); err != nil {
+			return err
+		}
+	}
+	err := cmp.Or(
+		enc.EncodeFloat64(l.PrefillRate), enc.EncodeFloat64(l.DecodeRate),
+		enc.EncodeInt(int64(l.SpeedAge)), enc.EncodeInt(int64(l.Floor)),
+		enc.EncodeBool(l.Exact), enc.EncodeBool(l.Full), enc.EncodeBool(l.Cold), enc.EncodeBool(l.Leaving),
+		enc.EncodeInt(int64(l.Age)),
+	)
 	if err != nil || l.Slowdown == 0 {
 		return err
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -13,6 +13,7 @@
 
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/link"
+	"toucantiller.dev/policy"
 	"toucantiller.dev/schedule"
 )
 
@@ -94,6 +95,9 @@
 		return false, &link.Error{Step: "building watch", Peer: address, Err: err}
 	}
 	req.Header.Set(dispatch.HeaderGateway, strconv.FormatUint(uint64(g.opt.Instance.Incarnation), 16))
+	if g.opt.Without.InForce(policy.EndpointSpeed) {
+		req.Header.Set(dispatch.HeaderReadsSlowdown, "1")
+	}
 	p.use.begin()
 	defer p.use.end()
 	resp, client, err := p.send(req, dispatch.PathWatch)
