--- a/agent/execute.go
+++ b/agent/execute.go
@@ -43,6 +43,7 @@
 		return
 	}
 	d.started = a.now()
+	d.slot.recordSelfReport(answer.Report, d.started)
 	d.slot.recordFirstByte(d.started)
 	d.stream.writeStarted(answer)
 	d.forward(ctx, answer)
@@ -105,6 +106,7 @@
 	var refused *endpoint.RefusedError
 	if errors.As(err, &refused) {
 		r.code, r.retryAfter = dispatch.RefusalCode(refused), refused.RetryAfter
+		d.slot.recordSelfReport(refused.Report, a.now())
 		d.slot.finish(outcome{cancelled: true})
 		d.stream.writeRefused(r)
 		return
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -3,12 +3,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/bits"
 	"net/http"
+	"strconv"
 	"time"
 
+	"toucantiller.dev/contract"
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/endpoint"
+	"toucantiller.dev/policy"
+	"toucantiller.dev/schedule"
 	"toucantiller.dev/timeline"
 )
 
@@ -67,6 +73,7 @@
 		return a.submitFailed(ctx, err)
 	}
 	defer answer.Body.Close()
+	a.observeSelfReport(answer.Report, answer.Status/100 != 2)
 	a.out.start(a.endpoint, answer.Status, answer.Header)
 	a.recordStarted()
 	buffer := make([]byte, directBufferSize)
@@ -87,11 +94,50 @@
 	}
 }
 
+// observeSelfReport learns from what the endpoint says of its load, and from the time to the start
+// of its answer unless it failed or is a refusal: the rest depends on the caller, too.
+func (a *attempt) observeSelfReport(r endpoint.SelfReport, failed bool) {
+	if !a.followsLoad(r) {
+		return
+	}
+	now := time.Now()
+	limit, changed := a.candidate.ObserveAnswer(schedule.Answered{
+		Kind: a.workKind(), Took: now.Sub(a.began), Report: r, Failed: failed,
+	}, now)
+	if changed {
+		a.gateway.opt.Timeline.Record(timeline.Event{
+			Kind: "endpoint.limit", Request: a.call.id, Endpoint: string(a.endpoint.ID),
+			Detail: fmt.Sprintf("takes %d of %d requests at once well", limit, r.Slots),
+		})
+	}
+}
+
+// followsLoad reports whether placement follows what the endpoint of a plain service states. One
+// that states no slowdown is followed only if the settings ask for it.
+func (a *attempt) followsLoad(r endpoint.SelfReport) bool {
+	opt := &a.gateway.opt
+	return opt.Without.InForce(policy.EndpointSpeed) && a.call.service.Kind == contract.KindPlain &&
+		r.Stated() && (opt.FollowLoad || r.Slowdown > 0)
+}
+
+// largeBody is the size of a body in bytes from which the kind of work depends on it.
+const largeBody = 4 << 10
+
+// workKind names the requests that take about as long: those of one route, by size if large.
+func (a *attempt) workKind() string {
+	class := bits.Len(uint(len(a.call.body) / largeBody))
+	if class == 0 {
+		return a.call.route.Name
+	}
+	return a.call.route.Name + "/" + strconv.Itoa(class)
+}
+
 // submitFailed handles a direct call that got no answer.
 func (a *attempt) submitFailed(ctx context.Context, err error) attemptResult {
 	var refused *endpoint.RefusedError
 	switch {
 	case errors.As(err, &refused):
+		a.observeSelfReport(refused.Report, true)
 		a.suspendFor(refused.RetryAfter)
 		if refused.Misdirected || refused.Leaving {
 			a.suspend()
@@ -118,6 +164,9 @@
 		a.recordBegun()
 	}
 	a.recordFailure(ctx.Err() == nil)
+	if now := time.Now(); ctx.Err() != nil && a.firstByte.IsZero() {
+		a.candidate.ObserveOverdue(a.workKind(), now.Sub(a.began), now)
+	}
 	a.gateway.opt.Timeline.Record(timeline.Event{Kind: "dispatch.lost", Request: a.call.id, Endpoint: string(a.endpoint.ID), Detail: err.Error()})
 	if ctx.Err() != nil {
 		return attemptResult{problem: newProblem(http.StatusGatewayTimeout, "deadline", ExecutionUnknown, "%v", err)}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,9 @@
 	// ShareByAccount shares the room of a service among the accounts that wait for it, by weight or,
 	// where none is set, by token limit.
 	ShareByAccount bool
+	// FollowLoad makes placement follow the load that endpoints without an agent state in their
+	// answers, also where they do not say how long work takes on their machine.
+	FollowLoad bool
 }
 
 // Gateway serves callers.
@@ -160,6 +163,9 @@
 	if err := registerMemory(opt.Meter, g.memory); err != nil {
 		return nil, eris.Wrap(err, "creating gateway metrics")
 	}
+	if err := registerLearned(opt.Meter, g.learned); err != nil {
+		return nil, eris.Wrap(err, "creating gateway metrics")
+	}
 	g.callers = newCallerConnections(g.callerIdleTimeout, g.memory)
 	g.callers.evicted = g.recordEviction
 	g.memory.short = g.callers.scheduleEviction
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -38,6 +38,7 @@
 	// StopDelay covers two health checks a second apart.
 	StopDelay      time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
 	ShareByAccount bool          `help:"Share the room of a service among the client accounts that wait for it, by weight or, where none is set, by token limit." env:"TOUCAN_SHARE_BY_ACCOUNT"`
+	FollowLoad     bool          `help:"Follow the load that endpoints of plain services state in their answers, and learn how much each takes well, also where they do not state how long work takes on their machine." env:"TOUCAN_FOLLOW_LOAD"`
 	// Without is for experiments.
 	Without []string `help:"Policies to switch off for an experiment, comma separated." env:"TOUCAN_WITHOUT"`
 }
@@ -138,6 +139,7 @@
 		Without: off,
 
 		ShareByAccount: g.settings.ShareByAccount,
+		FollowLoad:     g.settings.FollowLoad,
 
 		Instance: g.member.self,
 		View:     g.member,
