--- a/contract/decode.go
+++ b/contract/decode.go
@@ -23,6 +23,28 @@
 // position is a line and column in the content, counted from 1.
 type position struct{ line, column int }
 
+// Positions tells where the fields of a bundle stand.
+type Positions struct{ of map[string]position }
+
+// Outline decodes a bundle as far as it can, for checks beyond Validate, and tells where the fields
+// stand. Fields with a problem are left empty.
+func Outline(content []byte) (*Bundle, Positions) {
+	b, d := decodeAll(content)
+	return b, Positions{d.positions}
+}
+
+// IsSet reports whether the bundle states a field.
+func (p Positions) IsSet(field string) bool {
+	_, ok := p.of[field]
+	return ok
+}
+
+// At returns line and column of a field, or of its nearest parent that is set.
+func (p Positions) At(field string) (line, column int) {
+	at := nearestPosition(p.of, field)
+	return at.line, at.column
+}
+
 // decoder fills a Bundle from the YAML syntax tree and collects every problem it meets.
 type decoder struct {
 	problems []Problem
--- a/contract/document.go
+++ b/contract/document.go
@@ -152,77 +152,104 @@
 	maxTimeout = 24 * time.Hour
 )
 
+// Fault is one reason why a document cannot take effect.
+type Fault struct {
+	// Field is the path of the field, for example "routes[1].timeout".
+	Field string
+	// Err names what has the fault, and says what is wrong.
+	Err error
+}
+
 // Validate returns why the document cannot take effect, or nil.
 func (d *Document) Validate() error {
+	if faults := d.Faults(); len(faults) > 0 {
+		return faults[0].Err
+	}
+	return nil
+}
+
+// Faults returns every reason why the document cannot take effect.
+func (d *Document) Faults() []Fault {
+	c := &documentCheck{}
 	if d.Version == 0 {
-		return errors.New("the document has no version")
+		c.report("version", errors.New("the document has no version"))
 	}
 	services := make(map[string]bool, len(d.Services))
-	for _, s := range d.Services {
+	for i, s := range d.Services {
 		if s.Name == "" || services[s.Name] {
-			return fmt.Errorf("service %q has no name of its own", s.Name)
+			c.report(fmt.Sprintf("services[%d].name", i), fmt.Errorf("service %q has no name of its own", s.Name))
 		}
 		services[s.Name] = true
 	}
 	places := make(map[[2]string]string, len(d.Routes))
 	for i := range d.Routes {
 		r := &d.Routes[i]
-		if err := r.validate(services); err != nil {
-			return fmt.Errorf("route %q: %w", r.Name, err)
-		}
+		field := fmt.Sprintf("routes[%d]", i)
+		c.checkRoute(field, r, services)
 		place := [2]string{r.Host, r.Prefix}
 		if other, taken := places[place]; taken {
-			return fmt.Errorf("routes %q and %q have the same host and prefix", other, r.Name)
+			c.report(field+".prefix", fmt.Errorf("routes %q and %q have the same host and prefix", other, r.Name))
 		}
 		places[place] = r.Name
 	}
-	return validateAccounts(d.Accounts)
+	c.checkAccounts(d.Accounts)
+	return c.faults
 }
 
-func (r *IngressRoute) validate(services map[string]bool) error {
+// documentCheck collects the faults of a document.
+type documentCheck struct{ faults []Fault }
+
+func (c *documentCheck) report(field string, err error) {
+	c.faults = append(c.faults, Fault{Field: field, Err: err})
+}
+
+func (c *documentCheck) checkRoute(field string, r *IngressRoute, services map[string]bool) {
+	report := func(at, format string, args ...any) {
+		c.report(field+at, fmt.Errorf("route %q: "+format, append([]any{r.Name}, args...)...))
+	}
 	switch r.Kind {
 	case RouteSafe, RouteUnsafe, RouteStream:
 	default:
-		return fmt.Errorf("there is no kind %q", r.Kind)
+		report(".kind", "there is no kind %q", r.Kind)
 	}
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return fmt.Errorf("prefix %q does not begin and end with a slash", r.Prefix)
+		report(".prefix", "prefix %q does not begin and end with a slash", r.Prefix)
 	}
 	if r.Timeout <= 0 || r.Timeout > maxTimeout {
-		return fmt.Errorf("timeout %s is not between 0 and %s", r.Timeout, maxTimeout)
+		report(".timeout", "timeout %s is not between 0 and %s", r.Timeout, maxTimeout)
 	}
 	total := 0
-	for _, s := range r.Split {
+	for i, s := range r.Split {
+		at := fmt.Sprintf(".split[%d]", i)
 		if !services[s.Service] {
-			return fmt.Errorf("there is no service %q", s.Service)
+			report(at+".service", "there is no service %q", s.Service)
 		}
 		if s.Weight < 0 || s.Weight > maxWeight {
-			return fmt.Errorf("weight %d of service %q is not between 0 and %d", s.Weight, s.Service, maxWeight)
+			report(at+".weight", "weight %d of service %q is not between 0 and %d", s.Weight, s.Service, maxWeight)
 		}
 		total += s.Weight
 	}
 	if total == 0 {
-		return errors.New("the weights add up to 0")
+		report(".split", "the weights add up to 0")
 	}
-	return nil
 }
 
-func validateAccounts(accounts []*account.Account) error {
+func (c *documentCheck) checkAccounts(accounts []*account.Account) {
 	names := make(map[string]bool, len(accounts))
 	owners := make(map[string]string)
-	for _, a := range accounts {
+	for i, a := range accounts {
+		field := fmt.Sprintf("accounts[%d]", i)
 		if a.Name == "" || names[a.Name] {
-			return fmt.Errorf("account %q has no name of its own", a.Name)
+			c.report(field+".name", fmt.Errorf("account %q has no name of its own", a.Name))
 		}
 		names[a.Name] = true
 		for _, h := range a.KeyHashes {
 			if other, shared := owners[h]; shared && other != a.Name {
-				return fmt.Errorf("accounts %q and %q share a key", other, a.Name)
+				c.report(field+".key_hashes", fmt.Errorf("accounts %q and %q share a key", other, a.Name))
 			}
 			owners[h] = a.Name
 		}
 	}
-	return nil
 }
 
 // DocumentServeStale is how long a process that has lost contact with control keeps accepting
--- a/contract/validate.go
+++ b/contract/validate.go
@@ -88,9 +88,9 @@
 }
 
 // nearestPosition returns the position of a field, or of its nearest parent that is set.
-func (v *validator) nearestPosition(field string) position {
+func nearestPosition(positions map[string]position, field string) position {
 	for {
-		if p, ok := v.positions[field]; ok {
+		if p, ok := positions[field]; ok {
 			return p
 		}
 		cut := strings.LastIndexAny(field, ".[")
@@ -107,7 +107,7 @@
 }
 
 func (v *validator) report(field, message, fix string) {
-	v.addProblem(v.nearestPosition(field), field, message, fix)
+	v.addProblem(nearestPosition(v.positions, field), field, message, fix)
 }
 
 // hasProblem reports whether decoding already found a problem with the field, so that one
--- a/control/api/status.go
+++ b/control/api/status.go
@@ -95,6 +95,9 @@
 	AppliedBy  string
 	AppliedAt  time.Time
 	Signatures []Signature
+	// Document is the document in force, without its content, which may hold keys; nil where
+	// bundles are used.
+	Document *contract.Document
 }
 
 // DecisionAction is the next action on a move.
--- a/control/status.go
+++ b/control/status.go
@@ -108,6 +108,11 @@
 			out.AppliedAt = b.AppliedAt
 			out.Signatures = b.Signatures
 		}
+		if d := st.Document(); d != nil {
+			shown := *d
+			shown.Content = nil
+			out.Document = &shown
+		}
 	})
 	return nil
 }
