toucanctl bundle check: findings and differences, nothing changed

Change: toucanctl bundle check FILE [--offline] [-o json] for bundles and, through program's hand-over of the platform's decoder, for documents. Exit status 0 none, 1 findings, 2 usage or no answer. A file with errors is not compared, as a key in the place of its hash would be printed.

--- a/operator/cli.go
+++ b/operator/cli.go
@@ -39,7 +39,7 @@
 	Output      string              `help:"Output format: text or json." env:"TOUCAN_OUTPUT" enum:"text,json" default:"text" short:"o"`
 	ShowVersion kong.VersionFlag    `name:"version" help:"Print the version and exit."`
 
-	Bundle    bundleCommands  `cmd:"" help:"Validate, sign, apply and show bundles."`
+	Bundle    bundleCommands  `cmd:"" help:"Check, validate, sign, apply and show bundles."`
 	Move      moveCommands    `cmd:"" help:"Follow a move to a new version, or take it back."`
 	Domain    domainCommands  `cmd:"" help:"Take failure domains out of service and back."`
 	Replica   replicaCommands `cmd:"" help:"Show, add and remove control replicas."`
@@ -63,6 +63,7 @@
 }
 
 type bundleCommands struct {
+	Check    bundleCheckCmd    `cmd:"" help:"Say what is wrong or in vain in a configuration, and what differs from the version in force. Changes nothing."`
 	Validate bundleValidateCmd `cmd:"" help:"Report every problem of a bundle with line, column and remedy."`
 	Sign     bundleSignCmd     `cmd:"" help:"Sign the exact content of a bundle off."`
 	Apply    bundleApplyCmd    `cmd:"" help:"Make a signed bundle the configuration."`
--- a/operator/session_test.go
+++ b/operator/session_test.go
@@ -36,6 +36,8 @@
 	signed  map[string]string
 	status  api.Status
 	duties  api.DutiesReply
+	// document is in force in place of a bundle.
+	document *contract.Document
 	// script holds the moves that following calls of Status show.
 	script []api.Move
 	// live is a move that goes on as time passes.
@@ -142,6 +144,9 @@
 }
 
 func (f *fakeControl) Bundle(context.Context) (*api.BundleReply, error) {
+	if f.document != nil {
+		return &api.BundleReply{Document: f.document}, nil
+	}
 	return &api.BundleReply{Content: f.content, Author: f.bundle.Author, AppliedBy: f.by, AppliedAt: start, Signatures: []api.Signature{{Operator: "bashir"}}}, nil
 }
 
