Bundle check: no warning on attempts of a resumable stream, nor on equal limits

Cause: a resumable stream may go on at another endpoint, so attempts above 1 are right there; an objective equal to the timeout contradicts nothing.

--- a/contract/lint/bundle.go
+++ b/contract/lint/bundle.go
@@ -41,11 +41,11 @@
 	if longest == 0 {
 		return
 	}
-	if queue := cmp.Or(t.MaxQueueTime, contract.DefaultMaxQueueTime); queue >= longest {
-		c.found.warn(CodeContradiction, field+".max_queue_time", "%s is not below the longest timeout of the services that its accounts may call, %s", queue, longest)
+	if queue := cmp.Or(t.MaxQueueTime, contract.DefaultMaxQueueTime); queue > longest {
+		c.found.warn(CodeContradiction, field+".max_queue_time", "%s is above the longest timeout of the services that its accounts may call, %s", queue, longest)
 	}
-	if t.FirstToken >= longest {
-		c.found.warn(CodeContradiction, field+".first_token", "%s is not below the longest timeout of the services that its accounts may call, %s", t.FirstToken, longest)
+	if t.FirstToken > longest {
+		c.found.warn(CodeContradiction, field+".first_token", "%s is above the longest timeout of the services that its accounts may call, %s", t.FirstToken, longest)
 	}
 }
 
--- a/contract/lint/document.go
+++ b/contract/lint/document.go
@@ -31,15 +31,15 @@
 	if r.Host == "" {
 		f.warn(CodeUnreachable, field+".host", "route %q has no host, and calls name one", r.Name)
 	}
-	if r.Timeout > 0 && r.Objective >= r.Timeout {
-		f.warn(CodeContradiction, field+".objective", "the objective %s of route %q is not below its timeout %s", r.Objective, r.Name, r.Timeout)
+	if r.Timeout > 0 && r.Objective > r.Timeout {
+		f.warn(CodeContradiction, field+".objective", "the objective %s of route %q is above its timeout %s", r.Objective, r.Name, r.Timeout)
 	}
-	if r.MaxAttempts > 1 && !r.Repeatable() {
+	if r.MaxAttempts > 1 && !r.Repeatable() && !r.Resumable {
 		f.warn(CodeNoEffect, field+".max_attempts", "%d attempts on route %q, whose requests may not be repeated", r.MaxAttempts, r.Name)
 	}
 	if r.Kind == contract.RouteStream {
-		if r.Timeout > 0 && r.MaxPause >= r.Timeout {
-			f.warn(CodeContradiction, field+".max_pause", "the longest pause %s of route %q is not below its timeout %s", r.MaxPause, r.Name, r.Timeout)
+		if r.Timeout > 0 && r.MaxPause > r.Timeout {
+			f.warn(CodeContradiction, field+".max_pause", "the longest pause %s of route %q is above its timeout %s", r.MaxPause, r.Name, r.Timeout)
 		}
 	} else {
 		if r.MaxPause > 0 {
