lint: a document that is not above the one in force is a warning

Cause, from a review: control acknowledges an older document and changes nothing, so it is not refused.

--- a/contract/lint/lint_test.go
+++ b/contract/lint/lint_test.go
@@ -92,4 +92,5 @@
 	changes, found := lint.CompareDocument(&contract.Document{Version: 4, IdleTimeout: time.Minute}, in)
 	assert.DeepEqual(t, lines(changes), []string{"changed idle_timeout: not set -> 1m0s"})
 	assert.DeepEqual(t, fields(found), []string{"version version"})
+	assert.Equal(t, found[0].Severity, lint.Warning, "control acknowledges an older document")
 }
