Budgets: leases on account limits that outlive the leader

Cause: budgets live in the leader's memory only. When it is gone, each call waits for a draw and a gateway then spends a tenth of its fixed share.

Draws of an account are joined, bounded by a part of the call's time, and not tried while the leader is known to be away.

--- /dev/null
+++ b/budget/lease_test.go
@@ -0,0 +1,351 @@
+package budget_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"toucantiller.dev/budget"
+	"toucantiller.dev/instance"
+)
+
+const (
+	leaseDuration = 6 * time.Second
+	// staleFor is how long a replaced leader goes on granting; delay is the longest transit of a message.
+	staleFor = 1500 * time.Millisecond
+	delay    = 2 * time.Second
+	step     = 10 * time.Millisecond
+	account  = "a"
+)
+
+// site is a model of gateways with leases and the leaders that grant them.
+type site struct {
+	limit    budget.Limit
+	now      time.Time
+	leader   *leader
+	stale    *leader // the one before, which may not know that it was replaced
+	gateways []*leasedGateway
+	late     []lateMessage
+	random   *rand.Rand
+	// away is set while gateways reach no leader.
+	away bool
+	// without is set for gateways that only draw.
+	without bool
+	// calm is set while no message is lost or late.
+	calm    bool
+	returns uint64
+	// draws counts the draws that reached a leader.
+	draws int
+}
+
+type leader struct {
+	pool  *budget.Pool
+	term  uint64
+	limit budget.Limit
+	until time.Time
+}
+
+type leasedGateway struct {
+	id          instance.ID
+	incarnation instance.Incarnation
+	wallet      *budget.Wallet
+	limit       budget.Limit
+	held        budget.Grant
+	end, asked  time.Time
+	offline     bool
+	dead, cut   bool
+	// usesStale is set while the gateway takes the replaced leader for the leader.
+	usesStale bool
+}
+
+// lateMessage is a copy of a renewal that a leader gets late; its answer is lost.
+type lateMessage struct {
+	at      time.Time
+	leader  *leader
+	renewal budget.Renewal
+}
+
+func newSite(n int, limit budget.Limit, seed uint64, without bool) *site {
+	s := &site{limit: limit, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), without: without}
+	for i := range n {
+		s.gateways = append(s.gateways, &leasedGateway{id: instance.ID(fmt.Sprint("g", i))})
+	}
+	s.newLeader(budget.Fleet{})
+	for i := range s.gateways {
+		s.restart(i)
+	}
+	return s
+}
+
+func (s *site) fleet() budget.Fleet {
+	f := make(budget.Fleet)
+	for _, g := range s.gateways {
+		if g.incarnation > 0 {
+			f[g.id] = g.incarnation
+		}
+	}
+	return f
+}
+
+// newLeader replaces the leader; the former one goes on for a while.
+func (s *site) newLeader(fleet budget.Fleet) {
+	s.stale = s.leader
+	term := uint64(1)
+	if s.stale != nil {
+		s.stale.until = s.now.Add(staleFor)
+		term += s.stale.term
+	}
+	terms := budget.LeaseTerms{Term: term, Duration: leaseDuration, Overlap: staleFor, MessageLife: delay}
+	s.leader = &leader{pool: budget.NewLeasingPool(tolerance, terms, fleet, s.now), term: term, limit: s.limit}
+	if s.without {
+		s.leader.pool = budget.NewPool(tolerance)
+	}
+	for _, g := range s.gateways {
+		g.usesStale = s.stale != nil && s.random.IntN(2) == 0
+	}
+}
+
+// restart starts another incarnation of a gateway with an empty wallet.
+func (s *site) restart(i int) {
+	g := s.gateways[i]
+	*g = leasedGateway{id: g.id, incarnation: g.incarnation + 1, wallet: &budget.Wallet{}, cut: g.cut}
+	s.configure(g)
+}
+
+// configure gives a gateway the present limit.
+func (s *site) configure(g *leasedGateway) {
+	g.limit = s.limit
+	g.wallet.Configure(s.limit, 1/float64(len(s.gateways)), s.now)
+}
+
+// reached returns the leader that a gateway reaches; nil if there is none.
+func (s *site) reached(g *leasedGateway) *leader {
+	if g.usesStale && s.now.After(s.stale.until) {
+		g.usesStale = false
+	}
+	switch {
+	case s.away || g.cut || g.dead:
+		return nil
+	case g.usesStale:
+		return s.stale
+	default:
+		return s.leader
+	}
+}
+
+// advance lets a step of time pass, in which gateways renew their leases when that is due.
+func (s *site) advance() {
+	s.now = s.now.Add(step)
+	kept := s.late[:0]
+	for _, m := range s.late {
+		if s.now.Before(m.at) {
+			kept = append(kept, m)
+		} else if m.leader.until.IsZero() || s.now.Before(m.leader.until) {
+			_, _ = m.leader.pool.Renew(&m.renewal, s.fleet(), leaseDuration, s.now)
+		}
+	}
+	s.late = kept
+	for _, g := range s.gateways {
+		interval := time.Second
+		if g.offline || g.wallet.Shifted(s.now) {
+			interval = 250 * time.Millisecond
+		}
+		if !g.dead && !s.without && s.now.Sub(g.asked) >= interval {
+			s.renew(g)
+		}
+	}
+}
+
+func (s *site) renew(g *leasedGateway) {
+	g.asked = s.now.Add(-time.Duration(s.random.IntN(50)) * time.Millisecond) // when the call began
+	r := budget.Renewal{Gateway: g.id, Incarnation: g.incarnation, Duration: leaseDuration, Asked: make(map[string]float64)}
+	if left := g.end.Sub(s.now); left > 0 {
+		r.Held = budget.Held{Term: g.held.Term, Seq: g.held.Seq, Left: left, Shares: g.held.Shares}
+	}
+	if asked := g.wallet.Asked(s.now); asked > 0 {
+		r.Asked[account] = asked
+	}
+	l := s.reached(g)
+	if l == nil {
+		g.offline = true
+		g.wallet.RecordDrawFailure(s.now)
+		return
+	}
+	if !s.calm && s.random.IntN(10) == 0 { // the client repeats the call, the first one comes late
+		s.late = append(s.late, lateMessage{at: s.now.Add(time.Duration(s.random.Int64N(int64(delay)))), leader: l, renewal: r})
+	}
+	s.returned(g, l)
+	grant, err := l.pool.Renew(&r, s.fleet(), leaseDuration, s.now)
+	if !s.calm && s.random.IntN(10) == 0 || err != nil || grant.Duration <= 0 { // the answer is lost
+		g.offline = true
+		g.wallet.RecordDrawFailure(s.now)
+		return
+	}
+	g.held, g.end, g.offline = grant, grant.End(g.asked), false
+	if g.limit != s.limit {
+		s.configure(g)
+	}
+	g.wallet.Hold(grant.Lease(account, g.asked), s.now)
+}
+
+// returned gives back to the leader what the gateway may not keep.
+func (s *site) returned(g *leasedGateway, l *leader) {
+	s.returns++
+	l.pool.Return(account, l.limit, budget.ReturnID{Gateway: g.id, Number: s.returns}, g.wallet.Returns(s.now), s.now)
+}
+
+// ask reports whether a gateway admits a request. took is how long the request waited for a draw.
+func (s *site) ask(g *leasedGateway, cost float64) (ok bool) {
+	ok, draw, want, _ := g.wallet.Take(cost, s.now)
+	if !draw {
+		return ok
+	}
+	if l := s.reached(g); l != nil {
+		s.draws++
+		s.returned(g, l)
+		granted, _ := l.pool.Draw(account, l.limit, want, cost, s.now)
+		g.wallet.Credit(granted, s.now)
+	} else {
+		g.offline = true
+		g.wallet.RecordDrawFailure(s.now)
+	}
+	if s.without {
+		ok, _, _, _ = g.wallet.Take(cost, s.now)
+		return ok
+	}
+	ok, _ = g.wallet.TakeDrawn(cost, !g.offline, s.now)
+	return ok
+}
+
+// disturb changes leaders, links, processes and limits as rapid says.
+func (s *site) disturb(t *rapid.T) {
+	i := rapid.IntRange(0, len(s.gateways)-1).Draw(t, "gateway")
+	g := s.gateways[i]
+	switch rapid.SampledFrom([]string{"none", "leader", "away", "cut", "kill", "restart", "limit"}).Draw(t, "event") {
+	case "leader":
+		if s.stale == nil || s.now.After(s.stale.until) {
+			s.newLeader(s.fleet())
+		}
+	case "away":
+		s.away = !s.away
+	case "cut":
+		cut := 0
+		for _, g := range s.gateways {
+			if g.cut {
+				cut++
+			}
+		}
+		g.cut = !g.cut && cut < 3*len(s.gateways)/8
+	case "kill":
+		g.dead = true
+	case "restart":
+		s.restart(i)
+	case "limit":
+		rate := rapid.SampledFrom([]float64{20_000, 50_000, 100_000}).Draw(t, "rate")
+		s.limit = budget.Limit{Rate: rate, Burst: rate}
+		s.leader.limit = s.limit
+	}
+}
+
+// Guards against gateways that together admit more in any 8 s than the limit, its overrun and its
+// slack allow: with more asked than the limit everywhere, while leaders change, two of them grant for a
+// while, calls come late or their answers are lost, gateways die, restart and are cut off, and limits
+// change.
+func TestLeasesKeepTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := budget.Limit{Rate: 100_000, Burst: 100_000}
+		n := rapid.SampledFrom([]int{2, 8, 16}).Draw(t, "gateways")
+		s := newSite(n, limit, rapid.Uint64().Draw(t, "seed"), false)
+		var all []spent
+		for i := range 2500 {
+			if i%50 == 0 {
+				s.disturb(t)
+			}
+			s.advance()
+			pressure := 1 + s.random.IntN(4)
+			for range pressure {
+				g := s.gateways[s.random.IntN(n)]
+				cost := float64(100 + s.random.IntN(2900))
+				if !g.dead && s.ask(g, cost) {
+					all = append(all, spent{at: s.now, cost: cost})
+				}
+			}
+		}
+		assertWithinLimit(t, limit, all)
+	})
+}
+
+// Guards against a limit that was lowered and that leases granted before exceed, once all gateways know it.
+func TestLoweredLimitHoldsOverLeases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		high, low := budget.Limit{Rate: 200_000, Burst: 200_000}, budget.Limit{Rate: 20_000, Burst: 20_000}
+		s := newSite(8, high, rapid.Uint64().Draw(t, "seed"), false)
+		lowered := rapid.IntRange(200, 800).Draw(t, "lowered at step")
+		lost := rapid.IntRange(0, 1500).Draw(t, "leader lost at step")
+		var all []spent
+		for i := range 2500 {
+			if i == lowered {
+				s.limit, s.leader.limit = low, low
+				for _, g := range s.gateways {
+					s.configure(g)
+				}
+			}
+			if i == lost {
+				s.newLeader(s.fleet())
+			}
+			s.advance()
+			for range 4 {
+				if cost := 2000.0; s.ask(s.gateways[s.random.IntN(8)], cost) && i >= lowered {
+					all = append(all, spent{at: s.now, cost: cost})
+				}
+			}
+		}
+		assertWithinLimit(t, low, all)
+	})
+}
+
+// Guards against refusals of an account within its share of the limit at each gateway, while leaders
+// change and are away, and gateways are cut off for less than a lease lasts.
+func TestAccountWithinItsShareIsNeverRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := budget.Limit{Rate: 100_000, Burst: 100_000}
+		s := newSite(8, limit, rapid.Uint64().Draw(t, "seed"), false)
+		weights := make([]float64, 8)
+		sum := 0.0
+		for i := range weights {
+			weights[i] = float64(rapid.IntRange(1, 9).Draw(t, "weight"))
+			sum += weights[i]
+		}
+		owed := make([]float64, 8)
+		outage := rapid.IntRange(50, 350).Draw(t, "outage steps")
+		for i := range 3000 {
+			s.advance()
+			if i > 500 && i%1000 == 0 {
+				s.away = rapid.Bool().Draw(t, "away")
+				for _, g := range s.gateways {
+					g.cut = rapid.Bool().Draw(t, "cut")
+				}
+				if rapid.Bool().Draw(t, "new leader") {
+					s.newLeader(s.fleet())
+				}
+			}
+			if i%1000 == outage {
+				s.away = false
+				for _, g := range s.gateways {
+					g.cut = false
+				}
+			}
+			for j, g := range s.gateways {
+				owed[j] += 0.65 * limit.Rate * step.Seconds() * weights[j] / sum
+				for owed[j] >= 1000 {
+					owed[j] -= 1000
+					assert.Assert(t, s.ask(g, 1000) || i < 500, "step %d: gateway %d refused", i, j)
+				}
+			}
+		}
+	})
+}
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -59,6 +59,8 @@
 
 	mu       sync.Mutex
 	accounts map[string]*bucket
+	// ledger is nil without leases.
+	ledger *ledger
 }
 
 // bucket is one account's tokens. The balance does not exceed the limit's burst; a large
@@ -66,6 +68,10 @@
 type bucket struct {
 	balance float64
 	at      time.Time
+	// limit is the part of the account's limit that leases do not carry at all.
+	limit Limit
+	// leased is the share of the limit's rate that was on lease at the last refill.
+	leased  float64
 	history history
 	// returned holds the highest number of a return of each gateway.
 	returned map[instance.ID]uint64
@@ -74,17 +80,56 @@
 // NewPool returns an empty pool.
 func NewPool(t Tolerance) *Pool { return &Pool{tolerance: t, accounts: make(map[string]*bucket)} }
 
+// NewLeasingPool returns an empty pool that also leases shares of the limits to gateways. Those in the
+// fleet may hold leases of earlier leaders.
+func NewLeasingPool(t Tolerance, terms LeaseTerms, fleet Fleet, now time.Time) *Pool {
+	p := NewPool(t)
+	p.ledger = newLedger(terms, fleet, now)
+	return p
+}
+
+// Renew grants a gateway a lease for at most the longest duration; fleet are the gateways registered now.
+// A pool without leases grants none.
+func (p *Pool) Renew(r *Renewal, fleet Fleet, longest time.Duration, now time.Time) (Grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ledger == nil || min(r.Duration, longest) <= 0 {
+		return Grant{}, nil
+	}
+	for _, b := range p.accounts {
+		b.refill(now)
+		b.history.record(b.balance, now)
+	}
+	p.ledger.expire(now)
+	p.ledger.settle(fleet)
+	out, err := p.ledger.renew(r, fleet, longest, now)
+	for account, b := range p.accounts {
+		b.leased = p.ledger.reserved(account)
+	}
+	out.Tolerance = p.tolerance
+	return out, err
+}
+
+// Leases returns how many gateways hold leases, and how many have let theirs end in this term.
+func (p *Pool) Leases() (held int, expired uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ledger == nil {
+		return 0, 0
+	}
+	return len(p.ledger.holders), p.ledger.expired
+}
+
 // Draw asks for tokens of an account whose limit is the one given. While the balance is
 // positive it grants at least least, even if that overdraws the balance: large requests would
 // otherwise be refused whenever small ones keep the balance low. Beyond that it grants
 // up to want from the balance. Otherwise it grants nothing, and wait is the time until it will.
 func (p *Pool) Draw(account string, limit Limit, want, least float64, now time.Time) (granted float64, wait time.Duration) {
-	limit = p.tolerance.widen(limit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.refilled(account, limit, now)
 	if b.balance <= 0 {
-		return 0, time.Duration(-b.balance/limit.Rate*float64(time.Second)) + waitMargin
+		return 0, time.Duration(-b.balance/b.rate()*float64(time.Second)) + waitMargin
 	}
 	granted = max(least, min(want, b.balance))
 	b.balance -= granted
@@ -95,7 +140,6 @@
 // drawn: a bucket that would have overflowed with them gains only what it could have held. Tokens
 // that an earlier pool granted are not taken back, and those of an ID that came before neither.
 func (p *Pool) Return(account string, limit Limit, id ReturnID, returned []Returned, now time.Time) {
-	limit = p.tolerance.widen(limit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.refilled(account, limit, now)
@@ -104,26 +148,54 @@
 	}
 	b.returned[id.Gateway] = id.Number
 	for _, r := range returned {
-		b.balance += b.history.restore(r.Tokens, limit.Burst, now.Add(-r.Age))
+		b.balance += b.history.restore(r.Tokens, b.limit.Burst, now.Add(-r.Age))
 	}
 }
 
 // refilled returns the bucket of an account as of now. The lock is held.
 func (p *Pool) refilled(account string, limit Limit, now time.Time) *bucket {
+	limit = p.widen(limit)
 	b := p.accounts[account]
 	if b == nil {
-		balance := p.tolerance.initialBalance(limit)
-		b = &bucket{balance: balance, at: now, history: newHistory(balance, now), returned: make(map[instance.ID]uint64)}
+		b = p.newBucket(limit, now)
 		p.accounts[account] = b
 	}
-	b.refill(limit, now)
+	b.limit = limit
+	b.refill(now)
+	if p.ledger != nil {
+		p.ledger.expire(now)
+		b.leased = p.ledger.reserved(account)
+	}
 	b.history.record(b.balance, now)
 	return b
 }
 
-// refill refills the bucket up to the limit, which may have changed.
-func (b *bucket) refill(limit Limit, now time.Time) {
+// widen returns the limit of an account's bucket.
+func (p *Pool) widen(limit Limit) Limit {
+	if p.ledger == nil {
+		return p.tolerance.widen(limit)
+	}
+	limit = p.tolerance.widenLeased(limit)
+	limit.Burst *= 1 - leasedBurst
+	return limit
+}
+
+// newBucket returns the bucket of an account, for a limit that has been widened.
+func (p *Pool) newBucket(limit Limit, now time.Time) *bucket {
+	balance := p.tolerance.initialBalance(limit)
+	if p.ledger != nil {
+		since := now.Sub(p.ledger.began).Seconds()
+		balance = min(leasedInitialSlack*p.tolerance.Slack+(1-leasableShare)*limit.Rate*since, limit.Burst)
+	}
+	return &bucket{balance: balance, at: now, history: newHistory(balance, now), returned: make(map[instance.ID]uint64)}
+}
+
+// rate returns the tokens a second with which the bucket refills.
+func (b *bucket) rate() float64 { return (1 - b.leased) * b.limit.Rate }
+
+// refill refills the bucket up to its limit, which may have changed.
+func (b *bucket) refill(now time.Time) {
 	elapsed := max(0, now.Sub(b.at).Seconds())
-	b.balance = min(b.balance+limit.Rate*elapsed, limit.Burst)
+	b.balance = min(b.balance+b.rate()*elapsed, b.limit.Burst)
 	b.at = now
 }
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -38,6 +38,15 @@
 	share float64
 	// returned lists refunded tokens by the time at which they were spent, oldest first.
 	returned []refund
+	// leasing is set once the gateway has had a lease. lease.Share is 0 when it has ended.
+	leasing bool
+	lease   Lease
+	// asked is the mean of the tokens a second that callers asked for.
+	asked float64
+	// told is what of it the leader was last told.
+	told float64
+	// trimmed is when what the wallet may not keep went back last; credited is when it last drew.
+	trimmed, credited time.Time
 }
 
 // refund is a number of tokens that go back to the pool and were spent within historySlot from
@@ -54,6 +63,7 @@
 	w.advance(now)
 	w.limit, w.share = limit, share
 	w.balance = min(w.balance, limit.Burst)
+	w.trim(now)
 }
 
 // Take spends the cost of a request. When ok is false, draw says whether to draw want
@@ -66,6 +76,10 @@
 		return true, false, 0, 0
 	}
 	w.advance(now)
+	if w.leasing {
+		w.asked += cost / askedTimeConstant.Seconds()
+		return w.takeLeased(cost, w.offline)
+	}
 	if w.balance >= cost || w.offline && w.balance > 0 {
 		w.balance -= cost
 		w.spending += cost / spendingTimeConstant.Seconds()
@@ -83,6 +97,7 @@
 	defer w.mu.Unlock()
 	w.advance(now)
 	w.offline = false
+	w.credited = now
 	w.balance += tokens
 }
 
@@ -101,6 +116,11 @@
 func (w *Wallet) Refund(cost float64, spent time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.giveBack(cost, spent)
+}
+
+// giveBack notes tokens that go back to the pool as if they had not been granted at a time.
+func (w *Wallet) giveBack(cost float64, spent time.Time) {
 	at, _ := slices.BinarySearchFunc(w.returned, spent, func(r refund, spent time.Time) int { return r.spent.Compare(spent) })
 	if at > 0 && spent.Sub(w.returned[at-1].spent) < historySlot {
 		w.returned[at-1].tokens += cost
@@ -116,6 +136,8 @@
 func (w *Wallet) Returns(now time.Time) []Returned {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.advance(now)
+	w.trim(now)
 	out := make([]Returned, 0, len(w.returned))
 	for _, r := range w.returned {
 		out = append(out, Returned{Tokens: r.tokens, Age: now.Sub(r.spent)})
@@ -131,6 +153,8 @@
 func (w *Wallet) advance(now time.Time) {
 	elapsed := max(0, now.Sub(w.at).Seconds())
 	w.spending *= math.Exp(-elapsed / spendingTimeConstant.Seconds())
+	w.asked *= math.Exp(-elapsed / askedTimeConstant.Seconds())
+	elapsed -= w.spendLease(elapsed, now)
 	if w.offline {
 		top := max(w.balance, offlineShare*w.share*w.limit.Burst)
 		w.balance = min(w.balance+w.offlineRate()*elapsed, top)
--- a/control/api/budget.go
+++ b/control/api/budget.go
@@ -19,6 +19,20 @@
 	ReturnID uint64
 }
 
+// RenewBudget is "Control.RenewBudget": a gateway asks for a lease on shares of all accounts' limits.
+type RenewBudget struct {
+	budget.Renewal
+	// Returned are tokens by account, and ReturnID identifies them, as in DrawBudget.
+	Returned map[string][]budget.Returned
+	ReturnID uint64
+}
+
+// BudgetLease answers a RenewBudget.
+type BudgetLease struct {
+	Leader string
+	budget.Grant
+}
+
 // BudgetGrant answers a DrawBudget.
 type BudgetGrant struct {
 	Leader string
--- a/control/budgets.go
+++ b/control/budgets.go
@@ -7,8 +7,13 @@
 	"toucantiller.dev/budget"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
+	"toucantiller.dev/instance"
 )
 
+// budgetMessageLife is the time after which a call that was sent no longer arrives: by then its
+// connection was found silent and closed.
+const budgetMessageLife = 2 * time.Second
+
 var errNoTokenLimit = errors.New("the account has no token limit")
 
 // DrawBudget grants tokens of an account to a gateway.
@@ -21,9 +26,7 @@
 	if !ok {
 		return errNoTokenLimit
 	}
-	v.s.mu.Lock()
-	pool := v.s.budgets
-	v.s.mu.Unlock()
+	pool := v.s.budgetPool()
 	now := time.Now()
 	if len(in.Returned) > 0 {
 		pool.Return(in.Account, limit, budget.ReturnID{Gateway: in.Gateway, Number: in.ReturnID}, in.Returned, now)
@@ -32,6 +35,80 @@
 	return nil
 }
 
+// RenewBudget grants a gateway a lease on shares of all accounts' limits. A process that is not
+// registered, or whose registration is about to end, gets none.
+func (v *service) RenewBudget(in *api.RenewBudget, out *api.BudgetLease) error {
+	if err := v.s.checkServing(); err != nil {
+		out.Leader, err = redirect(err)
+		return err
+	}
+	pool, now := v.s.budgetPool(), time.Now()
+	for account, returned := range in.Returned {
+		if limit, ok := v.s.tokenLimit(account); ok {
+			pool.Return(account, limit, budget.ReturnID{Gateway: in.Gateway, Number: in.ReturnID}, returned, now)
+		}
+	}
+	fleet := v.s.registeredGateways()
+	if fleet[in.Gateway] != in.Incarnation {
+		return nil
+	}
+	var err error
+	if out.Grant, err = pool.Renew(&in.Renewal, fleet, v.s.registeredFor(in.Gateway, now), now); err != nil {
+		return errors.New(UnavailablePrefix + err.Error())
+	}
+	if out.Duration > 0 {
+		count(v.s.counts.budgetLeases, 1)
+	}
+	return nil
+}
+
+// budgetPool returns the pool of the present term.
+func (s *Server) budgetPool() *budget.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budgets
+}
+
+// newBudgets returns the pool of a new term. The gateways are those to which leaders of earlier terms may
+// have granted leases.
+func (s *Server) newBudgets(term uint64, gateways budget.Fleet, now time.Time) *budget.Pool {
+	if s.opts.BudgetLease <= 0 {
+		return budget.NewPool(s.opts.TokenTolerance)
+	}
+	terms := budget.LeaseTerms{Term: term, Duration: s.opts.BudgetLease, Overlap: maxQuorumAge, MessageLife: budgetMessageLife}
+	return budget.NewLeasingPool(s.opts.TokenTolerance, terms, gateways, now)
+}
+
+// registeredGateways returns the gateways that are registered.
+func (s *Server) registeredGateways() budget.Fleet {
+	out := make(budget.Fleet)
+	s.machine.read(func(st *state.State) {
+		for _, p := range st.Directory().Processes {
+			if p.Role == instance.RoleGateway {
+				out[p.ID] = p.Incarnation
+			}
+		}
+	})
+	return out
+}
+
+// registeredFor returns the time until the registration of a process ends without a keepalive.
+func (s *Server) registeredFor(id instance.ID, now time.Time) time.Duration {
+	var number uint64
+	s.machine.read(func(st *state.State) {
+		if r := st.Registration(id); r != nil {
+			number = r.Lease
+		}
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.leases.Get(number)
+	if !ok {
+		return 0
+	}
+	return e.Deadline.Sub(now)
+}
+
 func (s *Server) tokenLimit(name string) (budget.Limit, bool) {
 	var limit budget.Limit
 	s.machine.read(func(st *state.State) {
--- a/control/client.go
+++ b/control/client.go
@@ -134,6 +134,11 @@
 	return call(ctx, c, "DrawBudget", in, func(r *api.BudgetGrant) (string, bool) { return r.Leader, true })
 }
 
+// RenewBudget renews a gateway's lease on shares of the accounts' limits.
+func (c *Client) RenewBudget(ctx context.Context, in *api.RenewBudget) (*api.BudgetLease, error) {
+	return call(ctx, c, "RenewBudget", in, func(r *api.BudgetLease) (string, bool) { return r.Leader, true })
+}
+
 // NextToken issues a fencing token.
 func (c *Client) NextToken(ctx context.Context) (uint64, error) {
 	r, err := call(ctx, c, "NextToken", &api.Empty{}, func(r *api.TokenReply) (string, bool) { return r.Leader, true })
--- a/control/control.go
+++ b/control/control.go
@@ -61,6 +61,9 @@
 	NewDecider func(move api.Move) Decider
 	// TokenTolerance is what gateways may admit beyond the token limits of accounts.
 	TokenTolerance budget.Tolerance
+	// BudgetLease is the longest time for which gateways get shares of accounts' token limits on
+	// lease; 0 for no leases. It is at most lease.TTL.
+	BudgetLease time.Duration
 	// MaxClaimBytes bounds the claims with their stored answers; DefaultMaxClaimBytes when it is 0.
 	MaxClaimBytes int
 	// SelfRepair lets the leader change the control group: it adds replicas that ask to
@@ -147,7 +150,7 @@
 		counts:         counts,
 		leases:         lease.NewTable(lease.TTL),
 		evidence:       newEvidenceCollector(),
-		budgets:        budget.NewPool(opts.TokenTolerance),
+		budgets:        budget.NewPool(opts.TokenTolerance), // openTerm replaces it
 		detector:       quarantine.NewDetector(),
 		lastHeartbeats: make(map[endpoint.ID]lastHeartbeat),
 	}
@@ -164,7 +167,7 @@
 	if s.log, err = s.opts.OpenLog(s.machine, s.rpc); err != nil {
 		return err
 	}
-	if err := observeLog(s.opts.Meter, s.log); err != nil {
+	if err := errors.Join(observeLog(s.opts.Meter, s.log), observeBudgets(s.opts.Meter, s)); err != nil {
 		return errors.Join(err, s.log.Stop(context.Background()))
 	}
 	if s.listener, err = s.opts.Network.Listen(s.opts.Listen); err != nil {
--- a/control/counters.go
+++ b/control/counters.go
@@ -19,6 +19,7 @@
 	observationsDropped metric.Int64Counter
 	moveStages          metric.Int64Counter
 	claimsRefused       metric.Int64Counter
+	budgetLeases        metric.Int64Counter
 }
 
 func newCounters(m metric.Meter) (*counters, error) {
@@ -37,6 +38,7 @@
 		{&c.observations, "control.observations", "observations received from gateways"},
 		{&c.observationsDropped, "control.observations_dropped", "observations dropped at the buffer's bound"},
 		{&c.moveStages, "control.move_stages", "stage changes of moves"},
+		{&c.budgetLeases, "control.budget_leases.granted", "leases on shares of accounts' limits granted or renewed"},
 		{&c.claimsRefused, "control.claims_refused", "claims refused because the claims have their full size"},
 	} {
 		counter, err := m.Int64Counter(d.name, metric.WithDescription(d.usage))
@@ -67,4 +69,25 @@
 	return err
 }
 
+// observeBudgets makes the leases on accounts' limits metrics of the replica.
+func observeBudgets(m metric.Meter, s *Server) error {
+	held, err := m.Int64ObservableGauge("control.budget_leases.held", metric.WithUnit("{gateway}"), metric.WithDescription("gateways with a lease on shares of accounts' limits; 0 at a replica that does not lead"))
+	if err != nil {
+		return err
+	}
+	expired, err := m.Int64ObservableGauge("control.budget_leases.expired", metric.WithUnit("{lease}"), metric.WithDescription("leases on accounts' limits that ended without a renewal in this term"))
+	if err != nil {
+		return err
+	}
+	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		if s.isLeading() {
+			h, e := s.budgetPool().Leases()
+			o.ObserveInt64(held, int64(h))
+			o.ObserveInt64(expired, int64(e)) //nolint:gosec // counts leases
+		}
+		return nil
+	}, held, expired)
+	return err
+}
+
 func count(c metric.Int64Counter, n int) { c.Add(context.Background(), int64(n)) }
--- a/control/leader.go
+++ b/control/leader.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"toucantiller.dev/budget"
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
 	"toucantiller.dev/distribution"
@@ -113,13 +112,14 @@
 	if _, err := s.propose(&state.Command{Lead: &state.Lead{Term: term}}); err != nil {
 		return err
 	}
+	gateways := s.registeredGateways()
 	s.mu.Lock()
 	s.leading = true
 	s.term = term
 	s.leases = lease.NewTable(lease.TTL)
 	s.admission = lease.NewAdmission(s.opts.RegistrationsPerSecond, s.opts.RegistrationBurst)
 	s.evidence = newEvidenceCollector()
-	s.budgets = budget.NewPool(s.opts.TokenTolerance)
+	s.budgets = s.newBudgets(term, gateways, now)
 	s.detector = quarantine.NewDetector()
 	clear(s.lastHeartbeats)
 	s.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,9 @@
 	Meter    metric.Meter
 	// Budgets grants tokens of accounts with a token limit; nil if no account has one.
 	Budgets Budgets
+	// BudgetLease is the time for which the gateway asks for shares of the accounts' token limits on
+	// lease; 0 for none.
+	BudgetLease time.Duration
 	// NewEngine returns the client of an endpoint without an agent, at "ip:port".
 	// maxConnections bounds its open connections; 0 means no bound. It may be nil if all
 	// endpoints have agents.
@@ -111,6 +114,7 @@
 	oddEndpoints             string
 	accounts                 admission.AccountLimits
 	wallets                  wallets
+	leases                   *budgetLeases // nil without leases
 	watches                  watches
 	meanSizes, meanDensities runningMeans
 	waits                    statedWaits
@@ -147,6 +151,9 @@
 	g.idPrefix = fmt.Sprintf("%s-%x-", opt.Instance.ID, uint64(opt.Instance.Incarnation))
 	g.taskCtx, g.cancelTasks = context.WithCancel(context.Background())
 	g.answerCtx, g.endAnswers = context.WithCancelCause(context.Background())
+	if err := g.newLeases(opt.Meter); err != nil {
+		return nil, eris.Wrap(err, "creating gateway metrics")
+	}
 	handler := g.Handler()
 	if opt.Handler != nil {
 		handler = opt.Handler(g)
@@ -169,6 +176,7 @@
 
 // Serve serves callers on the listener until Stop.
 func (g *Gateway) Serve(l net.Listener) error {
+	g.keepLeases()
 	if err := g.server.Serve(newBoundedListener(l, g.memory)); err != nil && !eris.Is(err, http.ErrServerClosed) {
 		return eris.Wrapf(err, "serving callers on %s", l.Addr())
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,9 @@
 	claimFailures    counter
 	tasksDropped     counter
 	callersClosed    counter
+	leasesRenewed    counter
+	leasesExpired    counter
+	refusedAway      counter
 	duration         histogram
 	firstToken       histogram
 }
@@ -55,6 +58,9 @@
 		{&out.completed, "toucan.gateway.requests.completed", "{request}", "Requests whose whole answer was passed on."},
 		{&out.problems, "toucan.gateway.requests.problems", "{request}", "Requests that ended with a problem, by code and execution."},
 		{&out.sheds, "toucan.gateway.requests.shed", "{request}", "Requests refused before dispatch, by reason and tier."},
+		{&out.leasesRenewed, "toucan.gateway.budget.leases.renewed", "{lease}", "Leases on shares of the accounts' token limits that were granted or renewed."},
+		{&out.leasesExpired, "toucan.gateway.budget.leases.expired", "{lease}", "Leases on shares of the accounts' token limits that ended without a renewal."},
+		{&out.refusedAway, "toucan.gateway.budget.refused_away", "{request}", "Requests refused for their account's token limit while the leader was away."},
 		{&out.retries, "toucan.gateway.dispatches.retried", "{dispatch}", "Dispatches after a proven not-run, from the retry budget."},
 		{&out.handedBack, "toucan.gateway.dispatches.handed_back", "{dispatch}", "Dispatches handed back by an endpoint that leaves and placed elsewhere."},
 		{&out.requeued, "toucan.gateway.dispatches.returned", "{dispatch}", "Dispatches that an agent had no room for and that went back to the queue."},
@@ -114,6 +120,19 @@
 	return nil
 }
 
+// registerLeases registers the gauge of what is held on lease of the accounts' limits.
+func registerLeases(m metric.Meter, l *budgetLeases) error {
+	if m == nil {
+		return nil
+	}
+	observe := func(_ context.Context, o metric.Float64Observer) error {
+		o.Observe(l.wallets.leasedShare(l.now()))
+		return nil
+	}
+	_, err := m.Float64ObservableGauge("toucan.gateway.budget.leased_share", metric.WithUnit("1"), metric.WithDescription("Mean share of the accounts' token limits that the gateway has on lease."), metric.WithFloat64Callback(observe))
+	return err
+}
+
 func (m *metrics) recordProblem(p *Problem) {
 	m.problems.increment(metric.WithAttributes(attribute.String("code", p.Code), attribute.String("execution", string(p.Execution))))
 }
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -67,7 +67,7 @@
 		next.queues = old.queues
 	}
 	next.snapshot = schedule.NewSnapshot(in)
-	g.wallets.update(config.Accounts, tokenShare(directory), now)
+	g.wallets.update(config.Accounts, tokenShare(directory), g.budgetNow(now))
 	if old == nil || old.config != config {
 		g.accounts.Update(config.Accounts, now)
 		next.queues = g.buildQueues(next.queues, config)
--- a/gateway/wallets.go
+++ b/gateway/wallets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 // Budgets grants this gateway tokens from the accounts' budgets.
 type Budgets interface {
 	DrawBudget(ctx context.Context, in *api.DrawBudget) (*api.BudgetGrant, error)
+	RenewBudget(ctx context.Context, in *api.RenewBudget) (*api.BudgetLease, error)
 }
 
 // drawTimeout bounds one draw. A request waits for it, and a gateway that cannot reach the
@@ -23,20 +25,34 @@
 // wallets holds the wallet of each account with a token limit. The map is copied on write.
 type wallets struct {
 	byName atomic.Pointer[map[string]*budget.Wallet]
+
+	// mu is held while the map, the grant or away changes, so that all wallets have the same grant.
+	mu sync.Mutex
+	// grant is the lease that the wallets have, asked for at asked; nil before the first one.
+	grant *budget.Grant
+	asked time.Time
+	// away is set while the leader cannot be reached, if leases are in use.
+	away bool
 }
 
 // update applies the accounts' limits. Wallets of accounts that remain keep their tokens.
 func (s *wallets) update(accounts []*account.Account, share float64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	next := make(map[string]*budget.Wallet, len(accounts))
 	for _, a := range accounts {
 		if a.TokensPerSecond <= 0 {
 			continue
 		}
 		w := s.get(a.Name)
-		if w == nil {
+		isNew := w == nil
+		if isNew {
 			w = &budget.Wallet{}
 		}
 		w.Configure(budget.Limit{Rate: a.TokensPerSecond, Burst: a.TokenBurst}, share, now)
+		if isNew {
+			s.lease(a.Name, w, now)
+		}
 		next[a.Name] = w
 	}
 	s.byName.Store(&next)
@@ -64,6 +80,9 @@
 		return nil
 	}
 	cost := float64(c.cost)
+	if g.leases != nil {
+		return g.leases.spend(ctx, c, w)
+	}
 	ok, draw, want, wait := w.Take(cost, time.Now())
 	if draw && g.opt.Budgets != nil {
 		wait = g.drawTokens(ctx, w, c, want)
@@ -74,6 +93,10 @@
 	if ok {
 		return nil
 	}
+	return refuseRate(c, wait)
+}
+
+func refuseRate(c *call, wait time.Duration) *admission.Refusal {
 	return &admission.Refusal{Reason: admission.ReasonAccountRate, Tier: c.tier, RetryAfter: max(wait, admission.MinRetryAfter)}
 }
 
@@ -84,7 +107,7 @@
 	defer cancel()
 	now := time.Now()
 	grant, err := g.opt.Budgets.DrawBudget(ctx, &api.DrawBudget{
-		Gateway: g.opt.Instance.ID, Account: c.account.Name, Want: want, Least: float64(c.cost), Returned: w.Returns(now), ReturnID: uint64(now.UnixNano()), //nolint:gosec // after 1970
+		Gateway: g.opt.Instance.ID, Account: c.account.Name, Want: want, Least: float64(c.cost), Returned: w.Returns(now), ReturnID: returnID(now),
 	})
 	if err != nil {
 		_ = g.opt.Logger.Log("msg", "budget not drawn", "request", c.id, "account", c.account.Name, "waited", time.Since(now), "err", err)
--- a/program/control.go
+++ b/program/control.go
@@ -22,6 +22,7 @@
 	"toucantiller.dev/control/decider"
 	"toucantiller.dev/instance"
 	"toucantiller.dev/lastrun"
+	"toucantiller.dev/lease"
 	"toucantiller.dev/link"
 	"toucantiller.dev/platform"
 )
@@ -42,6 +43,7 @@
 	Tick         time.Duration `help:"Unit of elections: a replica starts one after 10 to 20 ticks of silence." env:"TOUCAN_TICK" default:"50ms"`
 	TokenOverrun OptionalFloat `help:"Share of an account's token limit that may be admitted beyond it." env:"TOUCAN_TOKEN_OVERRUN"`
 	TokenSlack   OptionalFloat `help:"Tokens that may be admitted beyond an account's limit in a short time." env:"TOUCAN_TOKEN_SLACK"`
+	BudgetLease  time.Duration `help:"Longest time for which gateways get shares of the accounts' token limits on lease; 0 for none." env:"TOUCAN_BUDGET_LEASE"`
 	SelfRepair   bool          `help:"The leader adds replicas that ask to join and removes silent ones in their favour, without an operator." env:"TOUCAN_SELF_REPAIR"`
 	CallListen   string        `help:"Address for operators and endpoints of the users' platform, ip:port; empty for none." env:"TOUCAN_CALL_LISTEN"`
 	AgentPort    int           `help:"Port of the agents beside model endpoints on the users' platform." env:"TOUCAN_AGENT_PORT"`
@@ -60,9 +62,21 @@
 		CheckPort("member-port", s.MemberPort),
 		CheckPort("agent-port", s.AgentPort),
 		CheckAdvertised("call-listen", s.CallListen),
+		checkBudgetLease(s.BudgetLease),
 	)
 }
 
+// minBudgetLease leaves time to renew a lease.
+const minBudgetLease = 2 * time.Second
+
+// checkBudgetLease checks a lease on accounts' limits: it must not outlive the registration of its holder.
+func checkBudgetLease(d time.Duration) error {
+	if d != 0 && (d < minBudgetLease || d > lease.TTL) {
+		return &SettingError{Flag: "budget-lease", Err: fmt.Errorf("%s is neither 0 nor between %s and %s", d, minBudgetLease, lease.TTL)}
+	}
+	return nil
+}
+
 // claimDiskShare is the part of the disk that claims may take: a snapshot of them stands beside the
 // one before and a log of about the same size.
 const claimDiskShare = 8
@@ -154,6 +168,7 @@
 		OpenLog:    c.openLog(),
 		SelfRepair: c.settings.SelfRepair,
 
+		BudgetLease:   c.settings.BudgetLease,
 		MaxClaimBytes: c.settings.maxClaimBytes(),
 		Seeds:         c.seedAddresses,
 		TokenTolerance: budget.Tolerance{
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -34,6 +34,7 @@
 	Interface     string    `help:"Interface for callers: openai, or that of the users' platform." env:"TOUCAN_INTERFACE" enum:"openai,platform" default:"openai"`
 	AgentListen   PortRange `help:"Address for dispatches to endpoints without an agent, whose agents this gateway runs: ip:port, or ip:first-last for the highest port that is free; empty for none." env:"TOUCAN_AGENT_LISTEN"`
 	PaceSettings  `embed:""`
+	BudgetLease   time.Duration `help:"Time for which the gateway gets shares of the accounts' token limits on lease, to spend without control; 0 for none." env:"TOUCAN_BUDGET_LEASE"`
 	// StopDelay covers two health checks a second apart.
 	StopDelay time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
 	// Without is for experiments.
@@ -51,6 +52,7 @@
 		CheckPort("control-port", s.ControlPort),
 		checkStopDelay(s.StopDelay, s.StopTimeout),
 		checkWithout(s.Without),
+		checkBudgetLease(s.BudgetLease),
 	)
 }
 
@@ -127,6 +129,9 @@
 		View:     g.member,
 		Claims:   claims{g.member.control},
 		Budgets:  g.member.control,
+
+		BudgetLease: g.settings.BudgetLease,
+
 		Evidence: g.evidence,
 		Network:  g.member.network,
 		Logger:   g.logger,
