--- a/budget/lease.go
+++ b/budget/lease.go
@@ -12,6 +12,8 @@
 	Term uint64
 	// Duration is the longest time for which a lease is granted.
 	Duration time.Duration
+	// Longest is the longest time for which an earlier leader may have granted one.
+	Longest time.Duration
 	// Overlap is the time for which an earlier leader may still grant leases.
 	Overlap time.Duration
 	// MessageLife is the time after which a message that was sent no longer arrives.
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -92,7 +92,7 @@
 			l.expired++
 		}
 	}
-	if now.Sub(l.began) > l.terms.Duration+l.terms.Overlap {
+	if now.Sub(l.began) > l.terms.Longest+l.terms.Overlap {
 		clear(l.unheard)
 	}
 }
--- a/control/budgets.go
+++ b/control/budgets.go
@@ -8,6 +8,7 @@
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/state"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/lease"
 )
 
 // budgetMessageLife is the time after which a call that was sent no longer arrives: by then its
@@ -75,7 +76,7 @@
 	if s.opts.BudgetLease <= 0 {
 		return budget.NewPool(s.opts.TokenTolerance)
 	}
-	terms := budget.LeaseTerms{Term: term, Duration: s.opts.BudgetLease, Overlap: maxQuorumAge, MessageLife: budgetMessageLife}
+	terms := budget.LeaseTerms{Term: term, Duration: s.opts.BudgetLease, Longest: lease.TTL, Overlap: maxQuorumAge, MessageLife: budgetMessageLife}
 	return budget.NewLeasingPool(s.opts.TokenTolerance, terms, gateways, now)
 }
 
--- a/program/program_test.go
+++ b/program/program_test.go
@@ -89,6 +89,17 @@
 	assert.ErrorContains(t, s.Check(), "--tick")
 }
 
+// Guards against leases on accounts' limits that cannot be renewed in time or outlive the registration of
+// their holder.
+func TestBudgetLeaseIsBounded(t *testing.T) {
+	for _, d := range []time.Duration{0, 2 * time.Second, 8 * time.Second} {
+		assert.NilError(t, checkBudgetLease(d))
+	}
+	for _, d := range []time.Duration{-time.Second, time.Second, 9 * time.Second} {
+		assert.ErrorContains(t, checkBudgetLease(d), "--budget-lease")
+	}
+}
+
 // Guards against a heap that grows past the memory limit while little of it is alive, and against
 // limits that are read wrongly or that no process can keep.
 func TestMemoryLimitBoundsTheCollector(t *testing.T) {
