Budget leases: no more refusals while the leader is in touch; sums kept by account

A wallet hoarded while draws were answered with nothing; losing and reaching the leader at once could end the process; joined draws ignored the wallet's balance and debt; returns with renewals and draws displaced each other; a renewal took time by gateways times accounts.

Change: a draw asks for what is missing when it starts; a request that did not get enough may use the overdraft; an account of whose shares a mean request could not be paid stays with the pool, which keeps the burst that leases do not carry; leases carry 0.6 of the burst (0.75 before); one lock over the change of 'away'; a lost draw asks for a renewal at once; returns numbered apart; calls after their objective wait by their deadline; the ledger keeps sums.

--- a/budget/lease.go
+++ b/budget/lease.go
@@ -27,14 +27,14 @@
 	evenShare = 0.2
 	// leasedBurst is the part of the burst that leases carry, so that wallets keep it. The pool has
 	// the rest.
-	leasedBurst = 0.75
+	leasedBurst = 0.6
 )
 
 // The parts of the tolerance's slack with leases. The rest covers gateways whose lease has ended and
 // two leaders that grant draws at a time.
 const (
 	// leasedGrantedSlack is what the burst is widened by.
-	leasedGrantedSlack = 0.2
+	leasedGrantedSlack = 0.3
 	// leasedInitialSlack is what a new pool starts with.
 	leasedInitialSlack = 0.15
 	// overdraftSlack is what wallets together may spend in advance while they cannot draw: a share of
@@ -55,6 +55,12 @@
 	return Limit{Rate: factor * limit.Rate, Burst: factor*limit.Burst + leasedGrantedSlack*t.Slack}
 }
 
+// overdraft returns what a gateway may spend in advance of each account while it cannot draw; share is that of
+// the accounts that its grant does not list.
+func (t Tolerance) overdraft(share float64) float64 {
+	return overdraftSlack * t.Slack * share / leasableShare
+}
+
 // Shares are parts of the accounts' limits, in [0,1].
 type Shares struct {
 	// Other is the share of each account that Accounts does not list.
@@ -89,6 +95,8 @@
 	// Asked is the rate, in tokens a second, that callers of the gateway lately asked for, by account.
 	// It leaves out accounts for which there were none.
 	Asked map[string]float64
+	// Cost is the mean cost of a request, in tokens, for the accounts in Asked.
+	Cost map[string]float64
 }
 
 // Grant is a lease on shares of all accounts' limits. The holder of an earlier one of the same
@@ -106,7 +114,7 @@
 func (g *Grant) Lease(account string, asked time.Time) Lease {
 	return Lease{
 		Share:     g.Shares.Of(account),
-		Overdraft: overdraftSlack * g.Tolerance.Slack * g.Shares.Other / leasableShare,
+		Overdraft: g.Tolerance.overdraft(g.Shares.Other),
 		Tolerance: g.Tolerance,
 		End:       g.End(asked),
 	}
--- a/budget/lease_test.go
+++ b/budget/lease_test.go
@@ -164,12 +164,12 @@
 
 func (s *site) renew(g *leasedGateway) {
 	g.asked = s.now.Add(-time.Duration(s.random.IntN(50)) * time.Millisecond) // when the call began
-	r := budget.Renewal{Gateway: g.id, Incarnation: g.incarnation, Duration: leaseDuration, Asked: make(map[string]float64)}
+	r := budget.Renewal{Gateway: g.id, Incarnation: g.incarnation, Duration: leaseDuration, Asked: make(map[string]float64), Cost: make(map[string]float64)}
 	if left := g.end.Sub(s.now); left > 0 {
 		r.Held = budget.Held{Term: g.held.Term, Seq: g.held.Seq, Left: left, Shares: g.held.Shares}
 	}
-	if asked := g.wallet.Asked(s.now); asked > 0 {
-		r.Asked[account] = asked
+	if asked, cost := g.wallet.Asked(s.now); asked > 0 {
+		r.Asked[account], r.Cost[account] = asked, cost
 	}
 	l := s.reached(g)
 	if l == nil {
@@ -209,7 +209,7 @@
 	if l := s.reached(g); l != nil {
 		s.draws++
 		s.returned(g, l)
-		granted, _ := l.pool.Draw(account, l.limit, want, cost, s.now)
+		granted, _ := l.pool.Draw(account, l.limit, want, min(want, cost), s.now)
 		g.wallet.Credit(granted, s.now)
 	} else {
 		g.offline = true
@@ -219,7 +219,7 @@
 		ok, _, _, _ = g.wallet.Take(cost, s.now)
 		return ok
 	}
-	ok, _ = g.wallet.TakeDrawn(cost, !g.offline, s.now)
+	ok, _ = g.wallet.TakeDrawn(cost, s.now)
 	return ok
 }
 
@@ -390,6 +390,22 @@
 	return r
 }
 
+// Guards against a wallet that hoards while draws for a request that it cannot pay are answered with nothing.
+func TestRefusedDrawsDoNotFillAWallet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := &budget.Wallet{}
+	w.Configure(budget.Limit{Rate: 1000, Burst: 1000}, 1, now)
+	w.Hold(budget.Lease{Share: 0.9, End: now.Add(time.Minute)}, now)
+	for range 400 {
+		now = now.Add(50 * time.Millisecond)
+		_, draw, _, _ := w.Take(20_000, now)
+		assert.Assert(t, draw)
+		w.Credit(0, now)
+	}
+	ok, _, _, _ := w.Take(1000, now)
+	assert.Assert(t, !ok, "it may keep 750")
+}
+
 // Guards against two leaders that grant the same share, while the earlier one does not know yet that it
 // was replaced.
 func TestReplacedLeaderGrantsNoShareTwice(t *testing.T) {
--- a/budget/leased.go
+++ b/budget/leased.go
@@ -8,6 +8,8 @@
 const (
 	// askedTimeConstant is the time constant of the mean rate that callers ask for.
 	askedTimeConstant = 3 * time.Second
+	// costWeight is the weight of a request in the mean cost.
+	costWeight = 1.0 / 8
 	// shift is the change of what callers ask for, as a part of what the lease gives, that the leader
 	// should know soon.
 	shift = 0.25
@@ -27,31 +29,44 @@
 	w.trim(now)
 }
 
-// TakeDrawn spends the cost of a request after a Take that asked for a draw; drawn says whether that
-// was answered. If ok is false, the request exceeds the limit for now, and wait is the time until it
-// may fit.
-func (w *Wallet) TakeDrawn(cost float64, drawn bool, now time.Time) (ok bool, wait time.Duration) {
+// TakeDrawn spends the cost of a request after a Take that asked for a draw, whatever came of that: a request
+// that did not get enough is decided as while the leader is away. If ok is false, the request exceeds the limit
+// for now, and wait is the time until it may fit.
+func (w *Wallet) TakeDrawn(cost float64, now time.Time) (ok bool, wait time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	ok, draw, _, wait := w.takeLeased(cost, w.offline || !drawn)
-	if draw {
-		wait = w.timeTo(cost)
-	}
+	ok, _, _, wait = w.takeLeased(cost, true)
 	return ok, wait
 }
 
-// Asked returns the mean rate that callers lately asked for in tokens a second, at most the limit; 0 if
-// it is hardly any.
-func (w *Wallet) Asked(now time.Time) float64 {
+// Reach records that the gateway can draw again, without a lease in place of the one that it has.
+func (w *Wallet) Reach(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	w.offline = false
+}
+
+// Missing returns how many of a number of tokens the wallet does not hold, its debt included.
+func (w *Wallet) Missing(tokens float64, now time.Time) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	return max(0, tokens-w.balance)
+}
+
+// Asked returns the mean rate that callers lately asked for in tokens a second, at most the limit, and the mean
+// cost of their requests; the rate is 0 if it is hardly any.
+func (w *Wallet) Asked(now time.Time) (rate, cost float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
 	w.told = w.asked
 	if w.asked < minAsked {
-		return 0
+		return 0, 0
 	}
-	return min(w.asked, w.limit.Rate)
+	return min(w.asked, w.limit.Rate), w.cost
 }
 
 // Share returns the part of the account's limit that the wallet has on lease.
@@ -71,6 +86,14 @@
 	return w.leasing && math.Abs(w.asked-w.told) > max(minAsked, shift*w.lease.rate(w.limit))
 }
 
+// noteCost adds a request to the mean cost.
+func (w *Wallet) noteCost(cost float64) {
+	if w.cost == 0 {
+		w.cost = cost
+	}
+	w.cost += (cost - w.cost) * costWeight
+}
+
 // takeLeased is Take for a wallet with leases. While the leader is away, the lease decides; after its
 // end, what the gateway spends without one.
 func (w *Wallet) takeLeased(cost float64, away bool) (ok, draw bool, want float64, wait time.Duration) {
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"math"
 	"time"
 
 	"toucantiller.dev/instance"
@@ -27,15 +28,38 @@
 	// hold. While there are any, all that is leasable counts as leased.
 	unheard Fleet
 	holders map[instance.ID]*holder
+	// totals is what the holders have and ask for in sum.
+	totals  totals
 	seq     uint64
 	expired uint64
+	// expireNext is when leases are next looked at for their end.
+	expireNext time.Time
+}
+
+// totals are sums over all holders, kept so that a grant takes time by accounts and not by gateways.
+type totals struct {
+	// other is the sum of the holders' shares of the accounts that they do not list.
+	other    float64
+	accounts map[string]*accountTotal
+}
+
+// accountTotal is what one account adds.
+type accountTotal struct {
+	// extra is by how much the holders' shares exceed those of accounts that they do not list.
+	extra float64
+	// asked is the rate asked for, and squares the sum of the squares of each holder's.
+	asked, squares float64
+	// users is the number of shares and demands in the sums.
+	users int
 }
 
 // holder is a gateway with leases. It uses one of its grants at a time.
 type holder struct {
 	incarnation instance.Incarnation
 	grants      []grant
-	asked       map[string]float64
+	// asked and counted are in the totals; counted are the largest shares of all grants.
+	asked   map[string]float64
+	counted Shares
 }
 
 // grant is a lease that a gateway uses or may come to use.
@@ -46,49 +70,114 @@
 	shares Shares
 }
 
+// expireInterval is the least time between two looks for leases that have ended. One that is found late
+// counts for longer.
+const expireInterval = 100 * time.Millisecond
+
+// sameShare is the difference below which two shares count as the same, in spite of rounding.
+const sameShare = 1e-9
+
 // newLedger returns the ledger of a new leader; fleet are the gateways to which earlier ones may have
 // granted leases.
 func newLedger(terms LeaseTerms, fleet Fleet, now time.Time) *ledger {
-	return &ledger{terms: terms, began: now, unheard: maps.Clone(fleet), holders: make(map[instance.ID]*holder)}
+	return &ledger{terms: terms, began: now, unheard: maps.Clone(fleet), holders: make(map[instance.ID]*holder), totals: totals{accounts: make(map[string]*accountTotal)}}
 }
 
 // reserved returns the share of an account's limit that may be held on lease.
 func (l *ledger) reserved(account string) float64 {
-	sum := l.reservedByOthers(account, "")
 	if len(l.unheard) > 0 {
-		return max(sum, leasableShare)
+		return max(l.totals.share(account), leasableShare)
 	}
-	return sum
+	return l.totals.share(account)
 }
 
-// reservedByOthers returns the share of an account's limit that gateways other than the given one
-// are known to hold.
-func (l *ledger) reservedByOthers(account string, gateway instance.ID) float64 {
-	sum := 0.0
-	for id, h := range l.holders {
-		if id != gateway {
-			sum += h.reserved(account)
-		}
+// share returns the sum of the holders' shares of an account's limit.
+func (t *totals) share(account string) float64 {
+	if a := t.accounts[account]; a != nil {
+		return t.other + a.extra
+	}
+	return t.other
+}
+
+// add changes an account's sums.
+func (t *totals) add(account string, extra, asked float64, users int) {
+	a := t.accounts[account]
+	if a == nil {
+		a = &accountTotal{}
+		t.accounts[account] = a
+	}
+	a.extra += extra
+	a.asked += asked
+	a.squares += math.Copysign(asked*asked, asked)
+	a.users += users
+	if a.users == 0 {
+		delete(t.accounts, account)
+	}
+}
+
+// addShares adds a holder's shares; sign is -1 to take them out.
+func (t *totals) addShares(s Shares, sign int) {
+	t.other += float64(sign) * s.Other
+	for account, share := range s.Accounts {
+		t.add(account, float64(sign)*(share-s.Other), 0, sign)
 	}
-	return sum
 }
 
-// reserved returns the largest share that the holder may have of an account's limit.
-func (h *holder) reserved(account string) float64 {
-	share := 0.0
+// addAsked adds what a holder's callers ask for; sign is -1 to take it out.
+func (t *totals) addAsked(asked map[string]float64, sign int) {
+	for account, rate := range asked {
+		t.add(account, 0, float64(sign)*rate, sign)
+	}
+}
+
+// recount brings a holder's grants into the totals.
+func (l *ledger) recount(h *holder) {
+	l.totals.addShares(h.counted, -1)
+	h.counted = h.widest()
+	l.totals.addShares(h.counted, 1)
+}
+
+// remove forgets a holder.
+func (l *ledger) remove(id instance.ID) {
+	h := l.holders[id]
+	l.totals.addShares(h.counted, -1)
+	l.totals.addAsked(h.asked, -1)
+	delete(l.holders, id)
+	if len(l.holders) == 0 {
+		l.totals.other = 0 // without what rounding left
+	}
+}
+
+// widest returns the largest share that the holder may have of each account's limit.
+func (h *holder) widest() Shares {
+	out := Shares{Accounts: make(map[string]float64)}
 	for i := range h.grants {
-		share = max(share, h.grants[i].shares.Of(account))
+		out.Other = max(out.Other, h.grants[i].shares.Other)
+		for account := range h.grants[i].shares.Accounts {
+			out.Accounts[account] = 0
+		}
+	}
+	for account := range out.Accounts {
+		for i := range h.grants {
+			out.Accounts[account] = max(out.Accounts[account], h.grants[i].shares.Of(account))
+		}
 	}
-	return share
+	return out
 }
 
 // expire forgets the leases that have ended, and the gateways whose leases of earlier leaders must have
 // ended by now.
 func (l *ledger) expire(now time.Time) {
+	if now.Before(l.expireNext) {
+		return
+	}
+	l.expireNext = now.Add(expireInterval)
 	for id, h := range l.holders {
-		h.drop(func(g *grant) bool { return now.After(g.end) })
+		if h.drop(func(g *grant) bool { return now.After(g.end) }) {
+			l.recount(h)
+		}
 		if len(h.grants) == 0 {
-			delete(l.holders, id)
+			l.remove(id)
 			l.expired++
 		}
 	}
@@ -107,8 +196,8 @@
 	}
 }
 
-// drop removes the grants that match.
-func (h *holder) drop(match func(*grant) bool) {
+// drop removes the grants that match and reports whether there were any.
+func (h *holder) drop(match func(*grant) bool) bool {
 	kept := h.grants[:0]
 	for i := range h.grants {
 		if !match(&h.grants[i]) {
@@ -116,11 +205,13 @@
 		}
 	}
 	clear(h.grants[len(kept):])
+	dropped := len(kept) < len(h.grants)
 	h.grants = kept
+	return dropped
 }
 
 // renew grants a lease for at most a duration.
-func (l *ledger) renew(r *Renewal, fleet Fleet, longest time.Duration, now time.Time) (Grant, error) {
+func (l *ledger) renew(r *Renewal, fleet Fleet, room room, longest time.Duration, now time.Time) (Grant, error) {
 	if r.Held.Term > l.terms.Term {
 		return Grant{}, ErrSuperseded
 	}
@@ -128,22 +219,29 @@
 	if h != nil && r.Incarnation < h.incarnation {
 		return Grant{}, ErrReplaced
 	}
-	if h == nil || r.Incarnation > h.incarnation {
+	if h != nil && r.Incarnation > h.incarnation {
+		l.remove(r.Gateway)
+		h = nil
+	}
+	if h == nil {
 		h = &holder{incarnation: r.Incarnation}
 		l.holders[r.Gateway] = h
 	}
 	l.learn(h, r, now)
-	shares := l.shares(r, fleet)
+	shares := l.shares(r, fleet, room)
 	l.seq++
 	duration := min(r.Duration, l.terms.Duration, longest)
 	// An earlier leader must not pass on what a later one has renewed.
 	h.grants = append(h.grants, grant{seq: l.seq, end: now.Add(duration + l.terms.Overlap), shares: shares})
+	l.recount(h)
 	return Grant{Term: l.terms.Term, Seq: l.seq, Duration: duration, Shares: shares}, nil
 }
 
 // learn takes over what a gateway tells about itself.
 func (l *ledger) learn(h *holder, r *Renewal, now time.Time) {
+	l.totals.addAsked(h.asked, -1)
 	h.asked = r.Asked
+	l.totals.addAsked(h.asked, 1)
 	switch {
 	case r.Held.Term == l.terms.Term:
 		// The holder does not return to a grant before the one that it uses.
@@ -151,50 +249,48 @@
 	case r.Held.Term > 0 && r.Held.Left > 0:
 		h.grants = append(h.grants, grant{end: now.Add(r.Held.Left + l.terms.Overlap), shares: r.Held.Shares})
 	}
+	l.recount(h)
 	// What was sent while an earlier leader could grant leases may be out of date.
 	if now.Sub(l.began) > l.terms.Overlap+l.terms.MessageLife {
 		delete(l.unheard, r.Gateway)
 	}
 }
 
-// shares decides what a gateway gets. Accounts that no gateway has told about are shared evenly.
-func (l *ledger) shares(r *Renewal, fleet Fleet) Shares {
+// room returns the tokens that a wallet with a share of an account's limit, and another of those that are not
+// listed, can spend at once.
+type room func(account string, share, other float64) float64
+
+// mixed returns the share of a gateway to which a part of an account's requests come.
+func mixed(even, part float64) float64 {
+	return evenShare*even + (1-evenShare)*leasableShare*part
+}
+
+// shares decides what a gateway gets. Accounts that no gateway has told about are shared evenly. If the share
+// that a mean request meets could not pay for it, the account stays with the pool, which can.
+func (l *ledger) shares(r *Renewal, fleet Fleet, room room) Shares {
 	gateways := float64(max(len(fleet), len(l.holders)))
 	even := leasableShare / gateways
 	out := Shares{Other: l.available("", even, r), Accounts: make(map[string]float64)}
-	for account, total := range l.demand() {
+	for account, total := range l.totals.accounts {
 		target := even
-		if total > 0 {
-			target = evenShare*even + (1-evenShare)*leasableShare*r.Asked[account]/total
+		if total.asked > minAsked/2 {
+			target = mixed(even, r.Asked[account]/total.asked)
+			if room(account, mixed(even, total.squares/(total.asked*total.asked)), out.Other) < r.Cost[account] {
+				target = 0
+			}
 		}
-		if share := l.available(account, target, r); share != out.Other {
+		if share := l.available(account, target, r); math.Abs(share-out.Other) > sameShare {
 			out.Accounts[account] = share
 		}
 	}
 	return out
 }
 
-// demand returns the rates asked for over all gateways, for the accounts that any gateway has told
-// about or has a share of its own of.
-func (l *ledger) demand() map[string]float64 {
-	out := make(map[string]float64)
-	for _, h := range l.holders {
-		for account, asked := range h.asked {
-			out[account] += asked
-		}
-		for i := range h.grants {
-			for account := range h.grants[i].shares.Accounts {
-				out[account] += 0
-			}
-		}
-	}
-	return out
-}
-
 // available returns how much of a share the gateway may have. Before all leases of earlier leaders
 // are known, a gateway keeps what it holds.
 func (l *ledger) available(account string, target float64, r *Renewal) float64 {
-	free := max(0, leasableShare-l.reservedByOthers(account, r.Gateway))
+	byOthers := l.totals.share(account) - l.holders[r.Gateway].counted.Of(account)
+	free := max(0, leasableShare-byOthers)
 	if len(l.unheard) == 0 {
 		return min(target, free)
 	}
--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -111,3 +111,38 @@
 		assert.Assert(t, ok || i%800 < 300, "step %d: 50,000 of 100,000 tokens a second were asked for", i)
 	}
 }
+
+// inTouch plays an account that asks for 0.9 of its limit at 29 gateways at random moments, in requests
+// that cost more than a wallet keeps, and returns the share of its tokens that was admitted.
+func inTouch(seed uint64, without bool) float64 {
+	limit := budget.Limit{Rate: 90_000, Burst: 90_000}
+	s := newSite(29, limit, seed, without)
+	s.step, s.calm = 10*time.Millisecond, true
+	asked, admitted := 0.0, 0.0
+	for i := range 4000 {
+		s.advance()
+		for _, g := range s.gateways {
+			const cost = 6000.0
+			if i < 1000 || s.random.Float64() >= 0.9*limit.Rate*s.step.Seconds()/29/cost {
+				continue
+			}
+			asked += cost
+			if s.ask(g, cost) {
+				admitted += cost
+			}
+		}
+	}
+	return admitted / asked
+}
+
+// Guards against leases that refuse within the limit while the leader is in touch.
+func TestLeasesRefuseNoMoreThanDraws(t *testing.T) {
+	const runs = 20
+	leased, drawn := 0.0, 0.0
+	for seed := range uint64(runs) {
+		leased += inTouch(seed, false) / runs
+		drawn += inTouch(seed, true) / runs
+	}
+	t.Logf("admitted %.3f with leases, %.3f without", leased, drawn)
+	assert.Assert(t, leased >= 0.98*drawn, "admitted %.3f with leases, %.3f without", leased, drawn)
+}
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -4,6 +4,7 @@
 package budget
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -68,8 +69,10 @@
 type bucket struct {
 	balance float64
 	at      time.Time
-	// limit is the part of the account's limit that leases do not carry at all.
+	// limit is the account's limit, widened; its burst is without what leases carry.
 	limit Limit
+	// burst is the whole widened burst.
+	burst float64
 	// leased is the share of the limit's rate that was on lease at the last refill.
 	leased  float64
 	history history
@@ -102,9 +105,10 @@
 	}
 	p.ledger.expire(now)
 	p.ledger.settle(fleet)
-	out, err := p.ledger.renew(r, fleet, longest, now)
+	out, err := p.ledger.renew(r, fleet, p.room, longest, now)
 	for account, b := range p.accounts {
 		b.leased = p.ledger.reserved(account)
+		b.limit.Burst = b.burst * (1 - leasedBurst*b.leased/leasableShare)
 	}
 	out.Tolerance = p.tolerance
 	return out, err
@@ -154,32 +158,44 @@
 
 // refilled returns the bucket of an account as of now. The lock is held.
 func (p *Pool) refilled(account string, limit Limit, now time.Time) *bucket {
-	limit = p.widen(limit)
+	if p.ledger != nil {
+		p.ledger.expire(now)
+	}
+	widened := p.widen(account, limit)
 	b := p.accounts[account]
 	if b == nil {
-		b = p.newBucket(limit, now)
+		b = p.newBucket(widened, now)
 		p.accounts[account] = b
 	}
-	b.limit = limit
+	b.limit, b.burst = widened, p.tolerance.widenLeased(limit).Burst
 	b.refill(now)
 	if p.ledger != nil {
-		p.ledger.expire(now)
 		b.leased = p.ledger.reserved(account)
 	}
 	b.history.record(b.balance, now)
 	return b
 }
 
-// widen returns the limit of an account's bucket.
-func (p *Pool) widen(limit Limit) Limit {
+// widen returns the limit of an account's bucket. It keeps the part of the burst that leases do not carry.
+func (p *Pool) widen(account string, limit Limit) Limit {
 	if p.ledger == nil {
 		return p.tolerance.widen(limit)
 	}
 	limit = p.tolerance.widenLeased(limit)
-	limit.Burst *= 1 - leasedBurst
+	limit.Burst *= 1 - leasedBurst*p.ledger.reserved(account)/leasableShare
 	return limit
 }
 
+// room is the room of a wallet with a lease. That of an account of which nothing was drawn is not known to be
+// short.
+func (p *Pool) room(account string, share, other float64) float64 {
+	b := p.accounts[account]
+	if b == nil {
+		return math.Inf(1)
+	}
+	return leasedBurst*share/leasableShare*b.burst + p.tolerance.overdraft(other)
+}
+
 // newBucket returns the bucket of an account, for a limit that has been widened.
 func (p *Pool) newBucket(limit Limit, now time.Time) *bucket {
 	balance := p.tolerance.initialBalance(limit)
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -43,6 +43,8 @@
 	lease   Lease
 	// asked is the mean of the tokens a second that callers asked for.
 	asked float64
+	// cost is the mean cost of the last requests.
+	cost float64
 	// told is what of it the leader was last told.
 	told float64
 	// trimmed is when what the wallet may not keep went back last; credited is when it last drew.
@@ -77,6 +79,7 @@
 	w.advance(now)
 	if w.leasing {
 		w.asked += cost / askedTimeConstant.Seconds()
+		w.noteCost(cost)
 		return w.takeLeased(cost, w.offline)
 	}
 	if w.balance >= cost || w.offline && w.balance > 0 {
@@ -96,7 +99,9 @@
 	defer w.mu.Unlock()
 	w.advance(now)
 	w.offline = false
-	w.credited = now
+	if tokens > 0 {
+		w.credited = now
+	}
 	w.balance += tokens
 }
 
--- a/control/budgets.go
+++ b/control/budgets.go
@@ -11,6 +11,9 @@
 	"toucantiller.dev/lease"
 )
 
+// renewals sets the returns with renewals apart from those with draws, which may overtake them.
+const renewals instance.ID = "/renewals"
+
 // budgetMessageLife is the time after which a call that was sent no longer arrives: by then its
 // connection was found silent and closed.
 const budgetMessageLife = 2 * time.Second
@@ -46,7 +49,7 @@
 	pool, now := v.s.budgetPool(), time.Now()
 	for account, returned := range in.Returned {
 		if limit, ok := v.s.tokenLimit(account); ok {
-			pool.Return(account, limit, budget.ReturnID{Gateway: in.Gateway, Number: in.ReturnID}, returned, now)
+			pool.Return(account, limit, budget.ReturnID{Gateway: in.Gateway + renewals, Number: in.ReturnID}, returned, now)
 		}
 	}
 	fleet := v.s.registeredGateways()
--- a/gateway/draws.go
+++ b/gateway/draws.go
@@ -20,8 +20,8 @@
 // set before done is closed.
 type draw struct {
 	wallet *budget.Wallet
-	// want is the number of tokens for all calls, least that for the first one.
-	want, least float64
+	// cost is that of all calls, least that of the first one.
+	cost, least float64
 	// next waits for this one; it is nil if no call came meanwhile.
 	next *draw
 	done chan struct{}
@@ -31,7 +31,7 @@
 }
 
 // join returns the draw that gets a call its tokens. start is set if the caller must run it.
-func (s *draws) join(account string, w *budget.Wallet, want, cost float64) (d *draw, start bool) {
+func (s *draws) join(account string, w *budget.Wallet, cost float64) (d *draw, start bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.byAccount == nil {
@@ -39,14 +39,14 @@
 	}
 	running := s.byAccount[account]
 	if running == nil {
-		d = &draw{wallet: w, want: want, least: cost, done: make(chan struct{})}
+		d = &draw{wallet: w, cost: cost, least: cost, done: make(chan struct{})}
 		s.byAccount[account] = d
 		return d, true
 	}
 	if running.next == nil {
 		running.next = &draw{wallet: w, least: cost, done: make(chan struct{})}
 	}
-	running.next.want += cost
+	running.next.cost += cost
 	return running.next, false
 }
 
@@ -82,8 +82,12 @@
 	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	now := l.now()
+	want := d.wallet.Missing(d.cost, now)
+	if want <= 0 {
+		return
+	}
 	grant, err := l.budgets.DrawBudget(ctx, &api.DrawBudget{
-		Gateway: l.self.ID, Account: account, Want: d.want, Least: d.least, Returned: d.wallet.Returns(now), ReturnID: returnID(now),
+		Gateway: l.self.ID, Account: account, Want: want, Least: min(want, d.least), Returned: d.wallet.Returns(now), ReturnID: returnID(now),
 	})
 	if err != nil {
 		d.err = err
@@ -94,14 +98,19 @@
 	d.wait = grant.Wait
 }
 
-// patience is the part of a call's time that it waits for a draw.
-const patience = 1.0 / 8
+const (
+	// patience is the part of a call's time that it waits for a draw.
+	patience = 1.0 / 8
+	// minPatience is some round trips to the leader.
+	minPatience = 10 * time.Millisecond
+)
 
-// drawPatience returns how long a call may wait for a draw.
+// drawPatience returns how long a call may wait for a draw. The time of a call whose objective has passed ends
+// with its deadline.
 func drawPatience(c *call, now time.Time) time.Duration {
 	until := c.deadline
-	if !c.objective.IsZero() && c.objective.Before(until) {
+	if c.objective.After(now) && c.objective.Before(until) {
 		until = c.objective
 	}
-	return min(drawTimeout, max(0, time.Duration(patience*float64(until.Sub(now)))))
+	return min(drawTimeout, max(minPatience, time.Duration(patience*float64(until.Sub(now)))))
 }
--- a/gateway/leasedwallets.go
+++ b/gateway/leasedwallets.go
@@ -36,7 +36,7 @@
 		if away {
 			w.RecordDrawFailure(now)
 		} else {
-			w.Credit(0, now)
+			w.Reach(now)
 		}
 	}
 	return s.held(now).Left
@@ -72,10 +72,10 @@
 	defer s.mu.Unlock()
 	in := &api.RenewBudget{Returned: make(map[string][]budget.Returned)}
 	in.Held = s.held(now)
-	in.Asked = make(map[string]float64)
+	in.Asked, in.Cost = make(map[string]float64), make(map[string]float64)
 	for name, w := range s.all() {
-		if asked := w.Asked(now); asked > 0 {
-			in.Asked[name] = asked
+		if asked, cost := w.Asked(now); asked > 0 {
+			in.Asked[name], in.Cost[name] = asked, cost
 		}
 		if returned := w.Returns(now); len(returned) > 0 {
 			in.Returned[name] = returned
--- a/gateway/leases.go
+++ b/gateway/leases.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/rpc"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,9 +44,14 @@
 	baseTime time.Time
 	draws    draws
 
-	// away is set while the leader cannot be reached; awaySince is when that began.
+	// early asks for a renewal at once.
+	early chan struct{}
+
+	// away is set while the leader cannot be reached. It changes with the wallets and awaySince, which is when
+	// that began, under mu.
 	away      atomic.Bool
-	awaySince atomic.Pointer[time.Time]
+	mu        sync.Mutex
+	awaySince time.Time
 }
 
 // newLeases prepares leases on the accounts' limits, if the options ask for them.
@@ -56,7 +62,7 @@
 	g.leases = &budgetLeases{
 		budgets: g.opt.Budgets, self: g.opt.Instance, duration: g.opt.BudgetLease, wallets: &g.wallets, metrics: g.metrics, logger: g.opt.Logger,
 		inBackground: func(task func(context.Context)) { g.tasks.Go(func() { task(g.taskCtx) }) },
-		base:         uptime.Now(), baseTime: time.Now(),
+		base:         uptime.Now(), baseTime: time.Now(), early: make(chan struct{}, 1),
 	}
 	return registerLeases(m, g.leases)
 }
@@ -111,6 +117,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-l.early:
 		case <-ticker.C:
 		}
 	}
@@ -137,12 +144,19 @@
 // lose records that the leader does not answer. Calls are then decided without it until a renewal
 // succeeds.
 func (l *budgetLeases) lose(ctx context.Context, step string, err error) {
-	if !unanswered(ctx, err) || l.away.Swap(true) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !unanswered(ctx, err) || l.away.Load() {
 		return
 	}
 	now := l.now()
-	l.awaySince.Store(&now)
+	l.awaySince = now
 	left := l.wallets.setAway(true, now)
+	l.away.Store(true)
+	select {
+	case l.early <- struct{}{}:
+	default:
+	}
 	_ = l.logger.Log("msg", "budget leader away, spending the lease", "step", step, "left", left, "err", err)
 }
 
@@ -158,21 +172,24 @@
 
 // reach records that the leader answers.
 func (l *budgetLeases) reach() {
-	if !l.away.Swap(false) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.away.Load() {
 		return
 	}
 	now := l.now()
 	left := l.wallets.setAway(false, now)
-	_ = l.logger.Log("msg", "budget leader back", "away", now.Sub(*l.awaySince.Load()), "left", left)
+	l.away.Store(false)
+	_ = l.logger.Log("msg", "budget leader back", "away", now.Sub(l.awaySince), "left", left)
 }
 
 // spend charges a call's cost to its account's wallet, or refuses the call. It waits for a draw only for
 // a part of the call's time.
 func (l *budgetLeases) spend(ctx context.Context, c *call, w *budget.Wallet) *admission.Refusal {
 	cost := float64(c.cost)
-	ok, draw, want, wait := w.Take(cost, l.now())
+	ok, draw, _, wait := w.Take(cost, l.now())
 	if draw {
-		ok, wait = l.drawFor(ctx, c, w, want)
+		ok, wait = l.drawFor(ctx, c, w)
 	}
 	if ok {
 		return nil
@@ -184,9 +201,9 @@
 }
 
 // drawFor draws tokens for a call together with others, and charges the call's cost.
-func (l *budgetLeases) drawFor(ctx context.Context, c *call, w *budget.Wallet, want float64) (ok bool, wait time.Duration) {
+func (l *budgetLeases) drawFor(ctx context.Context, c *call, w *budget.Wallet) (ok bool, wait time.Duration) {
 	cost, name := float64(c.cost), c.account.Name
-	d, start := l.draws.join(name, w, want, cost)
+	d, start := l.draws.join(name, w, cost)
 	if start {
 		l.inBackground(func(ctx context.Context) { l.runDraws(ctx, name, d) })
 	}
@@ -199,7 +216,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	ok, wait = w.TakeDrawn(cost, answered, l.now())
+	ok, wait = w.TakeDrawn(cost, l.now())
 	if answered && d.wait > 0 {
 		wait = min(wait, d.wait)
 	}
--- a/gateway/leases_test.go
+++ b/gateway/leases_test.go
@@ -62,7 +62,25 @@
 	*Gateway
 	leader  *leaderStub
 	account *account.Account
-	log     bytes.Buffer
+	log     lockedBuffer
+}
+
+// lockedBuffer is a log that a test reads while it is written.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 func newLeasing(t *testing.T) *leasing {
@@ -76,7 +94,7 @@
 	config := contract.NewConfig(contract.Parts{Revision: 1, Accounts: []*account.Account{l.account}})
 	g, err := New(Options{
 		Instance: instance.Instance{ID: "g1", Incarnation: 1}, View: fixedView{config}, Budgets: l.leader,
-		BudgetLease: 6 * time.Second, Logger: log.NewLogfmtLogger(log.NewSyncWriter(&l.log)),
+		BudgetLease: 6 * time.Second, Logger: log.NewLogfmtLogger(&l.log),
 	})
 	assert.NilError(t, err)
 	l.Gateway = g
@@ -182,3 +200,40 @@
 	assert.Assert(t, !unanswered(context.Background(), rpc.ServerError("the account has no token limit")))
 	assert.Assert(t, unanswered(context.Background(), errors.New("connection reset")))
 }
+
+// Guards against a draw that fails while a renewal succeeds and that leaves the wallets apart from the state
+// of the gateway, or ends the process.
+func TestAbsenceAndReturnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLeasing(t)
+		var racing sync.WaitGroup
+		for range 4 {
+			racing.Go(func() {
+				for range 500 {
+					l.leases.lose(context.Background(), "draw", errors.New("connection reset"))
+				}
+			})
+			racing.Go(func() {
+				for range 500 {
+					l.leases.reach()
+				}
+			})
+		}
+		racing.Wait()
+		l.wallets.mu.Lock()
+		defer l.wallets.mu.Unlock()
+		assert.Equal(t, l.wallets.away, l.leases.away.Load())
+	})
+}
+
+// Guards against calls that come back after their objective and for which nothing is drawn.
+func TestDrawPatience(t *testing.T) {
+	now := time.Now()
+	in := func(objective, deadline time.Duration) time.Duration {
+		return drawPatience(&call{objective: now.Add(objective), deadline: now.Add(deadline)}, now)
+	}
+	assert.Equal(t, in(400*time.Millisecond, 5*time.Second), 50*time.Millisecond)
+	assert.Equal(t, in(-time.Second, 400*time.Millisecond), 50*time.Millisecond)
+	assert.Equal(t, in(time.Second, time.Minute), drawTimeout)
+	assert.Equal(t, in(time.Millisecond, time.Minute), minPatience)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if p.Execution == ExecutionNotRun {
-		g.wallets.refund(c, began)
+		g.refund(c, began)
 	}
 	g.metrics.recordProblem(p)
 	g.opt.Timeline.Record(timeline.Event{Kind: "request.problem", Request: c.id, Detail: p.Code + " " + string(p.Execution)})
--- a/gateway/wallets.go
+++ b/gateway/wallets.go
@@ -67,9 +67,9 @@
 }
 
 // refund returns the cost of a call that did not run and was charged at spent.
-func (s *wallets) refund(c *call, spent time.Time) {
-	if w := s.get(c.account.Name); w != nil {
-		w.Refund(float64(c.cost), spent)
+func (g *Gateway) refund(c *call, spent time.Time) {
+	if w := g.wallets.get(c.account.Name); w != nil {
+		w.Refund(float64(c.cost), g.budgetNow(time.Now()).Add(-time.Since(spent)))
 	}
 }
 
