--- a/control/client.go
+++ b/control/client.go
@@ -140,6 +140,11 @@
 	return call(ctx, c, "ReportUsage", in, func(r *api.UsageReply) (string, bool) { return r.Leader, true })
 }
 
+// RenewBudget renews a gateway's lease on shares of the accounts' limits.
+func (c *Client) RenewBudget(ctx context.Context, in *api.RenewBudget) (*api.BudgetLease, error) {
+	return call(ctx, c, "RenewBudget", in, func(r *api.BudgetLease) (string, bool) { return r.Leader, true })
+}
+
 // NextToken issues a fencing token.
 func (c *Client) NextToken(ctx context.Context) (uint64, error) {
 	r, err := call(ctx, c, "NextToken", &api.Empty{}, func(r *api.TokenReply) (string, bool) { return r.Leader, true })
--- a/program/control.go
+++ b/program/control.go
@@ -36,16 +36,17 @@
 	Relay     bool     `help:"Hold no state and send callers to the leader, on instances without a disk." env:"TOUCAN_RELAY" required:"" xor:"storage"`
 	Members   []string `help:"Addresses of all replicas including this one, ip:port, comma separated." env:"TOUCAN_MEMBERS" required:""`
 	// MemberPort is for deployments that know the members by another of their ports.
-	MemberPort   int           `help:"Port of the replicas, in place of those in --members; 0 for none." env:"TOUCAN_MEMBER_PORT"`
-	SeedsFile    string        `help:"File with the control addresses that the deployment names at present, like --members; it may change." env:"TOUCAN_SEEDS_FILE"`
-	Bootstrap    bool          `help:"Form a new group with --members while the data folder is empty; otherwise ask them to be added to theirs." env:"TOUCAN_BOOTSTRAP" default:"true" negatable:""`
-	Tick         time.Duration `help:"Unit of elections: a replica starts one after 10 to 20 ticks of silence." env:"TOUCAN_TICK" default:"50ms"`
-	TokenOverrun OptionalFloat `help:"Share of an account's token limit that may be admitted beyond it." env:"TOUCAN_TOKEN_OVERRUN"`
-	TokenSlack   OptionalFloat `help:"Tokens that may be admitted beyond an account's limit in a short time." env:"TOUCAN_TOKEN_SLACK"`
-	SelfRepair   bool          `help:"The leader adds replicas that ask to join and removes silent ones in their favour, without an operator." env:"TOUCAN_SELF_REPAIR"`
-	CallListen   string        `help:"Address for operators and endpoints of the users' platform, ip:port; empty for none." env:"TOUCAN_CALL_LISTEN"`
-	AgentPort    int           `help:"Port of the agents beside model endpoints on the users' platform." env:"TOUCAN_AGENT_PORT"`
-	Duties       DutySettings  `embed:""`
+	MemberPort     int           `help:"Port of the replicas, in place of those in --members; 0 for none." env:"TOUCAN_MEMBER_PORT"`
+	SeedsFile      string        `help:"File with the control addresses that the deployment names at present, like --members; it may change." env:"TOUCAN_SEEDS_FILE"`
+	Bootstrap      bool          `help:"Form a new group with --members while the data folder is empty; otherwise ask them to be added to theirs." env:"TOUCAN_BOOTSTRAP" default:"true" negatable:""`
+	Tick           time.Duration `help:"Unit of elections: a replica starts one after 10 to 20 ticks of silence." env:"TOUCAN_TICK" default:"50ms"`
+	TokenOverrun   OptionalFloat `help:"Share of an account's token limit that may be admitted beyond it." env:"TOUCAN_TOKEN_OVERRUN"`
+	TokenSlack     OptionalFloat `help:"Tokens that may be admitted beyond an account's limit in a short time." env:"TOUCAN_TOKEN_SLACK"`
+	BudgetSettings `embed:""`
+	SelfRepair     bool         `help:"The leader adds replicas that ask to join and removes silent ones in their favour, without an operator." env:"TOUCAN_SELF_REPAIR"`
+	CallListen     string       `help:"Address for operators and endpoints of the users' platform, ip:port; empty for none." env:"TOUCAN_CALL_LISTEN"`
+	AgentPort      int          `help:"Port of the agents beside model endpoints on the users' platform." env:"TOUCAN_AGENT_PORT"`
+	Duties         DutySettings `embed:""`
 }
 
 // Check checks the settings.
@@ -62,6 +63,7 @@
 		CheckPort("agent-port", s.AgentPort),
 		CheckAdvertised("call-listen", s.CallListen),
 		s.Duties.Check(),
+		s.BudgetSettings.Check(),
 	)
 }
 
@@ -161,6 +163,7 @@
 		SelfRepair: c.settings.SelfRepair,
 
 		Duties:        duties,
+		BudgetLease:   c.settings.leaseDuration(),
 		MaxClaimBytes: c.settings.maxClaimBytes(),
 		Seeds:         c.seedAddresses,
 		TokenTolerance: budget.Tolerance{
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -25,16 +25,17 @@
 
 // GatewaySettings are the settings of a gateway.
 type GatewaySettings struct {
-	Common        `embed:""`
-	Listen        string    `help:"Address for callers, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:8080"`
-	LinkListen    string    `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7300"`
-	LinkAdvertise string    `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
-	Control       []string  `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
-	ControlPort   int       `help:"Port of the control replicas, in place of those in --control; 0 for none." env:"TOUCAN_CONTROL_PORT"`
-	Interface     string    `help:"Interface for callers: openai, or that of the users' platform." env:"TOUCAN_INTERFACE" enum:"openai,platform" default:"openai"`
-	AgentListen   PortRange `help:"Address for dispatches to endpoints without an agent, whose agents this gateway runs: ip:port, or ip:first-last for the highest port that is free; empty for none." env:"TOUCAN_AGENT_LISTEN"`
-	PaceSettings  `embed:""`
-	UsageWindow   OptionalFloat `help:"Length of the windows in which the requests of each client account are counted, in s; empty counts none." env:"TOUCAN_USAGE_WINDOW"`
+	Common         `embed:""`
+	Listen         string    `help:"Address for callers, ip:port." env:"TOUCAN_LISTEN" default:"127.0.0.1:8080"`
+	LinkListen     string    `help:"Address for other processes, ip:port." env:"TOUCAN_LINK_LISTEN" default:"127.0.0.1:7300"`
+	LinkAdvertise  string    `help:"Address at which other processes reach --link-listen, ip:port, if not that address." env:"TOUCAN_LINK_ADVERTISE"`
+	Control        []string  `help:"Addresses of the control replicas, ip:port, comma separated." env:"TOUCAN_CONTROL" required:""`
+	ControlPort    int       `help:"Port of the control replicas, in place of those in --control; 0 for none." env:"TOUCAN_CONTROL_PORT"`
+	Interface      string    `help:"Interface for callers: openai, or that of the users' platform." env:"TOUCAN_INTERFACE" enum:"openai,platform" default:"openai"`
+	AgentListen    PortRange `help:"Address for dispatches to endpoints without an agent, whose agents this gateway runs: ip:port, or ip:first-last for the highest port that is free; empty for none." env:"TOUCAN_AGENT_LISTEN"`
+	PaceSettings   `embed:""`
+	UsageWindow    OptionalFloat `help:"Length of the windows in which the requests of each client account are counted, in s; empty counts none." env:"TOUCAN_USAGE_WINDOW"`
+	BudgetSettings `embed:""`
 	// StopDelay covers two health checks a second apart.
 	StopDelay      time.Duration `help:"How long a stopping gateway accepts calls after /readyz fails, so that the balancer takes it out first." env:"TOUCAN_STOP_DELAY" default:"2s"`
 	ShareByAccount bool          `help:"Share the room of a service among the client accounts that wait for it, by weight or, where none is set, by token limit." env:"TOUCAN_SHARE_BY_ACCOUNT"`
@@ -55,6 +56,7 @@
 		checkStopDelay(s.StopDelay, s.StopTimeout),
 		checkWithout(s.Without),
 		checkUsageWindow(s.UsageWindow),
+		s.BudgetSettings.Check(),
 	)
 }
 
@@ -145,6 +147,9 @@
 		View:     g.member,
 		Claims:   claims{g.member.control},
 		Budgets:  g.member.control,
+
+		BudgetLease: g.settings.leaseDuration(),
+
 		Evidence: g.evidence,
 		Network:  g.member.network,
 		Logger:   g.logger,
