intake: one account of connections, heads and messages a process

Cause: the servers took heads of 1 MiB from everyone, messages of 32 MiB over links and connections up to the last descriptor, before any account saw them; a body that stopped short held its memory for ever.

Change: package intake wraps the listeners of the three programs. It bounds connections by shares of the descriptors, holds heads and messages in an account (an eighth of the memory limit) as their bytes arrive, bounds heads (32 KiB, or max_header_bytes and header_timeout_ms of the configuration in force) and the time of bodies and unread answers, and takes what is short from the connection that makes the least progress (Choose, pure). A gateway and an agent short of memory close a body or an unread answer that has stopped. Agents hold the messages of gateways beside bodies, control bounds what documents take decoded, at most 8 requests for metrics are served at once.

--- a/agent/order.go
+++ b/agent/order.go
@@ -133,7 +133,7 @@
 
 func (a *Agent) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var in dispatch.OrderRequest
-	if !decodeRequest(w, r, &in) {
+	if !a.decodeRequest(w, r, &in) {
 		return
 	}
 	err := a.Order(r.Context(), endpoint.Order{Token: in.Token, Action: in.Action, Subject: in.Subject})
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"toucantiller.dev/dispatch"
+	"toucantiller.dev/intake"
 	"toucantiller.dev/timeline"
 )
 
@@ -28,7 +29,7 @@
 	arrived := a.now()
 	size := a.heldFor(r)
 	if !a.opt.Bodies.Hold(size) {
-		a.refuseBody(w, h)
+		a.refuseBody(w, r, h)
 		return
 	}
 	defer func() { a.opt.Bodies.Release(size) }()
@@ -175,7 +176,7 @@
 
 func (a *Agent) serveSeal(w http.ResponseWriter, r *http.Request) {
 	var in dispatch.SealRequest
-	if !decodeRequest(w, r, &in) {
+	if !a.decodeRequest(w, r, &in) {
 		return
 	}
 	var out dispatch.SealReply
@@ -191,7 +192,7 @@
 
 func (a *Agent) serveFloor(w http.ResponseWriter, r *http.Request) {
 	var in dispatch.FloorRequest
-	if !decodeRequest(w, r, &in) {
+	if !a.decodeRequest(w, r, &in) {
 		return
 	}
 	a.gate.raiseFloor(in, a.now())
@@ -204,7 +205,14 @@
 
 // decodeRequest decodes the body into the value. For a malformed request it writes the error
 // response and returns false.
-func decodeRequest(w http.ResponseWriter, r *http.Request, into any) bool {
+func (a *Agent) decodeRequest(w http.ResponseWriter, r *http.Request, into any) bool {
+	held, ok := a.holdMessage(r)
+	if !ok {
+		intake.Relieve(r.Context())
+		http.Error(w, errMessagesFull.Error(), http.StatusServiceUnavailable)
+		return false
+	}
+	defer a.opt.Bodies.Release(held)
 	if err := dispatch.ReadMessage(r.Body, into); err != nil {
 		http.Error(w, "decoding request: "+err.Error(), http.StatusBadRequest)
 		return false
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -92,7 +92,7 @@
 // serveWant records the requests waiting at a gateway.
 func (a *Agent) serveWant(w http.ResponseWriter, r *http.Request) {
 	var in dispatch.WantRequest
-	if !decodeRequest(w, r, &in) {
+	if !a.decodeRequest(w, r, &in) {
 		return
 	}
 	a.gate.recordWaiting(in.Gateway, in.Waiting, a.now())
--- a/contract/config.go
+++ b/contract/config.go
@@ -25,6 +25,10 @@
 	// CallerIdleTimeout is how long a caller's connection may stay idle; 0 means the gateway's
 	// default.
 	CallerIdleTimeout time.Duration `msgpack:"caller_idle_timeout" json:"caller_idle_timeout,omitempty"`
+	// CallerHeadTimeout is how long the head of a caller's request may take, and MaxCallerHead its
+	// most bytes; 0 means the gateway's default.
+	CallerHeadTimeout time.Duration `msgpack:"caller_head_timeout,omitempty" json:"caller_head_timeout,omitempty"`
+	MaxCallerHead     int64         `msgpack:"max_caller_head,omitempty" json:"max_caller_head,omitempty"`
 	// Ingress routes requests by host and path; nil where a bundle is in force.
 	Ingress *Ingress `msgpack:"ingress" json:"ingress,omitempty"`
 }
--- a/contract/document.go
+++ b/contract/document.go
@@ -25,6 +25,10 @@
 	Accounts []*account.Account
 	// IdleTimeout is how long a caller's connection may stay idle; 0 means the gateway's default.
 	IdleTimeout time.Duration
+	// HeadTimeout is how long the head of a caller's request may take, and MaxHead its most bytes; 0
+	// means the gateway's default.
+	HeadTimeout time.Duration
+	MaxHead     int64
 }
 
 // RouteKind states whether the requests of a route may be repeated.
@@ -258,6 +262,8 @@
 		ServeStale: DocumentServeStale,
 
 		CallerIdleTimeout: d.IdleTimeout,
+		CallerHeadTimeout: d.HeadTimeout,
+		MaxCallerHead:     d.MaxHead,
 
 		Ingress: NewIngress(d.Version, d.Routes),
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -252,7 +252,7 @@
 // The account of the call that it returns must be released.
 func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, read func(*call, http.ResponseWriter, *http.Request) *Problem) *call {
 	var c *call
-	m, p := g.AdmitRequest(w)
+	m, p := g.AdmitRequest(w, r)
 	if p == nil {
 		c, p = g.beginCall(w, r)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/intake"
 	"toucantiller.dev/link"
 	"toucantiller.dev/memory"
 	"toucantiller.dev/policy"
@@ -160,7 +161,12 @@
 	g.memory.short = g.callers.scheduleEviction
 	// The server has no IdleTimeout, which could not change with the configuration.
 	g.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: callerReadHeaderTimeout, ConnState: g.callers.observe,
+		Handler: intake.Handler(handler), ReadHeaderTimeout: callerReadHeaderTimeout,
+		ConnState: func(c net.Conn, s http.ConnState) {
+			intake.Observe(c, s)
+			g.callers.observe(c, s)
+		},
+		ConnContext: intake.ConnContext,
 		BaseContext: func(net.Listener) context.Context { return g.answerCtx },
 	}
 	g.server.ErrorLog = stdlog.New(log.NewStdlibAdapter(opt.Logger), "", 0)
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"toucantiller.dev/intake"
 	"toucantiller.dev/memory"
 )
 
@@ -29,6 +30,9 @@
 const (
 	// maxBodyWait is how long a request waits until its body may be read.
 	maxBodyWait = time.Second
+	// reliefInterval is the time between two looks of a waiting request for a body that makes no
+	// progress.
+	reliefInterval = 100 * time.Millisecond
 	// memoryRetryAfter is the Retry-After of requests that are refused because memory is short.
 	memoryRetryAfter = time.Second
 	// memoryLogInterval is the least time between two log lines about short memory.
@@ -95,17 +99,32 @@
 	a.waitingCount.Store(int64(a.waiting.Len()))
 	a.grant()
 	a.mu.Unlock()
-	timer := time.NewTimer(maxBodyWait)
-	defer timer.Stop()
-	select {
-	case <-w.ready:
+	if w.wait(ctx) {
 		return true
-	case <-timer.C:
-	case <-ctx.Done():
 	}
 	return !a.withdraw(e)
 }
 
+// wait waits until the body may be read, at most maxBodyWait, while bodies that make no progress
+// make room. It returns false if it may not.
+func (w *bodyWait) wait(ctx context.Context) bool {
+	timer, relief := time.NewTimer(maxBodyWait), time.NewTicker(reliefInterval)
+	defer timer.Stop()
+	defer relief.Stop()
+	for {
+		select {
+		case <-w.ready:
+			return true
+		case <-relief.C:
+			intake.Relieve(ctx)
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // withdraw removes a request from those that wait; it returns false if its body is held already.
 func (a *memoryAccount) withdraw(e *list.Element) bool {
 	a.mu.Lock()
@@ -170,8 +189,9 @@
 
 // AdmitRequest begins the account of a request. It returns a problem if memory is short; the
 // answer with it closes the connection. The caller must release the account.
-func (g *Gateway) AdmitRequest(w http.ResponseWriter) (*RequestMemory, *Problem) {
+func (g *Gateway) AdmitRequest(w http.ResponseWriter, r *http.Request) (*RequestMemory, *Problem) {
 	if held := g.memory.held.Load(); g.memory.budget.Refuses(held) {
+		intake.Relieve(r.Context())
 		g.logShortMemory("requests are refused", held)
 		w.Header().Set("Connection", "close")
 		return nil, memoryProblem()
--- a/link/http.go
+++ b/link/http.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"toucantiller.dev/intake"
 )
 
 // Limits of the HTTP/2 links between gateways and agents.
@@ -14,6 +16,9 @@
 	// maxHeaderBytes bounds the headers of an answer. Agents send those of the endpoint's answer
 	// in a frame, and few of their own.
 	maxHeaderBytes = 64 << 10
+	// MaxRequestHead bounds the head of a request, in bytes: that of a caller's request, and some
+	// fields of the gateway's own.
+	MaxRequestHead = 128 << 10
 	// idleConnTimeout closes idle connections: those that were replaced, and those to peers that
 	// no longer exist.
 	idleConnTimeout = 5 * time.Minute
@@ -70,7 +75,10 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           handler,
+		Handler:           intake.Handler(handler),
+		MaxHeaderBytes:    MaxRequestHead,
+		ConnState:         intake.Observe,
+		ConnContext:       intake.ConnContext,
 		Protocols:         protocols,
 		HTTP2:             http2Config(),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/link/limit.go
+++ b/link/limit.go
@@ -13,11 +13,23 @@
 // than maxMessage.
 var errMessageTooLarge = errors.New("net/rpc message is too large")
 
+// messageAccount is a connection that accounts for the messages that arrive on it.
+type messageAccount interface {
+	// BeginMessage waits until there is room for n bytes.
+	BeginMessage(n int64) error
+	EndMessage()
+}
+
+// unheldMessage is the size in bytes of messages that are not held.
+const unheldMessage = 64 << 10
+
 // limitedConn closes itself when the peer announces a message of more than maxMessage bytes.
 // Each message of encoding/gob follows its length, which is one byte up to 127, or else the
 // negated number of the bytes that hold it, high byte first.
 type limitedConn struct {
 	net.Conn
+	// messages accounts for the messages of the peer; nil if nothing does.
+	messages messageAccount
 	// lengthBytes is the number of bytes of the length that are still to come, and length the
 	// value of those before them.
 	lengthBytes int
@@ -43,6 +55,9 @@
 			n := min(c.content, uint64(len(p)))
 			c.content -= n
 			p = p[n:]
+			if c.content == 0 && c.messages != nil {
+				c.messages.EndMessage()
+			}
 			continue
 		}
 		c.readLength(p[0])
@@ -52,11 +67,27 @@
 		}
 		if c.lengthBytes == 0 {
 			c.content, c.length = c.length, 0
+			if !c.begin() {
+				return false
+			}
 		}
 	}
 	return true
 }
 
+// begin accounts for a message that is about to arrive. It returns false if the connection was closed
+// meanwhile.
+func (c *limitedConn) begin() bool {
+	if c.messages == nil || c.content == 0 {
+		return true
+	}
+	held := int64(c.content) //nolint:gosec // at most maxMessage
+	if held <= unheldMessage {
+		held = 0
+	}
+	return c.messages.BeginMessage(held) == nil
+}
+
 // readLength takes over one byte of a length.
 func (c *limitedConn) readLength(b byte) {
 	switch {
--- a/link/rpc.go
+++ b/link/rpc.go
@@ -114,7 +114,8 @@
 }
 
 func (s *Server) serveConn(c net.Conn) {
-	s.rpc.ServeCodec(newServerCodec(&limitedConn{Conn: writeTimeoutConn{c}}))
+	messages, _ := c.(messageAccount)
+	s.rpc.ServeCodec(newServerCodec(&limitedConn{Conn: writeTimeoutConn{c}, messages: messages}))
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
--- a/program/admin.go
+++ b/program/admin.go
@@ -7,17 +7,24 @@
 	"net/http"
 	"time"
 
+	"toucantiller.dev/intake"
 	"toucantiller.dev/telemetry"
 	"toucantiller.dev/timeline"
 )
 
-const adminReadHeaderTimeout = 5 * time.Second
+// Timeouts of connections to the admin listener.
+const (
+	adminReadHeaderTimeout = 5 * time.Second
+	adminIdleTimeout       = 2 * time.Minute
+)
 
 // Admin is the admin listener of a process.
 type Admin struct {
 	Telemetry *telemetry.Telemetry
 	Timeline  *timeline.Recorder
 
+	// account accounts for the connections; nil if nothing does.
+	account  *intake.Account
 	server   *http.Server
 	listener net.Listener
 }
@@ -41,8 +48,14 @@
 	if err != nil {
 		return &SettingError{Flag: "admin-listen", Err: err}
 	}
+	if a.account != nil {
+		l = a.account.Listen(l, intake.Options{Name: "admin", Places: adminPlaces, Heads: true, AnswerTimeout: answerTimeout})
+	}
 	a.listener = l
-	a.server = &http.Server{Handler: a.Telemetry.Handler(a.Timeline), ReadHeaderTimeout: adminReadHeaderTimeout}
+	a.server = &http.Server{
+		Handler: intake.Handler(a.Telemetry.Handler(a.Timeline)), ReadHeaderTimeout: adminReadHeaderTimeout, IdleTimeout: adminIdleTimeout,
+		ConnState: intake.Observe, ConnContext: intake.ConnContext,
+	}
 	go func() {
 		if err := a.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			a.Telemetry.SetReady(false)
--- a/program/agent.go
+++ b/program/agent.go
@@ -14,6 +14,7 @@
 	"toucantiller.dev/agent/httpengine"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/intake"
 	"toucantiller.dev/link"
 	"toucantiller.dev/memory"
 	"toucantiller.dev/platform"
@@ -103,7 +104,10 @@
 	if err != nil {
 		return nil, err
 	}
-	m := newMember(s.Instance(instance.RoleAgent), network, s.Control, admin.Timeline, logger)
+	if admin.account, err = s.newIntake(admin, logger); err != nil {
+		return nil, err
+	}
+	m := newMember(s.Instance(instance.RoleAgent), network, s.Control, admin, logger)
 	return &Agent{settings: s, logger: logger, admin: admin, member: m}, nil
 }
 
@@ -154,7 +158,8 @@
 			return err
 		}
 	}
-	l, err := a.member.network.Listen(a.settings.DispatchListen)
+	network := intakeNetwork{a.member.network, a.admin.account, intake.Options{Name: "dispatches", Places: agentPlaces, Heads: true, MaxHead: maxDispatchHead}}
+	l, err := network.Listen(a.settings.DispatchListen)
 	if err != nil {
 		return &SettingError{Flag: "dispatch-listen", Err: err}
 	}
--- a/program/control.go
+++ b/program/control.go
@@ -21,6 +21,7 @@
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/control/decider"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/intake"
 	"toucantiller.dev/lastrun"
 	"toucantiller.dev/link"
 	"toucantiller.dev/platform"
@@ -122,6 +123,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if admin.account, err = s.newIntake(admin, logger); err != nil {
+		return nil, err
+	}
 	return &Control{settings: s, logger: logger, admin: admin, network: network, failed: make(chan struct{})}, nil
 }
 
@@ -149,7 +153,7 @@
 	server, err := control.New(control.Options{
 		Self:       self,
 		Listen:     c.settings.Listen,
-		Network:    c.network,
+		Network:    intakeNetwork{c.network, c.admin.account, intake.Options{Name: "link", Places: controlPlaces}},
 		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
 		OpenLog:    c.openLog(),
 		SelfRepair: c.settings.SelfRepair,
@@ -270,8 +274,12 @@
 	if err != nil {
 		return &SettingError{Flag: "call-listen", Err: err}
 	}
+	l = c.admin.account.Listen(l, intake.Options{Name: "calls", Places: callPlaces, Heads: true, MaxHead: c.settings.maxHead, AnswerTimeout: answerTimeout})
 	calls := &platform.Control{Server: c.server, AgentPort: strconv.Itoa(c.settings.AgentPort), Port: port, Logger: c.logger}
-	c.platformServer = &http.Server{Handler: calls.Handler(), ReadHeaderTimeout: callReadHeaderTimeout, IdleTimeout: callIdleTimeout}
+	c.platformServer = &http.Server{
+		Handler: intake.Handler(calls.Handler()), ReadHeaderTimeout: callReadHeaderTimeout, IdleTimeout: callIdleTimeout,
+		ConnState: intake.Observe, ConnContext: intake.ConnContext,
+	}
 	go func() {
 		if err := c.platformServer.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			_ = c.logger.Log("msg", "calls no longer served", "err", err)
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -16,6 +16,7 @@
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/gateway"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/intake"
 	"toucantiller.dev/link"
 	"toucantiller.dev/memory"
 	"toucantiller.dev/platform"
@@ -91,7 +92,10 @@
 	if err != nil {
 		return nil, err
 	}
-	m := newMember(s.Instance(instance.RoleGateway), network, ReplacePorts(s.Control, s.ControlPort), admin.Timeline, logger)
+	if admin.account, err = s.newIntake(admin, logger); err != nil {
+		return nil, err
+	}
+	m := newMember(s.Instance(instance.RoleGateway), network, ReplacePorts(s.Control, s.ControlPort), admin, logger)
 	g := &Gateway{settings: s, logger: logger, admin: admin, member: m}
 	g.evidence = &evidenceReporter{gateway: m.self.ID, underMove: g.underMove, report: m.control.ReportEvidence}
 	g.losses = &lossReporter{gateway: m.self.ID, watcher: quarantine.NewWatcher(time.Now()), report: m.control.ReportLosses, logger: logger}
@@ -242,17 +246,40 @@
 	if err != nil {
 		return &SettingError{Flag: "listen", Err: err}
 	}
-	g.callerListener = l
+	g.callerListener = g.admin.account.Listen(l, g.callerIntake())
 	if g.settings.AgentListen.Empty() {
 		return nil
 	}
-	if g.dispatchListener, err = g.settings.AgentListen.Listen(g.member.network); err != nil {
+	if g.dispatchListener, err = g.settings.AgentListen.Listen(g.hostedNetwork()); err != nil {
 		return &SettingError{Flag: "agent-listen", Err: err}
 	}
 	g.member.self.AgentAddress = g.dispatchListener.Addr().String()
 	return nil
 }
 
+// callerIntake bounds what callers may take, by the configuration in force where it states bounds.
+func (g *Gateway) callerIntake() intake.Options {
+	return intake.Options{
+		Name: "callers", Places: callerPlaces, Heads: true, AnswerTimeout: answerTimeout,
+		MaxHead: func() int64 {
+			if c := g.member.Config(); c != nil && c.MaxCallerHead > 0 {
+				return c.MaxCallerHead
+			}
+			return g.settings.MaxHeaderBytes
+		},
+		HeadTimeout: func() time.Duration {
+			if c := g.member.Config(); c != nil && c.CallerHeadTimeout > 0 {
+				return c.CallerHeadTimeout + headTimeoutRoom
+			}
+			return 0
+		},
+	}
+}
+
+func (g *Gateway) hostedNetwork() link.Network {
+	return intakeNetwork{g.member.network, g.admin.account, intake.Options{Name: "hosted agents", Places: hostedPlaces, Heads: true, MaxHead: maxDispatchHead}}
+}
+
 // WaitReady returns when the first configuration has arrived.
 func (g *Gateway) WaitReady(ctx context.Context) error { return g.member.waitForConfig(ctx) }
 
--- a/program/member.go
+++ b/program/member.go
@@ -16,6 +16,7 @@
 	"toucantiller.dev/distribution"
 	"toucantiller.dev/endpoint"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/intake"
 	"toucantiller.dev/link"
 	"toucantiller.dev/membership"
 	"toucantiller.dev/timeline"
@@ -35,6 +36,7 @@
 	control      *control.Client
 	holder       *distribution.Holder
 	rpc          *link.Server
+	intake       *intake.Account
 	recorder     *timeline.Recorder
 	logger       kitlog.Logger
 	controlSeeds []string
@@ -49,14 +51,15 @@
 	fetchingPeers sync.Map
 }
 
-func newMember(self instance.Instance, network link.Network, controlAddresses []string, recorder *timeline.Recorder, logger kitlog.Logger) *member {
+func newMember(self instance.Instance, network link.Network, controlAddresses []string, admin *Admin, logger kitlog.Logger) *member {
 	return &member{
 		self:         self,
 		network:      network,
 		control:      control.NewClient(network, controlAddresses),
-		holder:       distribution.NewHolder(recorder),
+		holder:       distribution.NewHolder(admin.Timeline),
 		rpc:          link.NewServer(),
-		recorder:     recorder,
+		intake:       admin.account,
+		recorder:     admin.Timeline,
 		logger:       logger,
 		controlSeeds: controlAddresses,
 	}
@@ -65,7 +68,7 @@
 // listen opens the net/rpc listener and sets self.LinkAddress with the advertised address,
 // by default that of the listener.
 func (m *member) listen(address, advertised string) error {
-	l, err := m.network.Listen(address)
+	l, err := intakeNetwork{m.network, m.intake, intake.Options{Name: "link", Places: memberPlaces}}.Listen(address)
 	if err != nil {
 		return &SettingError{Flag: "link-listen", Err: err}
 	}
--- a/program/program.go
+++ b/program/program.go
@@ -175,11 +175,12 @@
 	ID     string `help:"Name of this process, unique in the deployment." env:"TOUCAN_ID" required:""`
 	Domain string `help:"Failure domain of this process." env:"TOUCAN_DOMAIN" required:""`
 	// StopTimeout bounds a graceful stop; requests that are still open then are cut off.
-	StopTimeout time.Duration    `help:"How long a stop waits for open requests." env:"TOUCAN_STOP_TIMEOUT" default:"2m"`
-	MemoryLimit MemoryLimit      `help:"Memory that the process may use, in bytes or with the suffix MB or MiB; 0 for no limit." env:"TOUCAN_MEMORY_LIMIT" default:"0"`
-	AdminListen string           `help:"Address of the admin listener, ip:port." env:"TOUCAN_ADMIN_LISTEN" default:"127.0.0.1:9090"`
-	Link        TLSSettings      `embed:"" prefix:"link-"`
-	Version     kong.VersionFlag `help:"Print the version and exit."`
+	StopTimeout    time.Duration `help:"How long a stop waits for open requests." env:"TOUCAN_STOP_TIMEOUT" default:"2m"`
+	MemoryLimit    MemoryLimit   `help:"Memory that the process may use, in bytes or with the suffix MB or MiB; 0 for no limit." env:"TOUCAN_MEMORY_LIMIT" default:"0"`
+	AdminListen    string        `help:"Address of the admin listener, ip:port." env:"TOUCAN_ADMIN_LISTEN" default:"127.0.0.1:9090"`
+	IntakeSettings `embed:""`
+	Link           TLSSettings      `embed:"" prefix:"link-"`
+	Version        kong.VersionFlag `help:"Print the version and exit."`
 }
 
 // Check checks the common settings.
@@ -193,6 +194,9 @@
 	if err := c.MemoryLimit.check(); err != nil {
 		return err
 	}
+	if err := c.IntakeSettings.check(); err != nil {
+		return err
+	}
 	return c.Link.Check()
 }
 
--- a/systemtest/crowd/kinds_linux_test.go
+++ b/systemtest/crowd/kinds_linux_test.go
@@ -25,6 +25,8 @@
 	fieldSize     = 910
 	// shortFields is the number of fields of a head that ends, 5 bytes each.
 	shortFields = 3000
+	// differentFields is the number of fields, 6 bytes each, that have a name of their own.
+	differentFields = 2600
 	// shortValues is the number of values in a body of many short values.
 	shortValues = 300_000
 	// sentAhead is the number of requests that are sent without reading the answers.
@@ -132,6 +134,13 @@
 	{"many short fields in the head", func(c *misbehaving) {
 		c.put(append(c.head(c.door.method, c.path(), "Content-Length: 0", strings.Repeat("a:b\r\n", shortFields)), "\r\n"...))
 	}},
+	{"many different short fields in the head", func(c *misbehaving) {
+		var fields strings.Builder
+		for i := range differentFields {
+			_, _ = fmt.Fprintf(&fields, "%x:\r\n", 0x100+i)
+		}
+		c.put(append(c.head(c.door.method, c.path(), "Content-Length: 10", fields.String()), "\r\n012345678"...))
+	}},
 	{"many short values in the body", func(c *misbehaving) {
 		body := `{"version":2,"backends":[` + strings.Repeat("{},", shortValues) + `{}]}`
 		if c.startBody(len(body)) {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -17,6 +17,9 @@
 	"toucantiller.dev/timeline"
 )
 
+// maxScrapes bounds the requests for metrics that are served at once; each gathers all of them.
+const maxScrapes = 8
+
 // Telemetry holds the metrics of one process.
 type Telemetry struct {
 	registry *prometheus.Registry
@@ -49,7 +52,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	r.HandleFunc("/readyz", t.serveReady)
-	r.Handle("/metrics", promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{}))
+	r.Handle("/metrics", promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
 	r.Handle("/timeline", recorder)
 	return r
 }
