--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -13,9 +13,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"toucantiller.dev/control/api"
 	"toucantiller.dev/gateway"
 	"toucantiller.dev/instance"
+	"toucantiller.dev/intake"
 	"toucantiller.dev/link"
 	"toucantiller.dev/program"
 )
@@ -42,7 +45,10 @@
 	g, err := gateway.New(gateway.Options{Instance: instance.Instance{ID: "g1", Incarnation: instance.NewIncarnation(), Domain: "a"}, View: v, Network: p.network})
 	must(err)
 	l := tcpListen()
-	go func() { _ = g.Serve(l) }()
+	account := intake.New(0, 1<<20, log.NewNopLogger())
+	go func() {
+		_ = g.Serve(account.Listen(l, intake.Options{Heads: true, Places: 1, AnswerTimeout: time.Minute}))
+	}()
 	b.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
--- a/program/intake.go
+++ b/program/intake.go
@@ -49,7 +49,7 @@
 	MaxHeaderBytes  int64 `help:"Bytes that the head of a request may have, unless the configuration states another bound; 0 for 32768." env:"TOUCAN_MAX_HEADER_BYTES" default:"0"`
 }
 
-func (s *IntakeSettings) check() error {
+func (s *IntakeSettings) checkIntake() error {
 	if s.DescriptorLimit != 0 && (s.DescriptorLimit < minDescriptorLimit || s.DescriptorLimit > math.MaxInt32) {
 		return &SettingError{Flag: "descriptor-limit", Err: fmt.Errorf("%d is not between %d and %d", s.DescriptorLimit, minDescriptorLimit, math.MaxInt32)}
 	}
--- a/program/program.go
+++ b/program/program.go
@@ -194,7 +194,7 @@
 	if err := c.MemoryLimit.check(); err != nil {
 		return err
 	}
-	if err := c.IntakeSettings.check(); err != nil {
+	if err := c.checkIntake(); err != nil {
 		return err
 	}
 	return c.Link.Check()
--- a/program/program_test.go
+++ b/program/program_test.go
@@ -165,3 +165,17 @@
 	assert.DeepEqual(t, ReplacePorts([]string{"1.2.3.4:5"}, 0), []string{"1.2.3.4:5"})
 	assert.DeepEqual(t, ReplacePorts([]string{"1.2.3.4:5"}, 6), []string{"1.2.3.4:6"})
 }
+
+// Guards against limits that leave a process no connections, or refuse the heads of ordinary requests.
+func TestIntakeSettingsAreChecked(t *testing.T) {
+	for _, s := range []IntakeSettings{{}, {DescriptorLimit: 64}, {MaxHeaderBytes: 4 << 10}, {DescriptorLimit: 4100, MaxHeaderBytes: 512 << 10}} {
+		assert.NilError(t, s.checkIntake())
+	}
+	for flag, s := range map[string]IntakeSettings{
+		"descriptor-limit": {DescriptorLimit: 63}, "max-header-bytes": {MaxHeaderBytes: 4<<10 - 1},
+	} {
+		assert.ErrorContains(t, s.checkIntake(), "--"+flag)
+		s.DescriptorLimit, s.MaxHeaderBytes = -s.DescriptorLimit, -s.MaxHeaderBytes
+		assert.ErrorContains(t, s.checkIntake(), "--"+flag)
+	}
+}
