--- a/intake/account.go
+++ b/intake/account.go
@@ -96,13 +96,16 @@
 }
 
 func (a *Account) tryHold(c *Conn, n int64) bool {
-	held := a.held.Add(n)
-	if held > a.memory && held > c.held.Load()+n {
-		a.held.Add(-n)
-		return false
+	for {
+		held := a.held.Load()
+		if held+n > a.memory && held > c.held.Load() {
+			return false
+		}
+		if a.held.CompareAndSwap(held, held+n) {
+			c.held.Add(n)
+			return true
+		}
 	}
-	c.held.Add(n)
-	return true
 }
 
 func (a *Account) release(n int64) { a.held.Add(-n) }
@@ -152,7 +155,7 @@
 	now, open := a.now(), a.connections()
 	for _, c := range open {
 		limit := c.listener.opt.headTimeout()
-		if s := c.snapshot(now); limit > 0 && s.Phase == PhaseHead && s.Age > limit {
+		if s := c.snapshot(now); limit > 0 && s.Phase == PhaseHead && !s.Waiting && s.Age > limit {
 			a.closing(c.listener, reasonHeadTime)
 			_ = c.Close()
 		}
--- a/intake/body.go
+++ b/intake/body.go
@@ -28,8 +28,10 @@
 			c = nil
 		}
 		b := &body{ReadCloser: r.Body, deadlines: http.NewResponseController(w), conn: c, began: time.Now()}
-		r.Body = b
-		next.ServeHTTP(w, r)
+		// The server looks at the body of its own request when it writes the answer.
+		passed := *r
+		passed.Body = b
+		next.ServeHTTP(w, &passed)
 		if b.ended {
 			return
 		}
@@ -41,13 +43,23 @@
 	})
 }
 
+// BoundBody makes the body of a request arrive before a time, if that is earlier than Handler's own
+// bound.
+func BoundBody(r *http.Request, end time.Time) {
+	if b, ok := r.Body.(*body); ok {
+		b.end = end
+	}
+}
+
 // body is the body of a request.
 type body struct {
 	io.ReadCloser
 	deadlines *http.ResponseController
 	// conn is nil on connections that nothing accounts for, and with HTTP/2.
-	conn    *Conn
-	began   time.Time
+	conn  *Conn
+	began time.Time
+	// end is the handler's own bound; zero if it has none.
+	end     time.Time
 	arrived int64
 	reading bool
 	ended   bool
@@ -63,7 +75,11 @@
 	}
 	b.reading = true
 	allowed := bodyGrace + time.Duration(b.arrived)*time.Second/minBodyRate
-	_ = b.deadlines.SetReadDeadline(b.began.Add(allowed)) // fails only if the connection has failed
+	deadline := b.began.Add(allowed)
+	if !b.end.IsZero() && b.end.Before(deadline) {
+		deadline = b.end
+	}
+	_ = b.deadlines.SetReadDeadline(deadline) // fails only if the connection has failed
 	n, err := b.ReadCloser.Read(p)
 	b.arrived += int64(n)
 	if errors.Is(err, io.EOF) {
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -49,6 +49,8 @@
 	// waiting is set while bytes wait for room in the account.
 	waiting atomic.Bool
 	closed  atomic.Bool
+	// writeEnd is the deadline that the handler set for its answer; nil if it set none.
+	writeEnd atomic.Pointer[time.Time]
 	// multiplexed is set for HTTP/2, whose streams share the connection.
 	multiplexed atomic.Bool
 	// greeted is set after the first read, by the reader alone.
@@ -115,7 +117,7 @@
 func (c *Conn) holdHead(p []byte) error {
 	if c.passed.Load() > c.listener.opt.maxHead()+headRoom {
 		c.account().closing(c.listener, reasonHeadSize)
-		_ = c.SetWriteDeadline(time.Now().Add(stallTime))
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(stallTime))
 		_, _ = c.Conn.Write([]byte(headTooLarge)) // the client may have left
 		return &net.OpError{Op: "read", Net: "tcp", Err: errHeadTooLarge}
 	}
@@ -154,7 +156,11 @@
 	if c.multiplexed.Load() {
 		return c.Conn.Write(p) // HTTP/2 has a bound of its own
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+	deadline := time.Now().Add(timeout)
+	if end := c.writeEnd.Load(); end != nil && !end.IsZero() && end.Before(deadline) {
+		deadline = *end
+	}
+	if err := c.Conn.SetWriteDeadline(deadline); err != nil {
 		return 0, err
 	}
 	before := c.phase.Load()
@@ -168,6 +174,12 @@
 	return n, err
 }
 
+// SetWriteDeadline bounds the writes of a request, also where the listener would allow more time.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.writeEnd.Store(&t)
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // CloseWrite ends the answer, so that a client that still sends can read it.
 func (c *Conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -209,6 +221,7 @@
 		c.enter(PhaseServing)
 	case http.StateIdle:
 		c.release()
+		c.writeEnd.Store(nil)
 		c.enter(PhaseIdle)
 	case http.StateClosed, http.StateHijacked:
 		c.release()
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -165,3 +165,22 @@
 		assert.Assert(t, failed != nil && time.Since(began) < 2*bodyGrace, "%v after %s", failed, time.Since(began))
 	})
 }
+
+// Guards against an answer that may take longer than its handler allows.
+func TestHandlersOwnDeadlineHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(0, 0, log.NewNopLogger())
+		began := time.Now()
+		var took time.Duration
+		p := serve(t, a, Options{Heads: true, AnswerTimeout: time.Hour}, func(w http.ResponseWriter, _ *http.Request) {
+			_ = http.NewResponseController(w).SetWriteDeadline(began.Add(time.Second))
+			_, _ = w.Write(make([]byte, 1<<20))
+			took = time.Since(began)
+		})
+		_, err := io.WriteString(p.open(), request)
+		assert.NilError(t, err)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		assert.Equal(t, took, time.Second)
+	})
+}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -80,7 +80,6 @@
 		return nil, err
 	}
 	c := &Conn{Conn: conn, listener: l}
-	c.enter(PhaseOpened)
 	for !l.take(c) {
 		if l.relieve(reasonPlaces) {
 			continue
@@ -103,6 +102,8 @@
 	if l.places > 0 && len(l.open) >= l.places {
 		return false
 	}
+	// The time that it waited for its place is not the client's.
+	c.enter(PhaseOpened)
 	l.open[c] = struct{}{}
 	return true
 }
