--- a/contract/lint/compare.go
+++ b/contract/lint/compare.go
@@ -64,6 +64,8 @@
 	Services    []*contract.Service     `json:"services"`
 	Accounts    []*account.Account      `json:"accounts"`
 	IdleTimeout time.Duration           `json:"idle_timeout"`
+	HeadTimeout time.Duration           `json:"head_timeout"`
+	MaxHead     int64                   `json:"max_head"`
 }
 
 // compare returns the changes from one bundle or document to another of the same type, without what
--- a/contract/lint/inforce.go
+++ b/contract/lint/inforce.go
@@ -116,7 +116,10 @@
 }
 
 func fieldsOf(d *contract.Document) documentFields {
-	return documentFields{Version: d.Version, Routes: d.Routes, Services: d.Services, Accounts: d.Accounts, IdleTimeout: d.IdleTimeout}
+	return documentFields{
+		Version: d.Version, Routes: d.Routes, Services: d.Services, Accounts: d.Accounts,
+		IdleTimeout: d.IdleTimeout, HeadTimeout: d.HeadTimeout, MaxHead: d.MaxHead,
+	}
 }
 
 // count returns the number of endpoints that stay, of a service, a version or a domain; "" stands for
