--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -179,7 +179,7 @@
 	g.memory.short = g.callers.scheduleEviction
 	// The server has no IdleTimeout, which could not change with the configuration.
 	g.server = &http.Server{
-		Handler: intake.Handler(handler), ReadHeaderTimeout: callerReadHeaderTimeout, MaxHeaderBytes: intake.DefaultMaxHead,
+		Handler: intake.Handler(handler), ReadHeaderTimeout: callerReadHeaderTimeout, MaxHeaderBytes: link.MaxRequestHead,
 		ConnState: func(c net.Conn, s http.ConnState) {
 			intake.Observe(c, s)
 			g.callers.observe(c, s)
