Names and comments as a newcomer's reading of the diff would have them

Change: renames within packages, comments, two refusals that are logged now, a doc comment for each code of a finding. No name on the wire, in settings or metrics changed.

--- a/budget/leased.go
+++ b/budget/leased.go
@@ -13,7 +13,8 @@
 	// shift is the change of what callers ask for, as a part of what the lease gives, that the leader
 	// should know soon.
 	shift = 0.25
-	// drawnFor is how long drawn tokens are kept for the request for which they were drawn.
+	// drawnFor is how long drawn tokens are kept for the request for which they were drawn: a little
+	// longer than a gateway waits for a draw.
 	drawnFor = 100 * time.Millisecond
 )
 
@@ -121,9 +122,9 @@
 	return time.Duration((tokens - w.balance) / rate * float64(time.Second))
 }
 
-// spendLease adds what the lease gave in the time that has elapsed, and ends the lease when its time
+// accrueLease adds what the lease gave in the time that has elapsed, and ends the lease when its time
 // has come. It returns the seconds, of those that have elapsed, in which the lease was in force.
-func (w *Wallet) spendLease(elapsed float64, now time.Time) float64 {
+func (w *Wallet) accrueLease(elapsed float64, now time.Time) float64 {
 	if w.lease.Share <= 0 {
 		return 0
 	}
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -74,8 +74,8 @@
 // counts for longer.
 const expireInterval = 100 * time.Millisecond
 
-// sameShare is the difference below which two shares count as the same, in spite of rounding.
-const sameShare = 1e-9
+// shareTolerance is the difference below which two shares count as the same, in spite of rounding.
+const shareTolerance = 1e-9
 
 // newLedger returns the ledger of a new leader; fleet are the gateways to which earlier ones may have
 // granted leases.
@@ -186,9 +186,9 @@
 	}
 }
 
-// settle forgets the gateways that hold no leases of earlier leaders, as they are no longer registered:
+// forgetUnregistered forgets the gateways that hold no leases of earlier leaders, as they are no longer registered:
 // registrations outlive leases, and a process has ended when another registers in its place.
-func (l *ledger) settle(fleet Fleet) {
+func (l *ledger) forgetUnregistered(fleet Fleet) {
 	for id, incarnation := range l.unheard {
 		if current, ok := fleet[id]; !ok || current != incarnation {
 			delete(l.unheard, id)
@@ -211,7 +211,7 @@
 }
 
 // renew grants a lease for at most a duration.
-func (l *ledger) renew(r *Renewal, fleet Fleet, room room, longest time.Duration, now time.Time) (Grant, error) {
+func (l *ledger) renew(r *Renewal, fleet Fleet, canSpend spendable, longest time.Duration, now time.Time) (Grant, error) {
 	if r.Held.Term > l.terms.Term {
 		return Grant{}, ErrSuperseded
 	}
@@ -228,7 +228,7 @@
 		l.holders[r.Gateway] = h
 	}
 	l.learn(h, r, now)
-	shares := l.shares(r, fleet, room)
+	shares := l.shares(r, fleet, canSpend)
 	l.seq++
 	duration := min(r.Duration, l.terms.Duration, longest)
 	// An earlier leader must not pass on what a later one has renewed.
@@ -256,30 +256,30 @@
 	}
 }
 
-// room returns the tokens that a wallet with a share of an account's limit, and another of those that are not
+// spendable returns the tokens that a wallet with a share of an account's limit, and another of those that are not
 // listed, can spend at once.
-type room func(account string, share, other float64) float64
+type spendable func(account string, share, other float64) float64
 
-// mixed returns the share of a gateway to which a part of an account's requests come.
-func mixed(even, part float64) float64 {
+// targetShare returns the share of a gateway to which a part of an account's requests come.
+func targetShare(even, part float64) float64 {
 	return evenShare*even + (1-evenShare)*leasableShare*part
 }
 
 // shares decides what a gateway gets. Accounts that no gateway has told about are shared evenly. If the share
 // that a mean request meets could not pay for it, the account stays with the pool, which can.
-func (l *ledger) shares(r *Renewal, fleet Fleet, room room) Shares {
+func (l *ledger) shares(r *Renewal, fleet Fleet, canSpend spendable) Shares {
 	gateways := float64(max(len(fleet), len(l.holders)))
 	even := leasableShare / gateways
 	out := Shares{Other: l.available("", even, r), Accounts: make(map[string]float64)}
 	for account, total := range l.totals.accounts {
 		target := even
 		if total.asked > minAsked/2 {
-			target = mixed(even, r.Asked[account]/total.asked)
-			if room(account, mixed(even, total.squares/(total.asked*total.asked)), out.Other) < r.Cost[account] {
+			target = targetShare(even, r.Asked[account]/total.asked)
+			if canSpend(account, targetShare(even, total.squares/(total.asked*total.asked)), out.Other) < r.Cost[account] {
 				target = 0
 			}
 		}
-		if share := l.available(account, target, r); math.Abs(share-out.Other) > sameShare {
+		if share := l.available(account, target, r); math.Abs(share-out.Other) > shareTolerance {
 			out.Accounts[account] = share
 		}
 	}
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -104,8 +104,8 @@
 		b.history.record(b.balance, now)
 	}
 	p.ledger.expire(now)
-	p.ledger.settle(fleet)
-	out, err := p.ledger.renew(r, fleet, p.room, longest, now)
+	p.ledger.forgetUnregistered(fleet)
+	out, err := p.ledger.renew(r, fleet, p.spendable, longest, now)
 	for account, b := range p.accounts {
 		b.leased = p.ledger.reserved(account)
 		b.limit.Burst = b.burst * (1 - leasedBurst*b.leased/leasableShare)
@@ -186,9 +186,9 @@
 	return limit
 }
 
-// room is the room of a wallet with a lease. That of an account of which nothing was drawn is not known to be
+// spendable is the room of a wallet with a lease. That of an account of which nothing was drawn is not known to be
 // short.
-func (p *Pool) room(account string, share, other float64) float64 {
+func (p *Pool) spendable(account string, share, other float64) float64 {
 	b := p.accounts[account]
 	if b == nil {
 		return math.Inf(1)
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -45,7 +45,7 @@
 	asked float64
 	// cost is the mean cost of the last requests.
 	cost float64
-	// told is what of it the leader was last told.
+	// told is the value of asked that the leader was last told.
 	told float64
 	// trimmed is when what the wallet may not keep went back last; credited is when it last drew.
 	trimmed, credited time.Time
@@ -158,7 +158,7 @@
 	elapsed := max(0, now.Sub(w.at).Seconds())
 	w.spending *= math.Exp(-elapsed / spendingTimeConstant.Seconds())
 	w.asked *= math.Exp(-elapsed / askedTimeConstant.Seconds())
-	elapsed -= w.spendLease(elapsed, now)
+	elapsed -= w.accrueLease(elapsed, now)
 	if w.offline {
 		top := max(w.balance, offlineShare*w.share*w.limit.Burst)
 		w.balance = min(w.balance+w.offlineRate()*elapsed, top)
--- a/capacity/endpoint.go
+++ b/capacity/endpoint.go
@@ -33,8 +33,8 @@
 	// slowRatio is the multiple of the least time at which work at the limit is so slow that fewer
 	// requests are tried.
 	slowRatio = 1.5
-	// leastRise is the share by which the least time rises with each answer, so that it is
-	// forgotten after some thousand.
+	// leastRise is the share by which the least time rises with each window of answers, so that an
+	// old one is replaced after some thousand windows.
 	leastRise = 1e-4
 	// minTrialPause and maxTrialPause bound the pause between two trials of fewer requests. It
 	// doubles as long as they find that more requests give more throughput.
@@ -43,8 +43,8 @@
 	// minSpread is the least standard deviation of windows, as a share of their mean, that is
 	// assumed. The spread of a few windows alone may be small by chance.
 	minSpread = 0.2
-	// probeInterval is the least time between two rises of the limit by one.
-	probeInterval = 3 * time.Second
+	// raiseInterval is the least time between a change of the limit and its next rise.
+	raiseInterval = 3 * time.Second
 )
 
 // Answer is a complete answer of an endpoint.
@@ -72,9 +72,9 @@
 
 	declared int
 	limit    int
-	// raisedAt is when the limit last rose or was confirmed, loweredAt when it was lowered
-	// without evidence of the throughput at the lower one.
-	raisedAt, loweredAt time.Time
+	// changedAt is when the limit last changed, loweredAt when it was last lowered without evidence
+	// of the throughput at the lower one.
+	changedAt, loweredAt time.Time
 	// trialPause is the least time until the limit is lowered so again.
 	trialPause time.Duration
 	// least is the least mean ratio seen at any level, which rises slowly.
@@ -214,14 +214,14 @@
 	case e.slowsDown(now):
 		e.lower(now)
 	case above && knee < e.limit:
-		e.limit, e.raisedAt, e.trialPause = knee, now, 0
-	case now.Sub(e.raisedAt) < probeInterval || e.limit == e.declared:
+		e.limit, e.changedAt, e.trialPause = knee, now, 0
+	case now.Sub(e.changedAt) < raiseInterval || e.limit == e.declared:
 	case knee > e.limit:
-		e.limit, e.raisedAt = knee, now
+		e.limit, e.changedAt = knee, now
 	case !e.knownAbove(now):
 		// Where nothing is known of more requests any longer, one more is tried. Its callers wait
 		// a little longer at worst, and each further step needs evidence of its own.
-		e.limit, e.raisedAt = e.limit+1, now
+		e.limit, e.changedAt = e.limit+1, now
 	}
 }
 
@@ -260,7 +260,7 @@
 func (e *Endpoint) lower(now time.Time) {
 	present := e.levels[e.levelOf(e.limit)].decayed(now)
 	e.limit = e.bearable(&present)
-	e.loweredAt, e.raisedAt = now, now
+	e.loweredAt, e.changedAt = now, now
 	e.trialPause = min(max(2*e.trialPause, minTrialPause), maxTrialPause)
 }
 
--- a/contract/lint/bundle.go
+++ b/contract/lint/bundle.go
@@ -9,7 +9,7 @@
 	"toucantiller.dev/contract"
 )
 
-// bundleCheck looks for what is in vain in a bundle. Its fields may have problems, which are
+// bundleCheck looks for what has no effect in a bundle. Its fields may have problems, which are
 // reported elsewhere.
 type bundleCheck struct {
 	*contract.Bundle
--- a/contract/lint/compare.go
+++ b/contract/lint/compare.go
@@ -26,7 +26,7 @@
 // Change is one field that differs from the version in force.
 type Change struct {
 	Kind Kind `json:"kind"`
-	// Field is the path of the field; elements of lists go by name: "accounts[aba-mills].tier".
+	// Field is the path of the field; elements of lists go by name: "accounts[NAME].tier".
 	Field string `json:"field"`
 	Old   string `json:"old,omitempty"`
 	New   string `json:"new,omitempty"`
--- a/contract/lint/lint.go
+++ b/contract/lint/lint.go
@@ -1,4 +1,4 @@
-// Package lint finds what is wrong or in vain in a configuration before it is sent: what validation
+// Package lint finds what is wrong or has no effect in a configuration before it is sent: what validation
 // refuses, entries that can never match, and limits that contradict each other. It also compares two
 // configurations. It is pure.
 package lint
@@ -28,20 +28,31 @@
 
 // Codes of findings.
 const (
-	CodeInvalid        = "invalid"
-	CodeVersion        = "version"
-	CodeMove           = "move"
-	CodeNoEndpoints    = "no-endpoints"
-	CodeUnreachable    = "unreachable"
-	CodeUnused         = "unused"
-	CodeNoEffect       = "no-effect"
-	CodeContradiction  = "contradiction"
-	CodeZeroWeight     = "zero-weight"
-	CodeAccountNoKey   = "account-without-key"
+	// CodeInvalid: validation refuses it.
+	CodeInvalid = "invalid"
+	// CodeVersion: the version is not above the one in force.
+	CodeVersion = "version"
+	// CodeMove: the service is at another version, or has a move under way.
+	CodeMove = "move"
+	// CodeNoEndpoints: no endpoint in force has the service or the version.
+	CodeNoEndpoints = "no-endpoints"
+	// CodeUnreachable: no request can reach the entry.
+	CodeUnreachable = "unreachable"
+	// CodeUnused: no account may use the tier.
+	CodeUnused = "unused"
+	// CodeNoEffect: the value bounds nothing or does not apply.
+	CodeNoEffect = "no-effect"
+	// CodeContradiction: two limits contradict each other.
+	CodeContradiction = "contradiction"
+	// CodeZeroWeight: the service gets nothing from the route.
+	CodeZeroWeight = "zero-weight"
+	// CodeAccountNoKey: the limits of the account apply to nobody.
+	CodeAccountNoKey = "account-without-key"
+	// CodeBurstBelowCost: the burst is below the charge of one request.
 	CodeBurstBelowCost = "burst-below-cost"
 )
 
-// Finding is one thing that is wrong or in vain.
+// Finding is one mistake, or one entry without effect.
 type Finding struct {
 	Severity Severity `json:"severity"`
 	Code     string   `json:"code"`
--- a/control/counters.go
+++ b/control/counters.go
@@ -83,7 +83,7 @@
 
 // observeBudgets makes the leases on accounts' limits metrics of the replica.
 func observeBudgets(m metric.Meter, s *Server) error {
-	held, err := m.Int64ObservableGauge("control.budget_leases.held", metric.WithUnit("{gateway}"), metric.WithDescription("gateways with a lease on shares of accounts' limits; 0 at a replica that does not lead"))
+	held, err := m.Int64ObservableGauge("control.budget_leases.held", metric.WithUnit("{gateway}"), metric.WithDescription("gateways with a lease on shares of accounts' limits; only at the leader"))
 	if err != nil {
 		return err
 	}
--- a/control/duties.go
+++ b/control/duties.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -124,7 +125,10 @@
 	if !s.isHolder(previous) {
 		assign := &state.AssignDuty{Duty: duty.UsageReports, Holder: s.opts.Duties.Holder, Address: s.opts.Self.LinkAddress}
 		result, err := s.propose(&state.Command{AssignDuty: assign})
-		if err != nil || result.Refused != "" {
+		if err == nil {
+			err = refusal(result)
+		}
+		if err != nil {
 			s.logFailure("assign duty", err)
 			return false
 		}
@@ -145,6 +149,14 @@
 	return true
 }
 
+// refusal returns the error of a command that had no effect, nil for one that had.
+func refusal(r *state.Result) error {
+	if r.Refused == "" {
+		return nil
+	}
+	return errors.New(r.Refused)
+}
+
 func (s *Server) dutyRecord() state.Duty {
 	var d state.Duty
 	s.machine.read(func(st *state.State) { d = st.Duty(duty.UsageReports) })
--- a/control/duties_reports.go
+++ b/control/duties_reports.go
@@ -205,7 +205,10 @@
 // the same report is sent again, which the outside system ignores.
 func (s *Server) endUsage(w usage.Window, outcome state.UsageOutcome) bool {
 	result, err := s.propose(&state.Command{EndUsage: &state.EndUsage{Window: w.Number, Outcome: outcome}})
-	if err != nil || result.Refused != "" {
+	if err == nil {
+		err = refusal(result)
+	}
+	if err != nil {
 		s.logFailure("end usage report", err)
 		return false
 	}
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -15,15 +15,14 @@
 // UsageReports is the duty to report the usage of client accounts.
 const UsageReports Name = "usage-reports"
 
-// Shares of a lease.
+// Parts of a lease.
 const (
-	// useShare is the part of a lease after a confirmation by which calls must have ended. With
-	// half of it, two changes of holder take a whole lease even if each new holder begins as soon
-	// as it may.
-	useShare = 2
-	// marginShare is the part of a lease that a new holder waits beyond it, for clocks that run
-	// at different speeds.
-	marginShare = 16
+	// Calls must have ended within lease/useDivisor of a confirmation. With half of the lease, two
+	// changes of holder take a whole one even if each new holder begins as soon as it may.
+	useDivisor = 2
+	// A new holder waits lease/marginDivisor beyond the lease, for clocks that run at different
+	// speeds.
+	marginDivisor = 16
 )
 
 // Hold is an instance's own view of its right to act for a duty. It is not safe for concurrent use.
@@ -70,7 +69,7 @@
 func (h *Hold) Token() uint64 { return h.token }
 
 // NewHolderWait returns how long a new holder waits after its assignment.
-func NewHolderWait(lease time.Duration) time.Duration { return lease + lease/marginShare }
+func NewHolderWait(lease time.Duration) time.Duration { return lease + lease/marginDivisor }
 
 // Wait returns how long the holder waits before its first call.
 func (h *Hold) Wait(now uptime.Instant) time.Duration {
@@ -82,5 +81,5 @@
 	if h.token == 0 || !h.isConfirmed || h.Wait(now) > 0 {
 		return 0
 	}
-	return max(0, h.lease/useShare-now.Sub(h.confirmed))
+	return max(0, h.lease/useDivisor-now.Sub(h.confirmed))
 }
--- a/duty/pacer.go
+++ b/duty/pacer.go
@@ -8,9 +8,8 @@
 
 // Times between calls.
 const (
-	// rateShare is the part of the outside system's rate that one duty takes, as one part in
-	// rateShare: others share the rate.
-	rateShare = 4
+	// One duty takes one part in rateDivisor of the outside system's rate: others share it.
+	rateDivisor = 4
 	// firstRetry is the pause after the first failed call; each further failure doubles it, up to
 	// lastRetry.
 	firstRetry = 250 * time.Millisecond
@@ -31,7 +30,7 @@
 // NewPacer returns a pacer for an outside system that takes perSecond calls a second from all
 // processes together.
 func NewPacer(perSecond float64) *Pacer {
-	return &Pacer{interval: time.Duration(rateShare / perSecond * float64(time.Second))}
+	return &Pacer{interval: time.Duration(rateDivisor / perSecond * float64(time.Second))}
 }
 
 // Ready reports whether a call may begin.
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -47,7 +47,7 @@
 	l := tcpListen()
 	account := intake.New(0, 1<<20, log.NewNopLogger())
 	go func() {
-		_ = g.Serve(account.Listen(l, intake.Options{Heads: true, Places: 1, AnswerTimeout: time.Minute}))
+		_ = g.Serve(account.Listen(l, intake.Options{Heads: true, PlaceShare: 1, AnswerTimeout: time.Minute}))
 	}()
 	b.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/gateway/draws.go
+++ b/gateway/draws.go
@@ -99,18 +99,18 @@
 }
 
 const (
-	// patience is the part of a call's time that it waits for a draw.
-	patience = 1.0 / 8
-	// minPatience is some round trips to the leader.
-	minPatience = 10 * time.Millisecond
+	// drawWaitShare is the part of a call's time that it waits for a draw.
+	drawWaitShare = 1.0 / 8
+	// minDrawWait leaves time for some round trips to the leader.
+	minDrawWait = 10 * time.Millisecond
 )
 
-// drawPatience returns how long a call may wait for a draw. The time of a call whose objective has passed ends
+// drawWait returns how long a call may wait for a draw. The time of a call whose objective has passed ends
 // with its deadline.
-func drawPatience(c *call, now time.Time) time.Duration {
+func drawWait(c *call, now time.Time) time.Duration {
 	until := c.deadline
 	if c.objective.After(now) && c.objective.Before(until) {
 		until = c.objective
 	}
-	return min(drawTimeout, max(minPatience, time.Duration(patience*float64(until.Sub(now)))))
+	return min(drawTimeout, max(minDrawWait, time.Duration(drawWaitShare*float64(until.Sub(now)))))
 }
--- a/gateway/leases.go
+++ b/gateway/leases.go
@@ -207,7 +207,7 @@
 	if start {
 		l.inBackground(func(ctx context.Context) { l.runDraws(ctx, name, d) })
 	}
-	timer := time.NewTimer(drawPatience(c, time.Now()))
+	timer := time.NewTimer(drawWait(c, time.Now()))
 	defer timer.Stop()
 	answered := false
 	select {
--- a/gateway/leases_test.go
+++ b/gateway/leases_test.go
@@ -230,10 +230,10 @@
 func TestDrawPatience(t *testing.T) {
 	now := time.Now()
 	in := func(objective, deadline time.Duration) time.Duration {
-		return drawPatience(&call{objective: now.Add(objective), deadline: now.Add(deadline)}, now)
+		return drawWait(&call{objective: now.Add(objective), deadline: now.Add(deadline)}, now)
 	}
 	assert.Equal(t, in(400*time.Millisecond, 5*time.Second), 50*time.Millisecond)
 	assert.Equal(t, in(-time.Second, 400*time.Millisecond), 50*time.Millisecond)
 	assert.Equal(t, in(time.Second, time.Minute), drawTimeout)
-	assert.Equal(t, in(time.Millisecond, time.Minute), minPatience)
+	assert.Equal(t, in(time.Millisecond, time.Minute), minDrawWait)
 }
--- a/intake/account.go
+++ b/intake/account.go
@@ -20,7 +20,8 @@
 	sweepDelay = 250 * time.Millisecond
 )
 
-// Account bounds what the clients of one process may take. It is safe for concurrent use.
+// Account bounds what the clients of one process may take. It has nothing to do with client accounts
+// (package account). It is safe for concurrent use.
 type Account struct {
 	memory      int64
 	descriptors int
@@ -47,7 +48,7 @@
 	return a
 }
 
-// now returns the time since the epoch.
+// now returns the nanoseconds since the epoch.
 func (a *Account) now() int64 { return int64(time.Since(a.epoch)) }
 
 func (a *Account) add(l *Listener) {
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -210,7 +210,7 @@
 	c.enter(PhaseIdle)
 }
 
-// Observe is the ConnState hook of the servers of HTTP.
+// Observe is for http.Server.ConnState.
 func Observe(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*Conn)
 	if !ok || c.multiplexed.Load() {
@@ -230,7 +230,7 @@
 
 type connKey struct{}
 
-// ConnContext is the ConnContext hook of the servers of HTTP.
+// ConnContext is for http.Server.ConnContext.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	if c, ok := conn.(*Conn); ok {
 		return context.WithValue(ctx, connKey{}, c)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -89,7 +89,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a := New(0, minPlaces, log.NewNopLogger())
 		release := make(chan struct{})
-		p := serve(t, a, Options{Heads: true, Places: 1}, func(w http.ResponseWriter, r *http.Request) {
+		p := serve(t, a, Options{Heads: true, PlaceShare: 1}, func(w http.ResponseWriter, r *http.Request) {
 			<-release
 			accepted(w, r)
 		})
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -13,8 +13,8 @@
 type Options struct {
 	// Name names the listener in logs and metrics.
 	Name string
-	// Places is the share of the process's descriptors that its connections may take.
-	Places float64
+	// PlaceShare is the share of the process's descriptors that its connections may take.
+	PlaceShare float64
 	// Heads is set where the connections carry HTTP: the heads of requests are held and bounded.
 	Heads bool
 	// MaxHead returns the most bytes of a head; nil and 0 mean DefaultMaxHead.
@@ -70,7 +70,7 @@
 	}
 	out := &Listener{Listener: l, account: a, opt: opt, done: make(chan struct{}), open: make(map[*Conn]struct{})}
 	if a.descriptors > 0 {
-		out.places = max(minPlaces, int(float64(a.descriptors)*opt.Places))
+		out.places = max(minPlaces, int(float64(a.descriptors)*opt.PlaceShare))
 	}
 	a.add(out)
 	return out
--- a/operator/cli.go
+++ b/operator/cli.go
@@ -63,7 +63,7 @@
 }
 
 type bundleCommands struct {
-	Check    bundleCheckCmd    `cmd:"" help:"Say what is wrong or in vain in a configuration, and what differs from the version in force. Changes nothing."`
+	Check    bundleCheckCmd    `cmd:"" help:"Say what is wrong or has no effect in a configuration, and what differs from the version in force. Changes nothing."`
 	Validate bundleValidateCmd `cmd:"" help:"Report every problem of a bundle with line, column and remedy."`
 	Sign     bundleSignCmd     `cmd:"" help:"Sign the exact content of a bundle off."`
 	Apply    bundleApplyCmd    `cmd:"" help:"Make a signed bundle the configuration."`
--- a/program/admin.go
+++ b/program/admin.go
@@ -49,7 +49,7 @@
 		return &SettingError{Flag: "admin-listen", Err: err}
 	}
 	if a.account != nil {
-		l = a.account.Listen(l, intake.Options{Name: "admin", Places: adminPlaces, Heads: true, AnswerTimeout: answerTimeout})
+		l = a.account.Listen(l, intake.Options{Name: "admin", PlaceShare: adminShare, Heads: true, AnswerTimeout: answerTimeout})
 	}
 	a.listener = l
 	a.server = &http.Server{
--- a/program/agent.go
+++ b/program/agent.go
@@ -158,7 +158,7 @@
 			return err
 		}
 	}
-	network := intakeNetwork{a.member.network, a.admin.account, intake.Options{Name: "dispatches", Places: agentPlaces, Heads: true, MaxHead: maxDispatchHead}}
+	network := intakeNetwork{a.member.network, a.admin.account, intake.Options{Name: "dispatches", PlaceShare: agentShare, Heads: true, MaxHead: maxDispatchHead}}
 	l, err := network.Listen(a.settings.DispatchListen)
 	if err != nil {
 		return &SettingError{Flag: "dispatch-listen", Err: err}
--- a/program/control.go
+++ b/program/control.go
@@ -161,7 +161,7 @@
 	server, err := control.New(control.Options{
 		Self:       self,
 		Listen:     c.settings.Listen,
-		Network:    intakeNetwork{c.network, c.admin.account, intake.Options{Name: "link", Places: controlPlaces}},
+		Network:    intakeNetwork{c.network, c.admin.account, intake.Options{Name: "link", PlaceShare: controlLinkShare}},
 		NewDecider: func(m api.Move) control.Decider { return decider.New(m) },
 		OpenLog:    c.openLog(),
 		SelfRepair: c.settings.SelfRepair,
@@ -284,7 +284,7 @@
 	if err != nil {
 		return &SettingError{Flag: "call-listen", Err: err}
 	}
-	l = c.admin.account.Listen(l, intake.Options{Name: "calls", Places: callPlaces, Heads: true, MaxHead: c.settings.maxHead, AnswerTimeout: answerTimeout})
+	l = c.admin.account.Listen(l, intake.Options{Name: "calls", PlaceShare: controlCallShare, Heads: true, MaxHead: c.settings.maxHead, AnswerTimeout: answerTimeout})
 	calls := &platform.Control{Server: c.server, AgentPort: strconv.Itoa(c.settings.AgentPort), Port: port, Logger: c.logger}
 	c.platformServer = &http.Server{
 		Handler: intake.Handler(calls.Handler()), ReadHeaderTimeout: callReadHeaderTimeout, MaxHeaderBytes: intake.DefaultMaxHead, IdleTimeout: callIdleTimeout,
--- a/program/gateway.go
+++ b/program/gateway.go
@@ -295,7 +295,7 @@
 // callerIntake bounds what callers may take, by the configuration in force where it states bounds.
 func (g *Gateway) callerIntake() intake.Options {
 	return intake.Options{
-		Name: "callers", Places: callerPlaces, Heads: true, AnswerTimeout: answerTimeout,
+		Name: "callers", PlaceShare: callerShare, Heads: true, AnswerTimeout: answerTimeout,
 		MaxHead: func() int64 {
 			if c := g.member.Config(); c != nil && c.MaxCallerHead > 0 {
 				return c.MaxCallerHead
@@ -312,7 +312,7 @@
 }
 
 func (g *Gateway) hostedNetwork() link.Network {
-	return intakeNetwork{g.member.network, g.admin.account, intake.Options{Name: "hosted agents", Places: hostedPlaces, Heads: true, MaxHead: maxDispatchHead}}
+	return intakeNetwork{g.member.network, g.admin.account, intake.Options{Name: "hosted agents", PlaceShare: hostedShare, Heads: true, MaxHead: maxDispatchHead}}
 }
 
 // WaitReady returns when the first configuration has arrived.
--- a/program/intake.go
+++ b/program/intake.go
@@ -16,15 +16,17 @@
 // Shares of a process's descriptors that the connections to its listeners may take. The rest is for
 // its own connections and files.
 const (
-	callerPlaces = 1.0 / 2
-	// agentPlaces is for dispatches to an agent, hostedPlaces for those to agents in a gateway.
-	agentPlaces  = 1.0 / 2
-	hostedPlaces = 1.0 / 8
-	// memberPlaces is for links to gateways and agents, controlPlaces for those to control.
-	memberPlaces  = 1.0 / 8
-	controlPlaces = 1.0 / 4
-	callPlaces    = 1.0 / 4
-	adminPlaces   = 3.0 / 32
+	// callerShare is for the callers of a gateway.
+	callerShare = 1.0 / 2
+	// agentShare is for dispatches to an agent, hostedShare for those to agents in a gateway.
+	agentShare  = 1.0 / 2
+	hostedShare = 1.0 / 8
+	// memberShare is for links to gateways and agents, controlLinkShare for those to control.
+	memberShare      = 1.0 / 8
+	controlLinkShare = 1.0 / 4
+	// controlCallShare is for operators and endpoints that call control, adminShare for admin listeners.
+	controlCallShare = 1.0 / 4
+	adminShare       = 3.0 / 32
 )
 
 const (
--- a/program/member.go
+++ b/program/member.go
@@ -68,7 +68,7 @@
 // listen opens the net/rpc listener and sets self.LinkAddress with the advertised address,
 // by default that of the listener.
 func (m *member) listen(address, advertised string) error {
-	l, err := intakeNetwork{m.network, m.intake, intake.Options{Name: "link", Places: memberPlaces}}.Listen(address)
+	l, err := intakeNetwork{m.network, m.intake, intake.Options{Name: "link", PlaceShare: memberShare}}.Listen(address)
 	if err != nil {
 		return &SettingError{Flag: "link-listen", Err: err}
 	}
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -245,7 +245,7 @@
 	finish = first + answer*rep.perDecode*crowd
 	if rep.flags&x.flags&flagSlowdown != 0 {
 		excess := rep.excessAt(x.nanos)
-		first, finish = first+spellTime(excess, first), finish+spellTime(excess, finish)
+		first, finish = first+slowdownTime(excess, first), finish+slowdownTime(excess, finish)
 	}
 	return first, finish
 }
--- a/schedule/work.go
+++ b/schedule/work.go
@@ -207,9 +207,9 @@
 	return excess
 }
 
-// spellTime is the time by which work of so many seconds takes longer on a machine that is slower
+// slowdownTime is the time by which work of so many seconds takes longer on a machine that is slower
 // by a share which fades. Long work outlasts a neighbour's short disturbance.
-func spellTime(excess, seconds float64) float64 {
+func slowdownTime(excess, seconds float64) float64 {
 	const fade = slowdownFadeNanos / 1e9
 	return excess * fade * (1 - approxExpNeg(seconds/fade))
 }
--- a/schedule/work_test.go
+++ b/schedule/work_test.go
@@ -50,9 +50,9 @@
 
 // Guards against a short disturbance that is charged for the whole of a long answer.
 func TestDisturbanceCostsLongWorkLittle(t *testing.T) {
-	assert.Assert(t, spellTime(1.5, 0.01) > 0.01)
-	assert.Assert(t, spellTime(1.5, 20) < 0.31)
-	assert.Equal(t, spellTime(0, 1), 0.0)
+	assert.Assert(t, slowdownTime(1.5, 0.01) > 0.01)
+	assert.Assert(t, slowdownTime(1.5, 20) < 0.31)
+	assert.Equal(t, slowdownTime(0, 1), 0.0)
 	assert.Assert(t, excessOf(65535) <= maxExcess && excessOf(1) > -1)
 	assert.Equal(t, excessOf(0), 0.0)
 }
--- a/usage/agreement.go
+++ b/usage/agreement.go
@@ -14,12 +14,12 @@
 	settleWall = 6 * ReportInterval
 	// clockAge is how long a process's clocks count after its report.
 	clockAge = 5 * time.Second
-	// agreeInterval is the time between two looks at the clocks.
+	// agreeInterval is the time between two updates.
 	agreeInterval = 250 * time.Millisecond
 	// slewPerSecond bounds the change of agreed time. It is twice the rate at which a kernel slews
 	// a clock under NTP.
 	slewPerSecond = time.Millisecond
-	// maxSlewTime bounds the time for which one look changes agreed time.
+	// maxSlewTime bounds the elapsed time that one update corrects for, also after a pause.
 	maxSlewTime = time.Second
 )
 
@@ -34,14 +34,14 @@
 	// zero is the agreed time when the session's clock showed 0, in nanoseconds since 1970.
 	zero  int64
 	known bool
-	// began is when the first reading came; looked is when the readings were last looked at.
-	began, looked time.Duration
-	listening     bool
+	// began is when the first reading came; updated is when the time was last updated.
+	began, updated time.Duration
+	listening      bool
 }
 
-// look updates the agreed time. readings must include the leader's own.
-func (a *agreement) look(readings map[processKey]reading, position time.Duration) {
-	if a.listening && position-a.looked < agreeInterval {
+// update updates the agreed time. readings must include the leader's own.
+func (a *agreement) update(readings map[processKey]reading, position time.Duration) {
+	if a.listening && position-a.updated < agreeInterval {
 		return
 	}
 	walls, agreed := recent(readings, position)
@@ -53,8 +53,8 @@
 		a.listening = true
 		a.began = position
 	}
-	elapsed := min(position-a.looked, maxSlewTime)
-	a.looked = position
+	elapsed := min(position-a.updated, maxSlewTime)
+	a.updated = position
 	switch {
 	case a.known:
 		bound := int64(elapsed.Seconds() * float64(slewPerSecond))
--- a/usage/clock.go
+++ b/usage/clock.go
@@ -6,8 +6,8 @@
 	// maxRoundTrip is the longest exchange from which a process takes the time. Half of it bounds
 	// the error of agreed time.
 	maxRoundTrip = 250 * time.Millisecond
-	// exchangeAge is how long an exchange is preferred for its short round trip. Two crystals
-	// drift apart by about a millisecond in this time.
+	// exchangeAge is how long an exchange is preferred for its short round trip. The oscillators of
+	// two machines drift apart by about a millisecond in this time.
 	exchangeAge = 10 * time.Second
 )
 
--- a/usage/collector.go
+++ b/usage/collector.go
@@ -82,7 +82,7 @@
 		// A log that was lost or restored may know less than the processes.
 		c.fixedBefore(r.Next)
 		c.readClocks(r, position, wall)
-		c.agreement.look(c.readings, position)
+		c.agreement.update(c.readings, position)
 		c.add(r, position)
 		c.forgetOld(position)
 	}
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -14,8 +14,8 @@
 	unassignedLength = 100 * time.Millisecond
 	// maxUnassigned bounds these buckets, to one minute.
 	maxUnassigned = 600
-	// straggle is how long after a window's end a request that saw its bucket may still be added.
-	straggle = 100 * time.Millisecond
+	// lateAddTime is how long after a window's end a request that saw its bucket may still be added.
+	lateAddTime = 100 * time.Millisecond
 )
 
 // bucket holds the requests that began in a span of positions.
--- a/usage/report.go
+++ b/usage/report.go
@@ -34,7 +34,7 @@
 	if !c.clock.known {
 		return 0
 	}
-	return min(c.windowOf(position-straggle), current.number)
+	return min(c.windowOf(position-lateAddTime), current.number)
 }
 
 // oldestKept returns the first window that is kept for the collector.
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -199,7 +199,7 @@
 	f.now += ReportInterval
 	end := f.now
 	last := f.first
-	f.now += straggle
+	f.now += lateAddTime
 	f.report(f.processes[0])
 	assert.Equal(t, len(f.collector.Due(f.at(), last, f.expected()[:1])), 0, "a process that was heard just now is not waited for")
 	for f.now < end+Patience-3*ReportInterval {
