--- a/systemtest/crowd/process_linux_test.go
+++ b/systemtest/crowd/process_linux_test.go
@@ -84,11 +84,12 @@
 		close(p.ended)
 	}()
 	t.Cleanup(func() {
+		alive := p.alive()
 		_ = p.cmd.Process.Kill()
 		<-p.ended
 		if t.Failed() {
 			b, _ := os.ReadFile(p.log)
-			t.Logf("%s:\n%s", p.name, b[max(0, len(b)-maxShownLog):])
+			t.Logf("%s, pid %d, alive before its end: %t, %s:\n%s", p.name, p.cmd.Process.Pid, alive, p.cmd.ProcessState, b[max(0, len(b)-maxShownLog):])
 		}
 	})
 	go p.watchDescriptors()
