--- a/systemtest/crowd/crowd_linux_test.go
+++ b/systemtest/crowd/crowd_linux_test.go
@@ -13,6 +13,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"toucantiller.dev/platform"
+
 	"toucantiller.dev/dispatch"
 	"toucantiller.dev/link"
 )
@@ -201,7 +203,7 @@
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.callers.address+"/look/1", bytes.NewReader(make([]byte, 4<<20)))
 	assert.NilError(t, err)
 	r.Host = "h"
-	r.Header.Set("X-Toucantiller-Attempt-Id", "largest")
+	r.Header.Set(platform.HeaderAttempt, "largest")
 	r.Header.Set("X-Filling", string(bytes.Repeat([]byte("x"), 16<<10-200)))
 	resp, err := client.Do(r)
 	assert.NilError(t, err)
