--- a/budget/lease.go
+++ b/budget/lease.go
@@ -140,5 +140,8 @@
 
 // burst returns the tokens that the wallet may keep.
 func (l *Lease) burst(limit Limit) float64 {
-	return leasedBurst * l.Share / leasableShare * l.Tolerance.widenLeased(limit).Burst
+	return burstPart(l.Share) * l.Tolerance.widenLeased(limit).Burst
 }
+
+// burstPart returns the part of a burst that a leased share carries.
+func burstPart(share float64) float64 { return leasedBurst * share / leasableShare }
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -108,7 +108,7 @@
 	out, err := p.ledger.renew(r, fleet, p.spendable, longest, now)
 	for account, b := range p.accounts {
 		b.leased = p.ledger.reserved(account)
-		b.limit.Burst = b.burst * (1 - leasedBurst*b.leased/leasableShare)
+		b.limit.Burst = b.burst * (1 - burstPart(b.leased))
 	}
 	out.Tolerance = p.tolerance
 	return out, err
@@ -182,7 +182,7 @@
 		return p.tolerance.widen(limit)
 	}
 	limit = p.tolerance.widenLeased(limit)
-	limit.Burst *= 1 - leasedBurst*p.ledger.reserved(account)/leasableShare
+	limit.Burst *= 1 - burstPart(p.ledger.reserved(account))
 	return limit
 }
 
@@ -193,7 +193,7 @@
 	if b == nil {
 		return math.Inf(1)
 	}
-	return leasedBurst*share/leasableShare*b.burst + p.tolerance.overdraft(other)
+	return burstPart(share)*b.burst + p.tolerance.overdraft(other)
 }
 
 // newBucket returns the bucket of an account, for a limit that has been widened.
