--- a/review/_bed/targets.go
+++ b/review/_bed/targets.go
@@ -11,6 +11,8 @@
 const (
 	targetRequests = 40
 	targetPause    = 50 * time.Millisecond
+	// deniedSlack and deniedShare bound the proper requests that may be ended with a 4xx.
+	deniedSlack, deniedShare = 5, 500
 )
 
 // otherTargets: clients send paths with bytes that some clients leave as they are, and targets in
@@ -21,9 +23,14 @@
 		pressed = 30 * time.Second
 		pause   = 500 * time.Millisecond // between two targets in absolute form to one machine
 	)
+	escaped := "/cafe/"
+	if bed.trouble {
+		escaped = "/caf%C3%A9/"
+	}
 	startDeployment(document(1, []string{"desk", "vault"}, []route{
 		{name: "r-book", prefix: "/puxa403/", kind: "unsafe", service: "desk", timeoutMS: 1000, attempts: 1},
 		{name: "r-vault", prefix: "/puxa403/vault/", kind: "unsafe", service: "vault", timeoutMS: 1000, attempts: 1},
+		{name: "r-escaped", prefix: escaped, kind: "unsafe", service: "desk", timeoutMS: 1000, attempts: 1},
 	}))
 	var mu sync.Mutex
 	ran, ranAt := make(map[string]string), make(map[string]string)
@@ -83,6 +90,15 @@
 	}
 	say("%d of %d requests for %s ran at another service than that of their route", misrouted, targetRequests/2, other)
 
+	denied := 0
+	for i := range targetRequests / 2 {
+		if o := send(fmt.Sprintf("d%d", i), escaped+"7", gateways()[i%len(zones)]); o.status == http.StatusNotFound {
+			denied++
+		}
+		time.Sleep(targetPause)
+	}
+	say("%d of %d requests for %s7, which the route %s allows, got 404", denied, targetRequests/2, escaped, escaped)
+
 	t := startTraffic(http.MethodPost, bookPath, time.Second, 30, gateways())
 	time.Sleep(calm)
 	n := 0
@@ -105,6 +121,6 @@
 	}
 	perSecond(all, allRuns(servers), nil)
 	say("beside %d requests with a target in absolute form %d of %d ordinary requests were refused or failed", n, refused, len(all))
-	verdict(changed > 0 || misrouted > 0 || 10*refused > 6*len(all), "%d of %d requests ran with a changed path; %d of %d ran at a service that is not that of their route; %d of %d ordinary requests were refused or failed (at most 60%% are allowed)",
-		changed, targetRequests, misrouted, targetRequests/2, refused, len(all))
+	verdict(changed > 0 || misrouted > 0 || denied > deniedSlack+(len(all)+n)/deniedShare || 10*refused > 6*len(all), "%d of %d requests ran with a changed path; %d of %d ran at a service that is not that of their route; %d of %d that a route allows got 404; %d of %d ordinary requests were refused or failed (at most 60%% are allowed)",
+		changed, targetRequests, misrouted, targetRequests/2, denied, targetRequests/2, refused, len(all))
 }
