--- a/review/_bed/main.go
+++ b/review/_bed/main.go
@@ -20,7 +20,7 @@
 		os.Exit(statusNotRun)
 	}
 	cases := map[string]func(){
-		"crowd": clientsThatStop, "order": orderAfterTakeBack, "writer": otherWriter, "targets": otherTargets, "fields": manyShortFields,
+		"crowd": clientsThatStop, "order": orderAfterTakeBack, "start": firstStart, "writer": otherWriter, "targets": otherTargets, "fields": manyShortFields,
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
