An answer with an impossible status is a broken answer

What callers saw: an endpoint answered with status 000. On the way to a plain service, and for a stream through an agent, the gateway's handler panicked with "invalid WriteHeader code 0", so the caller's connection ended without an answer and a request that may run again did not. For another answer through an agent, the gateway found "the answer ended before it started", replaced its connection to the agent and sent the endpoint nothing for a second: other callers got 503 "no_endpoint". 001 to 099 went the same ways. 101, 600 and 999 reached the caller as the endpoint's answer, and a 000 marked as not executed became "not run".

Cause: net/http reads any three digits as a status, also "+20" and "-00", and nothing after it looked at them.

Fix: endpoint.CheckHead rejects a status outside of 200 to 599 where answers are read: in httpengine, which reads those of all endpoints for gateways and agents, before anything else that the answer says, and in the gateway for the frame that starts an answer, since agents of earlier versions pass such answers on. The attempt has failed and whether the request ran is unknown: 502, or another endpoint if the request may run again. The connection is closed; the endpoint stays in use.

--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -193,7 +193,11 @@
 	return e.opt.Report(resp)
 }
 
+// checkAnswer returns an error for an answer whose head is broken or that Options.Check rejects.
 func (e *Engine) checkAnswer(resp *http.Response, r *endpoint.Request, reused bool) error {
+	if err := endpoint.CheckHead(resp.StatusCode); err != nil {
+		return err
+	}
 	if e.opt.Check == nil {
 		return nil
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -221,10 +221,15 @@
 		a.observeLoad(m.Load, m.Revision, err)
 	case dispatch.FrameStarted:
 		var m dispatch.Started
-		if err = dispatch.Decode(payload, &m); err == nil {
-			a.out.start(a.endpoint, m.Status, m.Header)
-			a.recordStarted()
+		if err = dispatch.Decode(payload, &m); err != nil {
+			break
+		}
+		if broken := endpoint.CheckHead(m.Status); broken != nil {
+			// Agents of earlier versions pass such answers on.
+			return true, a.handleLost(&dispatch.Lost{Code: dispatch.CodeEngineLost, Detail: broken.Error()}), nil
 		}
+		a.out.start(a.endpoint, m.Status, m.Header)
+		a.recordStarted()
 	case dispatch.FrameEnd:
 		var m dispatch.End
 		err = dispatch.Decode(payload, &m)
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -121,3 +121,24 @@
 		a.expect(t, 502, executionField("unknown"))
 	})
 }
+
+// Guards against an answer with an impossible status that an agent of an earlier version passes on,
+// and against the suspension of its endpoint.
+func TestImpossibleStatusFromAnAgent(t *testing.T) {
+	runInBubble(t, func(t *testing.T, w *testCluster) {
+		status := 0
+		answer := func(rw http.ResponseWriter, _ *http.Request, h *dispatch.Header) {
+			frames := dispatch.NewWriter(rw, h.ID)
+			_ = frames.WriteMessage(dispatch.FrameStarted, &dispatch.Started{Status: status})
+			_ = frames.WriteData([]byte("body"))
+			_ = frames.WriteMessage(dispatch.FrameEnd, &dispatch.End{Length: 4})
+		}
+		w.addStub("e1", 5, &stubAgent{dispatch: answer, seal: dispatch.SealReply{State: dispatch.SealCommitted, Incarnation: 5, Ended: true}})
+		w.startGateway()
+		for _, status = range []int{-1, 0, 99, 101, 600} {
+			w.post(booking, "{}").expect(t, 502, executionField("unknown"), "engine_lost")
+		}
+		status = 200
+		w.post(booking, "{}").expect(t, 200, "body")
+	})
+}
