An answer with an impossible field name is a broken answer

What callers saw: an endpoint answered with "Transfer-Encoding : chunked" (a blank before the colon) and the caller got 200 with the body "4\r\nlost\r\n0\r\n\r\n"; with "Content-Length : 4" it got all that followed until the connection ended, framed as whole. A "Content-Encoding : gzip" went unseen, so an encoded body was passed on. An interim answer or a trailer with such a name went unseen too. A line whose name holds a control byte, a tab or another byte that no name has was refused already; those cases are kept in the test.

Cause: net/http keeps a field whose name holds blanks under just that name, so neither net/http nor this system finds the field that was meant, and the end of the body is lost with it.

Fix: endpoint.CheckHead, which reads every answer's head first, rejects names that are no token of RFC 9110. A proxy may also remove blanks before the colon, but by then net/http has chosen the wrong end of the body. The caller gets 502 with an unknown outcome, or the answer of another endpoint; an answer already begun breaks off at its client.

--- a/agent/httpengine/conn.go
+++ b/agent/httpengine/conn.go
@@ -6,6 +6,8 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync/atomic"
+
+	"toucantiller.dev/endpoint"
 )
 
 // States of a connection for the request that uses it.
@@ -60,11 +62,11 @@
 var errTooManyInterim = errors.New("too many interim responses")
 
 // got1xxResponse is called by net/http for each 1xx response.
-func (s *requestTrace) got1xxResponse(int, textproto.MIMEHeader) error {
+func (s *requestTrace) got1xxResponse(_ int, header textproto.MIMEHeader) error {
 	if s.interimResponses++; s.interimResponses > maxInterimResponses {
 		return errTooManyInterim
 	}
-	return nil
+	return endpoint.CheckFields(header)
 }
 
 // gotConn is called by net/http when it has chosen a connection.
--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -138,7 +138,7 @@
 		wishes := e.wishes(resp)
 		if err = e.checkAnswer(resp, r, s.reused); err == nil {
 			e.restraints.record(r, wishes, time.Now())
-			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: checkEvents(resp), Report: e.report(resp)}, false, nil
+			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: checkBody(resp), Report: e.report(resp)}, false, nil
 		}
 		var refused *endpoint.RefusedError
 		if errors.As(err, &refused) && !refused.Misdirected {
@@ -195,7 +195,7 @@
 
 // checkAnswer returns an error for an answer whose head is broken or that Options.Check rejects.
 func (e *Engine) checkAnswer(resp *http.Response, r *endpoint.Request, reused bool) error {
-	if err := endpoint.CheckHead(resp.StatusCode); err != nil {
+	if err := endpoint.CheckHead(resp.StatusCode, resp.Header); err != nil {
 		return err
 	}
 	if e.opt.Check == nil {
--- a/agent/httpengine/events.go
+++ b/agent/httpengine/events.go
@@ -26,12 +26,12 @@
 	begun bool
 }
 
-// checkEvents wraps the body of an answer that is an event stream.
-func checkEvents(resp *http.Response) io.ReadCloser {
-	if !dispatch.IsEventStream(resp.Header) {
-		return resp.Body
+// checkEvents wraps the body of an answer if the answer is an event stream.
+func checkEvents(header http.Header, body io.ReadCloser) io.ReadCloser {
+	if !dispatch.IsEventStream(header) {
+		return body
 	}
-	return &eventBody{ReadCloser: resp.Body}
+	return &eventBody{ReadCloser: body}
 }
 
 // Read reads the stream.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -221,15 +221,10 @@
 		a.observeLoad(m.Load, m.Revision, err)
 	case dispatch.FrameStarted:
 		var m dispatch.Started
-		if err = dispatch.Decode(payload, &m); err != nil {
-			break
-		}
-		if broken := endpoint.CheckHead(m.Status); broken != nil {
-			// Agents of earlier versions pass such answers on.
-			return true, a.handleLost(&dispatch.Lost{Code: dispatch.CodeEngineLost, Detail: broken.Error()}), nil
+		if err = dispatch.Decode(payload, &m); err == nil {
+			finished, r = a.handleStarted(&m)
+			return finished, r, nil
 		}
-		a.out.start(a.endpoint, m.Status, m.Header)
-		a.recordStarted()
 	case dispatch.FrameEnd:
 		var m dispatch.End
 		err = dispatch.Decode(payload, &m)
@@ -265,6 +260,17 @@
 	return false, attemptResult{}, err
 }
 
+// handleStarted begins the answer. One with a broken head, which agents of earlier versions pass on,
+// is lost.
+func (a *attempt) handleStarted(m *dispatch.Started) (finished bool, r attemptResult) {
+	if broken := endpoint.CheckHead(m.Status, m.Header); broken != nil {
+		return true, a.handleLost(&dispatch.Lost{Code: dispatch.CodeEngineLost, Detail: broken.Error()})
+	}
+	a.out.start(a.endpoint, m.Status, m.Header)
+	a.recordStarted()
+	return false, attemptResult{}
+}
+
 var (
 	errDuplicate  = errors.New("the agent has seen this dispatch before")
 	errNotStarted = errors.New("the answer ended before it started")
--- a/gateway/stub_test.go
+++ b/gateway/stub_test.go
@@ -122,14 +122,14 @@
 	})
 }
 
-// Guards against an answer with an impossible status that an agent of an earlier version passes on,
+// Guards against an answer with an impossible head that an agent of an earlier version passes on,
 // and against the suspension of its endpoint.
-func TestImpossibleStatusFromAnAgent(t *testing.T) {
+func TestImpossibleHeadFromAnAgent(t *testing.T) {
 	runInBubble(t, func(t *testing.T, w *testCluster) {
-		status := 0
+		status, header := 0, http.Header{}
 		answer := func(rw http.ResponseWriter, _ *http.Request, h *dispatch.Header) {
 			frames := dispatch.NewWriter(rw, h.ID)
-			_ = frames.WriteMessage(dispatch.FrameStarted, &dispatch.Started{Status: status})
+			_ = frames.WriteMessage(dispatch.FrameStarted, &dispatch.Started{Status: status, Header: header})
 			_ = frames.WriteData([]byte("body"))
 			_ = frames.WriteMessage(dispatch.FrameEnd, &dispatch.End{Length: 4})
 		}
@@ -139,6 +139,11 @@
 			w.post(booking, "{}").expect(t, 502, executionField("unknown"), "engine_lost")
 		}
 		status = 200
+		for _, name := range []string{"Content-Length ", "X Y", "", "X:", "X\r\nY"} {
+			header = http.Header{name: {"1"}}
+			w.post(booking, "{}").expect(t, 502, executionField("unknown"), "engine_lost")
+		}
+		header = http.Header{"Content-Type": {"text/plain"}}
 		w.post(booking, "{}").expect(t, 200, "body")
 	})
 }
