A reset that hits the upload does not end an answer

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a whole answer.

Cause: the system reports a reset once, to the call that comes first. If that is a write of the upload, the read behind it returns the end of the connection, and an answer without a length ends there. net/http closes the connection for the failed write, but by then its reader has seen the end. The same goes for every error that ends a connection, such as a time-out of unacknowledged bytes.

Fix: the connection remembers the first write that failed and, when a read returns its end, first lets a write that is under way finish: an error of it means that the connection was lost, not ended. A write that waits for the peer is ended then; the answer that the peer has ended is whole or never will be. EPIPE stands for a peer that ended its side before, so that answer has its end. This holds for all answers, as every one is read through this connection. The caller gets 502 with an unknown outcome, and one that has begun breaks off.

--- a/agent/httpengine/conn.go
+++ b/agent/httpengine/conn.go
@@ -2,10 +2,15 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"net/textproto"
+	"os"
+	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"toucantiller.dev/endpoint"
 )
@@ -26,11 +31,57 @@
 type trackedConn struct {
 	net.Conn
 	state atomic.Int32
+
+	// writing is held during a write.
+	writing sync.Mutex
+	// writeErr is the error of the first write that failed. It is guarded by writing.
+	writeErr error
+}
+
+// Read reads from the connection. Its end is reported only if the peer has ended it: a reset that
+// was reported to a write looks like an end to the reads behind it.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		if lost := c.lostConnection(); lost != nil {
+			return n, lost
+		}
+	}
+	return n, err
+}
+
+// lostConnection returns the error with which a write has found the connection lost, nil if none
+// has. It ends a write that is under way: the peer has ended its side, so the answer is complete or
+// will never be.
+func (c *trackedConn) lostConnection() error {
+	if !c.writing.TryLock() {
+		_ = c.SetWriteDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	switch {
+	case c.writeErr == nil, errors.Is(c.writeErr, os.ErrDeadlineExceeded):
+		return nil
+	case errors.Is(c.writeErr, syscall.EPIPE):
+		// The peer had ended its side before it reset the connection.
+		return nil
+	}
+	return c.writeErr
 }
 
 // Write writes p unless the connection is frozen. A write that fails before any byte was
 // written leaves the connection idle.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+func (c *trackedConn) write(p []byte) (int, error) {
 	if c.state.CompareAndSwap(connIdle, connWriting) {
 		n, err := c.Conn.Write(p)
 		if n == 0 && err != nil {
