An answer whose end is stated twice or wrongly is a broken answer

Found while looking for other answers with the cause of the broken heads: net/http reads more than HTTP allows, and nothing behind it looked again.

What callers saw: an endpoint answered in HTTP/1.0 with "Transfer-Encoding: chunked", which HTTP/1.0 does not have, and the caller got 200 with the body "4\r\nlost\r\n0\r\n\r\n". An answer with chunks of 4 bytes and a Content-Length of 9 or 3 reached it as whole with 4 bytes, and one in HTTP/0.9 or HTTP/2.0, or with a NUL or CR in its status line, as an answer of HTTP/1.1.

Cause: net/http ignores the coding of answers in HTTP/1.0, prefers chunks to Content-Length without a word, and removes both fields from the head, so a later check cannot find them.

Fix: the connection that all answers are read through notes whether the head has a Transfer-Encoding and a Content-Length. A coding in HTTP/1.0 is a broken answer, and so is another version or a control byte in the status line. A body in chunks that is longer or shorter than its Content-Length fails at that point; one of the same length passes, since servers that state both exist and its end is sure.

--- a/agent/httpengine/body.go
+++ b/agent/httpengine/body.go
@@ -9,8 +9,8 @@
 )
 
 // checkBody returns the body of an answer. Reading it fails if the answer turns out to be broken.
-func checkBody(resp *http.Response) io.ReadCloser {
-	body := resp.Body
+func checkBody(resp *http.Response, f framing) io.ReadCloser {
+	body := f.limit(resp.Body)
 	if resp.ContentLength < 0 {
 		body = &trailedBody{ReadCloser: body, resp: resp}
 	}
--- a/agent/httpengine/conn.go
+++ b/agent/httpengine/conn.go
@@ -31,6 +31,8 @@
 type trackedConn struct {
 	net.Conn
 	state atomic.Int32
+	// head reads the framing of the answer to the request.
+	head headScanner
 
 	// writing is held during a write.
 	writing sync.Mutex
@@ -42,6 +44,7 @@
 // was reported to a write looks like an end to the reads behind it.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.head.scan(p[:n])
 	if errors.Is(err, io.EOF) {
 		if lost := c.lostConnection(); lost != nil {
 			return n, lost
@@ -126,9 +129,18 @@
 	s.conn, _ = info.Conn.(*trackedConn)
 	if s.conn != nil {
 		s.conn.state.Store(connIdle)
+		s.conn.head.reset()
 	}
 }
 
+// framing returns what the answer's head said of the end of its body.
+func (s *requestTrace) framing() framing {
+	if s.conn == nil {
+		return framing{}
+	}
+	return s.conn.head.result()
+}
+
 // ensureUnsent reports whether no byte of the request has left this process; if so, none will.
 func (s *requestTrace) ensureUnsent(gotConn bool) bool {
 	if !gotConn {
--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -2,6 +2,7 @@
 package httpengine
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -136,9 +137,9 @@
 	defer mu.Unlock()
 	if err == nil {
 		wishes := e.wishes(resp)
-		if err = e.checkAnswer(resp, r, s.reused); err == nil {
+		if err = e.checkAnswer(resp, r, &s); err == nil {
 			e.restraints.record(r, wishes, time.Now())
-			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: checkBody(resp), Report: e.report(resp)}, false, nil
+			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: checkBody(resp, s.framing()), Report: e.report(resp)}, false, nil
 		}
 		var refused *endpoint.RefusedError
 		if errors.As(err, &refused) && !refused.Misdirected {
@@ -194,14 +195,12 @@
 }
 
 // checkAnswer returns an error for an answer whose head is broken or that Options.Check rejects.
-func (e *Engine) checkAnswer(resp *http.Response, r *endpoint.Request, reused bool) error {
-	if err := endpoint.CheckHead(resp.StatusCode, resp.Header); err != nil {
+func (e *Engine) checkAnswer(resp *http.Response, r *endpoint.Request, s *requestTrace) error {
+	err := cmp.Or(endpoint.CheckHead(resp.StatusCode, resp.Header), checkStatusLine(resp), s.framing().check(resp))
+	if err != nil || e.opt.Check == nil {
 		return err
 	}
-	if e.opt.Check == nil {
-		return nil
-	}
-	return e.opt.Check(resp, r, reused)
+	return e.opt.Check(resp, r, s.reused)
 }
 
 // Close closes idle connections.
