A begun answer that breaks off is reset for callers in HTTP/1.0

Found with the broken answers: an answer that has begun when it breaks off must end so that its client sees it.

What callers saw: a caller in HTTP/1.0 got the first 2 MB of an answer that its endpoint broke off, or the first event of a stream, and then the regular end of the connection, which ends an answer without a length in HTTP/1.0: it took the part for the whole. In HTTP/1.1 the missing last chunk shows the break.

Cause: the handler is aborted, and net/http closes the connection in order.

Fix: for a caller in HTTP/1.0 the connection is taken over and reset. The accepted connections of the programs pass SetLinger on for it.

Evidence: TestBegunAnswerBreaksOffForCallersInHTTP10 failed before ("false != true: text/plain: 2097312 bytes, ending xxxxxxxxxxxxxxxxxxxx: <nil>"); it also checks that whole answers still end regularly, with and without the listener of the programs.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -32,11 +32,13 @@
 	tooLarge   bool
 	// writeFailed is set when a write to the caller has failed.
 	writeFailed bool
+	// untilClose is set for callers in HTTP/1.0, to whom the end of the connection ends an answer.
+	untilClose bool
 }
 
-func newAnswerWriter(w http.ResponseWriter, c *call) *answerWriter {
+func newAnswerWriter(w http.ResponseWriter, r *http.Request, c *call) *answerWriter {
 	f, _ := w.(http.Flusher)
-	return &answerWriter{w: w, flusher: f, call: c}
+	return &answerWriter{w: w, flusher: f, call: c, untilClose: !r.ProtoAtLeast(1, 1)}
 }
 
 // start records the status and headers of the engine's answer.
@@ -159,9 +161,25 @@
 		o.clearDeadline()
 		return
 	}
+	if o.untilClose {
+		o.resetConnection()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection ends the caller's connection with a reset, which no caller takes for the end of an
+// answer.
+func (o *answerWriter) resetConnection() {
+	conn, _, err := http.NewResponseController(o.w).Hijack()
+	if err != nil {
+		return // HTTP/2 frames its answers
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = conn.Close()
+}
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -38,7 +38,7 @@
 		q.budget.addRequest()
 	}
 	g.opt.Timeline.Record(timeline.Event{Kind: "request.received", Request: c.id, Revision: c.config.Revision})
-	out := newAnswerWriter(w, c)
+	out := newAnswerWriter(w, r, c)
 	defer func() { g.metrics.duration.record(time.Since(began)) }()
 	p := g.execute(r.Context(), c, out)
 	g.logRequest(c, out.status, began, p)
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -188,6 +188,14 @@
 	return nil
 }
 
+// SetLinger sets what a close does with bytes that are not sent, as net.TCPConn.SetLinger does.
+func (c *Conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Close closes the connection and gives back its place and what is held for it.
 func (c *Conn) Close() error {
 	if !c.closed.Swap(true) {
