--- a/consensus/replica/full_disk_test.go
+++ b/consensus/replica/full_disk_test.go
@@ -53,8 +53,11 @@
 
 // startWithReserve starts the replicas again, with a state that is the last command and a reserve
 // in which a snapshot fits.
-func startWithReserve(g *group) {
-	g.reserve, g.keep = 1<<20, 1
+func startWithReserve(g *group) { startWithState(g, 1) }
+
+// startWithState starts the replicas again, with a state of the last commands and a reserve of 1 MiB.
+func startWithState(g *group, keep int) {
+	g.reserve, g.keep = 1<<20, keep
 	for _, a := range g.addresses {
 		g.kill(g.nodes[a])
 		g.start(a)
@@ -117,6 +120,32 @@
 	})
 }
 
+// Guards against a leader that refuses commands for as long as its disk is full, although others have
+// space: its attempts at a snapshot, for which there is no space either, kept it from handing over.
+func TestLeaderWithoutSpaceForASnapshotHandsOver(t *testing.T) {
+	withVirtualTimeGroup(t, 0, func(t *testing.T, g *group) {
+		const kept = 8
+		startWithState(g, kept)
+		for i := range kept {
+			g.propose("%s", largeCommand(i))
+		}
+		old := g.leader()
+		g.disk(old.address).SetCapacity(g.disk(old.address).Used())
+		g.propose("%s", largeCommand(kept)) // makes the leader give up its reserve
+		began := time.Now()
+		for {
+			_, err := g.leader().Propose(timeoutContext(t, time.Second), []byte(largeCommand(kept+1)))
+			if err == nil {
+				break
+			}
+			assert.Assert(t, time.Since(began) <= acceptedWithin, "after %s: %v", time.Since(began), err)
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, g.leader() != old)
+		old.assertRuns(t)
+	})
+}
+
 // Guards against replicas that wait for space for good although a snapshot would free it: a
 // command that fits neither on the disk nor in the reserve, behind a long log.
 func TestBlockedReplicasFreeTheirLog(t *testing.T) {
--- a/consensus/replica/space.go
+++ b/consensus/replica/space.go
@@ -87,18 +87,20 @@
 	}
 }
 
-// lookForSpace takes the reserve again, every spaceInterval while the disk is full.
+// lookForSpace hands the leadership over once the disk is full, and takes the reserve again, every
+// spaceInterval. Attempts at a snapshot put off the latter only.
 func (r *Replica) lookForSpace() {
+	full := r.storage.log.Full()
+	if full {
+		r.yieldLeadership()
+	} else {
+		r.yielded = false
+	}
 	if r.spaceTicks > 0 {
 		r.spaceTicks--
 		return
 	}
-	if !r.storage.log.Full() {
-		r.yielded = false
-		return
-	}
-	r.yieldLeadership()
-	if r.writingSnapshot {
+	if !full || r.writingSnapshot {
 		return
 	}
 	r.spaceTicks = spaceInterval
