httpengine: one wrapper checks a body's length and trailer, and ends its connection

From reading the change again: a body whose length or trailer turned out to be broken left its connection to net/http, which may keep it. It is closed now, as after a broken head; TestFramingOfAnswersOnOneConnection checks that, and that sound answers keep theirs. The texts of errors quote at most 64 bytes of a field's name.

--- a/agent/httpengine/conn.go
+++ b/agent/httpengine/conn.go
@@ -141,6 +141,14 @@
 	return s.conn.head.result()
 }
 
+// Close closes the connection.
+func (s *requestTrace) Close() error {
+	if s.conn == nil {
+		return nil
+	}
+	return s.conn.Close()
+}
+
 // ensureUnsent reports whether no byte of the request has left this process; if so, none will.
 func (s *requestTrace) ensureUnsent(gotConn bool) bool {
 	if !gotConn {
--- a/agent/httpengine/engine.go
+++ b/agent/httpengine/engine.go
@@ -139,7 +139,7 @@
 		wishes := e.wishes(resp)
 		if err = e.checkAnswer(resp, r, &s); err == nil {
 			e.restraints.record(r, wishes, time.Now())
-			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: checkBody(resp, s.framing()), Report: e.report(resp)}, false, nil
+			return &endpoint.Answer{Status: resp.StatusCode, Header: resp.Header, Body: checkBody(resp, s.framing(), &s), Report: e.report(resp)}, false, nil
 		}
 		var refused *endpoint.RefusedError
 		if errors.As(err, &refused) && !refused.Misdirected {
@@ -148,8 +148,8 @@
 			refused.Report = e.report(resp)
 			e.restraints.record(r, wishes, time.Now())
 		}
-		if !errors.Is(err, endpoint.ErrNotSent) && s.conn != nil {
-			_ = s.conn.Close() // the error of Check is the one to report
+		if !errors.Is(err, endpoint.ErrNotSent) {
+			_ = s.Close() // the error of Check is the one to report
 		}
 		_ = resp.Body.Close() // the body is not used
 		return nil, false, boundedError{fmt.Errorf("answer of engine %s: %w", e.baseURL, err)}
--- a/agent/httpengine/framing_test.go
+++ b/agent/httpengine/framing_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"io"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -30,29 +32,34 @@
 	network := link.NewMemory()
 	l, err := network.Listen("engine:80")
 	assert.NilError(t, err)
+	var accepted atomic.Int32
 	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		r := bufio.NewReader(c)
-		for _, a := range answers {
-			if _, err := http.ReadRequest(r); err != nil {
+		for {
+			c, err := l.Accept()
+			if err != nil {
 				return
 			}
-			for i := range len(a.text) {
-				_, _ = io.WriteString(c, a.text[i:i+1])
+			accepted.Add(1)
+			r := bufio.NewReader(c)
+			for _, a := range answers {
+				if _, err := http.ReadRequest(r); err != nil {
+					break
+				}
+				for i := range len(a.text) {
+					_, _ = io.WriteString(c, a.text[i:i+1])
+				}
 			}
+			_ = c.Close()
 		}
 	}()
 	e := httpengine.New(network, "http://engine")
-	for _, a := range answers {
+	for i, a := range slices.Concat(answers, answers[:1]) {
 		answer, err := e.Submit(t.Context(), &endpoint.Request{ID: "r", Method: http.MethodPost, Path: "/"})
 		assert.NilError(t, err, "%q", a.text)
 		_, err = io.ReadAll(answer.Body)
 		assert.Equal(t, err == nil, a.whole, "%q: %v", a.text, err)
 		_ = answer.Body.Close()
+		assert.Equal(t, accepted.Load(), int32(1+i/len(answers)), "a connection was used on after a broken answer, or not kept")
 	}
 	assert.NilError(t, l.Close())
 }
--- a/agent/httpengine/head.go
+++ b/agent/httpengine/head.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -143,32 +141,15 @@
 	return nil
 }
 
-// limit wraps the body of an answer that states its length twice, in its chunks and in
-// Content-Length, which may contradict each other.
-func (f framing) limit(body io.ReadCloser) io.ReadCloser {
-	if !f.coded || f.length == "" || body == http.NoBody {
-		return body
+// statedLength returns the length of a body in chunks that Content-Length states beside them,
+// unknownLength if it states none.
+func (f framing) statedLength() int64 {
+	if !f.coded || f.length == "" {
+		return unknownLength
 	}
 	length, err := strconv.ParseInt(f.length, 10, 64)
 	if err != nil {
-		length = -1 // no body has this length
+		return 0 // net/http refuses such a length
 	}
-	return &countedBody{ReadCloser: body, left: length}
-}
-
-// countedBody is a body that has to have a length.
-type countedBody struct {
-	io.ReadCloser
-	// left is the number of bytes to come.
-	left int64
-}
-
-// Read reads the body. It fails once the body has another length.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.left -= int64(n)
-	if b.left < 0 || errors.Is(err, io.EOF) && b.left > 0 {
-		return n, fmt.Errorf("%w: Content-Length contradicts the chunks", endpoint.ErrBrokenAnswer)
-	}
-	return n, err
+	return length
 }
--- a/endpoint/head.go
+++ b/endpoint/head.go
@@ -29,7 +29,7 @@
 func CheckFields[H ~map[string][]string](header H) error {
 	for name := range header {
 		if !isToken(name) {
-			return fmt.Errorf("%w: field name %q", ErrBrokenAnswer, name)
+			return fmt.Errorf("%w: field name %.64q", ErrBrokenAnswer, name)
 		}
 	}
 	return nil
