httpengine: the scanner of heads and the checks without turns that they do not need

The end of a head was a function that took whether the line is empty and did nothing otherwise; the line is told apart where the others are. CheckFields was generic to spare one conversion. Two cases of a lost connection had one outcome.

--- a/agent/httpengine/conn.go
+++ b/agent/httpengine/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"os"
@@ -62,11 +63,8 @@
 		c.writing.Lock()
 	}
 	defer c.writing.Unlock()
-	switch {
-	case c.writeErr == nil, errors.Is(c.writeErr, os.ErrDeadlineExceeded):
-		return nil
-	case errors.Is(c.writeErr, syscall.EPIPE):
-		// The peer had ended its side before it reset the connection.
+	if errors.Is(c.writeErr, os.ErrDeadlineExceeded) || errors.Is(c.writeErr, syscall.EPIPE) {
+		// EPIPE: the peer had ended its side before it reset the connection.
 		return nil
 	}
 	return c.writeErr
@@ -120,7 +118,7 @@
 	if s.interimResponses++; s.interimResponses > maxInterimResponses {
 		return errTooManyInterim
 	}
-	return endpoint.CheckFields(header)
+	return endpoint.CheckFields(http.Header(header))
 }
 
 // gotConn is called by net/http when it has chosen a connection.
--- a/agent/httpengine/head.go
+++ b/agent/httpengine/head.go
@@ -82,19 +82,26 @@
 func (s *headScanner) endLine(line []byte) {
 	switch {
 	case !s.begun:
-		s.begun = true
-		_, status, _ := strings.Cut(string(line), " ")
-		status = strings.TrimLeft(status, " ")
-		s.interim = strings.HasPrefix(status, "1") && !strings.HasPrefix(status, "101")
-	case len(line) > 0 && (line[0] == ' ' || line[0] == '\t'):
+		s.beginHead(string(line))
+	case len(line) == 0:
+		s.endField()
+		s.endHead()
+	case line[0] == ' ' || line[0] == '\t':
 		s.field = appendBounded(s.field, line)
 	default:
 		s.endField()
 		s.field = append(s.field[:0], line...)
-		s.endHead(len(line) == 0)
 	}
 }
 
+// beginHead handles the status line.
+func (s *headScanner) beginHead(line string) {
+	s.begun = true
+	_, status, _ := strings.Cut(line, " ")
+	status = strings.TrimLeft(status, " ")
+	s.interim = strings.HasPrefix(status, "1") && !strings.HasPrefix(status, "101")
+}
+
 // endField takes what a field says.
 func (s *headScanner) endField() {
 	name, value, _ := strings.Cut(string(s.field), ":")
@@ -106,15 +113,13 @@
 	}
 }
 
-// endHead ends a head at its empty line.
-func (s *headScanner) endHead(empty bool) {
-	switch {
-	case !empty:
-	case s.interim:
+// endHead ends a head at its empty line. Another one follows that of an interim answer.
+func (s *headScanner) endHead() {
+	if s.interim {
 		s.restart()
-	default:
-		s.done = true
+		return
 	}
+	s.done = true
 }
 
 // checkStatusLine returns an error for a status line that no answer to a request in HTTP/1.1 can
--- a/endpoint/head.go
+++ b/endpoint/head.go
@@ -26,7 +26,7 @@
 // CheckFields returns an error that wraps ErrBrokenAnswer if a field of a head or trailer has a name
 // that no field can have. net/http reads "Content-Length : 5" as a field of another name and so
 // misses the end of the body.
-func CheckFields[H ~map[string][]string](header H) error {
+func CheckFields(header http.Header) error {
 	for name := range header {
 		if !isToken(name) {
 			return fmt.Errorf("%w: field name %.64q", ErrBrokenAnswer, name)
