--- a/review/_rig3/case_clock.go
+++ b/review/_rig3/case_clock.go
@@ -18,6 +18,11 @@
 }
 
 func startLoad(d *deployment, c *client, r request, gap time.Duration) *load {
+	return startLoadAt(d, c, r, gap, []int{1, 2, 3})
+}
+
+// startLoadAt is startLoad for the gateways on some of the machines.
+func startLoadAt(d *deployment, c *client, r request, gap time.Duration, machines []int) *load {
 	l := &load{end: make(chan struct{})}
 	l.group.Go(func() {
 		for i := 0; ; i++ {
@@ -26,7 +31,7 @@
 				return
 			case <-time.After(gap):
 			}
-			r.gateway = d.at(1+i%fronts, d.ports.front)
+			r.gateway = d.at(machines[i%len(machines)], d.ports.front)
 			send := r
 			l.group.Go(func() {
 				o := c.send(send)
--- a/review/_rig3/replica.go
+++ b/review/_rig3/replica.go
@@ -112,6 +112,9 @@
 	return s.dark
 }
 
+// callBackoff is the pause before a call is sent to the next node; it doubles with each failure.
+const callBackoff = 300 * time.Millisecond
+
 // beat sends one heartbeat, to one node after the other until one acknowledges it.
 func (s *replica) beat(ctx context.Context) error {
 	s.calls.Lock()
@@ -120,7 +123,10 @@
 	if s.beatAt != "" {
 		nodes = append([]string{s.beatAt}, nodes...)
 	}
-	for _, node := range nodes {
+	for i, node := range nodes {
+		if i > 0 {
+			time.Sleep(callBackoff << (i - 1))
+		}
 		s.mu.Lock()
 		s.seq++
 		body := map[string]any{"backend": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": s.slots,
